--- /dev/null
+++ b/lab/backend.cpp
@@ -0,0 +1,288 @@
+#include "lab/backend.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include "lab/answer_body.hpp"
+#include "lab/control.hpp"
+#include "protocol/call_context.hpp"
+
+namespace anisehold::lab {
+namespace {
+
+using nlohmann::json;
+
+constexpr double kColdFactor = 3.0;
+/// Work varies evenly between these shares of the average.
+constexpr double kLeastWork = 0.7;
+constexpr double kMostWork = 1.3;
+constexpr milliseconds kDefaultTimeout{10'000};
+constexpr unsigned kOk = 200;
+constexpr unsigned kServerError = 500;
+constexpr unsigned kUnavailable = 503;
+
+milliseconds timeout_of(const net::HttpRequest& request) {
+    const auto value = request.fields.find(header::kTimeout);
+    long long timeout_ms = 0;
+    if (!value ||
+        std::from_chars(value->data(), value->data() + value->size(), timeout_ms).ec != std::errc{}) {
+        return kDefaultTimeout;
+    }
+    return milliseconds(timeout_ms);
+}
+
+std::string request_id_of(const net::HttpRequest& request) {
+    return std::string(request.fields.find(kRequestHeader).value_or(""));
+}
+
+/// Waits until `until`; false if the caller went away first.
+bool sleep_until(TimePoint until, net::CancelSignal& cancel) {
+    if (cancel.cancelled()) {
+        return false;
+    }
+    const auto gone = std::make_shared<net::FiberEvent>();
+    const net::CancelSubscription subscription(&cancel, [gone] { gone->set(); });
+    return !gone->wait_until(until);
+}
+
+/// A body that breaks off half-way.
+class HalfBody final : public net::BodyReader {
+  public:
+    std::size_t read(char* /*data*/, std::size_t /*size*/, std::error_code& error) override {
+        error = std::make_error_code(std::errc::connection_reset);
+        return 0;
+    }
+};
+
+}  // namespace
+
+/// Gives the slot back at the end of the scope.
+class Backend::SlotLease {
+  public:
+    explicit SlotLease(Backend& backend) : backend_(backend), taken_at_(TimePoint::clock::now()) {}
+    ~SlotLease() {
+        backend_.slot_seconds_ += std::chrono::duration<double>(TimePoint::clock::now() - taken_at_).count();
+        backend_.return_slot();
+    }
+    SlotLease(const SlotLease&) = delete;
+    SlotLease& operator=(const SlotLease&) = delete;
+
+  private:
+    Backend& backend_;
+    TimePoint taken_at_;
+};
+
+Backend::Backend(boost::asio::io_context& io, Deployment deployment, BackendOptions options,
+                 CallTargets targets)
+    : deployment_(std::move(deployment)),
+      options_(std::move(options)),
+      caller_(io, std::move(targets), std::random_device{}()),
+      server_(
+          io, {},
+          {[this](net::HttpRequest& request, net::CancelSignal& cancel) { return handle(request, cancel); },
+           [](ErrorKind kind) {
+               return json_answer(answer_for(kind).http_status, {{"error", "bad request"}});
+           }}),
+      started_at_(TimePoint::clock::now()),
+      random_(std::random_device{}()) {
+    const auto* service = deployment_.service(options_.service);
+    slots_ = service == nullptr ? 1 : service->slots;
+}
+
+std::error_code Backend::start(const Endpoint& endpoint) {
+    return server_.start(endpoint);
+}
+
+void Backend::drain() {
+    draining_ = true;
+    server_.begin_closing();
+}
+
+net::HttpResponse Backend::handle(net::HttpRequest& request, net::CancelSignal& cancel) {
+    if (request.target.starts_with("/lab/")) {
+        return control(request);
+    }
+    if (request.target == "/health") {
+        const bool says_draining = draining_ && !faults_.health_lies;
+        return json_answer(says_draining ? kUnavailable : kOk,
+                           {{"status", says_draining ? "draining" : "ok"}});
+    }
+    ++received_;
+    received_while_draining_ += draining_ ? 1 : 0;
+    if (faults_.frozen) {
+        const auto thawed = thawed_;
+        thawed->wait();
+    }
+    const auto* kind = deployment_.kind_of(options_.service, request.method, request.target);
+    if (kind == nullptr) {
+        return json_answer(404, {{"error", "no such kind"}});
+    }
+    return run(*kind, request, cancel);
+}
+
+net::HttpResponse Backend::control(net::HttpRequest& request) {
+    if (request.target == "/lab/counts") {
+        return counts();
+    }
+    if (request.target == "/lab/drain") {
+        drain();
+        return json_answer(kOk, json::object());
+    }
+    return apply_control(request, [this](const json& faults) {
+        faults_.slow_factor = faults.value("slow_factor", faults_.slow_factor);
+        faults_.health_lies = faults.value("health_lies", faults_.health_lies);
+        faults_.cut_answers = faults.value("cut_answers", faults_.cut_answers);
+        faults_.fail = faults.value("fail", faults_.fail);
+        const bool was_frozen = std::exchange(faults_.frozen, faults.value("frozen", faults_.frozen));
+        if (was_frozen && !faults_.frozen) {
+            thawed_->set();
+            thawed_ = std::make_shared<net::FiberEvent>();
+        }
+    });
+}
+
+net::HttpResponse Backend::counts() const {
+    json kinds = json::object();
+    for (const auto& [kind, requests] : counts_) {
+        for (const auto& [request_id, count] : requests) {
+            kinds[kind][request_id] = {{"started", count.started}, {"committed", count.committed}};
+        }
+    }
+    return json_answer(kOk, {{"received", received_},
+                             {"received_while_draining", received_while_draining_},
+                             {"slot_seconds", slot_seconds_},
+                             {"kinds", std::move(kinds)}});
+}
+
+net::HttpResponse Backend::refuse(const std::string& reason) const {
+    auto response = json_answer(kUnavailable, {{"error", reason}});
+    response.fields.add(std::string(header::kNotRun), "1");
+    response.fields.add(std::string(header::kRetryAfter), "1");
+    return response;
+}
+
+bool Backend::take_slot(TimePoint deadline, net::CancelSignal& cancel) {
+    if (slots_used_ < slots_) {
+        ++slots_used_;
+        return true;
+    }
+    const auto event = std::make_shared<net::FiberEvent>();
+    waiting_.push_back(event);
+    const net::CancelSubscription subscription(&cancel, [event] { event->set(); });
+    event->wait_until(deadline);
+    const auto place = std::find(waiting_.begin(), waiting_.end(), event);
+    // Whoever returned a slot has taken the event out of the queue and passed the slot on.
+    const bool given = place == waiting_.end();
+    if (!given) {
+        waiting_.erase(place);
+    }
+    if (given && cancel.cancelled()) {
+        return_slot();
+        return false;
+    }
+    return given;
+}
+
+void Backend::return_slot() {
+    if (waiting_.empty()) {
+        --slots_used_;
+        return;
+    }
+    const auto next = waiting_.front();
+    waiting_.pop_front();
+    next->set();
+}
+
+Duration Backend::work_time(const KindSpec& kind) {
+    std::uniform_real_distribution<double> share(kLeastWork, kMostWork);
+    const bool cold = TimePoint::clock::now() - started_at_ < options_.cold_ms;
+    const double factor = share(random_) * faults_.slow_factor * (cold ? kColdFactor : 1.0);
+    return std::chrono::duration_cast<Duration>(kind.work_ms * factor);
+}
+
+bool Backend::work(const KindSpec& kind, net::CancelSignal& cancel) {
+    if (kind.work_ms == milliseconds(0)) {
+        return true;
+    }
+    return sleep_until(TimePoint::clock::now() + work_time(kind), cancel);
+}
+
+net::HttpResponse Backend::run(const KindSpec& kind, net::HttpRequest& request, net::CancelSignal& cancel) {
+    const auto deadline = TimePoint::clock::now() + timeout_of(request);
+    if (slots_used_ >= slots_ && waiting_.size() >= options_.queue) {
+        return refuse("full");
+    }
+    if (!take_slot(deadline, cancel)) {
+        return refuse("no slot in time");
+    }
+    const SlotLease lease(*this);
+    const auto request_id = request_id_of(request);
+    Counts& count = counts_[kind.name][request_id];
+    ++count.started;
+    if (!work(kind, cancel)) {
+        return refuse("cancelled");
+    }
+    bool changed_something = false;
+    for (const auto& name : kind.calls) {
+        const auto& nested = *deployment_.kind(name);
+        const auto outcome = call_nested(nested, request, deadline, cancel);
+        if (outcome == NestedOutcome::kNotRun && !changed_something) {
+            return refuse("nested call refused");
+        }
+        if (outcome != NestedOutcome::kWhole) {
+            return json_answer(kUnavailable, {{"error", "nested call failed"}});
+        }
+        changed_something = changed_something || nested.method != "GET";
+    }
+    ++count.committed;
+    if (faults_.fail) {
+        return json_answer(kServerError, {{"error", "failed"}});
+    }
+    auto response =
+        net::make_response(kOk, "text/plain", make_answer_body(kind.name, request_id, kind.answer_bytes));
+    if (faults_.cut_answers) {
+        response.body.prefix.resize(response.body.prefix.size() / 2);
+        response.body.rest = std::make_unique<HalfBody>();
+    }
+    return response;
+}
+
+Backend::NestedOutcome Backend::call_nested(const KindSpec& kind, const net::HttpRequest& parent,
+                                            TimePoint deadline, net::CancelSignal& cancel) {
+    auto outcome = attempt_nested(kind, parent, deadline, cancel);
+    for (unsigned retry = 0; retry < options_.layer_retries && outcome != NestedOutcome::kWhole; ++retry) {
+        if (cancel.cancelled() || TimePoint::clock::now() >= deadline) {
+            break;
+        }
+        outcome = attempt_nested(kind, parent, deadline, cancel);
+    }
+    return outcome;
+}
+
+Backend::NestedOutcome Backend::attempt_nested(const KindSpec& kind, const net::HttpRequest& parent,
+                                               TimePoint deadline, net::CancelSignal& cancel) {
+    auto request = net::make_request(kind.method, kind.path + "/nested");
+    for (const auto name : {header::kContext, header::kTraceParent, header::kTimeout, header::kIdempotencyKey,
+                            kRequestHeader}) {
+        if (const auto value = parent.fields.find(name)) {
+            request.fields.set(name, std::string(*value));
+        }
+    }
+    net::ExchangeProgress progress;
+    std::error_code error;
+    auto response = caller_.call(kind.service, request, {deadline, &cancel}, progress, error);
+    if (!response) {
+        return progress.request_started ? NestedOutcome::kFailed : NestedOutcome::kNotRun;
+    }
+    const auto execution = response->fields.find(header::kExecution).value_or("");
+    if (execution == "not-run" || response->fields.find(header::kNotRun)) {
+        return NestedOutcome::kNotRun;
+    }
+    const auto body = net::read_whole(response->body, net::kLargestFetchedText, error);
+    const bool whole =
+        response->status == kOk && body &&
+        check_answer_body(*body, kind.name, request_id_of(parent), kind.answer_bytes) == BodyCheck::kWhole;
+    return whole ? NestedOutcome::kWhole : NestedOutcome::kFailed;
+}
+
+}  // namespace anisehold::lab
--- /dev/null
+++ b/lab/backend.hpp
@@ -0,0 +1,85 @@
+/// @file
+/// A stand-in for one back-end server: slots, a queue, own shedding, nested calls, faults, and counts of
+/// what it ran.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "lab/deployment.hpp"
+#include "lab/service_caller.hpp"
+#include "net/fiber_event.hpp"
+#include "net/http_server.hpp"
+#include "protocol/time_types.hpp"
+
+namespace anisehold::lab {
+
+/// What goes wrong at a server. Set through the control endpoint by the names of the members.
+struct BackendFaults {
+    double slow_factor = 1;    ///< All work takes this many times as long.
+    bool frozen = false;       ///< Requests are taken and never answered until thawed.
+    bool health_lies = false;  ///< The health endpoint says fine, whatever is the case.
+    bool cut_answers = false;  ///< Answers break off half-way.
+    bool fail = false;         ///< After the work, 500 is answered.
+};
+
+struct BackendOptions {
+    std::string service;
+    milliseconds cold_ms{0};     ///< Work takes three times as long for this time after the start.
+    unsigned layer_retries = 0;  ///< Retries of its own for each nested call.
+    std::size_t queue = 200;     ///< Calls that wait for a slot; more are shed.
+};
+
+/// Serves one server of a service.
+class Backend {
+  public:
+    Backend(boost::asio::io_context& io, Deployment deployment, BackendOptions options, CallTargets targets);
+    std::error_code start(const Endpoint& endpoint);
+    /// From now on: health says draining, answers carry `Connection: close`.
+    void drain();
+    std::size_t in_flight() const { return server_.requests_in_flight(); }
+
+  private:
+    struct Counts {
+        unsigned started = 0;
+        unsigned committed = 0;
+    };
+    enum class NestedOutcome { kWhole, kNotRun, kFailed };
+    class SlotLease;
+
+    net::HttpResponse handle(net::HttpRequest& request, net::CancelSignal& cancel);
+    net::HttpResponse run(const KindSpec& kind, net::HttpRequest& request, net::CancelSignal& cancel);
+    net::HttpResponse control(net::HttpRequest& request);
+    net::HttpResponse counts() const;
+    net::HttpResponse refuse(const std::string& reason) const;
+    bool take_slot(TimePoint deadline, net::CancelSignal& cancel);
+    void return_slot();
+    bool work(const KindSpec& kind, net::CancelSignal& cancel);
+    NestedOutcome call_nested(const KindSpec& kind, const net::HttpRequest& parent, TimePoint deadline,
+                              net::CancelSignal& cancel);
+    NestedOutcome attempt_nested(const KindSpec& kind, const net::HttpRequest& parent, TimePoint deadline,
+                                 net::CancelSignal& cancel);
+    Duration work_time(const KindSpec& kind);
+
+    Deployment deployment_;
+    BackendOptions options_;
+    ServiceCaller caller_;
+    net::HttpServer server_;
+    BackendFaults faults_;
+    unsigned slots_ = 0;
+    unsigned slots_used_ = 0;
+    std::deque<std::shared_ptr<net::FiberEvent>> waiting_;
+    std::shared_ptr<net::FiberEvent> thawed_ = std::make_shared<net::FiberEvent>();
+    bool draining_ = false;
+    TimePoint started_at_;
+    std::map<std::string, std::map<std::string, Counts>> counts_;  // By kind, then by request id.
+    std::uint64_t received_ = 0;
+    std::uint64_t received_while_draining_ = 0;
+    double slot_seconds_ = 0;
+    std::mt19937_64 random_;
+};
+
+}  // namespace anisehold::lab
--- /dev/null
+++ b/lab/load.cpp
@@ -0,0 +1,236 @@
+#include "lab/load.hpp"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+#include <fstream>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "lab/answer_body.hpp"
+#include "net/event_loop.hpp"
+#include "protocol/call_context.hpp"
+
+namespace anisehold::lab {
+namespace {
+
+using nlohmann::json;
+
+constexpr milliseconds kBucket{100};
+constexpr milliseconds kHardPause{10};
+constexpr milliseconds kDefaultComeBack{200};
+constexpr unsigned kOk = 200;
+constexpr unsigned kFirstServerError = 500;
+
+double percentile(std::vector<double> values, double share) {
+    if (values.empty()) {
+        return 0;
+    }
+    const auto rank = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
+    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(rank), values.end());
+    return values[rank];
+}
+
+milliseconds come_back_after(const net::HttpResponse& response) {
+    const auto problem = json::parse(response.body.prefix, nullptr, false);
+    const bool named = problem.is_object() && problem.contains("retry_after_ms") &&
+                       problem["retry_after_ms"].is_number_integer();
+    return named ? milliseconds(problem["retry_after_ms"].get<long long>()) : kDefaultComeBack;
+}
+
+}  // namespace
+
+Load::Load(boost::asio::io_context& io, Deployment deployment, LoadOptions options, CallTargets targets)
+    : deployment_(std::move(deployment)),
+      options_(std::move(options)),
+      caller_(io, std::move(targets), std::random_device{}()),
+      random_(std::random_device{}()) {}
+
+double Load::rate_at(Duration elapsed) const {
+    double factor = 1;
+    for (const auto& step : options_.profile) {
+        factor = elapsed >= step.at ? step.factor : factor;
+    }
+    return options_.rate_per_second * factor;
+}
+
+const KindSpec& Load::pick_kind() {
+    if (!options_.only_kind.empty()) {
+        return *deployment_.kind(options_.only_kind);
+    }
+    std::vector<double> shares;
+    for (const auto& kind : deployment_.kinds) {
+        shares.push_back(kind.share);
+    }
+    std::discrete_distribution<std::size_t> pick(shares.begin(), shares.end());
+    return deployment_.kinds[pick(random_)];
+}
+
+bool Load::run() {
+    started_ = TimePoint::clock::now();
+    auto next = started_;
+    while (next - started_ < options_.duration_ms) {
+        boost::this_fiber::sleep_until(next);
+        const auto& kind = pick_kind();
+        const auto id = options_.id_prefix + std::to_string(++sent_);
+        ++running_;
+        net::EventLoop::spawn([this, &kind, id] {
+            run_request(kind, id);
+            --running_;
+        });
+        std::exponential_distribution<double> gap(rate_at(next - started_));
+        next += std::chrono::duration_cast<Duration>(std::chrono::duration<double>(gap(random_)));
+    }
+    while (running_ > 0) {
+        boost::this_fiber::sleep_for(kHardPause);
+    }
+    print_summary();
+    write_series();
+    return std::all_of(results_.begin(), results_.end(),
+                       [](const auto& entry) { return entry.second.wrong == 0; });
+}
+
+void Load::run_request(const KindSpec& kind, const std::string& id) {
+    const auto arrival = TimePoint::clock::now();
+    const auto deadline = arrival + options_.client_timeout_ms;
+    const auto bucket_index = static_cast<std::size_t>((arrival - started_) / kBucket);
+    ++results_[kind.name].sent;
+    ++series_[{bucket_index, kind.name}].sent;
+    Attempt last;
+    for (unsigned count = 0; count <= options_.client_retries; ++count) {
+        ++results_[kind.name].attempts;
+        last = attempt(kind, id, deadline);
+        const auto pause = options_.hard ? kHardPause : last.come_back;
+        const bool give_up = last.final_answer || TimePoint::clock::now() + pause >= deadline;
+        if (give_up) {
+            break;
+        }
+        if (count < options_.client_retries) {
+            boost::this_fiber::sleep_for(pause);
+        }
+    }
+    KindResult& result = results_[kind.name];
+    Bucket& bucket = series_[{bucket_index, kind.name}];
+    if (last.not_run) {
+        ++result.told_not_run;
+        not_run_ids_.push_back(id);
+    }
+    switch (last.outcome) {
+        case RequestOutcome::kWhole:
+            ++result.whole;
+            ++bucket.whole;
+            result.latencies_ms.push_back(
+                std::chrono::duration<double, std::milli>(TimePoint::clock::now() - arrival).count());
+            whole_ids_.push_back(id);
+            break;
+        case RequestOutcome::kRefused:
+            ++result.refused;
+            ++bucket.refused;
+            break;
+        case RequestOutcome::kFailed:
+            ++result.failed;
+            break;
+        case RequestOutcome::kWrong:
+            ++result.wrong;
+            break;
+    }
+}
+
+Load::Attempt Load::attempt(const KindSpec& kind, const std::string& id, TimePoint deadline) {
+    const auto delay = options_.client_delay ? deployment_.client_delay_ms : milliseconds(0);
+    auto request = net::make_request(kind.method, kind.path + "/" + id);
+    request.fields.set(kRequestHeader, id);
+    if (kind.keyed) {
+        request.fields.set(header::kIdempotencyKey, id);
+    }
+    if (delay > milliseconds(0)) {
+        boost::this_fiber::sleep_for(delay);
+    }
+    net::ExchangeProgress progress;
+    std::error_code error;
+    auto response = caller_.call(kind.service, request, {deadline, nullptr}, progress, error);
+    if (delay > milliseconds(0)) {
+        boost::this_fiber::sleep_for(delay);
+    }
+    if (!response) {
+        Attempt result;
+        result.not_run = !progress.request_started && options_.client_retries == 0;
+        return result;
+    }
+    return judge(kind, id, *response);
+}
+
+Load::Attempt Load::judge(const KindSpec& kind, const std::string& id, net::HttpResponse& response) const {
+    Attempt result;
+    if (response.status != kOk) {
+        const auto execution = response.fields.find(header::kExecution).value_or("");
+        result.outcome = response.status < kFirstServerError || response.fields.find(header::kError) ||
+                                 response.fields.find(header::kNotRun)
+                             ? RequestOutcome::kRefused
+                             : RequestOutcome::kFailed;
+        result.not_run = execution == "not-run";
+        result.final_answer =
+            response.status < kFirstServerError && response.status != 409 && response.status != 408;
+        result.come_back = come_back_after(response);
+        return result;
+    }
+    std::error_code error;
+    const auto body = net::read_whole(response.body, net::kLargestFetchedText, error);
+    if (!body) {
+        return result;
+    }
+    result.final_answer = true;
+    const auto check = check_answer_body(*body, kind.name, id, kind.answer_bytes);
+    result.outcome = check == BodyCheck::kWhole ? RequestOutcome::kWhole : RequestOutcome::kWrong;
+    return result;
+}
+
+void Load::print_summary() const {
+    json kinds = json::object();
+    KindResult total;
+    for (const auto& [name, result] : results_) {
+        kinds[name] = {{"sent", result.sent},
+                       {"attempts", result.attempts},
+                       {"whole", result.whole},
+                       {"refused", result.refused},
+                       {"failed", result.failed},
+                       {"wrong", result.wrong},
+                       {"told_not_run", result.told_not_run},
+                       {"p50_ms", percentile(result.latencies_ms, 0.5)},
+                       {"p99_ms", percentile(result.latencies_ms, 0.99)}};
+        total.sent += result.sent;
+        total.attempts += result.attempts;
+        total.whole += result.whole;
+        total.refused += result.refused;
+        total.failed += result.failed;
+        total.wrong += result.wrong;
+        total.latencies_ms.insert(total.latencies_ms.end(), result.latencies_ms.begin(),
+                                  result.latencies_ms.end());
+    }
+    const json summary{{"sent", total.sent},
+                       {"attempts", total.attempts},
+                       {"whole", total.whole},
+                       {"refused", total.refused},
+                       {"failed", total.failed},
+                       {"wrong", total.wrong},
+                       {"p50_ms", percentile(total.latencies_ms, 0.5)},
+                       {"p99_ms", percentile(total.latencies_ms, 0.99)},
+                       {"kinds", std::move(kinds)},
+                       {"not_run_ids", not_run_ids_},
+                       {"whole_ids", whole_ids_}};
+    std::cout << summary.dump() << "\n";
+}
+
+void Load::write_series() const {
+    if (options_.series_file.empty()) {
+        return;
+    }
+    std::ofstream file(options_.series_file);
+    file << "time_ms,kind,priority,sent,whole,refused\n";
+    for (const auto& [place, bucket] : series_) {
+        const auto* kind = deployment_.kind(place.second);
+        file << place.first * static_cast<std::size_t>(kBucket.count()) << "," << place.second << ","
+             << kind->priority << "," << bucket.sent << "," << bucket.whole << "," << bucket.refused << "\n";
+    }
+}
+
+}  // namespace anisehold::lab
--- /dev/null
+++ b/lab/store.hpp
@@ -0,0 +1,69 @@
+/// @file
+/// A stand-in for the platform's key-value store: the etcd v3 JSON gateway, as far as the product uses it,
+/// with faults.
+#pragma once
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "net/http_server.hpp"
+#include "protocol/time_types.hpp"
+
+namespace anisehold::lab {
+
+/// What goes wrong. Set through the control endpoint by the names of the members.
+struct StoreFaults {
+    bool outage = false;            ///< Every request is answered 503.
+    bool lose_answers = false;      ///< Writes take effect, and the connection is cut before the answer.
+    long long slow_ms = 0;          ///< Every answer is held back this long.
+    long long rate_per_second = 0;  ///< More requests are answered 429; 0 for no limit.
+    long long stale_by = 0;         ///< Ranges are answered as of this many revisions ago.
+};
+
+/// Serves one store in memory.
+class Store {
+  public:
+    explicit Store(boost::asio::io_context& io);
+    std::error_code start(const Endpoint& endpoint);
+
+  private:
+    struct Version {
+        std::uint64_t revision = 0;
+        std::string value;
+    };
+    struct Event {
+        std::uint64_t revision = 0;
+        std::string key;
+        std::string value;
+    };
+    class WatchReader;
+
+    net::HttpResponse handle(net::HttpRequest& request);
+    net::HttpResponse serve(const std::string& target, const nlohmann::json& body);
+    net::HttpResponse range(const nlohmann::json& body) const;
+    net::HttpResponse transact(const nlohmann::json& body);
+    net::HttpResponse put(const nlohmann::json& body);
+    net::HttpResponse watch(const nlohmann::json& body);
+    void write(const std::string& key, const std::string& value);
+    std::uint64_t mod_revision(const std::string& key) const;
+    nlohmann::json header() const;
+    bool over_rate();
+    net::HttpResponse after_write(net::HttpResponse answer) const;
+
+    net::HttpServer server_;
+    StoreFaults faults_;
+    std::uint64_t revision_ = 1;
+    std::map<std::string, std::vector<Version>> keys_;
+    std::vector<Event> events_;
+    boost::fibers::mutex mutex_;
+    boost::fibers::condition_variable changed_;
+    TimePoint rate_window_;
+    long long rate_count_ = 0;
+};
+
+}  // namespace anisehold::lab
--- /dev/null
+++ b/scripts/check-style.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Checks the format of all sources and runs the linter over them.
+# usage: check-style.sh BUILD_FOLDER (configured, for the compile commands)
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+
+mapfile -t sources < <(git ls-files --cached --others --exclude-standard 'src/*.[ch]pp' 'lab/*.[ch]pp' 'tests/*.[ch]pp' 'bench/*.[ch]pp')
+clang-format --dry-run -Werror "${sources[@]}"
+echo "format: ${#sources[@]} files clean"
+
+mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep '\.cpp$' | grep -v '^tests/unit/main.cpp$')
+printf '%s\n' "${units[@]}" | xargs -P 8 -n 2 clang-tidy --quiet -p "$build" 2> >(grep -v 'warnings generated' >&2)
+echo "lint: ${#units[@]} files clean"
--- /dev/null
+++ b/src/admission/policy/fixed_limit.hpp
@@ -0,0 +1,20 @@
+/// @file
+/// A limit that isn't learned.
+#pragma once
+
+#include "admission/concurrency_limit.hpp"
+
+namespace anisehold::admission {
+
+/// Always the same limit; the lab's baseline with learning off.
+class FixedLimit final : public ConcurrencyLimit {
+  public:
+    explicit FixedLimit(unsigned limit) : limit_(limit) {}
+    unsigned limit() const override { return limit_; }
+    void on_sample(TimePoint /*now*/, const Sample& /*sample*/) override {}
+
+  private:
+    unsigned limit_;
+};
+
+}  // namespace anisehold::admission
--- /dev/null
+++ b/src/admission/server_gate.cpp
@@ -0,0 +1,183 @@
+#include "admission/server_gate.hpp"
+
+#include <algorithm>
+
+namespace anisehold::admission {
+namespace {
+
+constexpr std::size_t kLeastQueueCapacity = 16;
+constexpr std::size_t kQueuePerLimit = 4;
+constexpr unsigned kLeastImportant = 9;
+/// Priorities from this one on leave the safety margin free.
+constexpr unsigned kMarginAppliesFrom = 5;
+/// Weight of a new sample in the averages, as a divisor.
+constexpr int kAverageDivisor = 16;
+constexpr milliseconds kLeastRetryAfter{50};
+
+Duration moving_average(Duration average, Duration sample) {
+    if (average == Duration::zero()) {
+        return sample;
+    }
+    return average + (sample - average) / kAverageDivisor;
+}
+
+}  // namespace
+
+ServerGate::ServerGate(std::unique_ptr<ConcurrencyLimit> limit, GateOptions options)
+    : limit_(std::move(limit)), options_(options) {}
+
+ArrivalDecision ServerGate::arrive(TimePoint now, const GateCall& call) {
+    ArrivalDecision decision;
+    const Waiting newcomer{call, now};
+    // No waiting call has room: each end of a call lets in all that have.
+    if (has_room_for(call)) {
+        start(now, call);
+        return decision;
+    }
+    const std::size_t position = position_of(newcomer);
+    const Duration wait = expected_wait(position);
+    decision.retry_after = std::max<Duration>(expected_wait(queue_.size()), kLeastRetryAfter);
+    if (now + wait + service_time_ > call.deadline) {
+        decision.verdict = GateVerdict::kRefused;
+        decision.refusal = ErrorKind::kOverloaded;
+        return decision;
+    }
+    if (queue_.size() >= capacity()) {
+        const bool is_last = position == queue_.size();
+        if (is_last) {
+            decision.verdict = GateVerdict::kRefused;
+            return decision;
+        }
+        const auto worst =
+            std::max_element(queue_.begin(), queue_.end(),
+                             [&](const auto& left, const auto& right) { return goes_before(left, right); });
+        decision.evicted = worst->call.id;
+        queue_.erase(worst);
+    }
+    decision.verdict = GateVerdict::kQueued;
+    decision.give_up_at = call.deadline - service_time_;
+    queue_.push_back(newcomer);
+    return decision;
+}
+
+std::vector<std::uint64_t> ServerGate::finish(TimePoint now, std::uint64_t id, SampleOutcome outcome,
+                                              Duration nested_time) {
+    const auto found = running_.find(id);
+    if (found == running_.end()) {
+        return {};
+    }
+    const Duration held = now - found->second.started;
+    const Duration own = std::max<Duration>(held - nested_time, Duration::zero());
+    --running_by_row_[found->second.row];
+    const unsigned in_flight = found->second.in_flight;
+    running_.erase(found);
+    if (outcome == SampleOutcome::kCompleted) {
+        service_time_ = moving_average(service_time_, own);
+        hold_time_ = moving_average(hold_time_, held);
+    }
+    limit_->on_sample(now, Sample{outcome, own, in_flight});
+
+    std::vector<std::uint64_t> admitted;
+    bool found_one = true;
+    while (found_one) {
+        auto best = queue_.end();
+        for (auto each = queue_.begin(); each != queue_.end(); ++each) {
+            const bool better = best == queue_.end() || goes_before(*each, *best);
+            if (better && has_room_for(each->call)) {
+                best = each;
+            }
+        }
+        found_one = best != queue_.end();
+        if (found_one) {
+            admitted.push_back(best->call.id);
+            start(now, best->call);
+            queue_.erase(best);
+        }
+    }
+    return admitted;
+}
+
+void ServerGate::abandon(std::uint64_t id) {
+    std::erase_if(queue_, [&](const Waiting& waiting) { return waiting.call.id == id; });
+}
+
+GateLoad ServerGate::load() const {
+    return {static_cast<unsigned>(running_.size()), static_cast<unsigned>(queue_.size()), limit_->limit()};
+}
+
+unsigned ServerGate::admitted_priority() const {
+    if (queue_.size() < capacity()) {
+        return kLeastImportant;
+    }
+    unsigned worst = 0;
+    for (const auto& waiting : queue_) {
+        worst = std::max(worst, waiting.call.priority);
+    }
+    return worst;
+}
+
+bool ServerGate::has_room_for(const GateCall& call) const {
+    const auto running = static_cast<double>(running_.size());
+    double limit = limit_->limit();
+    if (options_.safety_margin > 0 && call.priority >= kMarginAppliesFrom) {
+        limit = std::max(1.0, limit * (1.0 - options_.safety_margin));
+    }
+    if (running + 1 > limit) {
+        return false;
+    }
+    if (call.row_limit == 0) {
+        return true;
+    }
+    const auto of_row = running_by_row_.find(call.row);
+    return of_row == running_by_row_.end() || of_row->second < call.row_limit;
+}
+
+bool ServerGate::goes_before(const Waiting& left, const Waiting& right) const {
+    if (options_.by_priority) {
+        if (left.call.priority != right.call.priority) {
+            return left.call.priority < right.call.priority;
+        }
+        if (left.call.root_in_progress != right.call.root_in_progress) {
+            return left.call.root_in_progress;
+        }
+        if (left.call.row != right.call.row) {
+            return pass_of(left.call.row) < pass_of(right.call.row);
+        }
+        if (options_.order == QueueOrder::kNewestFirst) {
+            return left.arrived > right.arrived;
+        }
+        return left.call.root_started < right.call.root_started;
+    }
+    return left.arrived < right.arrived;
+}
+
+void ServerGate::start(TimePoint now, const GateCall& call) {
+    double& pass = passes_[call.row];
+    // A row that was idle doesn't come with credit from that time.
+    pass = std::max(pass, current_pass_) + 1.0 / call.row_weight;
+    current_pass_ = std::max(current_pass_, pass - 1.0 / call.row_weight);
+    ++running_by_row_[call.row];
+    const auto in_flight = static_cast<unsigned>(running_.size() + 1);
+    running_[call.id] = Running{call.row, now, in_flight};
+}
+
+std::size_t ServerGate::position_of(const Waiting& newcomer) const {
+    return static_cast<std::size_t>(std::count_if(queue_.begin(), queue_.end(), [&](const Waiting& waiting) {
+        return !goes_before(newcomer, waiting);
+    }));
+}
+
+std::size_t ServerGate::capacity() const {
+    return std::max<std::size_t>(kLeastQueueCapacity, kQueuePerLimit * limit_->limit());
+}
+
+Duration ServerGate::expected_wait(std::size_t position) const {
+    return hold_time_ * static_cast<long>(position + 1) / static_cast<long>(limit_->limit());
+}
+
+double ServerGate::pass_of(const std::string& row) const {
+    const auto found = passes_.find(row);
+    return found == passes_.end() ? current_pass_ : std::max(found->second, current_pass_);
+}
+
+}  // namespace anisehold::admission
--- /dev/null
+++ b/src/claims/claim_tally.hpp
@@ -0,0 +1,44 @@
+/// @file
+/// The claimant's side: counts the holders' answers.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "claims/claim_types.hpp"
+#include "claims/holder_view.hpp"
+
+namespace anisehold::claims {
+
+enum class ClaimResult {
+    kPending,      ///< More answers are needed.
+    kWon,          ///< A majority granted: the request may run, once.
+    kDuplicate,    ///< Another attempt holds the key, as far as any holder knows.
+    kUnavailable,  ///< No majority, and nobody knows of another attempt.
+};
+
+/// Tallies one claim over its holders. Pure.
+class ClaimTally {
+  public:
+    explicit ClaimTally(std::size_t holders) : holders_(holders) {}
+
+    void on_reply(const ClaimReply& reply);
+    /// A holder that could not be asked or didn't answer.
+    void on_no_reply() { ++answered_; }
+
+    ClaimResult result() const;
+    /// The claim that stands in the way, when the result is `kDuplicate`: the furthest known one.
+    const ClaimReply& standing() const { return standing_; }
+    /// Newest epoch that a holder spoke of.
+    std::uint64_t newest_epoch() const { return newest_epoch_; }
+
+  private:
+    std::size_t holders_;
+    std::size_t answered_ = 0;
+    std::size_t granted_ = 0;
+    std::size_t denied_ = 0;
+    std::uint64_t newest_epoch_ = 0;
+    ClaimReply standing_;
+};
+
+}  // namespace anisehold::claims
--- /dev/null
+++ b/src/claims/holder_view.hpp
@@ -0,0 +1,52 @@
+/// @file
+/// The agreed view of which daemons hold claims, and which three of them hold a given key.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace anisehold::claims {
+
+/// One process that holds claims. A restarted process has another boot id and is another holder.
+struct Holder {
+    std::string id;
+    std::uint64_t boot_id = 0;
+    std::string zone;
+
+    bool operator==(const Holder&) const = default;
+};
+
+/// The holders under one epoch, and those they take over from.
+struct HolderView {
+    std::uint64_t epoch = 0;
+    std::vector<Holder> holders;
+    std::vector<Holder> previous;  ///< Holders under `epoch - 1`; empty only for the first view ever.
+};
+
+/// Holders per key.
+inline constexpr std::size_t kHoldersPerKey = 3;
+
+/// Smallest number that is more than half of `holders`.
+constexpr std::size_t majority_of(std::size_t holders) {
+    return holders / 2 + 1;
+}
+
+/// The holders of `key` among `holders`: by rendezvous hash, in different zones as far as there are enough.
+std::vector<Holder> holders_of_key(const std::vector<Holder>& holders, std::string_view key);
+
+/// Whether what all holders but the `missing` ones know is enough to know every grant made under
+/// `holders`: every majority of every key's holders includes one that is not missing.
+bool covers_all_grants(const std::vector<Holder>& holders, const std::vector<Holder>& missing);
+
+/// The holders that a fleet should have: up to `per_zone` of each zone, keeping those that are there.
+std::vector<Holder> choose_holders(const std::vector<Holder>& current, const std::vector<Holder>& working,
+                                   std::size_t per_zone);
+
+/// JSON forms, as kept in the store.
+std::string to_json_text(const HolderView& view);
+/// Parses a view; false if the text is not one.
+bool parse_holder_view(std::string_view json_text, HolderView& view);
+
+}  // namespace anisehold::claims
--- /dev/null
+++ b/src/cli/status_commands.cpp
@@ -0,0 +1,129 @@
+#include "cli/status_commands.hpp"
+
+#include <algorithm>
+#include <iostream>
+#include <vector>
+
+#include "cli/admin_client.hpp"
+
+namespace anisehold::cli {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kDone = 0;
+constexpr int kFailed = 1;
+constexpr int kUsage = 2;
+
+std::optional<json> fetch_fleet(net::EventLoop& loop, const std::string& daemon, int& status) {
+    const auto endpoint = parse_endpoint(daemon);
+    if (!endpoint) {
+        std::cerr << "--daemon: \"" << daemon << "\" is not IP:PORT with a numeric address\n";
+        status = kUsage;
+        return std::nullopt;
+    }
+    auto fleet = fetch_json(loop.io(), *endpoint, "/status");
+    status = fleet ? kDone : kFailed;
+    return fleet;
+}
+
+bool is_present(const json& member) {
+    const auto state = member.at("state").get<std::string>();
+    return state != "dead" && state != "left";
+}
+
+void print_gates(const json& status) {
+    for (const auto& gate : status.at("gates")) {
+        std::cout << "    " << gate.at("service").get<std::string>() << " "
+                  << gate.at("server").get<std::string>() << "  in flight " << gate.at("in_flight") << " of "
+                  << gate.at("limit") << ", queued " << gate.at("queued") << ", admits priority up to "
+                  << gate.at("admitted_priority") << ", connections " << gate.at("connections") << "\n";
+    }
+}
+
+void print_member(net::EventLoop& loop, const json& member) {
+    std::cout << member.at("id").get<std::string>() << "  zone " << member.at("zone").get<std::string>()
+              << "  " << member.at("state").get<std::string>() << "\n";
+    const auto admin = parse_endpoint(member.at("admin").get<std::string>());
+    if (!is_present(member) || !admin) {
+        return;
+    }
+    const auto status = fetch_json(loop.io(), *admin, "/status");
+    if (!status) {
+        return;
+    }
+    std::cout << "    table revision " << status->at("table_revision") << " (change "
+              << status->at("change_id").get<std::string>() << "), holder epoch "
+              << status->at("holder_epoch")
+              << (status->at("claims_serving").get<bool>() ? ", grants claims" : ", grants no claims") << ", "
+              << status->at("calls_in_flight") << " calls in flight\n";
+    print_gates(*status);
+}
+
+}  // namespace
+
+void StatusCommand::add_to(CLI::App& app) {
+    command_ = app.add_subcommand("status", "Print the state of the fleet");
+    command_->add_option("--daemon", daemon_, "Admin address of a daemon, IP:PORT")->required();
+}
+
+int StatusCommand::run(net::EventLoop& loop) {
+    int status = kDone;
+    const auto fleet = fetch_fleet(loop, daemon_, status);
+    if (!fleet) {
+        return status;
+    }
+    for (const auto& member : fleet->at("members")) {
+        print_member(loop, member);
+    }
+    for (const auto& server : fleet->at("servers")) {
+        std::cout << "server " << server.at("server").get<std::string>() << "  "
+                  << server.at("service").get<std::string>() << "  zone "
+                  << server.at("zone").get<std::string>()
+                  << (server.at("leaving").get<bool>() ? "  leaving" : "")
+                  << (server.at("ejected").get<bool>() ? "  ejected" : "") << "\n";
+    }
+    return kDone;
+}
+
+void ExplainCommand::add_to(CLI::App& app) {
+    command_ = app.add_subcommand("explain", "Print what was decided about a request");
+    command_->add_option("--daemon", daemon_, "Admin address of a daemon, IP:PORT")->required();
+    command_->add_option("request", request_id_, "Request id, as in the Anisehold-Request-Id header")
+        ->required();
+}
+
+int ExplainCommand::run(net::EventLoop& loop) {
+    int status = kDone;
+    const auto fleet = fetch_fleet(loop, daemon_, status);
+    if (!fleet) {
+        return status;
+    }
+    std::vector<json> steps;
+    for (const auto& member : fleet->at("members")) {
+        const auto admin = parse_endpoint(member.at("admin").get<std::string>());
+        if (!is_present(member) || !admin) {
+            continue;
+        }
+        const auto explained = fetch_json(loop.io(), *admin, "/explain?id=" + request_id_);
+        if (explained) {
+            steps.insert(steps.end(), explained->at("steps").begin(), explained->at("steps").end());
+        }
+    }
+    std::sort(steps.begin(), steps.end(),
+              [](const json& left, const json& right) { return left.at("at_us") < right.at("at_us"); });
+    if (steps.empty()) {
+        std::cout << "no daemon remembers this request\n";
+        return kFailed;
+    }
+    const auto first_us = steps.front().at("at_us").get<long long>();
+    for (const auto& step : steps) {
+        std::cout << "+" << step.at("at_us").get<long long>() - first_us << " us  "
+                  << step.at("member").get<std::string>() << "  call " << step.at("call").get<std::string>()
+                  << "  " << step.at("step").get<std::string>() << "  "
+                  << step.at("detail").get<std::string>() << "\n";
+    }
+    return kDone;
+}
+
+}  // namespace anisehold::cli
--- /dev/null
+++ b/src/cli/status_commands.hpp
@@ -0,0 +1,37 @@
+/// @file
+/// `anisehold status` and `anisehold explain`.
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <string>
+
+#include "net/event_loop.hpp"
+
+namespace anisehold::cli {
+
+/// Prints the fleet as one daemon sees it, and each member's own state.
+class StatusCommand {
+  public:
+    void add_to(CLI::App& app);
+    bool chosen() const { return command_ != nullptr && command_->parsed(); }
+    int run(net::EventLoop& loop);
+
+  private:
+    CLI::App* command_ = nullptr;
+    std::string daemon_;
+};
+
+/// Prints what all members decided about one request, in order of time.
+class ExplainCommand {
+  public:
+    void add_to(CLI::App& app);
+    bool chosen() const { return command_ != nullptr && command_->parsed(); }
+    int run(net::EventLoop& loop);
+
+  private:
+    CLI::App* command_ = nullptr;
+    std::string daemon_;
+    std::string request_id_;
+};
+
+}  // namespace anisehold::cli
--- /dev/null
+++ b/src/cli/table_commands.hpp
@@ -0,0 +1,53 @@
+/// @file
+/// `anisehold table ...`: the operators' way to the table.
+#pragma once
+
+#include <CLI/CLI.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "net/event_loop.hpp"
+#include "platform/table_store.hpp"
+#include "protocol/endpoint.hpp"
+
+namespace anisehold::cli {
+
+/// Options and actions of the table command.
+class TableCommands {
+  public:
+    /// Adds the subcommands; when one was chosen, `run` does its work.
+    void add_to(CLI::App& app);
+    bool chosen() const { return command_ != nullptr && command_->parsed(); }
+    /// Runs the chosen subcommand; returns the exit status.
+    int run(net::EventLoop& loop);
+
+  private:
+    int show(platform::TableStore& tables, bool as_csv);
+    int set_cells(platform::TableStore& tables);
+    int accept_file(platform::TableStore& tables);
+    int show_history(platform::TableStore& tables);
+    int show_outcome(platform::TableStore& tables);
+    int report(const platform::AcceptResult& result);
+    int wait_until_in_force(std::uint64_t revision);
+    std::optional<Endpoint> daemon_endpoint() const;
+
+    net::EventLoop* loop_ = nullptr;
+    CLI::App* command_ = nullptr;
+    CLI::App* show_ = nullptr;
+    CLI::App* export_ = nullptr;
+    CLI::App* set_ = nullptr;
+    CLI::App* accept_ = nullptr;
+    CLI::App* history_ = nullptr;
+    CLI::App* outcome_ = nullptr;
+    std::vector<std::string> stores_;
+    std::string daemon_;
+    std::string author_;
+    std::vector<std::string> cells_;
+    std::string file_;
+    std::string change_id_;
+    std::size_t history_limit_ = 20;
+    bool wait_ = false;
+};
+
+}  // namespace anisehold::cli
--- /dev/null
+++ b/src/daemon/backend_watch.hpp
@@ -0,0 +1,35 @@
+/// @file
+/// Keeps the registry of back ends up to date from the machine list and the servers' health endpoints.
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "daemon/daemon_context.hpp"
+#include "daemon/membership_service.hpp"
+#include "platform/machine_list.hpp"
+#include "routing/backend_registry.hpp"
+
+namespace anisehold::daemon {
+
+/// Polls the machine list, and the health of the servers that this daemon is the gate of.
+class BackendWatch {
+  public:
+    BackendWatch(DaemonContext& context, MembershipService& membership, routing::BackendRegistry& registry);
+    void start();
+
+  private:
+    void run_list_polls();
+    void run_health_probes();
+    void probe(const routing::ListedServer& server);
+    void report_changes(const std::vector<routing::ListedServer>& servers);
+
+    DaemonContext& context_;
+    MembershipService& membership_;
+    routing::BackendRegistry& registry_;
+    platform::MachineListClient list_;
+    std::map<Endpoint, std::shared_ptr<net::HttpClient>> health_clients_;
+    bool list_reachable_ = true;
+};
+
+}  // namespace anisehold::daemon
--- /dev/null
+++ b/src/daemon/claim_service.hpp
@@ -0,0 +1,84 @@
+/// @file
+/// Claims on idempotency keys: this daemon as claimant, as holder, and as keeper of the holder view.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "claims/claim_holder.hpp"
+#include "claims/claim_tally.hpp"
+#include "daemon/answer_store.hpp"
+#include "daemon/daemon_context.hpp"
+#include "daemon/document_service.hpp"
+#include "daemon/membership_service.hpp"
+#include "daemon/peer_client.hpp"
+
+namespace anisehold::daemon {
+
+/// A claim that was made, and its result.
+struct ClaimOutcome {
+    claims::ClaimResult result = claims::ClaimResult::kUnavailable;
+    std::string key;
+    std::uint64_t claimant = 0;
+    claims::ClaimReply standing;  ///< When a duplicate.
+};
+
+/// Runs claims over the peer protocol.
+class ClaimService {
+  public:
+    ClaimService(DaemonContext& context, PeerClient& peers, MembershipService& membership,
+                 DocumentService& documents);
+
+    void start();
+    /// Claims a key; asks again for a short while, until `deadline` at most, when no majority answers.
+    ClaimOutcome claim(const std::string& key, std::uint64_t fingerprint, TimePoint deadline);
+    /// Tells the holders how a won claim ended; goes on in the background until each has been told.
+    void finish(const ClaimOutcome& won, claims::ClaimEnd end);
+    /// Whether the process that coordinates a standing claim is still there.
+    bool coordinator_is_there(const claims::ClaimReply& standing) const;
+
+    /// Keeps the answer to a completed request.
+    void keep_answer(const std::string& key, StoredAnswer answer);
+    /// The answer kept by this daemon or by the claim's coordinator.
+    std::optional<StoredAnswer> find_answer(const std::string& key, const claims::ClaimReply& standing);
+
+    claims::ClaimReply handle(const claims::ClaimRequest& request);
+    void handle(const claims::ClaimUpdate& update);
+    claims::ClaimSyncReply handle(const claims::ClaimSyncRequest& request);
+    claims::ClaimStatusReply handle(const claims::ClaimStatusRequest& request) const;
+    AnswerReply handle(const AnswerRequest& request) const;
+
+    const claims::ClaimHolder& holder() const { return holder_; }
+
+  private:
+    struct Round;
+
+    ClaimOutcome claim_once(const std::string& key, std::uint64_t fingerprint, TimePoint deadline);
+    void ask_holder(const std::shared_ptr<Round>& round, const claims::Holder& holder);
+    void tell_holder(const claims::Holder& holder, const claims::ClaimUpdate& update);
+    std::optional<Endpoint> address_of(const claims::Holder& holder) const;
+    void run_holder();
+    void sync_with(const claims::Holder& source);
+    bool is_gone(const claims::Holder& holder) const;
+    std::vector<claims::Holder> gone_holders() const;
+    bool serves(const claims::Holder& holder, std::uint64_t epoch);
+    bool present_view_is_covered();
+    void run_view_keeper();
+    bool is_view_keeper() const;
+    void propose_view(const std::vector<claims::Holder>& holders);
+    void report_serving();
+
+    DaemonContext& context_;
+    PeerClient& peers_;
+    MembershipService& membership_;
+    DocumentService& documents_;
+    claims::ClaimHolder holder_;
+    AnswerStore answers_;
+    bool was_serving_ = false;
+    std::uint64_t reported_epoch_ = 0;
+};
+
+}  // namespace anisehold::daemon
--- /dev/null
+++ b/src/daemon/daemon.cpp
@@ -0,0 +1,150 @@
+#include "daemon/daemon.hpp"
+
+#include <boost/fiber/operations.hpp>
+#include <random>
+
+#include "daemon/admin_server.hpp"
+#include "daemon/backend_watch.hpp"
+#include "daemon/claim_service.hpp"
+#include "daemon/daemon_context.hpp"
+#include "daemon/document_service.hpp"
+#include "daemon/gate_service.hpp"
+#include "daemon/ingress.hpp"
+#include "daemon/membership_service.hpp"
+#include "daemon/peer_client.hpp"
+#include "daemon/peer_service.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_server.hpp"
+#include "observability/events.hpp"
+
+namespace anisehold::daemon {
+namespace {
+
+using observability::Event;
+using observability::log_event;
+
+/// After the announcement callers and peers get this time to go elsewhere before the listener may close.
+constexpr milliseconds kLameDuck{1'500};
+constexpr milliseconds kDrainPoll{20};
+
+std::uint64_t random_seed() {
+    std::random_device device;
+    constexpr unsigned kHalf = 32;
+    return (static_cast<std::uint64_t>(device()) << kHalf) | device();
+}
+
+membership::MemberInfo self_info(const config::Settings& settings) {
+    return {settings.daemon_id,     settings.daemon_zone, random_seed(),
+            settings.daemon_listen, settings.daemon_peer, settings.daemon_admin};
+}
+
+net::HttpServerLimits server_limits(const config::Settings& settings) {
+    net::HttpServerLimits limits;
+    limits.header_bytes = static_cast<std::size_t>(settings.limits_header_bytes);
+    limits.body_bytes = static_cast<std::uint64_t>(settings.limits_body_bytes);
+    limits.header_timeout_ms = milliseconds(settings.limits_header_timeout_ms);
+    limits.body_timeout_ms = milliseconds(settings.limits_body_timeout_ms);
+    limits.connections = static_cast<std::size_t>(settings.limits_connections);
+    return limits;
+}
+
+}  // namespace
+
+struct Daemon::Parts {
+    Parts(net::EventLoop& loop, config::Settings settings)
+        : context{loop.io(),
+                  settings,
+                  config::MechanismSet(settings.lab_without),
+                  self_info(settings),
+                  {},
+                  {},
+                  std::mt19937_64(random_seed())},
+          peers(context),
+          membership(context, peers),
+          documents(context, peers, membership),
+          claims(context, peers, membership, documents),
+          gates(context, membership, registry),
+          watch(context, membership, registry),
+          ingress(context, peers, membership, documents, claims, gates, registry),
+          peer_service(context, membership, documents, claims, gates),
+          admin(context, membership, documents, claims, gates, registry),
+          server(context.io, server_limits(context.settings),
+                 {[this](net::HttpRequest& request, net::CancelSignal& cancel) {
+                      return ingress.handle(request, cancel);
+                  },
+                  [this](ErrorKind kind) { return ingress.reject(kind); }}) {}
+
+    DaemonContext context;
+    routing::BackendRegistry registry;
+    PeerClient peers;
+    MembershipService membership;
+    DocumentService documents;
+    ClaimService claims;
+    GateService gates;
+    BackendWatch watch;
+    Ingress ingress;
+    PeerService peer_service;
+    AdminServer admin;
+    net::HttpServer server;
+};
+
+Daemon::Daemon(net::EventLoop& loop, config::Settings settings)
+    : parts_(std::make_unique<Parts>(loop, std::move(settings))) {}
+
+Daemon::~Daemon() = default;
+
+bool Daemon::start() {
+    const auto& settings = parts_->context.settings;
+    const auto bound = [](std::error_code error, const Endpoint& endpoint, std::string_view purpose) {
+        if (error) {
+            log_event(Event::kStartFailed, {{"address", endpoint.text()},
+                                            {"purpose", std::string(purpose)},
+                                            {"reason", error.message()}});
+        }
+        return !error;
+    };
+    if (!bound(parts_->peer_service.start(), settings.daemon_peer, "peers, TCP") ||
+        !bound(parts_->membership.start(), settings.daemon_peer, "peers, UDP") ||
+        !bound(parts_->admin.start(), settings.daemon_admin, "admin")) {
+        return false;
+    }
+    parts_->documents.start();
+    parts_->claims.start();
+    parts_->gates.start();
+    parts_->watch.start();
+    if (!bound(parts_->server.start(settings.daemon_listen), settings.daemon_listen, "callers")) {
+        return false;
+    }
+    for (const auto& name : settings.lab_without) {
+        log_event(Event::kMechanismOff, {{"mechanism", name}});
+    }
+    log_event(Event::kStarted, {{"zone", settings.daemon_zone}, {"listen", settings.daemon_listen.text()}});
+    return true;
+}
+
+void Daemon::stop() {
+    log_event(Event::kStopping, {});
+    parts_->admin.set_stopping();
+    parts_->membership.announce_self(membership::MemberState::kLeaving);
+    if (parts_->context.has(config::Mechanism::kDrain)) {
+        parts_->server.begin_closing();
+        const auto started = TimePoint::clock::now();
+        const auto grace_ends = started + milliseconds(parts_->context.settings.daemon_stop_grace_ms);
+        const auto busy = [this] {
+            return parts_->server.requests_in_flight() > 0 || parts_->gates.calls_in_flight() > 0;
+        };
+        // The listener stays open while calls are in flight: their nested calls come in through it.
+        boost::this_fiber::sleep_for(kLameDuck);
+        while (busy() && TimePoint::clock::now() < grace_ends) {
+            boost::this_fiber::sleep_for(kDrainPoll);
+        }
+        parts_->server.stop_accepting();
+        while (busy() && TimePoint::clock::now() < grace_ends) {
+            boost::this_fiber::sleep_for(kDrainPoll);
+        }
+    }
+    parts_->membership.announce_self(membership::MemberState::kLeft);
+    log_event(Event::kStopped, {{"in_flight", std::to_string(parts_->server.requests_in_flight())}});
+}
+
+}  // namespace anisehold::daemon
--- /dev/null
+++ b/src/daemon/document_service.hpp
@@ -0,0 +1,68 @@
+/// @file
+/// Keeps this daemon's copies of the table and the holder view: from the store, and from peers.
+#pragma once
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "claims/holder_view.hpp"
+#include "daemon/daemon_context.hpp"
+#include "daemon/membership_service.hpp"
+#include "daemon/peer_client.hpp"
+#include "platform/etcd_store.hpp"
+#include "protocol/documents.hpp"
+#include "routing/route_table.hpp"
+
+namespace anisehold::daemon {
+
+/// Takes a document only if its revision is higher than that of the one it has.
+class DocumentService {
+  public:
+    DocumentService(DaemonContext& context, PeerClient& peers, MembershipService& membership);
+
+    /// Starts reading from the store (if this daemon is a store reader) and from peers.
+    void start();
+    /// The table in force, or null.
+    std::shared_ptr<const routing::RouteTable> table() const { return table_; }
+    /// The holder view in use; epoch 0 if there is none.
+    const claims::HolderView& holder_view() const { return holder_view_; }
+    /// Store revision of the holder view.
+    std::uint64_t holder_view_revision() const;
+    void set_holder_view_listener(std::function<void(const claims::HolderView&)> listener);
+    /// The copy that is held, for a peer that asks.
+    const Document& document(DocumentKind kind) const;
+    DocumentRevisions revisions() const;
+    /// Offers a document from any source.
+    void offer(const Document& document, std::string_view source);
+
+    /// Whether this daemon is one of those of its zone that read the store.
+    bool is_store_reader() const;
+    platform::KeyValueStore& store() { return store_; }
+
+  private:
+    void run_store_reader();
+    bool read_store_once();
+    void watch_store();
+    void on_peer_revisions(const membership::MemberInfo& peer, const DocumentRevisions& revisions);
+    void fetch_from(const membership::MemberInfo& peer, DocumentKind kind);
+    bool install_table(const Document& document, std::string_view source);
+    bool install_holder_view(const Document& document, std::string_view source);
+    void note_store_state(bool reachable);
+
+    DaemonContext& context_;
+    PeerClient& peers_;
+    MembershipService& membership_;
+    platform::EtcdStore store_;
+    std::array<Document, kDocumentKinds> documents_;
+    DocumentRevisions rejected_{};  // Highest revision refused, so that it isn't fetched again and again.
+    std::array<bool, kDocumentKinds> fetching_{};
+    std::shared_ptr<const routing::RouteTable> table_;
+    claims::HolderView holder_view_;
+    std::function<void(const claims::HolderView&)> holder_view_listener_;
+    std::uint64_t store_revision_ = 0;
+    bool store_reachable_ = true;
+};
+
+}  // namespace anisehold::daemon
--- /dev/null
+++ b/src/daemon/gate_service.cpp
@@ -0,0 +1,359 @@
+#include "daemon/gate_service.hpp"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+#include <charconv>
+
+#include "admission/policy/aimd_limit.hpp"
+#include "admission/policy/fixed_limit.hpp"
+#include "net/event_loop.hpp"
+#include "observability/events.hpp"
+
+namespace anisehold::daemon {
+namespace {
+
+using admission::SampleOutcome;
+using config::Mechanism;
+using observability::DecisionStep;
+using routing::Call;
+using routing::CallResult;
+
+constexpr seconds kHousekeepingPeriod{1};
+/// With learning off, as good as none.
+constexpr unsigned kUnlimited = 100'000;
+constexpr seconds kDefaultRetryAfter{1};
+constexpr unsigned kFirstServerError = 500;
+
+Duration retry_after_of(const net::HttpResponse& response) {
+    const auto value = response.fields.find(header::kRetryAfter);
+    unsigned whole_seconds = 0;
+    if (!value ||
+        std::from_chars(value->data(), value->data() + value->size(), whole_seconds).ec != std::errc{}) {
+        return kDefaultRetryAfter;
+    }
+    return seconds(whole_seconds);
+}
+
+}  // namespace
+
+/// Holds the place at the gate and the ledger of one dispatched call; gives both back once.
+class GateService::Admission {
+  public:
+    Admission(GateService& service, std::shared_ptr<Gate> gate, std::uint64_t id, std::string call_id,
+              const Endpoint& server)
+        : service_(service), gate_(std::move(gate)), id_(id), call_id_(std::move(call_id)), server_(server) {
+        ++service_.in_flight_;
+        service_.registry_.on_dispatch(server_);
+    }
+    ~Admission() { end(SampleOutcome::kIgnored); }
+    Admission(const Admission&) = delete;
+    Admission& operator=(const Admission&) = delete;
+
+    retry::LedgerReport end(SampleOutcome outcome) {
+        if (ended_) {
+            return {};
+        }
+        ended_ = true;
+        const auto now = TimePoint::clock::now();
+        const auto report = service_.ledger_.close(now, call_id_);
+        --service_.in_flight_;
+        service_.registry_.on_finish(server_);
+        service_.wake(*gate_, gate_->gate.finish(now, id_, outcome, report.nested_time));
+        return report;
+    }
+
+  private:
+    GateService& service_;
+    std::shared_ptr<Gate> gate_;
+    std::uint64_t id_;
+    std::string call_id_;
+    Endpoint server_;
+    bool ended_ = false;
+};
+
+namespace {
+
+/// Passes a streamed body on and ends the call's admission with it.
+template <typename Admission>
+class AdmittedBodyReader final : public net::BodyReader {
+  public:
+    AdmittedBodyReader(std::unique_ptr<net::BodyReader> source, std::shared_ptr<Admission> admission)
+        : source_(std::move(source)), admission_(std::move(admission)) {}
+
+    std::size_t read(char* data, std::size_t size, std::error_code& error) override {
+        const auto count = source_->read(data, size, error);
+        if (count == 0 && !error) {
+            admission_->end(SampleOutcome::kCompleted);
+        }
+        return count;
+    }
+
+  private:
+    std::unique_ptr<net::BodyReader> source_;
+    std::shared_ptr<Admission> admission_;
+};
+
+}  // namespace
+
+GateService::GateService(DaemonContext& context, MembershipService& membership,
+                         routing::BackendRegistry& registry)
+    : context_(context), membership_(membership), registry_(registry) {}
+
+void GateService::start() {
+    net::EventLoop::spawn([this] {
+        while (true) {
+            boost::this_fiber::sleep_for(kHousekeepingPeriod);
+            ledger_.forget(TimePoint::clock::now());
+            for (const auto& [server, gate] : gates_) {
+                const auto load = gate->gate.load();
+                context_.metrics.set_gate(server.text(), {load.in_flight, load.queued, load.limit});
+            }
+        }
+    });
+}
+
+retry::DrawReply GateService::handle(const retry::DrawRequest& request) {
+    return ledger_.draw(TimePoint::clock::now(), request);
+}
+
+void GateService::handle(const retry::SettleRequest& request) {
+    ledger_.settle(request);
+}
+
+std::unique_ptr<admission::ConcurrencyLimit> GateService::make_limit(unsigned ceiling) const {
+    if (!context_.has(Mechanism::kGateLimit)) {
+        return std::make_unique<admission::FixedLimit>(kUnlimited);
+    }
+    const auto initial = static_cast<unsigned>(context_.settings.backends_initial_limit);
+    const auto connections = static_cast<unsigned>(context_.settings.backends_connections_per_server);
+    const unsigned most = ceiling == 0 ? connections : std::min(ceiling, connections);
+    return std::make_unique<admission::AimdLimit>(
+        admission::LimitBounds{ceiling == 0 ? std::min(initial, most) : most, most});
+}
+
+std::shared_ptr<GateService::Gate> GateService::gate_for(const Endpoint& server,
+                                                         const routing::RouteDecision& route) {
+    auto& gate = gates_[server];
+    const unsigned ceiling = route.service_row.limit;
+    if (!gate) {
+        net::HttpPoolLimits pool;
+        pool.connections = static_cast<std::size_t>(context_.settings.backends_connections_per_server);
+        pool.connect_timeout_ms = milliseconds(context_.settings.backends_connect_timeout_ms);
+        pool.body_timeout_ms = milliseconds(context_.settings.limits_body_timeout_ms);
+        pool.reuse_unclean = !context_.has(Mechanism::kConnectionHygiene);
+        admission::GateOptions options;
+        options.by_priority = context_.has(Mechanism::kPriorityAdmission);
+        gate = std::make_shared<Gate>(make_limit(ceiling), options, context_.io, server, pool);
+        gate->ceiling = ceiling;
+        observability::log_event(observability::Event::kGateOpened, {{"server", server.text()}});
+    }
+    if (gate->ceiling != ceiling) {
+        // The operators changed the cell: start again from the new ceiling.
+        gate->ceiling = ceiling;
+        gate->gate.set_limit(make_limit(ceiling));
+    }
+    return gate;
+}
+
+CallResult GateService::dispatch(Call& call, const Endpoint& server) {
+    const auto candidates = registry_.candidates(TimePoint::clock::now(), call.service, {});
+    const bool takes_work = std::any_of(candidates.begin(), candidates.end(),
+                                        [&](const auto& candidate) { return candidate.endpoint == server; });
+    if (!takes_work && context_.has(Mechanism::kLeavingDetection)) {
+        auto result = CallResult::failure(ErrorKind::kNoBackend, kDefaultRetryAfter);
+        result.server_leaving = true;
+        return result;
+    }
+    const auto gate = gate_for(server, call.route);
+    const auto id = next_id_++;
+    if (auto refused = wait_for_admission(*gate, call, id)) {
+        return std::move(*refused);
+    }
+    return run(gate, call, server, id);
+}
+
+std::optional<CallResult> GateService::wait_for_admission(Gate& gate, const Call& call, std::uint64_t id) {
+    admission::GateCall gate_call;
+    gate_call.id = id;
+    gate_call.priority = call.context.priority;
+    gate_call.root_in_progress = !call.is_root();
+    gate_call.row = call.route.row.name;
+    gate_call.row_weight = call.route.row.weight;
+    gate_call.row_limit = call.route.row.kind == config::RowKind::kRequest ? call.route.row.limit : 0;
+    gate_call.root_started = call.root_started;
+    gate_call.deadline = call.deadline;
+    const auto decision = gate.gate.arrive(TimePoint::clock::now(), gate_call);
+    if (decision.evicted) {
+        const auto evicted = gate.waiters.find(*decision.evicted);
+        if (evicted != gate.waiters.end()) {
+            evicted->second->evicted = true;
+            evicted->second->event.set();
+        }
+    }
+    if (decision.verdict == admission::GateVerdict::kAdmitted) {
+        return std::nullopt;
+    }
+    if (decision.verdict == admission::GateVerdict::kRefused) {
+        return CallResult::failure(decision.refusal, decision.retry_after);
+    }
+    context_.decisions.add(call.context.root_id, call.context.call_id, DecisionStep::kQueued, gate_call.row);
+    const auto waiter = std::make_shared<Waiter>();
+    gate.waiters[id] = waiter;
+    {
+        net::CancelSubscription subscription(call.cancel, [waiter] { waiter->event.set(); });
+        waiter->event.wait_until(decision.give_up_at);
+    }
+    gate.waiters.erase(id);
+    if (waiter->admitted) {
+        return std::nullopt;
+    }
+    gate.gate.abandon(id);
+    if (waiter->evicted) {
+        return CallResult::failure(ErrorKind::kOverloaded, decision.retry_after);
+    }
+    if (call.cancel != nullptr && call.cancel->cancelled()) {
+        auto result = CallResult::failure(ErrorKind::kCancelled);
+        result.execution = Execution::kNotRun;
+        return result;
+    }
+    return CallResult::failure(ErrorKind::kQueueTimeout, decision.retry_after);
+}
+
+void GateService::wake(Gate& gate, const std::vector<std::uint64_t>& ids) {
+    for (const auto id : ids) {
+        const auto found = gate.waiters.find(id);
+        if (found != gate.waiters.end()) {
+            found->second->admitted = true;
+            found->second->event.set();
+        }
+    }
+}
+
+net::HttpRequest GateService::server_request(Call& call) const {
+    const auto now = TimePoint::clock::now();
+    net::HttpRequest request;
+    request.method = call.request->method;
+    request.target = call.request->target;
+    request.fields = call.request->fields;
+    CallContext context = call.context;
+    context.home = context_.self.id;
+    request.fields.set(header::kContext, encode_call_context(context, context_.settings.daemon_mesh_key));
+    request.fields.set(header::kTraceParent, make_trace_parent(context.root_id, context.call_id));
+    request.fields.set(header::kTimeout, std::to_string(std::max(0LL, to_milliseconds(call.deadline - now))));
+    request.fields.remove(header::kGate);
+    request.body.length = call.request->body.length;
+    if (call.request->body.whole()) {
+        request.body.prefix = call.request->body.prefix;
+    } else {
+        // A streamed body can be sent once; the row's retries don't apply to it.
+        request.body.prefix = std::move(call.request->body.prefix);
+        request.body.rest = std::move(call.request->body.rest);
+    }
+    return request;
+}
+
+CallResult GateService::run(const std::shared_ptr<Gate>& gate, Call& call, const Endpoint& server,
+                            std::uint64_t id) {
+    ledger_.open(call.context.call_id, {call.context.retry_allowance, call.deadline, call.root_started});
+    const auto admission = std::make_shared<Admission>(*this, gate, id, call.context.call_id, server);
+    context_.metrics.count_dispatch(call.service);
+    context_.decisions.add(call.context.root_id, call.context.call_id, DecisionStep::kDispatched,
+                           call.service + " " + server.text());
+    auto request = server_request(call);
+    net::ExchangeProgress progress;
+    std::error_code error;
+    auto response = gate->client.exchange(request, {call.deadline, call.cancel}, progress, error);
+    const auto now = TimePoint::clock::now();
+    if (!response) {
+        auto result = failure_result(progress, call, *admission);
+        if (result.error != ErrorKind::kCancelled) {
+            registry_.on_outcome(now, server, routing::ServerOutcome::kFailure);
+            if (registry_.is_ejected(now, server)) {
+                observability::log_event(observability::Event::kServerEjected, {{"server", server.text()}});
+            }
+        }
+        return result;
+    }
+    registry_.on_outcome(now, server, routing::ServerOutcome::kSuccess);
+    const bool says_leaving = response->peer_closes && context_.has(Mechanism::kLeavingDetection);
+    if (says_leaving) {
+        if (!registry_.is_leaving(now, server)) {
+            observability::log_event(observability::Event::kServerLeaving,
+                                     {{"server", server.text()}, {"sign", "connection-close"}});
+        }
+        registry_.mark_leaving(now, server);
+    }
+    auto result = answer_result(std::move(*response), call.context.retry_allowance, admission);
+    result.server_leaving = says_leaving;
+    return result;
+}
+
+CallResult GateService::answer_result(net::HttpResponse response, unsigned allowance,
+                                      const std::shared_ptr<Admission>& admission) {
+    for (const auto name : {header::kError, header::kExecution, header::kGateReport, header::kContext}) {
+        response.fields.remove(name);
+    }
+    const bool refused =
+        response.status >= kFirstServerError && response.fields.find(header::kNotRun).has_value();
+    if (refused) {
+        const auto report = admission->end(SampleOutcome::kShed);
+        auto result = CallResult::failure(ErrorKind::kBackendRefused, retry_after_of(response));
+        result.retries_used = report.used;
+        return result;
+    }
+    CallResult result;
+    if (response.body.whole()) {
+        const auto report = admission->end(SampleOutcome::kCompleted);
+        result.retries_used = report.used;
+        result.refused_by_overload = report.refused_by_overload && response.status >= kFirstServerError;
+    } else {
+        // Nested calls may go on while the body streams, so all that was lent counts as used.
+        result.retries_used = allowance;
+        response.body.rest =
+            std::make_unique<AdmittedBodyReader<Admission>>(std::move(response.body.rest), admission);
+    }
+    result.response = std::move(response);
+    return result;
+}
+
+CallResult GateService::failure_result(const net::ExchangeProgress& progress, const Call& call,
+                                       Admission& admission) {
+    const auto now = TimePoint::clock::now();
+    const bool cancelled = call.cancel != nullptr && call.cancel->cancelled();
+    const bool timed_out = now >= call.deadline;
+    const bool knows_truth = context_.has(Mechanism::kOutcomeTruth);
+    ErrorKind kind = ErrorKind::kBackendFailed;
+    if (cancelled) {
+        kind = ErrorKind::kCancelled;
+    } else if (!progress.request_started || !knows_truth) {
+        kind = ErrorKind::kConnectFailed;
+    } else if (timed_out) {
+        kind = ErrorKind::kDeadlineExceeded;
+    }
+    const auto report =
+        admission.end(timed_out && !cancelled ? SampleOutcome::kTimeout : SampleOutcome::kIgnored);
+    auto result = CallResult::failure(kind, kDefaultRetryAfter);
+    if (!progress.request_started) {
+        result.execution = Execution::kNotRun;
+    } else {
+        result.retries_used = report.used;
+    }
+    result.refused_by_overload = report.refused_by_overload;
+    return result;
+}
+
+std::vector<GateStatus> GateService::status() const {
+    std::vector<GateStatus> all;
+    for (const auto& [server, gate] : gates_) {
+        all.push_back(
+            {server, gate->gate.load(), gate->gate.admitted_priority(), gate->client.open_connections()});
+    }
+    return all;
+}
+
+admission::GateLoad GateService::load_of(const Endpoint& server) const {
+    const auto found = gates_.find(server);
+    return found == gates_.end() ? admission::GateLoad{} : found->second->gate.load();
+}
+
+}  // namespace anisehold::daemon
--- /dev/null
+++ b/src/daemon/membership_service.cpp
@@ -0,0 +1,200 @@
+#include "daemon/membership_service.hpp"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+#include <map>
+
+#include "net/event_loop.hpp"
+#include "observability/events.hpp"
+#include "routing/rendezvous.hpp"
+
+namespace anisehold::daemon {
+namespace {
+
+using membership::MemberInfo;
+using membership::MemberRecord;
+using membership::MemberState;
+
+constexpr int kTicksPerPeriod = 8;
+constexpr seconds kExchangeTimeout{2};
+/// Full lists are exchanged this often, as a safety net under the gossip.
+constexpr seconds kFullExchangePeriod{60};
+constexpr milliseconds kJoinRetry{250};
+constexpr seconds kUnreachableHolds{1};
+
+membership::SwimConfig swim_config(const config::Settings& settings) {
+    membership::SwimConfig config;
+    config.period_ms = milliseconds(settings.membership_period_ms);
+    config.suspicion_periods = static_cast<unsigned>(settings.membership_suspicion_periods);
+    config.seeds = settings.membership_seeds;
+    return config;
+}
+
+std::uint64_t wall_clock_ms() {
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since_epoch).count());
+}
+
+}  // namespace
+
+MembershipService::MembershipService(DaemonContext& context, PeerClient& peers)
+    : context_(context),
+      peers_(peers),
+      swim_(swim_config(context.settings), context.self, wall_clock_ms(), context.random()),
+      socket_(context.io) {}
+
+std::error_code MembershipService::start() {
+    const auto error =
+        socket_.start(context_.settings.daemon_peer,
+                      [this](const Endpoint& from, std::string_view bytes) { on_datagram(from, bytes); });
+    if (!error) {
+        net::EventLoop::spawn([this] { run_ticks(); });
+        net::EventLoop::spawn([this] { run_full_exchanges(); });
+    }
+    return error;
+}
+
+void MembershipService::announce_revisions(const DocumentRevisions& revisions) {
+    send(swim_.set_revisions(revisions));
+}
+
+void MembershipService::announce_self(MemberState state) {
+    send(swim_.announce_self(TimePoint::clock::now(), state));
+}
+
+std::vector<MemberRecord> MembershipService::exchange_records(const std::vector<MemberRecord>& theirs) {
+    swim_.merge(TimePoint::clock::now(), theirs);
+    report_events();
+    return swim_.records();
+}
+
+void MembershipService::send(const std::vector<membership::Datagram>& datagrams) {
+    for (const auto& datagram : datagrams) {
+        const auto bytes = encode(datagram.message, context_.settings.daemon_mesh_key);
+        socket_.send(datagram.to, bytes);
+        context_.metrics.count_gossip_bytes(bytes.size(), 0);
+    }
+}
+
+void MembershipService::on_datagram(const Endpoint& from, std::string_view bytes) {
+    const auto message = decode_gossip(bytes, context_.settings.daemon_mesh_key);
+    if (!message) {
+        observability::log_event(observability::Event::kPeerFrameRefused,
+                                 {{"from", from.text()}, {"transport", "udp"}});
+        return;
+    }
+    context_.metrics.count_gossip_bytes(0, bytes.size());
+    send(swim_.receive(TimePoint::clock::now(), from, *message));
+    report_events();
+    if (listener_) {
+        listener_(message->sender.info, message->revisions);
+    }
+}
+
+void MembershipService::run_ticks() {
+    const milliseconds pause = milliseconds(context_.settings.membership_period_ms) / kTicksPerPeriod;
+    while (true) {
+        send(swim_.tick(TimePoint::clock::now()));
+        report_events();
+        boost::this_fiber::sleep_for(pause);
+    }
+}
+
+void MembershipService::run_full_exchanges() {
+    bool joined = context_.settings.membership_seeds.empty();
+    while (!joined) {
+        for (const auto& seed : context_.settings.membership_seeds) {
+            if (seed == context_.settings.daemon_peer) {
+                continue;
+            }
+            const auto reply =
+                peers_.ask<MembersReply>(seed, MembersRequest{swim_.records()}, kExchangeTimeout);
+            if (reply) {
+                exchange_records(reply->records);
+                joined = true;
+            }
+        }
+        boost::this_fiber::sleep_for(kJoinRetry);
+    }
+    while (true) {
+        boost::this_fiber::sleep_for(kFullExchangePeriod);
+        const auto peer = swim_.random_peer();
+        if (!peer) {
+            continue;
+        }
+        const auto reply =
+            peers_.ask<MembersReply>(peer->peer, MembersRequest{swim_.records()}, kExchangeTimeout);
+        if (reply) {
+            exchange_records(reply->records);
+        }
+    }
+}
+
+void MembershipService::report_events() {
+    const auto events = swim_.take_events();
+    if (events.empty()) {
+        return;
+    }
+    for (const auto& event : events) {
+        const std::string before = event.before ? membership::member_state_name(*event.before) : "unknown";
+        observability::log_event(observability::Event::kMemberChanged,
+                                 {{"id", event.record.info.id},
+                                  {"zone", event.record.info.zone},
+                                  {"before", before},
+                                  {"now", membership::member_state_name(event.record.state)},
+                                  {"incarnation", std::to_string(event.record.incarnation)}});
+    }
+    std::map<MemberState, std::size_t> counts;
+    for (const auto& record : swim_.records()) {
+        ++counts[record.state];
+    }
+    for (const auto state : {MemberState::kAlive, MemberState::kLeaving, MemberState::kSuspect,
+                             MemberState::kDead, MemberState::kLeft}) {
+        context_.metrics.set_members(membership::member_state_name(state), counts[state]);
+    }
+}
+
+bool MembershipService::is_unreachable(const std::string& id, TimePoint now) const {
+    const auto found = unreachable_until_.find(id);
+    return found != unreachable_until_.end() && found->second > now;
+}
+
+void MembershipService::mark_unreachable(const std::string& id) {
+    unreachable_until_[id] = TimePoint::clock::now() + kUnreachableHolds;
+}
+
+std::vector<MemberRecord> MembershipService::gate_members(const std::string& zone) const {
+    const auto now = TimePoint::clock::now();
+    std::vector<MemberRecord> reachable;
+    std::vector<MemberRecord> in_zone;
+    for (const auto& record : swim_.working_members()) {
+        if (is_unreachable(record.info.id, now)) {
+            continue;
+        }
+        reachable.push_back(record);
+        if (record.info.zone == zone) {
+            in_zone.push_back(record);
+        }
+    }
+    return in_zone.empty() ? reachable : in_zone;
+}
+
+std::optional<MemberInfo> MembershipService::gate_of(const Endpoint& server, const std::string& zone) const {
+    const auto members = gate_members(zone);
+    if (members.empty()) {
+        return std::nullopt;
+    }
+    const auto on_machine = [&](const MemberRecord& record) { return record.info.call.ip == server.ip; };
+    if (std::count_if(members.begin(), members.end(), on_machine) == 1) {
+        return std::find_if(members.begin(), members.end(), on_machine)->info;
+    }
+    const auto key = server.text();
+    const auto best =
+        std::max_element(members.begin(), members.end(), [&](const auto& left, const auto& right) {
+            return routing::rendezvous_score(left.info.id, key) <
+                   routing::rendezvous_score(right.info.id, key);
+        });
+    return best->info;
+}
+
+}  // namespace anisehold::daemon
--- /dev/null
+++ b/src/daemon/peer_client.hpp
@@ -0,0 +1,36 @@
+/// @file
+/// Typed questions to other daemons.
+#pragma once
+
+#include <optional>
+
+#include "daemon/daemon_context.hpp"
+#include "net/frame_transport.hpp"
+#include "protocol/peer_messages.hpp"
+
+namespace anisehold::daemon {
+
+/// Sends peer requests over TCP.
+class PeerClient {
+  public:
+    explicit PeerClient(DaemonContext& context);
+
+    /// The reply of the expected type; nothing if none came in time or it was of another type.
+    template <typename Reply>
+    std::optional<Reply> ask(const Endpoint& peer, const PeerRequest& request, Duration timeout) {
+        auto reply = exchange(peer, request, timeout);
+        if (!reply) {
+            return std::nullopt;
+        }
+        auto* typed = boost::get<Reply>(&*reply);
+        return typed == nullptr ? std::nullopt : std::optional<Reply>(std::move(*typed));
+    }
+
+  private:
+    std::optional<PeerReply> exchange(const Endpoint& peer, const PeerRequest& request, Duration timeout);
+
+    DaemonContext& context_;
+    net::FrameClient client_;
+};
+
+}  // namespace anisehold::daemon
--- /dev/null
+++ b/src/membership/gossip_message.hpp
@@ -0,0 +1,40 @@
+/// @file
+/// The one datagram that members exchange.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "membership/member.hpp"
+#include "protocol/documents.hpp"
+
+namespace anisehold::membership {
+
+enum class GossipType : std::uint8_t {
+    kPing,
+    kAck,
+    kPingRequest,  ///< Asks the receiver to ping `target` for the sender.
+    kAnnounce,     ///< Only carries updates and revisions; no answer.
+};
+
+/// Bounded in size whatever the fleet's: at most `kMaxUpdates` updates.
+struct GossipMessage {
+    GossipType type = GossipType::kPing;
+    std::uint64_t sequence = 0;  ///< An ack repeats the ping's.
+    MemberRecord sender;
+    std::vector<MemberRecord> about_receiver;  ///< At most one: what the sender believes of the receiver.
+    std::vector<MemberRecord> target;          ///< Of a ping request: exactly one.
+    std::vector<MemberRecord> updates;
+    DocumentRevisions revisions{};
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        archive& type& sequence& sender& about_receiver& target& updates& revisions;
+    }
+};
+
+/// Most updates in one message; keeps a datagram under 1,400 bytes.
+inline constexpr std::size_t kMaxUpdates = 6;
+
+}  // namespace anisehold::membership
--- /dev/null
+++ b/src/net/beast_support.hpp
@@ -0,0 +1,119 @@
+/// @file
+/// What the Beast-based server and client share. Included only inside net/.
+#pragma once
+
+#include <utility>
+// <utility> comes first: Boost 1.74's Asio needs std::exchange under C++20.
+#include <algorithm>
+#include <array>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include "net/await_io.hpp"
+#include "net/http_types.hpp"
+#include "protocol/time_types.hpp"
+
+namespace anisehold::net {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+/// Bytes moved at a time when a body is streamed.
+inline constexpr std::size_t kStreamChunkBytes = 16 * 1024;
+
+/// Whether a header line belongs to one connection and is never forwarded.
+inline bool is_hop_by_hop(beast::string_view name) {
+    static constexpr std::array<const char*, 10> kNames{
+        "connection", "keep-alive",     "proxy-connection",   "transfer-encoding",   "te",
+        "upgrade",    "content-length", "proxy-authenticate", "proxy-authorization", "expect"};
+    return std::any_of(kNames.begin(), kNames.end(),
+                       [&](const char* known) { return beast::iequals(known, name); });
+}
+
+/// Copies the end-to-end lines out of Beast's container.
+template <typename Fields>
+HeaderFields copy_end_to_end_fields(const Fields& source) {
+    HeaderFields fields;
+    for (const auto& field : source) {
+        if (!is_hop_by_hop(field.name_string())) {
+            fields.add(std::string(field.name_string()), std::string(field.value()));
+        }
+    }
+    return fields;
+}
+
+/// Reads body bytes into `data` through a parser over `buffer_body`. Returns the count; 0 without an
+/// error at the end of the message.
+template <typename Parser>
+std::size_t read_body_bytes(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, char* data,
+                            std::size_t size, boost::system::error_code& error) {
+    std::size_t filled = 0;
+    while (filled == 0 && !parser.is_done()) {
+        parser.get().body().data = data;
+        parser.get().body().size = size;
+        const auto result = await_io(
+            [&](auto handler) { http::async_read_some(stream, buffer, parser, std::move(handler)); });
+        filled = size - parser.get().body().size;
+        const bool failed = result.error && result.error != http::error::need_buffer;
+        if (failed) {
+            error = result.error;
+            return filled;
+        }
+    }
+    return filled;
+}
+
+/// Fills `prefix` with up to `limit` bytes of body; stops early at the end of the message.
+template <typename Parser>
+void read_body_prefix(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser,
+                      std::string& prefix, std::size_t limit, boost::system::error_code& error) {
+    std::array<char, kStreamChunkBytes> chunk;
+    while (!parser.is_done() && prefix.size() < limit && !error) {
+        const auto room = std::min(chunk.size(), limit - prefix.size());
+        const auto count = read_body_bytes(stream, buffer, parser, chunk.data(), room, error);
+        prefix.append(chunk.data(), count);
+    }
+}
+
+/// Writes a message whose head is in `message`, with `body`. For streamed bodies each pause is bounded by
+/// `pause_ms`. On an error of the body's source, `source_error` is set and the message is left cut.
+template <bool IsRequest>
+void write_message(beast::tcp_stream& stream, http::message<IsRequest, http::buffer_body>& message,
+                   Body& body, Duration pause, boost::system::error_code& error,
+                   std::error_code& source_error) {
+    if (body.rest && !body.length) {
+        message.chunked(true);
+    } else {
+        message.content_length(body.length.value_or(body.prefix.size()));
+    }
+    message.body().data = body.prefix.data();
+    message.body().size = body.prefix.size();
+    message.body().more = !body.whole();
+    http::serializer<IsRequest, http::buffer_body> serializer(message);
+    const auto write_rest = [&] {
+        error =
+            await_io([&](auto handler) { http::async_write(stream, serializer, std::move(handler)); }).error;
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+    };
+    write_rest();
+    std::array<char, kStreamChunkBytes> chunk;
+    bool more = !body.whole();
+    while (more && !error) {
+        const auto count = body.rest->read(chunk.data(), chunk.size(), source_error);
+        if (source_error) {
+            return;
+        }
+        more = count > 0;
+        message.body().data = more ? chunk.data() : nullptr;
+        message.body().size = count;
+        message.body().more = more;
+        if (pause != Duration::zero()) {
+            stream.expires_after(pause);
+        }
+        write_rest();
+    }
+}
+
+}  // namespace anisehold::net
--- /dev/null
+++ b/src/net/event_loop.cpp
@@ -0,0 +1,50 @@
+#include <utility>
+// <utility> comes first: Boost 1.74's Asio needs std::exchange under C++20.
+#include <boost/asio/signal_set.hpp>
+#include <boost/fiber/fiber.hpp>
+#include <boost/fiber/fixedsize_stack.hpp>
+#include <boost/fiber/operations.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+
+#include "net/asio_scheduler.hpp"
+#include "net/await_io.hpp"
+#include "net/event_loop.hpp"
+
+namespace anisehold::net {
+namespace {
+
+/// Beast's parsers and a JSON parser run on fiber stacks; untouched pages cost no memory.
+constexpr std::size_t kStackBytes = 256 * 1024;
+
+}  // namespace
+
+EventLoop::EventLoop() : io_(new boost::asio::io_context(1)) {
+    std::signal(SIGPIPE, SIG_IGN);
+    boost::fibers::use_scheduling_algorithm<AsioScheduler>(*io_);
+}
+
+// The context outlives the fibers, which are only gone when the process ends.
+EventLoop::~EventLoop() = default;
+
+void EventLoop::spawn(std::function<void()> body) {
+    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
+                         boost::fibers::fixedsize_stack(kStackBytes), std::move(body))
+        .detach();
+}
+
+void EventLoop::wait_for_stop_signal() {
+    boost::asio::signal_set signals(*io_, SIGTERM, SIGINT);
+    await_io([&](auto handler) {
+        signals.async_wait(
+            [handler](boost::system::error_code error, int /*signal*/) mutable { handler(error, 0); });
+    });
+}
+
+void exit_process(int status) {
+    std::fflush(nullptr);
+    std::_Exit(status);
+}
+
+}  // namespace anisehold::net
--- /dev/null
+++ b/src/net/fiber_event.hpp
@@ -0,0 +1,37 @@
+/// @file
+/// A one-shot event that fibers of one thread can wait for.
+#pragma once
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <mutex>
+
+#include "protocol/time_types.hpp"
+
+namespace anisehold::net {
+
+/// Set once; all waiters, present and later, go on.
+class FiberEvent {
+  public:
+    void set() {
+        set_ = true;
+        condition_.notify_all();
+    }
+    bool is_set() const { return set_; }
+    /// Waits until the event is set or `deadline` has come; true if it is set.
+    bool wait_until(TimePoint deadline) {
+        std::unique_lock lock(mutex_);
+        return condition_.wait_until(lock, deadline, [this] { return set_; });
+    }
+    void wait() {
+        std::unique_lock lock(mutex_);
+        condition_.wait(lock, [this] { return set_; });
+    }
+
+  private:
+    bool set_ = false;
+    boost::fibers::mutex mutex_;
+    boost::fibers::condition_variable condition_;
+};
+
+}  // namespace anisehold::net
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,299 @@
+#include "net/beast_support.hpp"
+// Beast comes first, see there.
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <deque>
+#include <limits>
+
+#include "net/http_client.hpp"
+#include "protocol/error_kind.hpp"
+
+namespace anisehold::net {
+namespace {
+
+using Tcp = boost::asio::ip::tcp;
+using ResponseParser = http::response_parser<http::buffer_body>;
+
+struct Connection {
+    explicit Connection(boost::asio::io_context& io) : stream(io) {}
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    TimePoint idle_since;
+};
+
+/// Whether an idle connection has been closed, or holds bytes that nobody asked for.
+bool is_stale(Connection& connection) {
+    char byte = 0;
+    const auto received =
+        ::recv(connection.stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const bool silent = received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return !silent || connection.buffer.size() != 0;
+}
+
+}  // namespace
+
+struct HttpClient::State {
+    State(boost::asio::io_context& io, Endpoint server, HttpPoolLimits limits)
+        : io(io), server(std::move(server)), limits(limits) {}
+
+    std::unique_ptr<Connection> take_idle(TimePoint now);
+    std::unique_ptr<Connection> connect(TimePoint deadline, std::error_code& error);
+    void give_back(std::unique_ptr<Connection> connection);
+    void discard(std::unique_ptr<Connection> connection);
+
+    boost::asio::io_context& io;
+    Endpoint server;
+    HttpPoolLimits limits;
+    std::deque<std::unique_ptr<Connection>> idle;
+    std::size_t open = 0;
+};
+
+std::unique_ptr<Connection> HttpClient::State::take_idle(TimePoint now) {
+    while (!idle.empty()) {
+        // The most recently used first: the least likely to have been closed.
+        auto connection = std::move(idle.back());
+        idle.pop_back();
+        const bool expired = now - connection->idle_since > limits.idle_timeout_ms;
+        if (limits.reuse_unclean || (!expired && !is_stale(*connection))) {
+            return connection;
+        }
+        discard(std::move(connection));
+    }
+    return nullptr;
+}
+
+std::unique_ptr<Connection> HttpClient::State::connect(TimePoint deadline, std::error_code& error) {
+    if (open >= limits.connections) {
+        error = std::make_error_code(std::errc::too_many_files_open);
+        return nullptr;
+    }
+    ++open;
+    auto connection = std::make_unique<Connection>(io);
+    const auto address = boost::asio::ip::make_address(server.ip);
+    const auto connect_deadline = std::min(deadline, TimePoint::clock::now() + limits.connect_timeout_ms);
+    connection->stream.expires_at(connect_deadline);
+    const auto result = await_io([&](auto handler) {
+        connection->stream.async_connect(Tcp::endpoint(address, server.port), std::move(handler));
+    });
+    if (result.error) {
+        error = result.error;
+        discard(std::move(connection));
+        return nullptr;
+    }
+    boost::system::error_code ignored;
+    connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
+    return connection;
+}
+
+void HttpClient::State::give_back(std::unique_ptr<Connection> connection) {
+    connection->idle_since = TimePoint::clock::now();
+    connection->stream.expires_never();
+    idle.push_back(std::move(connection));
+}
+
+void HttpClient::State::discard(std::unique_ptr<Connection> connection) {
+    --open;
+    connection.reset();
+}
+
+namespace {
+
+/// Holds a connection for one exchange; returns it to the pool only when told that it is clean.
+template <typename Pool>
+class ConnectionLease {
+  public:
+    ConnectionLease(std::shared_ptr<Pool> pool, std::unique_ptr<Connection> connection)
+        : pool_(std::move(pool)), connection_(std::move(connection)) {}
+    ~ConnectionLease() {
+        if (connection_ && pool_->limits.reuse_unclean) {
+            pool_->give_back(std::move(connection_));
+        }
+        if (connection_) {
+            pool_->discard(std::move(connection_));
+        }
+    }
+    ConnectionLease(ConnectionLease&&) noexcept = default;
+    ConnectionLease& operator=(ConnectionLease&&) = delete;
+
+    Connection& operator*() { return *connection_; }
+    Connection* operator->() { return connection_.get(); }
+    void finish_clean() {
+        if (connection_) {
+            pool_->give_back(std::move(connection_));
+        }
+    }
+
+  private:
+    std::shared_ptr<Pool> pool_;
+    std::unique_ptr<Connection> connection_;
+};
+
+/// Reads the unbuffered rest of an answer and then returns the connection.
+template <typename Pool>
+class ResponseBodyReader final : public BodyReader {
+  public:
+    ResponseBodyReader(ConnectionLease<Pool> lease, std::unique_ptr<ResponseParser> parser, Duration pause)
+        : lease_(std::move(lease)), parser_(std::move(parser)), pause_(pause) {}
+
+    std::size_t read(char* data, std::size_t size, std::error_code& error) override {
+        if (parser_->is_done()) {
+            return 0;
+        }
+        lease_->stream.expires_after(pause_);
+        boost::system::error_code read_error;
+        const auto count = read_body_bytes(lease_->stream, lease_->buffer, *parser_, data, size, read_error);
+        error = read_error;
+        if (!read_error && parser_->is_done() && parser_->keep_alive()) {
+            lease_.finish_clean();
+        }
+        return count;
+    }
+
+  private:
+    ConnectionLease<Pool> lease_;
+    std::unique_ptr<ResponseParser> parser_;
+    Duration pause_;
+};
+
+http::request<http::buffer_body> request_head(const HttpRequest& request, const Endpoint& server) {
+    http::request<http::buffer_body> message;
+    message.version(11);
+    message.method_string(request.method);
+    message.target(request.target);
+    for (const auto& field : request.fields) {
+        message.insert(field.name, field.value);
+    }
+    if (message.find(http::field::host) == message.end()) {
+        message.set(http::field::host, server.text());
+    }
+    return message;
+}
+
+}  // namespace
+
+HttpClient::HttpClient(boost::asio::io_context& io, Endpoint server, HttpPoolLimits limits)
+    : state_(std::make_shared<State>(io, std::move(server), limits)) {}
+
+HttpClient::~HttpClient() {
+    state_->idle.clear();
+}
+
+std::optional<HttpResponse> HttpClient::exchange(HttpRequest& request, const ExchangeOptions& options,
+                                                 ExchangeProgress& progress, std::error_code& error) {
+    return run_exchange(request, options, kBufferedBodyBytes, progress, error);
+}
+
+std::optional<HttpResponse> HttpClient::exchange_streaming(HttpRequest& request, TimePoint deadline,
+                                                           ExchangeProgress& progress,
+                                                           std::error_code& error) {
+    return run_exchange(request, {deadline, nullptr}, 0, progress, error);
+}
+
+std::optional<HttpResponse> HttpClient::run_exchange(HttpRequest& request, const ExchangeOptions& options,
+                                                     std::size_t buffered_bytes, ExchangeProgress& progress,
+                                                     std::error_code& error) {
+    auto connection = state_->take_idle(TimePoint::clock::now());
+    progress.connection_reused = connection != nullptr;
+    if (!connection) {
+        connection = state_->connect(options.deadline, error);
+    }
+    if (!connection) {
+        return std::nullopt;
+    }
+    progress.connected = true;
+    ConnectionLease<State> lease(state_, std::move(connection));
+    if (options.cancel != nullptr && options.cancel->cancelled()) {
+        error = make_error_code(ErrorKind::kCancelled);
+        return std::nullopt;
+    }
+    CancelSubscription subscription(options.cancel, [&stream = lease->stream] { stream.cancel(); });
+    lease->stream.expires_at(options.deadline);
+
+    auto message = request_head(request, state_->server);
+    boost::system::error_code io_error;
+    std::error_code source_error;
+    progress.request_started = true;
+    write_message(lease->stream, message, request.body, Duration::zero(), io_error, source_error);
+    if (io_error || source_error) {
+        error = source_error ? source_error : std::error_code(io_error);
+        return std::nullopt;
+    }
+
+    auto parser = std::make_unique<ResponseParser>();
+    // Beast 1.74 takes "no limit" for a limit of zero where the length is declared.
+    parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (request.method == "HEAD") {
+        parser->skip(true);
+    }
+    io_error = await_io([&](auto handler) {
+                   http::async_read_header(lease->stream, lease->buffer, *parser, std::move(handler));
+               }).error;
+    HttpResponse response;
+    if (!io_error) {
+        response.status = parser->get().result_int();
+        response.fields = copy_end_to_end_fields(parser->get());
+        response.peer_closes = !parser->keep_alive();
+        read_body_prefix(lease->stream, lease->buffer, *parser, response.body.prefix, buffered_bytes,
+                         io_error);
+    }
+    if (io_error) {
+        error = io_error;
+        return std::nullopt;
+    }
+    if (parser->is_done()) {
+        response.body.length = response.body.prefix.size();
+        if (parser->keep_alive()) {
+            lease.finish_clean();
+        }
+        return response;
+    }
+    if (parser->content_length()) {
+        response.body.length = *parser->content_length();
+    }
+    response.body.rest = std::make_unique<ResponseBodyReader<State>>(std::move(lease), std::move(parser),
+                                                                     state_->limits.body_timeout_ms);
+    return response;
+}
+
+std::optional<std::string> read_whole(Body& body, std::size_t limit, std::error_code& error) {
+    std::string text = std::move(body.prefix);
+    std::array<char, kStreamChunkBytes> chunk;
+    bool more = !body.whole();
+    while (more) {
+        const auto count = body.rest->read(chunk.data(), chunk.size(), error);
+        text.append(chunk.data(), count);
+        more = count > 0 && !error;
+        if (text.size() > limit) {
+            error = std::make_error_code(std::errc::message_size);
+            more = false;
+        }
+    }
+    return error ? std::nullopt : std::optional(std::move(text));
+}
+
+std::optional<std::string> fetch_text(HttpClient& client, HttpRequest& request, TimePoint deadline,
+                                      std::error_code& error) {
+    ExchangeProgress progress;
+    auto response = client.exchange(request, {deadline, nullptr}, progress, error);
+    if (!response) {
+        return std::nullopt;
+    }
+    constexpr unsigned kOk = 200;
+    if (response->status != kOk) {
+        error = std::make_error_code(std::errc::protocol_error);
+        return std::nullopt;
+    }
+    return read_whole(response->body, kLargestFetchedText, error);
+}
+
+const Endpoint& HttpClient::server() const {
+    return state_->server;
+}
+
+std::size_t HttpClient::open_connections() const {
+    return state_->open;
+}
+
+}  // namespace anisehold::net
--- /dev/null
+++ b/src/net/http_client.hpp
@@ -0,0 +1,83 @@
+/// @file
+/// HTTP/1.1 exchanges with one server over a bounded pool of connections.
+#pragma once
+
+#include <memory>
+#include <optional>
+
+#include "net/http_types.hpp"
+#include "protocol/endpoint.hpp"
+#include "protocol/time_types.hpp"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace anisehold::net {
+
+/// Bounds of a pool.
+struct HttpPoolLimits {
+    std::size_t connections = 256;
+    milliseconds connect_timeout_ms{1'000};
+    milliseconds idle_timeout_ms{5'000};   ///< Idle connections older than this are closed, not reused.
+    milliseconds body_timeout_ms{10'000};  ///< Longest pause inside a streamed answer.
+    bool reuse_unclean = false;            ///< Lab only: pools connections whatever became of the exchange.
+};
+
+/// How far an exchange got; decides what may be said about whether the call ran.
+struct ExchangeProgress {
+    bool connected = false;
+    bool request_started = false;  ///< At least one byte may have been sent.
+    bool connection_reused = false;
+};
+
+/// One exchange's bounds.
+struct ExchangeOptions {
+    TimePoint deadline;
+    CancelSignal* cancel = nullptr;
+};
+
+/// A pool of connections to one server. A connection goes back to the pool only after a whole, clean
+/// exchange; any other is closed.
+class HttpClient {
+  public:
+    HttpClient(boost::asio::io_context& io, Endpoint server, HttpPoolLimits limits = {});
+    ~HttpClient();
+    HttpClient(const HttpClient&) = delete;
+    HttpClient& operator=(const HttpClient&) = delete;
+
+    /// Sends `request` and reads the answer's header and up to `kBufferedBodyBytes` of its body. The rest
+    /// of a larger body is read through the response, which keeps the connection for that long.
+    /// Returns nothing and sets `error` when no whole header, or only part of a small body, came.
+    std::optional<HttpResponse> exchange(HttpRequest& request, const ExchangeOptions& options,
+                                         ExchangeProgress& progress, std::error_code& error);
+
+    /// Like `exchange`, but returns as soon as the answer's header is there: for answers without an end.
+    std::optional<HttpResponse> exchange_streaming(HttpRequest& request, TimePoint deadline,
+                                                   ExchangeProgress& progress, std::error_code& error);
+
+    const Endpoint& server() const;
+    /// Connections that are open now, in use or idle.
+    std::size_t open_connections() const;
+
+  private:
+    struct State;
+
+    std::optional<HttpResponse> run_exchange(HttpRequest& request, const ExchangeOptions& options,
+                                             std::size_t buffered_bytes, ExchangeProgress& progress,
+                                             std::error_code& error);
+
+    std::shared_ptr<State> state_;
+};
+
+/// Largest body that `fetch_text` reads.
+inline constexpr std::size_t kLargestFetchedText = 8 * 1024 * 1024;
+
+/// The body of a 200 answer as text; anything else is an error.
+std::optional<std::string> fetch_text(HttpClient& client, HttpRequest& request, TimePoint deadline,
+                                      std::error_code& error);
+
+/// Reads the whole body, up to `limit` bytes.
+std::optional<std::string> read_whole(Body& body, std::size_t limit, std::error_code& error);
+
+}  // namespace anisehold::net
--- /dev/null
+++ b/src/net/http_server.hpp
@@ -0,0 +1,60 @@
+/// @file
+/// An HTTP/1.1 server: one fiber per connection, bounded headers and bodies, bounded sender time.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "net/http_types.hpp"
+#include "protocol/endpoint.hpp"
+#include "protocol/error_kind.hpp"
+#include "protocol/time_types.hpp"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace anisehold::net {
+
+/// What a server accepts from a sender.
+struct HttpServerLimits {
+    std::size_t header_bytes = 16 * 1024;
+    std::uint64_t body_bytes = 64ULL * 1024 * 1024;
+    milliseconds header_timeout_ms{15'000};  ///< Also the longest idle time of a kept connection.
+    milliseconds body_timeout_ms{10'000};    ///< Longest pause inside a body, either way.
+    std::size_t connections = 4096;
+};
+
+/// What the server does with requests.
+struct HttpServerHandlers {
+    /// Answers one request. The signal fires when the caller closes its connection.
+    std::function<HttpResponse(HttpRequest&, CancelSignal&)> handle;
+    /// Answers a request that could not be read.
+    std::function<HttpResponse(ErrorKind)> reject;
+};
+
+/// Listens on one endpoint until stopped.
+class HttpServer {
+  public:
+    HttpServer(boost::asio::io_context& io, HttpServerLimits limits, HttpServerHandlers handlers);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    /// Binds and starts accepting; on error nothing is listening.
+    std::error_code start(const Endpoint& endpoint);
+    /// The bound port, which differs from the asked one when that was 0.
+    std::uint16_t port() const;
+    /// From now on answers carry `Connection: close`; connections and requests are still accepted.
+    void begin_closing();
+    /// Accepts no new connection.
+    void stop_accepting();
+    /// Requests being answered now.
+    std::size_t requests_in_flight() const;
+
+  private:
+    struct State;
+    std::shared_ptr<State> state_;
+};
+
+}  // namespace anisehold::net
--- /dev/null
+++ b/src/net/http_types.hpp
@@ -0,0 +1,108 @@
+/// @file
+/// HTTP requests and responses as the rest of the code sees them; Beast stays inside net/.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+namespace anisehold::net {
+
+/// One header line.
+struct HeaderField {
+    std::string name;
+    std::string value;
+};
+
+/// Header lines in order; names compare without regard to case.
+class HeaderFields {
+  public:
+    /// The value of the first line with this name.
+    std::optional<std::string_view> find(std::string_view name) const;
+    /// Replaces all lines with this name by one.
+    void set(std::string_view name, std::string value);
+    void add(std::string name, std::string value) { fields_.push_back({std::move(name), std::move(value)}); }
+    void remove(std::string_view name);
+
+    auto begin() const { return fields_.begin(); }
+    auto end() const { return fields_.end(); }
+
+  private:
+    std::vector<HeaderField> fields_;
+};
+
+/// Pulls the part of a body that wasn't buffered.
+class BodyReader {
+  public:
+    virtual ~BodyReader() = default;
+    /// Reads up to `size` bytes. Returns 0 without an error at the regular end; an error means that the
+    /// body was cut.
+    virtual std::size_t read(char* data, std::size_t size, std::error_code& error) = 0;
+};
+
+/// A message body: what was buffered, and a reader for the rest of a large one.
+struct Body {
+    std::string prefix;
+    std::unique_ptr<BodyReader> rest;     ///< Null when `prefix` is the whole body.
+    std::optional<std::uint64_t> length;  ///< Total length in bytes, where the sender declared it.
+
+    bool whole() const { return !rest; }
+};
+
+/// Bodies up to this size are buffered whole, checked for length and may be sent again.
+inline constexpr std::size_t kBufferedBodyBytes = 64 * 1024;
+
+struct HttpRequest {
+    std::string method;
+    std::string target;
+    HeaderFields fields;
+    Body body;
+};
+
+struct HttpResponse {
+    unsigned status = 200;
+    HeaderFields fields;
+    Body body;
+    bool peer_closes = false;  ///< The sender announced that it closes the connection after this answer.
+};
+
+/// A response with a small body.
+HttpResponse make_response(unsigned status, std::string content_type, std::string body);
+
+/// A request with a small body.
+HttpRequest make_request(std::string method, std::string target, std::string body = {});
+
+/// Tells the holder of a call that its caller has gone away.
+class CancelSignal {
+  public:
+    using Callback = std::function<void()>;
+
+    bool cancelled() const { return cancelled_; }
+    /// Marks the signal and runs the callback, if one is set. Only the first call has an effect.
+    void cancel();
+    /// Sets the one callback, or clears it with an empty function.
+    void on_cancel(Callback callback) { callback_ = std::move(callback); }
+
+  private:
+    bool cancelled_ = false;
+    Callback callback_;
+};
+
+/// Clears the callback of a signal when the scope ends.
+class CancelSubscription {
+  public:
+    CancelSubscription(CancelSignal* signal, CancelSignal::Callback callback);
+    ~CancelSubscription();
+    CancelSubscription(const CancelSubscription&) = delete;
+    CancelSubscription& operator=(const CancelSubscription&) = delete;
+
+  private:
+    CancelSignal* signal_;
+};
+
+}  // namespace anisehold::net
--- /dev/null
+++ b/src/observability/events.cpp
@@ -0,0 +1,222 @@
+#include "observability/events.hpp"
+
+#include <log4cplus/asyncappender.h>
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loggingmacros.h>
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <ctime>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace anisehold::observability {
+namespace {
+
+using nlohmann::ordered_json;
+
+constexpr std::size_t kRecentEvents = 500;
+constexpr unsigned kLogQueue = 4096;
+
+constexpr std::array kCatalogue{
+    EventEntry{Event::kStarted, Level::kInfo, "started", "The daemon serves callers."},
+    EventEntry{Event::kStopping, Level::kInfo, "stopping",
+               "A planned stop began: no new connection is accepted."},
+    EventEntry{Event::kStopped, Level::kInfo, "stopped",
+               "The planned stop ended; `in_flight` calls were left at its end."},
+    EventEntry{Event::kStartFailed, Level::kError, "start-failed",
+               "An address could not be bound; the process ends."},
+    EventEntry{Event::kTableInForce, Level::kInfo, "table-in-force",
+               "A table with a higher revision is in force."},
+    EventEntry{Event::kTableRejected, Level::kError, "table-rejected",
+               "A table in the store has a bad cell; the one before stays in force."},
+    EventEntry{Event::kStoreUnreachable, Level::kWarn, "store-unreachable",
+               "The store doesn't answer; table and holder view stay as they are."},
+    EventEntry{Event::kStoreReachable, Level::kInfo, "store-reachable", "The store answers again."},
+    EventEntry{Event::kMachineListUnreachable, Level::kWarn, "machine-list-unreachable",
+               "The machine list doesn't answer or is malformed; the last one stays in use."},
+    EventEntry{Event::kMachineListReachable, Level::kInfo, "machine-list-reachable",
+               "The machine list answers again."},
+    EventEntry{Event::kHolderViewInForce, Level::kInfo, "holder-view-in-force",
+               "This daemon uses a new claim holder view."},
+    EventEntry{Event::kHolderViewChanged, Level::kInfo, "holder-view-changed",
+               "This daemon changed the holder view in the store."},
+    EventEntry{Event::kClaimsServing, Level::kInfo, "claims-serving",
+               "This daemon grants claims in its epoch."},
+    EventEntry{
+        Event::kClaimsAbstaining, Level::kWarn, "claims-abstaining",
+        "This daemon holds claims but doesn't grant until it has synced or the memory window has passed."},
+    EventEntry{Event::kMemberChanged, Level::kInfo, "member-changed",
+               "A member joined, or its state changed."},
+    EventEntry{Event::kPeerFrameRefused, Level::kWarn, "peer-frame-refused",
+               "A peer message was malformed, too large or not authenticated."},
+    EventEntry{Event::kServerLeaving, Level::kInfo, "server-leaving",
+               "A back end said that it is leaving; it gets no new work."},
+    EventEntry{Event::kServerEjected, Level::kWarn, "server-ejected",
+               "A back end failed repeatedly and gets no work for a while."},
+    EventEntry{Event::kServerListed, Level::kInfo, "server-listed",
+               "The machine list names a new server, a changed state, or no longer names a server."},
+    EventEntry{Event::kGateOpened, Level::kInfo, "gate-opened", "This daemon became the gate of a server."},
+    EventEntry{Event::kContextRefused, Level::kWarn, "context-refused",
+               "A call brought a context that is forged, malformed or of an ended call."},
+    EventEntry{Event::kMechanismOff, Level::kWarn, "mechanism-off", "The lab switched a mechanism off."},
+};
+
+std::string_view level_name(Level level) {
+    switch (level) {
+        case Level::kDebug:
+            return "debug";
+        case Level::kInfo:
+            return "info";
+        case Level::kWarn:
+            return "warn";
+        case Level::kError:
+            return "error";
+    }
+    return "info";
+}
+
+std::string utc_now() {
+    const auto now = std::chrono::system_clock::now();
+    const std::time_t whole_seconds = std::chrono::system_clock::to_time_t(now);
+    const auto millis =
+        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+    std::tm parts{};
+    gmtime_r(&whole_seconds, &parts);
+    std::array<char, 32> text{};
+    const auto length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::string fraction = std::to_string(1000 + millis);
+    fraction.front() = '.';
+    return std::string(text.data(), length) + fraction + "Z";
+}
+
+/// The one logger of the process and its ring of recent events.
+class EventLog {
+  public:
+    void start(const std::string& level, const std::string& layout, const std::string& member) {
+        initializer_ = std::make_unique<log4cplus::Initializer>();
+        text_layout_ = layout == "text";
+        member_ = member;
+        log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(true, true));
+        console->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+        // Writing to a slow terminal or pipe must not hold up the event loop.
+        log4cplus::SharedAppenderPtr async(new log4cplus::AsyncAppender(console, kLogQueue));
+        auto logger = log4cplus::Logger::getRoot();
+        logger.addAppender(async);
+        logger.setLogLevel(
+            log4cplus::getLogLevelManager().fromString(level == "warn" ? "WARN" : upper(level)));
+        started_ = true;
+    }
+
+    void stop() {
+        if (started_) {
+            log4cplus::Logger::shutdown();
+            initializer_.reset();
+            started_ = false;
+        }
+    }
+
+    void write(unsigned number, std::string_view name, Level level,
+               std::initializer_list<EventField> fields) {
+        const auto log_level = to_log_level(level);
+        if (!started_ || !log4cplus::Logger::getRoot().isEnabledFor(log_level)) {
+            return;
+        }
+        ordered_json object{{"time", utc_now()},
+                            {"level", level_name(level)},
+                            {"event", number},
+                            {"name", name},
+                            {"member", member_}};
+        for (const auto& field : fields) {
+            object[std::string(field.name)] = field.value;
+        }
+        std::string line = object.dump(-1, ' ', false, ordered_json::error_handler_t::replace);
+        log4cplus::Logger::getRoot().log(log_level, text_layout_ ? as_text(object) : line);
+        recent_.push_back(std::move(line));
+        if (recent_.size() > kRecentEvents) {
+            recent_.pop_front();
+        }
+    }
+
+    std::vector<std::string> recent() const { return {recent_.begin(), recent_.end()}; }
+
+  private:
+    static std::string upper(std::string text) {
+        std::transform(text.begin(), text.end(), text.begin(),
+                       [](unsigned char c) { return std::toupper(c); });
+        return text;
+    }
+
+    static log4cplus::LogLevel to_log_level(Level level) {
+        switch (level) {
+            case Level::kDebug:
+                return log4cplus::DEBUG_LOG_LEVEL;
+            case Level::kInfo:
+                return log4cplus::INFO_LOG_LEVEL;
+            case Level::kWarn:
+                return log4cplus::WARN_LOG_LEVEL;
+            case Level::kError:
+                return log4cplus::ERROR_LOG_LEVEL;
+        }
+        return log4cplus::INFO_LOG_LEVEL;
+    }
+
+    static std::string as_text(const ordered_json& object) {
+        std::string text;
+        for (const auto& [key, value] : object.items()) {
+            text += text.empty() ? "" : " ";
+            text += key + "=" + (value.is_string() ? value.get<std::string>() : value.dump());
+        }
+        return text;
+    }
+
+    std::unique_ptr<log4cplus::Initializer> initializer_;
+    bool started_ = false;
+    bool text_layout_ = false;
+    std::string member_;
+    std::deque<std::string> recent_;
+};
+
+EventLog& event_log() {
+    static EventLog log;
+    return log;
+}
+
+}  // namespace
+
+std::span<const EventEntry> event_catalogue() {
+    return kCatalogue;
+}
+
+const EventEntry& entry_for(Event event) {
+    return *std::find_if(kCatalogue.begin(), kCatalogue.end(),
+                         [&](const EventEntry& entry) { return entry.event == event; });
+}
+
+void start_logging(const std::string& level, const std::string& layout, const std::string& member) {
+    event_log().start(level, layout, member);
+}
+
+void stop_logging() {
+    event_log().stop();
+}
+
+void log_event(Event event, std::initializer_list<EventField> fields) {
+    const auto& entry = entry_for(event);
+    event_log().write(static_cast<unsigned>(event), entry.name, entry.level, fields);
+}
+
+void log_answer(ErrorKind kind, std::initializer_list<EventField> fields) {
+    const auto& answer = answer_for(kind);
+    event_log().write(answer.event_number, answer.name, Level::kDebug, fields);
+}
+
+std::vector<std::string> recent_events() {
+    return event_log().recent();
+}
+
+}  // namespace anisehold::observability
--- /dev/null
+++ b/src/observability/events.hpp
@@ -0,0 +1,73 @@
+/// @file
+/// Numbered log events. The catalogue here is the one in docs/EVENTS.md.
+#pragma once
+
+#include <deque>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/error_kind.hpp"
+
+namespace anisehold::observability {
+
+/// Events that aren't answers to a call; those have the numbers of the error table (2001 and up).
+enum class Event : unsigned {
+    kStarted = 1001,
+    kStopping = 1002,
+    kStopped = 1003,
+    kStartFailed = 1004,
+    kTableInForce = 1101,
+    kTableRejected = 1102,
+    kStoreUnreachable = 1103,
+    kStoreReachable = 1104,
+    kMachineListUnreachable = 1105,
+    kMachineListReachable = 1106,
+    kHolderViewInForce = 1201,
+    kHolderViewChanged = 1202,
+    kClaimsServing = 1203,
+    kClaimsAbstaining = 1204,
+    kMemberChanged = 1301,
+    kPeerFrameRefused = 1302,
+    kServerLeaving = 1401,
+    kServerEjected = 1402,
+    kServerListed = 1403,
+    kGateOpened = 1404,
+    kContextRefused = 1501,
+    kMechanismOff = 1901,
+};
+
+enum class Level { kDebug, kInfo, kWarn, kError };
+
+struct EventEntry {
+    Event event;
+    Level level;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/// The catalogue of `Event`, in ascending order.
+std::span<const EventEntry> event_catalogue();
+const EventEntry& entry_for(Event event);
+
+/// A named value in an event.
+struct EventField {
+    std::string_view name;
+    std::string value;
+};
+
+/// Starts logging to standard error. `layout` is "json" or "text", `level` a name as in the settings.
+void start_logging(const std::string& level, const std::string& layout, const std::string& member);
+/// Writes out what is pending.
+void stop_logging();
+
+void log_event(Event event, std::initializer_list<EventField> fields);
+/// Logs the answer of this kind that a call was given (at level debug: there may be thousands a second).
+void log_answer(ErrorKind kind, std::initializer_list<EventField> fields);
+
+/// The latest events as JSON lines, oldest first, for the admin port.
+std::vector<std::string> recent_events();
+
+}  // namespace anisehold::observability
--- /dev/null
+++ b/src/observability/metrics.cpp
@@ -0,0 +1,140 @@
+#include "observability/metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <array>
+
+namespace anisehold::observability {
+namespace {
+
+constexpr std::array kCatalogue{
+    MetricEntry{"anisehold_answers_total", "counter",
+                "Calls answered by a back end, by table row and status class."},
+    MetricEntry{"anisehold_errors_total", "counter",
+                "Calls answered by this daemon, by table row and error kind."},
+    MetricEntry{"anisehold_call_seconds", "histogram",
+                "Time from a call's arrival to its answer's header, by table row."},
+    MetricEntry{"anisehold_retries_total", "counter", "Attempts after the first, by table row."},
+    MetricEntry{"anisehold_dispatches_total", "counter",
+                "Calls sent to a server by this daemon's gates, by service."},
+    MetricEntry{"anisehold_claims_total", "counter", "Claims made for non-repeatable requests, by result."},
+    MetricEntry{"anisehold_gossip_bytes_total", "counter", "Bytes of gossip datagrams, by direction."},
+    MetricEntry{"anisehold_gate_in_flight", "gauge", "Calls in flight at a server, by server."},
+    MetricEntry{"anisehold_gate_queued", "gauge", "Calls waiting for a server, by server."},
+    MetricEntry{"anisehold_gate_limit", "gauge", "Learned concurrency limit, by server."},
+    MetricEntry{"anisehold_members", "gauge", "Known members, by state."},
+    MetricEntry{"anisehold_table_revision", "gauge", "Store revision of the table in force."},
+};
+
+const MetricEntry& entry(std::string_view name) {
+    for (const auto& each : kCatalogue) {
+        if (each.name == name) {
+            return each;
+        }
+    }
+    return kCatalogue.front();
+}
+
+prometheus::Histogram::BucketBoundaries latency_buckets() {
+    return {0.0005, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5};
+}
+
+std::string status_class(unsigned status) {
+    return std::to_string(status / 100) + "xx";
+}
+
+}  // namespace
+
+struct Metrics::Families {
+    prometheus::Registry registry;
+
+    prometheus::Family<prometheus::Counter>& counter(std::string_view name) {
+        return prometheus::BuildCounter()
+            .Name(std::string(name))
+            .Help(std::string(entry(name).help))
+            .Register(registry);
+    }
+    prometheus::Family<prometheus::Gauge>& gauge(std::string_view name) {
+        return prometheus::BuildGauge()
+            .Name(std::string(name))
+            .Help(std::string(entry(name).help))
+            .Register(registry);
+    }
+
+    prometheus::Family<prometheus::Counter>& answers = counter("anisehold_answers_total");
+    prometheus::Family<prometheus::Counter>& errors = counter("anisehold_errors_total");
+    prometheus::Family<prometheus::Histogram>& call_seconds =
+        prometheus::BuildHistogram()
+            .Name("anisehold_call_seconds")
+            .Help(std::string(entry("anisehold_call_seconds").help))
+            .Register(registry);
+    prometheus::Family<prometheus::Counter>& retries = counter("anisehold_retries_total");
+    prometheus::Family<prometheus::Counter>& dispatches = counter("anisehold_dispatches_total");
+    prometheus::Family<prometheus::Counter>& claims = counter("anisehold_claims_total");
+    prometheus::Family<prometheus::Counter>& gossip_bytes = counter("anisehold_gossip_bytes_total");
+    prometheus::Family<prometheus::Gauge>& gate_in_flight = gauge("anisehold_gate_in_flight");
+    prometheus::Family<prometheus::Gauge>& gate_queued = gauge("anisehold_gate_queued");
+    prometheus::Family<prometheus::Gauge>& gate_limit = gauge("anisehold_gate_limit");
+    prometheus::Family<prometheus::Gauge>& members = gauge("anisehold_members");
+    prometheus::Gauge& table_revision = gauge("anisehold_table_revision").Add({});
+};
+
+std::span<const MetricEntry> metric_catalogue() {
+    return kCatalogue;
+}
+
+Metrics::Metrics() : families_(std::make_unique<Families>()) {}
+
+Metrics::~Metrics() = default;
+
+void Metrics::count_answer(const std::string& row, unsigned status, Duration taken) {
+    families_->answers.Add({{"row", row}, {"status", status_class(status)}}).Increment();
+    const double taken_seconds = std::chrono::duration<double>(taken).count();
+    families_->call_seconds.Add({{"row", row}}, latency_buckets()).Observe(taken_seconds);
+}
+
+void Metrics::count_error(const std::string& row, ErrorKind kind) {
+    families_->errors.Add({{"row", row}, {"kind", std::string(answer_for(kind).name)}}).Increment();
+}
+
+void Metrics::count_retry(const std::string& row) {
+    families_->retries.Add({{"row", row}}).Increment();
+}
+
+void Metrics::count_dispatch(const std::string& service) {
+    families_->dispatches.Add({{"service", service}}).Increment();
+}
+
+void Metrics::count_claim(std::string_view result) {
+    families_->claims.Add({{"result", std::string(result)}}).Increment();
+}
+
+void Metrics::count_gossip_bytes(std::size_t sent, std::size_t received) {
+    families_->gossip_bytes.Add({{"direction", "sent"}}).Increment(static_cast<double>(sent));
+    families_->gossip_bytes.Add({{"direction", "received"}}).Increment(static_cast<double>(received));
+}
+
+void Metrics::set_gate(const std::string& server, const GateMetrics& gate) {
+    families_->gate_in_flight.Add({{"server", server}}).Set(gate.in_flight);
+    families_->gate_queued.Add({{"server", server}}).Set(gate.queued);
+    families_->gate_limit.Add({{"server", server}}).Set(gate.limit);
+}
+
+void Metrics::set_members(std::string_view state, std::size_t count) {
+    families_->members.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
+}
+
+void Metrics::set_table_revision(std::uint64_t revision) {
+    families_->table_revision.Set(static_cast<double>(revision));
+}
+
+std::string Metrics::text() const {
+    return prometheus::TextSerializer().Serialize(families_->registry.Collect());
+}
+
+}  // namespace anisehold::observability
--- /dev/null
+++ b/src/observability/metrics.hpp
@@ -0,0 +1,60 @@
+/// @file
+/// The daemon's metrics, in Prometheus' text format. Each is documented in docs/METRICS.md.
+#pragma once
+
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+
+#include "protocol/error_kind.hpp"
+#include "protocol/time_types.hpp"
+
+namespace anisehold::observability {
+
+/// One documented metric.
+struct MetricEntry {
+    std::string_view name;
+    std::string_view type;
+    std::string_view help;
+};
+
+/// All metrics there are.
+std::span<const MetricEntry> metric_catalogue();
+
+/// Present values of one server's gate.
+struct GateMetrics {
+    unsigned in_flight = 0;
+    unsigned queued = 0;
+    unsigned limit = 0;
+};
+
+/// Counts what the daemon does.
+class Metrics {
+  public:
+    Metrics();
+    ~Metrics();
+    Metrics(const Metrics&) = delete;
+    Metrics& operator=(const Metrics&) = delete;
+
+    /// A call at the ingress ended with a back end's answer of this status class.
+    void count_answer(const std::string& row, unsigned status, Duration taken);
+    /// A call at the ingress ended with an error kind of ours.
+    void count_error(const std::string& row, ErrorKind kind);
+    void count_retry(const std::string& row);
+    void count_dispatch(const std::string& service);
+    void count_claim(std::string_view result);
+    void count_gossip_bytes(std::size_t sent, std::size_t received);
+    void set_gate(const std::string& server, const GateMetrics& gate);
+    void set_members(std::string_view state, std::size_t count);
+    void set_table_revision(std::uint64_t revision);
+
+    /// The text that a scraper gets.
+    std::string text() const;
+
+  private:
+    struct Families;
+    std::unique_ptr<Families> families_;
+};
+
+}  // namespace anisehold::observability
--- /dev/null
+++ b/src/platform/base64.hpp
@@ -0,0 +1,15 @@
+/// @file
+/// Base64 as of RFC 4648, which the store's JSON gateway uses for keys and values.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace anisehold::platform {
+
+std::string base64_encode(std::string_view bytes);
+/// Nothing if the text isn't base64.
+std::optional<std::string> base64_decode(std::string_view text);
+
+}  // namespace anisehold::platform
--- /dev/null
+++ b/src/platform/machine_list.hpp
@@ -0,0 +1,33 @@
+/// @file
+/// The platform's list of machines, in the JSON of Prometheus' HTTP service discovery.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <system_error>
+#include <vector>
+
+#include "net/http_client.hpp"
+#include "routing/backend_registry.hpp"
+
+namespace anisehold::platform {
+
+/// Reads the list's JSON: an array of groups with "targets" and the labels "service", "zone" and "state"
+/// ("live" or "leaving"). Nothing if any part is malformed.
+std::optional<std::vector<routing::ListedServer>> parse_machine_list(std::string_view json_text);
+
+/// Fetches the list.
+class MachineListClient {
+  public:
+    MachineListClient(boost::asio::io_context& io, const Endpoint& server, std::string path);
+    /// The list, or nothing and the reason.
+    std::optional<std::vector<routing::ListedServer>> fetch(milliseconds timeout_ms, std::error_code& error);
+
+  private:
+    net::HttpClient client_;
+    std::string path_;
+};
+
+}  // namespace anisehold::platform
--- /dev/null
+++ b/src/protocol/documents.hpp
@@ -0,0 +1,30 @@
+/// @file
+/// Small documents that every daemon holds a copy of: the table and the claim holder view.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <string>
+
+namespace anisehold {
+
+enum class DocumentKind : std::uint8_t { kTable, kHolderView };
+
+inline constexpr std::size_t kDocumentKinds = 2;
+
+/// Revision of each document that a daemon holds; 0 where it has none.
+using DocumentRevisions = std::array<std::uint64_t, kDocumentKinds>;
+
+/// A document at a revision of the store.
+struct Document {
+    DocumentKind kind = DocumentKind::kTable;
+    std::uint64_t revision = 0;
+    std::string text;
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        archive& kind& revision& text;
+    }
+};
+
+}  // namespace anisehold
--- /dev/null
+++ b/src/protocol/endpoint.hpp
@@ -0,0 +1,33 @@
+/// @file
+/// An IP address and port; host names are not accepted anywhere.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace anisehold {
+
+/// A numeric IPv4 or IPv6 address with a port.
+struct Endpoint {
+    std::string ip;
+    std::uint16_t port = 0;
+
+    auto operator<=>(const Endpoint&) const = default;
+    bool operator==(const Endpoint&) const = default;
+
+    /// "127.0.0.1:8080" or "[::1]:8080".
+    std::string text() const;
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        archive& ip& port;
+    }
+};
+
+/// Parses "IPV4:PORT" or "[IPV6]:PORT"; nothing if the text is anything else.
+std::optional<Endpoint> parse_endpoint(std::string_view text);
+
+}  // namespace anisehold
--- /dev/null
+++ b/src/protocol/stored_answer.hpp
@@ -0,0 +1,33 @@
+/// @file
+/// A small answer kept for a caller that repeats its key because the first answer was lost.
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace anisehold {
+
+/// One header line of a kept answer.
+struct StoredField {
+    std::string name;
+    std::string value;
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        archive& name& value;
+    }
+};
+
+/// A whole answer of a completed call.
+struct StoredAnswer {
+    unsigned status = 0;
+    std::vector<StoredField> fields;
+    std::string body;
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        archive& status& fields& body;
+    }
+};
+
+}  // namespace anisehold
--- /dev/null
+++ b/src/retry/retry_budget.hpp
@@ -0,0 +1,26 @@
+/// @file
+/// Retries as a share of first attempts.
+#pragma once
+
+#include <map>
+#include <string>
+
+namespace anisehold::retry {
+
+/// A token bucket per table row: each first attempt adds a share of a token, each retry takes one. Keeps a
+/// failing service from being loaded by more than that share, however many requests still have an
+/// allowance. Pure.
+class RetryBudget {
+  public:
+    void on_first_attempt(const std::string& row);
+    /// Takes a token; false if there is none.
+    bool try_retry(const std::string& row);
+
+    static constexpr double kShare = 0.2;
+    static constexpr double kMostTokens = 20.0;
+
+  private:
+    std::map<std::string, double> tokens_;
+};
+
+}  // namespace anisehold::retry
--- /dev/null
+++ b/src/retry/retry_ledger.cpp
@@ -0,0 +1,103 @@
+#include "retry/retry_ledger.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace anisehold::retry {
+
+namespace {
+
+std::uint64_t milliseconds_between(TimePoint from, TimePoint to) {
+    return from < to ? static_cast<std::uint64_t>(to_milliseconds(to - from)) : 0;
+}
+
+DrawReply refusal(DrawVerdict verdict) {
+    DrawReply reply;
+    reply.verdict = verdict;
+    return reply;
+}
+
+}  // namespace
+
+void RetryLedger::open(const std::string& call_id, const LedgerTerms& terms) {
+    Ledger ledger;
+    ledger.terms = terms;
+    ledger.remaining = terms.allowance;
+    ledgers_[call_id] = std::move(ledger);
+}
+
+DrawReply RetryLedger::draw(TimePoint now, const DrawRequest& request) {
+    const auto found = ledgers_.find(request.call_id);
+    if (found == ledgers_.end()) {
+        return refusal(DrawVerdict::kUnknownCall);
+    }
+    Ledger& ledger = found->second;
+    if (ledger.ended) {
+        return refusal(DrawVerdict::kEnded);
+    }
+    const auto [nested, first] = ledger.nested.try_emplace(request.identity);
+    if (first) {
+        return lend(now, ledger, DrawVerdict::kFirst);
+    }
+    if (!request.repeatable && nested->second.may_have_run) {
+        return refusal(DrawVerdict::kNotRepeated);
+    }
+    if (ledger.remaining == 0) {
+        return refusal(DrawVerdict::kExhausted);
+    }
+    nested->second.may_have_run = true;
+    --ledger.remaining;
+    return lend(now, ledger, DrawVerdict::kRepeat);
+}
+
+DrawReply RetryLedger::lend(TimePoint now, Ledger& ledger, DrawVerdict verdict) {
+    const auto loan_id = next_loan_id_++;
+    // All that is left goes down: a call's nested calls mostly run one after the other.
+    const unsigned lent = std::exchange(ledger.remaining, 0);
+    ledger.loans[loan_id] = lent;
+    return {verdict, lent, loan_id, milliseconds_between(now, ledger.terms.deadline),
+            milliseconds_between(ledger.terms.root_started, now)};
+}
+
+void RetryLedger::settle(const SettleRequest& request) {
+    const auto found = ledgers_.find(request.call_id);
+    if (found == ledgers_.end()) {
+        return;
+    }
+    Ledger& ledger = found->second;
+    const auto loan = ledger.loans.find(request.loan_id);
+    if (loan == ledger.loans.end()) {
+        return;
+    }
+    ledger.remaining += loan->second - std::min(request.used, loan->second);
+    ledger.loans.erase(loan);
+    ledger.refused_by_overload |= request.refused_by_overload;
+    ledger.nested_time += microseconds(request.duration_us);
+    const auto nested = ledger.nested.find(request.identity);
+    if (nested != ledger.nested.end()) {
+        nested->second.may_have_run = !request.not_run;
+    }
+}
+
+LedgerReport RetryLedger::close(TimePoint now, const std::string& call_id) {
+    const auto found = ledgers_.find(call_id);
+    if (found == ledgers_.end()) {
+        return {};
+    }
+    Ledger& ledger = found->second;
+    LedgerReport report{ledger.terms.allowance - ledger.remaining, ledger.refused_by_overload,
+                        ledger.nested_time};
+    ledger.ended = true;
+    ledger.ended_at = now;
+    ledger.nested.clear();
+    ledger.loans.clear();
+    return report;
+}
+
+void RetryLedger::forget(TimePoint now) {
+    std::erase_if(ledgers_, [&](const auto& entry) {
+        return entry.second.ended && now - entry.second.ended_at >= kRememberEnded;
+    });
+}
+
+}  // namespace anisehold::retry
--- /dev/null
+++ b/src/retry/retry_ledger.hpp
@@ -0,0 +1,116 @@
+/// @file
+/// The home ledger: what a dispatched call has lent to the calls nested in it, so that the retries of all
+/// layers together stay within the root request's allowance.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+#include "protocol/time_types.hpp"
+
+namespace anisehold::retry {
+
+enum class DrawVerdict : std::uint8_t {
+    kFirst,        ///< First time that this call makes this nested call.
+    kRepeat,       ///< A retry by the calling layer; it was charged.
+    kExhausted,    ///< A retry, and nothing is left.
+    kNotRepeated,  ///< A retry of a nested call that may not be repeated.
+    kEnded,        ///< The calling call has ended; nobody waits for the answer.
+    kUnknownCall,  ///< This daemon has no such call.
+};
+
+/// Asks the home ledger whether a nested call may go on.
+struct DrawRequest {
+    std::string call_id;         ///< The call that makes the nested call.
+    std::uint64_t identity = 0;  ///< Digest of method, service, target, key and body of the nested call.
+    bool repeatable = true;
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        archive& call_id& identity& repeatable;
+    }
+};
+
+struct DrawReply {
+    DrawVerdict verdict = DrawVerdict::kUnknownCall;
+    unsigned lent = 0;               ///< Retries that the nested call and all below it may use.
+    std::uint64_t loan_id = 0;       ///< To be named when the loan is settled.
+    std::uint64_t remaining_ms = 0;  ///< Time that the calling call has left.
+    std::uint64_t root_age_ms = 0;   ///< Time since the root request came in.
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        archive& verdict& lent& loan_id& remaining_ms& root_age_ms;
+    }
+};
+
+/// What a call is dispatched with.
+struct LedgerTerms {
+    unsigned allowance = 0;
+    TimePoint deadline;
+    TimePoint root_started;
+};
+
+/// Ends a nested call: what it used is charged, the rest of the loan returns.
+struct SettleRequest {
+    std::string call_id;
+    std::uint64_t identity = 0;
+    std::uint64_t loan_id = 0;
+    unsigned used = 0;
+    bool refused_by_overload = false;  ///< The nested call, or one below it, was refused for overload.
+    bool not_run = false;              ///< Nothing of it ran, so a non-repeatable one may be made again.
+    std::uint64_t duration_us = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        archive& call_id& identity& loan_id& used& refused_by_overload& not_run& duration_us;
+    }
+};
+
+/// What a call used in all, when it ends.
+struct LedgerReport {
+    unsigned used = 0;  ///< Loans not yet returned count as used.
+    bool refused_by_overload = false;
+    Duration nested_time{};  ///< Time spent in nested calls.
+};
+
+/// Ledgers of the calls that this daemon has dispatched. Pure.
+class RetryLedger {
+  public:
+    /// Opens the ledger of a call that is dispatched.
+    void open(const std::string& call_id, const LedgerTerms& terms);
+    DrawReply draw(TimePoint now, const DrawRequest& request);
+    /// Settling a loan a second time has no effect.
+    void settle(const SettleRequest& request);
+    /// Ends a call. Nested calls that it still makes are answered with `kEnded` until `forget`.
+    LedgerReport close(TimePoint now, const std::string& call_id);
+    /// Drops calls that ended before `now - kRememberEnded`.
+    void forget(TimePoint now);
+    std::size_t size() const { return ledgers_.size(); }
+
+    /// How long an ended call is known as ended.
+    static constexpr seconds kRememberEnded{30};
+
+  private:
+    struct NestedCall {
+        bool may_have_run = true;
+    };
+    struct Ledger {
+        LedgerTerms terms;
+        unsigned remaining = 0;
+        bool refused_by_overload = false;
+        bool ended = false;
+        TimePoint ended_at;
+        Duration nested_time{};
+        std::unordered_map<std::uint64_t, NestedCall> nested;
+        std::unordered_map<std::uint64_t, unsigned> loans;  // Outstanding, by loan id.
+    };
+
+    DrawReply lend(TimePoint now, Ledger& ledger, DrawVerdict verdict);
+
+    std::unordered_map<std::string, Ledger> ledgers_;
+    std::uint64_t next_loan_id_ = 1;
+};
+
+}  // namespace anisehold::retry
--- /dev/null
+++ b/src/routing/balancer.hpp
@@ -0,0 +1,20 @@
+/// @file
+/// Picks a server among candidates.
+#pragma once
+
+#include <cstddef>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "routing/backend_registry.hpp"
+
+namespace anisehold::routing {
+
+/// Power of two choices on load (Mitzenmacher, 2001), own zone first: calls spill to other zones when the
+/// choice in the own zone has no free place and another zone's is clearly less loaded.
+std::optional<Candidate> choose_server(const std::vector<Candidate>& candidates, const std::string& own_zone,
+                                       std::mt19937_64& random);
+
+}  // namespace anisehold::routing
--- /dev/null
+++ b/src/routing/call.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// One call on its way through the daemon, and what became of it.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "net/http_types.hpp"
+#include "protocol/call_context.hpp"
+#include "protocol/error_kind.hpp"
+#include "protocol/time_types.hpp"
+#include "routing/route_table.hpp"
+
+namespace anisehold::routing {
+
+/// A call being routed. The request and the signal belong to the connection that the call came over.
+struct Call {
+    net::HttpRequest* request = nullptr;
+    net::CancelSignal* cancel = nullptr;
+    std::string service;
+    RouteDecision route;
+    CallContext context;                ///< Of this call; its allowance is what is left now.
+    std::optional<CallContext> parent;  ///< Of the call that made this one; nothing for a root request.
+    std::uint64_t identity = 0;         ///< Digest of service, method, target, key and body.
+    TimePoint received;
+    TimePoint root_started;
+    TimePoint deadline;
+
+    bool is_root() const { return !parent.has_value(); }
+};
+
+/// What became of a call: a back end's answer, or one of our error kinds.
+struct CallResult {
+    std::optional<net::HttpResponse> response;
+    ErrorKind error = ErrorKind::kBackendFailed;   ///< When there is no response.
+    Execution execution = Execution::kMayHaveRun;  ///< When there is no response.
+    Duration retry_after{};
+    unsigned retries_used = 0;         ///< By the call and all below it.
+    bool refused_by_overload = false;  ///< The call, or one below it.
+    bool server_leaving = false;
+
+    /// A result without a back end's answer; what is known of its execution follows from the kind.
+    static CallResult failure(ErrorKind kind, Duration retry_after = {}) {
+        CallResult result;
+        result.error = kind;
+        result.execution = answer_for(kind).execution;
+        result.retry_after = retry_after;
+        result.refused_by_overload = kind == ErrorKind::kOverloaded || kind == ErrorKind::kQueueTimeout ||
+                                     kind == ErrorKind::kBackendRefused;
+        return result;
+    }
+};
+
+/// One step of routing. Handles compose: each does its part and passes the call to the next.
+class RouteHandle {
+  public:
+    virtual ~RouteHandle() = default;
+    /// Blocks the calling fiber until the call has its result.
+    virtual CallResult route(Call& call) = 0;
+};
+
+}  // namespace anisehold::routing
--- /dev/null
+++ b/src/routing/handles/ledger_route.cpp
@@ -0,0 +1,93 @@
+#include "routing/handles/ledger_route.hpp"
+
+#include <algorithm>
+
+#include "net/event_loop.hpp"
+
+namespace anisehold::routing {
+namespace {
+
+using retry::DrawVerdict;
+
+constexpr milliseconds kPeerTimeout{500};
+constexpr milliseconds kRetryAfter{1'000};
+
+std::optional<CallResult> refusal_for(DrawVerdict verdict) {
+    switch (verdict) {
+        case DrawVerdict::kFirst:
+        case DrawVerdict::kRepeat:
+            return std::nullopt;
+        case DrawVerdict::kExhausted:
+            return CallResult::failure(ErrorKind::kRetriesExhausted, kRetryAfter);
+        case DrawVerdict::kNotRepeated:
+            return CallResult::failure(ErrorKind::kOutcomeUnknown);
+        case DrawVerdict::kEnded: {
+            auto result = CallResult::failure(ErrorKind::kCancelled);
+            result.execution = Execution::kNotRun;
+            return result;
+        }
+        case DrawVerdict::kUnknownCall:
+            return CallResult::failure(ErrorKind::kHomeUnreachable, kRetryAfter);
+    }
+    return std::nullopt;
+}
+
+}  // namespace
+
+CallResult LedgerRoute::route(Call& call) {
+    if (!context_.has(config::Mechanism::kRetryEscrow)) {
+        call.context.retry_allowance = call.route.row.retries;
+        return next_.route(call);
+    }
+    const auto reply = draw(call);
+    const auto verdict = reply ? reply->verdict : DrawVerdict::kUnknownCall;
+    if (auto refused = refusal_for(verdict)) {
+        return std::move(*refused);
+    }
+    call.context.retry_allowance = reply->lent;
+    call.deadline = std::min(call.deadline, call.received + milliseconds(reply->remaining_ms));
+    call.root_started = call.received - milliseconds(reply->root_age_ms);
+    context_.decisions.add(call.context.root_id, call.context.call_id,
+                           observability::DecisionStep::kAccounted,
+                           "allowance " + std::to_string(reply->lent));
+    auto result = next_.route(call);
+
+    const auto taken = TimePoint::clock::now() - call.received;
+    retry::SettleRequest settlement;
+    settlement.call_id = call.parent->call_id;
+    settlement.identity = call.identity;
+    settlement.loan_id = reply->loan_id;
+    settlement.used = result.retries_used;
+    settlement.refused_by_overload = result.refused_by_overload;
+    settlement.not_run = !result.response && result.execution == Execution::kNotRun;
+    settlement.duration_us =
+        static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(taken).count());
+    settle(call, settlement);
+    return result;
+}
+
+std::optional<retry::DrawReply> LedgerRoute::draw(const Call& call) {
+    const retry::DrawRequest request{call.parent->call_id, call.identity, call.route.row.repeatable};
+    if (call.parent->home == context_.self.id) {
+        return gates_.handle(request);
+    }
+    const auto* home = membership_.find(call.parent->home);
+    if (home == nullptr) {
+        return std::nullopt;
+    }
+    return peers_.ask<retry::DrawReply>(home->info.peer, request, kPeerTimeout);
+}
+
+void LedgerRoute::settle(const Call& call, const retry::SettleRequest& request) {
+    if (call.parent->home == context_.self.id) {
+        gates_.handle(request);
+        return;
+    }
+    const auto* home = membership_.find(call.parent->home);
+    if (home != nullptr) {
+        // Before the answer goes up: the calling layer's own retry must find the loan returned.
+        peers_.ask<Acknowledged>(home->info.peer, request, kPeerTimeout);
+    }
+}
+
+}  // namespace anisehold::routing
--- /dev/null
+++ b/src/routing/handles/server_route.cpp
@@ -0,0 +1,147 @@
+#include "routing/handles/server_route.hpp"
+
+#include "routing/balancer.hpp"
+
+namespace anisehold::routing {
+namespace {
+
+constexpr int kMostServers = 3;
+constexpr milliseconds kNoBackendRetryAfter{1'000};
+
+/// Whether it is known that nothing ran, so that another server may be tried at no risk.
+bool may_go_elsewhere(const CallResult& result) {
+    if (result.response || result.execution != Execution::kNotRun) {
+        return false;
+    }
+    return result.error == ErrorKind::kConnectFailed || result.error == ErrorKind::kBackendRefused ||
+           result.error == ErrorKind::kNoBackend;
+}
+
+net::HttpRequest gate_request(Call& call, const Endpoint& server, std::string_view key) {
+    const auto now = TimePoint::clock::now();
+    net::HttpRequest request;
+    request.method = call.request->method;
+    request.target = call.request->target;
+    request.fields = call.request->fields;
+    const auto context = encode_call_context(call.context, key);
+    const auto age = static_cast<std::uint64_t>(std::max(0LL, to_milliseconds(now - call.root_started)));
+    request.fields.set("Host", call.service);
+    request.fields.set(header::kContext, context);
+    request.fields.set(header::kGate, encode_gate_request({server.text(), age}, context, key));
+    request.fields.set(header::kTimeout, std::to_string(std::max(0LL, to_milliseconds(call.deadline - now))));
+    request.body.length = call.request->body.length;
+    if (call.request->body.whole()) {
+        request.body.prefix = call.request->body.prefix;
+    } else {
+        request.body.prefix = std::move(call.request->body.prefix);
+        request.body.rest = std::move(call.request->body.rest);
+    }
+    return request;
+}
+
+}  // namespace
+
+CallResult ServerRoute::route(Call& call) {
+    std::vector<Endpoint> tried;
+    auto result = CallResult::failure(ErrorKind::kNoBackend, kNoBackendRetryAfter);
+    for (int attempt = 0; attempt < kMostServers; ++attempt) {
+        const auto now = TimePoint::clock::now();
+        const auto chosen = choose_server(registry_.candidates(now, call.service, tried), context_.self.zone,
+                                          context_.random);
+        if (!chosen) {
+            return result;
+        }
+        const bool streamed = !call.request->body.whole();
+        context_.decisions.add(call.context.root_id, call.context.call_id,
+                               observability::DecisionStep::kServerChosen, chosen->endpoint.text());
+        result = route_to(call, chosen->endpoint, chosen->zone);
+        if (streamed || !may_go_elsewhere(result)) {
+            return result;
+        }
+        tried.push_back(chosen->endpoint);
+    }
+    return result;
+}
+
+CallResult ServerRoute::route_to(Call& call, const Endpoint& server, const std::string& zone) {
+    const auto gate = membership_.gate_of(server, zone);
+    if (!gate || gate->id == context_.self.id) {
+        auto result = gates_.dispatch(call, server);
+        registry_.on_report(TimePoint::clock::now(), server, gates_.load_of(server));
+        return result;
+    }
+    registry_.on_dispatch(server);
+    auto result = ask_remote_gate(call, server, *gate);
+    registry_.on_finish(server);
+    return result;
+}
+
+net::HttpClient& ServerRoute::client_for(const membership::MemberInfo& member) {
+    auto& client = clients_[member.call];
+    if (!client) {
+        client = std::make_unique<net::HttpClient>(context_.io, member.call);
+    }
+    return *client;
+}
+
+CallResult ServerRoute::ask_remote_gate(Call& call, const Endpoint& server,
+                                        const membership::MemberInfo& gate) {
+    auto request = gate_request(call, server, context_.settings.daemon_mesh_key);
+    net::ExchangeProgress progress;
+    std::error_code error;
+    auto response = client_for(gate).exchange(request, {call.deadline, call.cancel}, progress, error);
+    if (response) {
+        return remote_result(std::move(*response), call, server);
+    }
+    if (call.cancel != nullptr && call.cancel->cancelled()) {
+        return CallResult::failure(ErrorKind::kCancelled);
+    }
+    if (!progress.request_started) {
+        membership_.mark_unreachable(gate.id);
+        return CallResult::failure(ErrorKind::kConnectFailed, kNoBackendRetryAfter);
+    }
+    const bool timed_out = TimePoint::clock::now() >= call.deadline;
+    auto result = CallResult::failure(timed_out ? ErrorKind::kDeadlineExceeded : ErrorKind::kBackendFailed,
+                                      kNoBackendRetryAfter);
+    // Nobody will say what was used: all of it counts as used.
+    result.retries_used = call.context.retry_allowance;
+    if (!context_.has(config::Mechanism::kOutcomeTruth)) {
+        result.execution = Execution::kNotRun;
+        result.error = ErrorKind::kConnectFailed;
+    }
+    return result;
+}
+
+CallResult ServerRoute::remote_result(net::HttpResponse response, const Call& call, const Endpoint& server) {
+    const auto report_value = response.fields.find(header::kGateReport);
+    const auto report = report_value ? decode_gate_report(*report_value) : std::nullopt;
+    CallResult result;
+    result.retries_used = call.context.retry_allowance;
+    if (report) {
+        result.retries_used = report->retries_used;
+        result.refused_by_overload = report->refused_by_overload;
+        result.server_leaving = report->leaving;
+        result.retry_after = milliseconds(report->retry_after_ms);
+        registry_.on_report(TimePoint::clock::now(), server,
+                            {report->in_flight, report->queued, report->limit});
+        if (report->leaving) {
+            registry_.mark_leaving(TimePoint::clock::now(), server);
+        }
+    }
+    const auto error_name = response.fields.find(header::kError);
+    if (!error_name) {
+        response.fields.remove(header::kGateReport);
+        result.response = std::move(response);
+        return result;
+    }
+    const auto kind = error_kind_from_name(*error_name).value_or(ErrorKind::kBackendFailed);
+    result.error = kind;
+    result.execution = answer_for(kind).execution;
+    const auto execution = response.fields.find(header::kExecution);
+    if (execution && *execution == execution_name(Execution::kNotRun)) {
+        result.execution = Execution::kNotRun;
+    }
+    return result;
+}
+
+}  // namespace anisehold::routing
--- /dev/null
+++ b/src/routing/handles/server_route.hpp
@@ -0,0 +1,38 @@
+/// @file
+/// Picks a server for a call and passes the call to the server's gate, here or at another daemon.
+#pragma once
+
+#include <map>
+#include <memory>
+
+#include "daemon/daemon_context.hpp"
+#include "daemon/gate_service.hpp"
+#include "daemon/membership_service.hpp"
+#include "net/http_client.hpp"
+#include "routing/backend_registry.hpp"
+#include "routing/call.hpp"
+
+namespace anisehold::routing {
+
+/// Goes on to another server where it is known that the first ran nothing.
+class ServerRoute final : public RouteHandle {
+  public:
+    ServerRoute(daemon::DaemonContext& context, daemon::MembershipService& membership,
+                BackendRegistry& registry, daemon::GateService& gates)
+        : context_(context), membership_(membership), registry_(registry), gates_(gates) {}
+    CallResult route(Call& call) override;
+
+  private:
+    CallResult route_to(Call& call, const Endpoint& server, const std::string& zone);
+    CallResult ask_remote_gate(Call& call, const Endpoint& server, const membership::MemberInfo& gate);
+    CallResult remote_result(net::HttpResponse response, const Call& call, const Endpoint& server);
+    net::HttpClient& client_for(const membership::MemberInfo& member);
+
+    daemon::DaemonContext& context_;
+    daemon::MembershipService& membership_;
+    BackendRegistry& registry_;
+    daemon::GateService& gates_;
+    std::map<Endpoint, std::unique_ptr<net::HttpClient>> clients_;
+};
+
+}  // namespace anisehold::routing
