Send the header of a streamed answer at once

Cause: a body with an empty prefix was handed to Beast as an empty buffer, which the chunked encoding writes as the chunk that ends the body. The store's watch ended with its first byte, and daemons fell back to polling. Ruled out: the watch's own time-outs (the connection was closed within a millisecond).

--- a/bench/demo.cpp
+++ b/bench/demo.cpp
@@ -45,9 +45,9 @@
     fleet.start_program("straight", "anisehold-lab", straight);
     const auto through_result = fleet.finish_load("through");
     const auto straight_result = fleet.finish_load("straight");
-    constexpr double kMicrosecondsPerMillisecond = 1'000;
+    constexpr double microseconds_per_millisecond = 1'000;
     const auto value = [&](const json& result, const char* name) {
-        return result.value(name, 0.0) * kMicrosecondsPerMillisecond;
+        return result.value(name, 0.0) * microseconds_per_millisecond;
     };
     return {value(straight_result, "p50_ms"), value(straight_result, "p99_ms"),
             value(through_result, "p50_ms"), value(through_result, "p99_ms")};
--- a/src/cli/table_commands.cpp
+++ b/src/cli/table_commands.cpp
@@ -217,7 +217,7 @@
 }
 
 std::optional<Endpoint> TableCommands::daemon_endpoint() const {
-    const auto endpoint = parse_endpoint(daemon_);
+    auto endpoint = parse_endpoint(daemon_);
     if (!endpoint) {
         std::cerr << "--wait needs --daemon IP:PORT\n";
     }
--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -23,10 +23,9 @@
 constexpr std::string_view kExplainPrefix = "/explain?id=";
 
 net::HttpResponse json_response(unsigned status, const ordered_json& object) {
-    constexpr int kIndent = 2;
-    return net::make_response(
-        status, "application/json",
-        object.dump(kIndent, ' ', false, ordered_json::error_handler_t::replace) + "\n");
+    constexpr int indent = 2;
+    return net::make_response(status, "application/json",
+                              object.dump(indent, ' ', false, ordered_json::error_handler_t::replace) + "\n");
 }
 
 ordered_json rows_json(const config::Table& table) {
--- a/src/daemon/claim_service.cpp
+++ b/src/daemon/claim_service.cpp
@@ -273,8 +273,8 @@
 }
 
 void ClaimService::run_view_keeper() {
-    constexpr auto kNoWish = TimePoint::max();
-    TimePoint wished_since = kNoWish;
+    constexpr auto no_wish = TimePoint::max();
+    TimePoint wished_since = no_wish;
     while (true) {
         boost::this_fiber::sleep_for(kKeeperPeriod);
         const auto working = as_holders(membership_.working_members());
@@ -282,13 +282,13 @@
         const auto wished = claims::choose_holders(view.holders, working, kHoldersPerZone);
         const bool differs = wished != view.holders && !wished.empty();
         if (!differs || !is_view_keeper() || context_.settings.platform_stores.empty()) {
-            wished_since = kNoWish;
+            wished_since = no_wish;
             continue;
         }
         const auto now = TimePoint::clock::now();
         wished_since = std::min(wished_since, now);
         if (now - wished_since >= kViewHysteresis) {
-            wished_since = kNoWish;
+            wished_since = no_wish;
             propose_view(wished);
         }
     }
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -29,8 +29,8 @@
 
 std::uint64_t random_seed() {
     std::random_device device;
-    constexpr unsigned kHalf = 32;
-    return (static_cast<std::uint64_t>(device()) << kHalf) | device();
+    constexpr unsigned half = 32;
+    return (static_cast<std::uint64_t>(device()) << half) | device();
 }
 
 membership::MemberInfo self_info(const config::Settings& settings) {
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -240,8 +240,8 @@
         response.fields.set(header::kRequestId, request_id);
     }
     if (retry_after_ms) {
-        constexpr long long kMillisecondsPerSecond = 1'000;
-        const auto whole_seconds = (*retry_after_ms + kMillisecondsPerSecond - 1) / kMillisecondsPerSecond;
+        constexpr long long milliseconds_per_second = 1'000;
+        const auto whole_seconds = (*retry_after_ms + milliseconds_per_second - 1) / milliseconds_per_second;
         response.fields.set(header::kRetryAfter, std::to_string(whole_seconds));
     }
     return response;
--- a/src/net/beast_support.hpp
+++ b/src/net/beast_support.hpp
@@ -23,10 +23,10 @@
 
 /// Whether a header line belongs to one connection and is never forwarded.
 inline bool is_hop_by_hop(beast::string_view name) {
-    static constexpr std::array<const char*, 10> kNames{
+    static constexpr std::array<const char*, 10> names{
         "connection", "keep-alive",     "proxy-connection",   "transfer-encoding",   "te",
         "upgrade",    "content-length", "proxy-authenticate", "proxy-authorization", "expect"};
-    return std::any_of(kNames.begin(), kNames.end(),
+    return std::any_of(names.begin(), names.end(),
                        [&](const char* known) { return beast::iequals(known, name); });
 }
 
@@ -86,7 +86,8 @@
     } else {
         message.content_length(body.length.value_or(body.prefix.size()));
     }
-    message.body().data = body.prefix.data();
+    // An empty buffer would be sent as the chunk that ends the body.
+    message.body().data = body.prefix.empty() ? nullptr : body.prefix.data();
     message.body().size = body.prefix.size();
     message.body().more = !body.whole();
     http::serializer<IsRequest, http::buffer_body> serializer(message);
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -25,9 +25,6 @@
     boost::fibers::use_scheduling_algorithm<AsioScheduler>(*io_);
 }
 
-// The context outlives the fibers, which are only gone when the process ends.
-EventLoop::~EventLoop() = default;
-
 void EventLoop::spawn(std::function<void()> body) {
     boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
                          boost::fibers::fixedsize_stack(kStackBytes), std::move(body))
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -15,7 +15,7 @@
 class EventLoop {
   public:
     EventLoop();
-    ~EventLoop();
+    ~EventLoop() = default;
     EventLoop(const EventLoop&) = delete;
     EventLoop& operator=(const EventLoop&) = delete;
 
@@ -28,7 +28,7 @@
     void wait_for_stop_signal();
 
   private:
-    boost::asio::io_context* io_;
+    boost::asio::io_context* io_;  // Never freed: fibers refer to it until the process ends.
 };
 
 /// Ends the process at once without waiting for detached fibers. Call after logs are flushed.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -280,8 +280,8 @@
     if (!response) {
         return std::nullopt;
     }
-    constexpr unsigned kOk = 200;
-    if (response->status != kOk) {
+    constexpr unsigned ok = 200;
+    if (response->status != ok) {
         error = std::make_error_code(std::errc::protocol_error);
         return std::nullopt;
     }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -208,8 +208,8 @@
     // A timed-out stream is closed by Beast; the write then fails, which is all that can be done.
     auto response = handlers.reject(kind);
     stream.expires_after(limits.body_timeout_ms);
-    constexpr unsigned kHttp11 = 11;
-    write_response(stream, response, kHttp11, false);
+    constexpr unsigned http_11 = 11;
+    write_response(stream, response, http_11, false);
 }
 
 bool HttpServer::State::write_response(beast::tcp_stream& stream, HttpResponse& response, unsigned version,
--- a/src/protocol/call_context.cpp
+++ b/src/protocol/call_context.cpp
@@ -116,13 +116,13 @@
 
 std::optional<std::string> trace_id_of(std::string_view trace_parent) {
     // version(2) '-' trace-id(32) '-' parent-id(16) '-' flags(2)
-    constexpr std::size_t kLength = 55;
-    constexpr std::size_t kTraceIdStart = 3;
-    if (trace_parent.size() != kLength || trace_parent[2] != '-' || trace_parent[35] != '-' ||
+    constexpr std::size_t length = 55;
+    constexpr std::size_t trace_id_start = 3;
+    if (trace_parent.size() != length || trace_parent[2] != '-' || trace_parent[35] != '-' ||
         trace_parent[52] != '-') {
         return std::nullopt;
     }
-    const auto trace_id = trace_parent.substr(kTraceIdStart, kRootIdLength);
+    const auto trace_id = trace_parent.substr(trace_id_start, kRootIdLength);
     if (!is_lower_hex(trace_id) || trace_id == std::string(kRootIdLength, '0')) {
         return std::nullopt;
     }
--- a/src/protocol/endpoint.hpp
+++ b/src/protocol/endpoint.hpp
@@ -2,11 +2,11 @@
 /// An IP address and port; host names are not accepted anywhere.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace anisehold {
 
@@ -15,8 +15,10 @@
     std::string ip;
     std::uint16_t port = 0;
 
-    auto operator<=>(const Endpoint&) const = default;
     bool operator==(const Endpoint&) const = default;
+    bool operator<(const Endpoint& other) const {
+        return std::tie(ip, port) < std::tie(other.ip, other.port);
+    }
 
     /// "127.0.0.1:8080" or "[::1]:8080".
     std::string text() const;
--- a/src/protocol/error_kind.cpp
+++ b/src/protocol/error_kind.cpp
@@ -100,8 +100,8 @@
 }
 
 const std::error_category& error_kind_category() noexcept {
-    static const ErrorKindCategory kCategory;
-    return kCategory;
+    static const ErrorKindCategory category;
+    return category;
 }
 
 std::error_code make_error_code(ErrorKind kind) noexcept {
--- a/src/protocol/message_digest.cpp
+++ b/src/protocol/message_digest.cpp
@@ -30,13 +30,13 @@
 }
 
 std::string to_hex(std::string_view bytes) {
-    static constexpr std::string_view kDigits = "0123456789abcdef";
+    static constexpr std::string_view digits = "0123456789abcdef";
     std::string text;
     text.reserve(bytes.size() * 2);
     for (const char character : bytes) {
         const auto byte = static_cast<unsigned char>(character);
-        text.push_back(kDigits[byte >> 4U]);
-        text.push_back(kDigits[byte & 0x0FU]);
+        text.push_back(digits[byte >> 4U]);
+        text.push_back(digits[byte & 0x0FU]);
     }
     return text;
 }
--- a/src/routing/backend_registry.cpp
+++ b/src/routing/backend_registry.cpp
@@ -109,6 +109,7 @@
         usable = leaving;
     }
     std::vector<Candidate> result;
+    result.reserve(usable.size());
     for (const auto* server : usable) {
         result.push_back({server->listed.endpoint, server->listed.zone, load_of(now, *server)});
     }
@@ -117,8 +118,8 @@
 
 double BackendRegistry::load_of(TimePoint now, const Server& server) const {
     const bool fresh = server.reported.limit > 0 && now - server.reported_at <= kReportHolds;
-    constexpr double kAssumedLimit = 8.0;
-    const double limit = server.reported.limit > 0 ? server.reported.limit : kAssumedLimit;
+    constexpr double assumed_limit = 8.0;
+    const double limit = server.reported.limit > 0 ? server.reported.limit : assumed_limit;
     const unsigned reported = fresh ? server.reported.in_flight + server.reported.queued : 0;
     double load = std::max<double>(server.outstanding, reported) / limit;
     const auto age = now - server.first_seen;
--- a/src/routing/balancer.cpp
+++ b/src/routing/balancer.cpp
@@ -27,11 +27,11 @@
     for (const auto& candidate : candidates) {
         (candidate.zone == own_zone ? own : others).push_back(candidate);
     }
-    const auto near = less_loaded_of_two(own, random);
+    auto near = less_loaded_of_two(own, random);
     if (near && near->load < kFullLoad) {
         return near;
     }
-    const auto far = less_loaded_of_two(others, random);
+    auto far = less_loaded_of_two(others, random);
     if (near && far) {
         return far->load + kSpillAdvantage < near->load ? far : near;
     }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -8,6 +8,7 @@
 #include <boost/process/args.hpp>
 #include <boost/process/io.hpp>
 #include <csignal>
+#include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -76,7 +77,10 @@
          ++place) {
         const auto& zone = zones[place % zones.size()];
         const auto number = std::to_string(place / zones.size() + 1);
-        daemons_.push_back({"daemon-" + zone + "-" + number, zone, next(), next(), next()});
+        std::string name = "daemon-";
+        name += zone;
+        name += "-" + number;
+        daemons_.push_back({name, zone, next(), next(), next()});
     }
     for (const auto& service : deployment_.services) {
         for (unsigned server = 0; server < service.servers; ++server) {
@@ -105,6 +109,7 @@
 
 void Fleet::start_process(const std::string& name, const std::string& program,
                           const std::vector<std::string>& arguments) {
+    std::remove(out_file(name).c_str());
     const std::string path = std::string(ANISEHOLD_BINARY_DIR) + "/" + program;
     process::child child(path, process::args(arguments),
                          process::std_in<process::null, process::std_out> out_file(name),
