--- a/src/admission/policy/gradient_limit.cpp
+++ b/src/admission/policy/gradient_limit.cpp
@@ -12,8 +12,8 @@
 constexpr double kTolerance = 1.5;
 constexpr double kLeastGradient = 0.7;
 constexpr double kSmoothing = 0.5;
-/// Per window; the baseline doubles in about a minute if nothing faster is seen.
-constexpr double kBaselineDrift = 1.0012;
+/// Per window; the baseline doubles in about five minutes if nothing faster is seen.
+constexpr double kBaselineDrift = 1.00023;
 constexpr double kCut = 0.85;
 constexpr milliseconds kCutInterval{100};
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -267,6 +267,9 @@
     }
 
     void check_whole() {
+        if (!readable_) {
+            return;
+        }
         for (const auto& spec : kSpecs) {
             if (spec.required && !seen_.contains(std::string(spec.name))) {
                 add_error(file_name_ + " " + std::string(spec.name), "is missing");
@@ -292,6 +295,7 @@
         } catch (const toml::parse_error& error) {
             add_error(file_name_ + ":" + std::to_string(error.source().begin.line),
                       std::string(error.description()));
+            readable_ = false;
             return {};
         }
     }
@@ -334,6 +338,7 @@
     }
 
     std::string file_name_;
+    bool readable_ = true;  // False after a syntax error, which hides what the file gives.
     SettingsResult result_;
     std::map<std::string, std::string> seen_;  // Name of each setting that was given, and its place.
 };
--- a/src/config/table.cpp
+++ b/src/config/table.cpp
@@ -271,8 +271,10 @@
         }
         result.table.rows.push_back(reader.finish());
     }
-    const auto whole = check_table(result.table);
-    result.errors.insert(result.errors.end(), whole.begin(), whole.end());
+    // Rows that can't be read would only cause further errors about the table as a whole.
+    if (result.errors.empty()) {
+        result.errors = check_table(result.table);
+    }
     return result;
 }
 
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -171,7 +171,8 @@
 
 void Swim::merge(TimePoint now, const std::vector<MemberRecord>& records) {
     for (const auto& record : records) {
-        learn(now, record);
+        const bool is_senders_own = &record == &records.front();
+        learn(now, record, is_senders_own ? Spread::kYes : Spread::kNo);
     }
 }
 
@@ -198,7 +199,7 @@
     return out;
 }
 
-void Swim::learn(TimePoint now, const MemberRecord& record) {
+void Swim::learn(TimePoint now, const MemberRecord& record, Spread spread) {
     if (record.info.id == self_.info.id) {
         learn_about_self(record);
         return;
@@ -210,7 +211,9 @@
         }
         members_[record.info.id] = Member{record, now};
         events_.push_back({record, std::nullopt});
-        enqueue_update(record.info.id);
+        if (spread == Spread::kYes) {
+            enqueue_update(record.info.id);
+        }
         // A new member is probed at a random place of the round.
         const auto place = random_() % (probe_order_.size() + 1);
         probe_order_.insert(probe_order_.begin() + static_cast<std::ptrdiff_t>(place), record.info.id);
@@ -224,7 +227,9 @@
     const bool rebooted = member.record.info.boot_id != record.info.boot_id;
     member.record = record;
     member.changed_at = now;
-    enqueue_update(record.info.id);
+    if (spread == Spread::kYes) {
+        enqueue_update(record.info.id);
+    }
     if (before != record.state || rebooted) {
         events_.push_back({record, before});
     }
--- a/src/membership/swim.hpp
+++ b/src/membership/swim.hpp
@@ -48,7 +48,8 @@
     std::vector<Datagram> tick(TimePoint now);
     /// Takes in a message that came from `from`.
     std::vector<Datagram> receive(TimePoint now, const Endpoint& from, const GossipMessage& message);
-    /// Takes in records learned in another way (a full exchange on joining).
+    /// Takes in all records of another member, its own first. Only that one is spread further: the others
+    /// are known to the fleet, and spreading them again would fill messages for minutes.
     void merge(TimePoint now, const std::vector<MemberRecord>& records);
     /// Announces the planned stop: `kLeaving` first, `kLeft` at the end.
     std::vector<Datagram> announce_self(TimePoint now, MemberState state);
@@ -56,7 +57,7 @@
     std::vector<Datagram> set_revisions(const DocumentRevisions& revisions);
 
     const MemberRecord& self() const { return self_; }
-    /// All known members, the own one included.
+    /// All known members, the own one first.
     std::vector<MemberRecord> records() const;
     const MemberRecord* find(const std::string& id) const;
     /// Members that take new work, the own one included while it does.
@@ -95,7 +96,8 @@
     void recontact(TimePoint now, std::vector<Datagram>& out);
     void expire_suspicions(TimePoint now);
     void forget_old(TimePoint now);
-    void learn(TimePoint now, const MemberRecord& record);
+    enum class Spread { kYes, kNo };
+    void learn(TimePoint now, const MemberRecord& record, Spread spread = Spread::kYes);
     void learn_about_self(const MemberRecord& record);
     void set_state(TimePoint now, Member& member, MemberState state);
     void enqueue_update(const std::string& id);
--- /dev/null
+++ b/tests/unit/admission/policy_test.cpp
@@ -0,0 +1,85 @@
+#include <catch2/catch.hpp>
+#include <deque>
+
+#include "admission/adaptive_throttle.hpp"
+#include "admission/policy/aimd_limit.hpp"
+#include "admission/policy/gradient_limit.hpp"
+
+using namespace anisehold;
+using namespace anisehold::admission;
+
+namespace {
+
+TimePoint at_ms(long long ms) {
+    return TimePoint(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+/// A server with `slots` places and an unbounded queue: the time to answer grows with what is in flight.
+Duration latency_at(unsigned in_flight, unsigned slots) {
+    const double factor = in_flight <= slots ? 1.0 : static_cast<double>(in_flight) / slots;
+    return std::chrono::duration_cast<Duration>(milliseconds(10) * factor);
+}
+
+}  // namespace
+
+TEST_CASE("the AIMD limit rises while it is used and falls on sheds, within its bounds") {
+    AimdLimit limit({4, 10});
+    for (int sample = 0; sample < 500; ++sample) {
+        limit.on_sample(at_ms(sample), {SampleOutcome::kCompleted, milliseconds(10), limit.limit()});
+    }
+    CHECK(limit.limit() == 10);
+    for (int sample = 0; sample < 100; ++sample) {
+        limit.on_sample(at_ms(1'000 + sample * 200), {SampleOutcome::kShed, milliseconds(1), 10});
+    }
+    CHECK(limit.limit() == 1);
+}
+
+TEST_CASE("one burst of sheds cuts the AIMD limit once") {
+    AimdLimit limit({10, 10});
+    for (int sample = 0; sample < 50; ++sample) {
+        limit.on_sample(at_ms(5'000), {SampleOutcome::kShed, milliseconds(1), 10});
+    }
+    CHECK(limit.limit() == 8);
+}
+
+TEST_CASE("an idle server doesn't raise the AIMD limit") {
+    AimdLimit limit({4, 100});
+    for (int sample = 0; sample < 1'000; ++sample) {
+        limit.on_sample(at_ms(sample), {SampleOutcome::kCompleted, milliseconds(10), 1});
+    }
+    CHECK(limit.limit() == 4);
+}
+
+TEST_CASE("the gradient limit settles near the slots of a server that queues by itself") {
+    constexpr unsigned kSlots = 10;
+    GradientLimit limit({4, 200});
+    for (int sample = 0; sample < 20'000; ++sample) {
+        const auto in_flight = limit.limit();
+        limit.on_sample(at_ms(sample), {SampleOutcome::kCompleted, latency_at(in_flight, kSlots), in_flight});
+    }
+    CHECK(limit.limit() >= kSlots);
+    CHECK(limit.limit() <= 2 * kSlots);
+}
+
+TEST_CASE("the throttle lets all through while nothing is refused") {
+    AdaptiveThrottle throttle;
+    for (int request = 0; request < 1'000; ++request) {
+        CHECK_FALSE(throttle.refuses(at_ms(request), "row", 0.0));
+        throttle.on_result(at_ms(request), "row", false);
+    }
+}
+
+TEST_CASE("the throttle refuses about what the service refuses, and recovers within its window") {
+    AdaptiveThrottle throttle;
+    for (int request = 0; request < 1'000; ++request) {
+        throttle.on_result(at_ms(request), "row", request % 4 != 0);
+    }
+    const double probability = throttle.refusal_probability(at_ms(1'000), "row");
+    CHECK(probability > 0.6);
+    CHECK(probability < 0.75);
+    CHECK(throttle.refusal_probability(at_ms(1'000), "other") == 0);
+    for (int request = 0; request < 400; ++request) {
+        throttle.on_result(at_ms(3'100 + request), "row", false);
+    }
+    CHECK(throttle.refusal_probability(at_ms(3'500), "row") == 0);
+}
--- /dev/null
+++ b/tests/unit/admission/server_gate_test.cpp
@@ -0,0 +1,144 @@
+#include "admission/server_gate.hpp"
+
+#include <catch2/catch.hpp>
+
+#include "admission/policy/fixed_limit.hpp"
+
+using namespace anisehold;
+using namespace anisehold::admission;
+
+namespace {
+
+TimePoint at_ms(long long ms) {
+    return TimePoint(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+ServerGate gate_of(unsigned limit, GateOptions options = {}) {
+    return {std::make_unique<FixedLimit>(limit), options};
+}
+
+GateCall call(std::uint64_t id, unsigned priority, const std::string& row = "row") {
+    GateCall result;
+    result.id = id;
+    result.priority = priority;
+    result.row = row;
+    result.root_started = at_ms(0);
+    result.deadline = at_ms(100'000);
+    return result;
+}
+
+}  // namespace
+
+TEST_CASE("a gate admits up to its limit and queues the rest") {
+    auto gate = gate_of(2);
+    CHECK(gate.arrive(at_ms(0), call(1, 5)).verdict == GateVerdict::kAdmitted);
+    CHECK(gate.arrive(at_ms(0), call(2, 5)).verdict == GateVerdict::kAdmitted);
+    CHECK(gate.arrive(at_ms(0), call(3, 5)).verdict == GateVerdict::kQueued);
+    CHECK(gate.load().in_flight == 2);
+    CHECK(gate.finish(at_ms(10), 1, SampleOutcome::kCompleted, {}) == std::vector<std::uint64_t>{3});
+    CHECK(gate.load().in_flight == 2);
+    CHECK(gate.finish(at_ms(10), 99, SampleOutcome::kCompleted, {}).empty());
+}
+
+TEST_CASE("the queue is left by priority, then calls in progress, then the oldest root") {
+    auto gate = gate_of(1);
+    gate.arrive(at_ms(0), call(1, 5));
+    auto young = call(2, 3);
+    young.root_started = at_ms(50);
+    auto old = call(3, 3);
+    auto in_progress = call(4, 3);
+    in_progress.root_in_progress = true;
+    in_progress.root_started = at_ms(60);
+    gate.arrive(at_ms(1), call(5, 8));
+    gate.arrive(at_ms(1), young);
+    gate.arrive(at_ms(1), old);
+    gate.arrive(at_ms(1), in_progress);
+    gate.arrive(at_ms(1), call(6, 0));
+    std::vector<std::uint64_t> order;
+    std::uint64_t running = 1;
+    for (int step = 0; step < 5; ++step) {
+        const auto next = gate.finish(at_ms(10), running, SampleOutcome::kCompleted, {});
+        REQUIRE(next.size() == 1);
+        running = next.front();
+        order.push_back(running);
+    }
+    CHECK(order == std::vector<std::uint64_t>{6, 4, 3, 2, 5});
+}
+
+TEST_CASE("rows of equal priority share by weight") {
+    auto gate = gate_of(1);
+    gate.arrive(at_ms(0), call(1, 5, "other"));
+    for (std::uint64_t id = 10; id < 18; ++id) {
+        auto heavy = call(id, 5, "heavy");
+        heavy.row_weight = 3;
+        auto light = call(id + 100, 5, "light");
+        gate.arrive(at_ms(1), light);
+        gate.arrive(at_ms(1), heavy);
+    }
+    unsigned heavy_runs = 0;
+    std::uint64_t running = 1;
+    for (int step = 0; step < 8; ++step) {
+        running = gate.finish(at_ms(10), running, SampleOutcome::kCompleted, {}).front();
+        heavy_runs += running < 100 ? 1 : 0;
+    }
+    CHECK(heavy_runs >= 5);
+    CHECK(heavy_runs <= 7);
+}
+
+TEST_CASE("a full queue refuses the least important, and evicts it for a more important call") {
+    auto gate = gate_of(1);
+    gate.arrive(at_ms(0), call(1, 5));
+    std::uint64_t id = 2;
+    while (gate.arrive(at_ms(0), call(id, 7)).verdict == GateVerdict::kQueued) {
+        ++id;
+    }
+    CHECK(gate.admitted_priority() == 7);
+    const auto decision = gate.arrive(at_ms(0), call(1'000, 0));
+    CHECK(decision.verdict == GateVerdict::kQueued);
+    REQUIRE(decision.evicted);
+    CHECK(gate.finish(at_ms(1), 1, SampleOutcome::kCompleted, {}) == std::vector<std::uint64_t>{1'000});
+}
+
+TEST_CASE("a call that would not be served in its remaining time is refused at once") {
+    auto gate = gate_of(1);
+    gate.arrive(at_ms(0), call(1, 5));
+    gate.finish(at_ms(100), 1, SampleOutcome::kCompleted, {});
+    gate.arrive(at_ms(100), call(2, 5));
+    auto hurried = call(3, 0);
+    hurried.deadline = at_ms(150);
+    const auto decision = gate.arrive(at_ms(100), hurried);
+    CHECK(decision.verdict == GateVerdict::kRefused);
+    CHECK(decision.refusal == ErrorKind::kOverloaded);
+    CHECK(decision.retry_after >= milliseconds(100));
+}
+
+TEST_CASE("a row's own limit holds while other rows go on") {
+    auto gate = gate_of(4);
+    auto limited = call(1, 5, "limited");
+    limited.row_limit = 1;
+    CHECK(gate.arrive(at_ms(0), limited).verdict == GateVerdict::kAdmitted);
+    limited.id = 2;
+    CHECK(gate.arrive(at_ms(0), limited).verdict == GateVerdict::kQueued);
+    CHECK(gate.arrive(at_ms(0), call(3, 9, "free")).verdict == GateVerdict::kAdmitted);
+    CHECK(gate.finish(at_ms(5), 3, SampleOutcome::kCompleted, {}).empty());
+    CHECK(gate.finish(at_ms(5), 1, SampleOutcome::kCompleted, {}) == std::vector<std::uint64_t>{2});
+}
+
+TEST_CASE("an abandoned call leaves the queue") {
+    auto gate = gate_of(1);
+    gate.arrive(at_ms(0), call(1, 5));
+    gate.arrive(at_ms(0), call(2, 5));
+    gate.abandon(2);
+    CHECK(gate.load().queued == 0);
+    CHECK(gate.finish(at_ms(5), 1, SampleOutcome::kCompleted, {}).empty());
+}
+
+TEST_CASE("the safety margin stays free of bulk calls") {
+    GateOptions options;
+    options.safety_margin = 0.5;
+    auto gate = gate_of(4, options);
+    CHECK(gate.arrive(at_ms(0), call(1, 8)).verdict == GateVerdict::kAdmitted);
+    CHECK(gate.arrive(at_ms(0), call(2, 8)).verdict == GateVerdict::kAdmitted);
+    CHECK(gate.arrive(at_ms(0), call(3, 8)).verdict == GateVerdict::kQueued);
+    CHECK(gate.arrive(at_ms(0), call(4, 0)).verdict == GateVerdict::kAdmitted);
+}
