--- a/lab/backend.cpp
+++ b/lab/backend.cpp
@@ -18,7 +18,6 @@
 constexpr double kMostWork = 1.3;
 constexpr milliseconds kDefaultTimeout{10'000};
 constexpr unsigned kOk = 200;
-constexpr unsigned kServerError = 500;
 constexpr unsigned kUnavailable = 503;
 
 milliseconds timeout_of(const net::HttpRequest& request) {
@@ -236,7 +235,7 @@
     }
     ++count.committed;
     if (faults_.fail) {
-        return json_answer(kServerError, {{"error", "failed"}});
+        return json_answer(kUnavailable, {{"error", "failed"}});
     }
     auto response =
         net::make_response(kOk, "text/plain", make_answer_body(kind.name, request_id, kind.answer_bytes));
@@ -250,13 +249,15 @@
 Backend::NestedOutcome Backend::call_nested(const KindSpec& kind, const net::HttpRequest& parent,
                                             TimePoint deadline, net::CancelSignal& cancel) {
     auto outcome = attempt_nested(kind, parent, deadline, cancel);
+    bool may_have_run = outcome != NestedOutcome::kNotRun;
     for (unsigned retry = 0; retry < options_.layer_retries && outcome != NestedOutcome::kWhole; ++retry) {
         if (cancel.cancelled() || TimePoint::clock::now() >= deadline) {
             break;
         }
         outcome = attempt_nested(kind, parent, deadline, cancel);
+        may_have_run = may_have_run || outcome != NestedOutcome::kNotRun;
     }
-    return outcome;
+    return outcome == NestedOutcome::kNotRun && may_have_run ? NestedOutcome::kFailed : outcome;
 }
 
 Backend::NestedOutcome Backend::attempt_nested(const KindSpec& kind, const net::HttpRequest& parent,
--- a/lab/backend.hpp
+++ b/lab/backend.hpp
@@ -23,7 +23,7 @@
     bool frozen = false;       ///< Requests are taken and never answered until thawed.
     bool health_lies = false;  ///< The health endpoint says fine, whatever is the case.
     bool cut_answers = false;  ///< Answers break off half-way.
-    bool fail = false;         ///< After the work, 500 is answered.
+    bool fail = false;         ///< After the work, 503 is answered.
 };
 
 struct BackendOptions {
--- a/lab/load.cpp
+++ b/lab/load.cpp
@@ -9,6 +9,7 @@
 #include "lab/answer_body.hpp"
 #include "net/event_loop.hpp"
 #include "protocol/call_context.hpp"
+#include "protocol/message_digest.hpp"
 
 namespace anisehold::lab {
 namespace {
@@ -21,6 +22,12 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kFirstServerError = 500;
 
+/// 32 hexadecimal digits that belong to this request.
+std::string trace_id_for(const std::string& id) {
+    const std::string material = message_authentication_code("trace", id);
+    return to_hex(material);
+}
+
 double percentile(std::vector<double> values, double share) {
     if (values.empty()) {
         return 0;
@@ -139,6 +146,8 @@
     const auto delay = options_.client_delay ? deployment_.client_delay_ms : milliseconds(0);
     auto request = net::make_request(kind.method, kind.path + "/" + id);
     request.fields.set(kRequestHeader, id);
+    // A retry keeps the trace id of its request, and so is known for one.
+    request.fields.set(header::kTraceParent, make_trace_parent(trace_id_for(id), "0000000000000001"));
     if (kind.keyed) {
         request.fields.set(header::kIdempotencyKey, id);
     }
--- a/src/claims/claim_types.hpp
+++ b/src/claims/claim_types.hpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "protocol/serialize_all.hpp"
+
 namespace anisehold::claims {
 
 /// What is known about the request that holds a key.
@@ -26,7 +28,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& epoch& key& claimant& fingerprint& coordinator& coordinator_boot;
+        serialize_all(archive, epoch, key, claimant, fingerprint, coordinator, coordinator_boot);
     }
 };
 
@@ -46,7 +48,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& verdict& epoch& state& fingerprint& coordinator& coordinator_boot;
+        serialize_all(archive, verdict, epoch, state, fingerprint, coordinator, coordinator_boot);
     }
 };
 
@@ -64,7 +66,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& key& claimant& end;
+        serialize_all(archive, key, claimant, end);
     }
 };
 
@@ -76,7 +78,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& request& state& age_ms;
+        serialize_all(archive, request, state, age_ms);
     }
 };
 
@@ -88,7 +90,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& old_epoch& new_epoch& asker;
+        serialize_all(archive, old_epoch, new_epoch, asker);
     }
 };
 
@@ -98,7 +100,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& complete& entries;
+        serialize_all(archive, complete, entries);
     }
 };
 
@@ -108,7 +110,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& epoch;
+        serialize_all(archive, epoch);
     }
 };
 
@@ -117,7 +119,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& serving;
+        serialize_all(archive, serving);
     }
 };
 
--- a/src/daemon/claim_service.cpp
+++ b/src/daemon/claim_service.cpp
@@ -25,10 +25,11 @@
 constexpr milliseconds kTellPause{500};
 constexpr milliseconds kHolderPeriod{100};
 constexpr seconds kSyncTimeout{5};
-constexpr seconds kKeeperPeriod{1};
+constexpr milliseconds kKeeperPeriod{100};
 constexpr std::size_t kHoldersPerZone = 3;
-/// A wish for another view must have lasted this long before it is proposed.
-constexpr seconds kViewHysteresis{2};
+/// A wish for another view must have lasted this long before it is proposed, unless a planned stop is all
+/// that it comes from.
+constexpr seconds kViewHysteresis{1};
 
 std::vector<Holder> as_holders(const std::vector<membership::MemberRecord>& records) {
     std::vector<Holder> holders;
@@ -272,6 +273,32 @@
     return !order.empty() && ids[order.front()] == context_.self.id;
 }
 
+/// Whether the wished view differs from the present one only by members that announced their stop.
+bool ClaimService::is_planned(const std::vector<Holder>& wished) const {
+    const auto& present = documents_.holder_view().holders;
+    const auto is_new = [&](const Holder& holder) {
+        return std::find(present.begin(), present.end(), holder) == present.end();
+    };
+    const auto left_unplanned = [&](const Holder& holder) {
+        const bool stays = std::find(wished.begin(), wished.end(), holder) != wished.end();
+        const auto* record = membership_.find(holder.id);
+        const bool announced = record != nullptr && record->info.boot_id == holder.boot_id &&
+                               (record->state == membership::MemberState::kLeaving ||
+                                record->state == membership::MemberState::kLeft);
+        return !stays && !announced;
+    };
+    return std::none_of(wished.begin(), wished.end(), is_new) &&
+           std::none_of(present.begin(), present.end(), left_unplanned);
+}
+
+bool ClaimService::handed_over() {
+    const auto& holders = documents_.holder_view().holders;
+    const bool still_holder = std::any_of(holders.begin(), holders.end(), [&](const Holder& holder) {
+        return holder.id == context_.self.id && holder.boot_id == context_.self.boot_id;
+    });
+    return !still_holder && present_view_is_covered();
+}
+
 void ClaimService::run_view_keeper() {
     constexpr auto no_wish = TimePoint::max();
     TimePoint wished_since = no_wish;
@@ -287,7 +314,7 @@
         }
         const auto now = TimePoint::clock::now();
         wished_since = std::min(wished_since, now);
-        if (now - wished_since >= kViewHysteresis) {
+        if (now - wished_since >= kViewHysteresis || is_planned(wished)) {
             wished_since = no_wish;
             propose_view(wished);
         }
--- a/src/daemon/claim_service.hpp
+++ b/src/daemon/claim_service.hpp
@@ -37,6 +37,9 @@
     ClaimOutcome claim(const std::string& key, std::uint64_t fingerprint, TimePoint deadline);
     /// Tells the holders how a won claim ended; goes on in the background until each has been told.
     void finish(const ClaimOutcome& won, claims::ClaimEnd end);
+    /// For the planned stop: whether the holder view is without this daemon and served by the others, so that
+    /// nobody needs this daemon's grants any more.
+    bool handed_over();
     /// Whether the process that coordinates a standing claim is still there.
     bool coordinator_is_there(const claims::ClaimReply& standing) const;
 
@@ -68,6 +71,7 @@
     bool present_view_is_covered();
     void run_view_keeper();
     bool is_view_keeper() const;
+    bool is_planned(const std::vector<claims::Holder>& wished) const;
     void propose_view(const std::vector<claims::Holder>& holders);
     void report_serving();
 
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -26,6 +26,9 @@
 /// After the announcement callers and peers get this time to go elsewhere before the listener may close.
 constexpr milliseconds kLameDuck{1'500};
 constexpr milliseconds kDrainPoll{20};
+/// With the store down the holder view can't change; the stop doesn't wait for it longer than this.
+constexpr seconds kLongestHandover{10};
+constexpr milliseconds kHandoverPoll{100};
 
 std::uint64_t random_seed() {
     std::random_device device;
@@ -138,6 +141,14 @@
         while (busy() && TimePoint::clock::now() < grace_ends) {
             boost::this_fiber::sleep_for(kDrainPoll);
         }
+        const auto handover_ends = started + kLongestHandover;
+        while (!parts_->claims.handed_over() &&
+               TimePoint::clock::now() < std::min(handover_ends, grace_ends)) {
+            boost::this_fiber::sleep_for(kHandoverPoll);
+        }
+        while (busy() && TimePoint::clock::now() < grace_ends) {
+            boost::this_fiber::sleep_for(kDrainPoll);
+        }
         parts_->server.stop_accepting();
         while (busy() && TimePoint::clock::now() < grace_ends) {
             boost::this_fiber::sleep_for(kDrainPoll);
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -116,6 +116,10 @@
     return ledger_.draw(TimePoint::clock::now(), request);
 }
 
+void GateService::open_client_ledger(const std::string& id, const retry::LedgerTerms& terms) {
+    ledger_.open_if_absent(id, terms);
+}
+
 void GateService::handle(const retry::SettleRequest& request) {
     ledger_.settle(request);
 }
@@ -299,6 +303,7 @@
         const auto report = admission->end(SampleOutcome::kShed);
         auto result = CallResult::failure(ErrorKind::kBackendRefused, retry_after_of(response));
         result.retries_used = report.used;
+        result.nested_ran = report.nested_ran;
         return result;
     }
     CallResult result;
--- a/src/daemon/gate_service.hpp
+++ b/src/daemon/gate_service.hpp
@@ -37,6 +37,8 @@
     routing::CallResult dispatch(routing::Call& call, const Endpoint& server);
 
     retry::DrawReply handle(const retry::DrawRequest& request);
+    /// Opens the ledger of a client's request, which may come again.
+    void open_client_ledger(const std::string& id, const retry::LedgerTerms& terms);
     void handle(const retry::SettleRequest& request);
 
     std::vector<GateStatus> status() const;
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -54,6 +54,7 @@
     GateReport report;
     report.retries_used = result.retries_used;
     report.refused_by_overload = result.refused_by_overload;
+    report.nested_ran = result.nested_ran;
     report.leaving = result.server_leaving;
     report.in_flight = load.in_flight;
     report.queued = load.queued;
@@ -76,7 +77,8 @@
       retry_route_(context, server_route_),
       claim_route_(context, claims, retry_route_),
       nested_route_(context, peers, membership, gates, claim_route_),
-      root_route_(context, claim_route_) {}
+      early_refusal_route_(context, claim_route_),
+      root_route_(context, gates, early_refusal_route_) {}
 
 net::HttpResponse Ingress::handle(net::HttpRequest& request, net::CancelSignal& cancel) {
     return request.fields.find(header::kGate) ? handle_gate_request(request, cancel)
--- a/src/daemon/ingress.hpp
+++ b/src/daemon/ingress.hpp
@@ -14,6 +14,7 @@
 #include "routing/backend_registry.hpp"
 #include "routing/call.hpp"
 #include "routing/handles/claim_route.hpp"
+#include "routing/handles/client_ledger_route.hpp"
 #include "routing/handles/early_refusal_route.hpp"
 #include "routing/handles/ledger_route.hpp"
 #include "routing/handles/retry_route.hpp"
@@ -46,13 +47,14 @@
     GateService& gates_;
     routing::BackendRegistry& registry_;
 
-    // Root request:  early refusal -> claim -> retry -> server.
-    // Nested call:   ledger        -> claim -> retry -> server.
+    // Root request:  client ledger -> early refusal -> claim -> retry -> server.
+    // Nested call:   ledger        ->                  claim -> retry -> server.
     routing::ServerRoute server_route_;
     routing::RetryRoute retry_route_;
     routing::ClaimRoute claim_route_;
     routing::LedgerRoute nested_route_;
-    routing::EarlyRefusalRoute root_route_;
+    routing::EarlyRefusalRoute early_refusal_route_;
+    routing::ClientLedgerRoute root_route_;
 };
 
 }  // namespace anisehold::daemon
--- a/src/membership/gossip_message.hpp
+++ b/src/membership/gossip_message.hpp
@@ -8,6 +8,7 @@
 
 #include "membership/member.hpp"
 #include "protocol/documents.hpp"
+#include "protocol/serialize_all.hpp"
 
 namespace anisehold::membership {
 
@@ -30,7 +31,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& type& sequence& sender& about_receiver& target& updates& revisions;
+        serialize_all(archive, type, sequence, sender, about_receiver, target, updates, revisions);
     }
 };
 
--- a/src/membership/member.hpp
+++ b/src/membership/member.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "protocol/endpoint.hpp"
+#include "protocol/serialize_all.hpp"
 
 namespace anisehold::membership {
 
@@ -34,7 +35,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& id& zone& boot_id& call& peer& admin;
+        serialize_all(archive, id, zone, boot_id, call, peer, admin);
     }
 };
 
@@ -52,7 +53,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& info& incarnation& state;
+        serialize_all(archive, info, incarnation, state);
     }
 };
 
--- a/src/protocol/call_context.cpp
+++ b/src/protocol/call_context.cpp
@@ -14,7 +14,8 @@
 constexpr std::size_t kMaxHomeLength = 64;
 constexpr unsigned kMaxPriority = 9;
 constexpr unsigned kMaxAllowance = 100;
-constexpr std::size_t kContextFields = 7;  // The gate report has as many.
+constexpr std::size_t kContextFields = 7;
+constexpr std::size_t kReportFields = 8;
 constexpr unsigned kMaxReported = 2'000'000'000;
 constexpr std::string_view kContextPurpose = "context:";
 constexpr std::string_view kGatePurpose = "gate:";
@@ -55,12 +56,13 @@
     return value;
 }
 
-/// Splits `text` at ';' into exactly `kContextFields` parts.
-std::optional<std::array<std::string_view, kContextFields>> split_fields(std::string_view text) {
-    std::array<std::string_view, kContextFields> fields;
-    for (std::size_t index = 0; index < kContextFields; ++index) {
+/// Splits `text` at ';' into exactly `Count` parts.
+template <std::size_t Count>
+std::optional<std::array<std::string_view, Count>> split_fields(std::string_view text) {
+    std::array<std::string_view, Count> fields;
+    for (std::size_t index = 0; index < Count; ++index) {
         const auto end = text.find(';');
-        const bool last = index + 1 == kContextFields;
+        const bool last = index + 1 == Count;
         if (last != (end == std::string_view::npos)) {
             return std::nullopt;
         }
@@ -88,7 +90,7 @@
     if (!message) {
         return std::nullopt;
     }
-    const auto fields = split_fields(*message);
+    const auto fields = split_fields<kContextFields>(*message);
     if (!fields) {
         return std::nullopt;
     }
@@ -160,6 +162,7 @@
 std::string encode_gate_report(const GateReport& report) {
     std::string value = std::to_string(report.retries_used);
     value += ';' + std::to_string(report.refused_by_overload ? 1 : 0);
+    value += ';' + std::to_string(report.nested_ran ? 1 : 0);
     value += ';' + std::to_string(report.leaving ? 1 : 0);
     value += ';' + std::to_string(report.in_flight);
     value += ';' + std::to_string(report.queued);
@@ -168,20 +171,20 @@
 }
 
 std::optional<GateReport> decode_gate_report(std::string_view value) {
-    const auto fields = split_fields(value);
+    const auto fields = split_fields<kReportFields>(value);
     if (!fields) {
         return std::nullopt;
     }
-    std::array<unsigned, kContextFields> numbers{};
-    for (std::size_t index = 0; index < kContextFields; ++index) {
+    std::array<unsigned, kReportFields> numbers{};
+    for (std::size_t index = 0; index < kReportFields; ++index) {
         const auto number = parse_bounded((*fields)[index], kMaxReported);
         if (!number) {
             return std::nullopt;
         }
         numbers[index] = *number;
     }
-    return GateReport{numbers[0], numbers[1] != 0, numbers[2] != 0, numbers[3],
-                      numbers[4], numbers[5],      numbers[6]};
+    return GateReport{numbers[0], numbers[1] != 0, numbers[2] != 0, numbers[3] != 0,
+                      numbers[4], numbers[5],      numbers[6],      numbers[7]};
 }
 
 }  // namespace anisehold
--- a/src/protocol/documents.hpp
+++ b/src/protocol/documents.hpp
@@ -6,6 +6,8 @@
 #include <cstdint>
 #include <string>
 
+#include "protocol/serialize_all.hpp"
+
 namespace anisehold {
 
 enum class DocumentKind : std::uint8_t { kTable, kHolderView };
@@ -23,7 +25,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& kind& revision& text;
+        serialize_all(archive, kind, revision, text);
     }
 };
 
--- a/src/protocol/endpoint.hpp
+++ b/src/protocol/endpoint.hpp
@@ -8,6 +8,8 @@
 #include <string_view>
 #include <tuple>
 
+#include "protocol/serialize_all.hpp"
+
 namespace anisehold {
 
 /// A numeric IPv4 or IPv6 address with a port.
@@ -25,7 +27,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& ip& port;
+        serialize_all(archive, ip, port);
     }
 };
 
--- a/src/protocol/peer_messages.hpp
+++ b/src/protocol/peer_messages.hpp
@@ -12,6 +12,7 @@
 #include "membership/gossip_message.hpp"
 #include "membership/member.hpp"
 #include "protocol/documents.hpp"
+#include "protocol/serialize_all.hpp"
 #include "protocol/stored_answer.hpp"
 #include "retry/retry_ledger.hpp"
 
@@ -23,7 +24,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& records;
+        serialize_all(archive, records);
     }
 };
 
@@ -32,7 +33,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& records;
+        serialize_all(archive, records);
     }
 };
 
@@ -42,7 +43,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& kind;
+        serialize_all(archive, kind);
     }
 };
 
@@ -52,7 +53,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& key;
+        serialize_all(archive, key);
     }
 };
 
@@ -62,7 +63,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& answers;
+        serialize_all(archive, answers);
     }
 };
 
--- /dev/null
+++ b/src/protocol/serialize_all.hpp
@@ -0,0 +1,13 @@
+/// @file
+/// Names the fields of a message for Boost.Serialization.
+#pragma once
+
+namespace anisehold {
+
+/// Saves or loads the fields in the order given, which is the message's layout.
+template <typename Archive, typename... Fields>
+void serialize_all(Archive& archive, Fields&... fields) {
+    (void)(archive & ... & fields);
+}
+
+}  // namespace anisehold
--- a/src/protocol/stored_answer.hpp
+++ b/src/protocol/stored_answer.hpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "protocol/serialize_all.hpp"
+
 namespace anisehold {
 
 /// One header line of a kept answer.
@@ -14,7 +16,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& name& value;
+        serialize_all(archive, name, value);
     }
 };
 
@@ -26,7 +28,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& status& fields& body;
+        serialize_all(archive, status, fields, body);
     }
 };
 
--- a/src/retry/retry_ledger.cpp
+++ b/src/retry/retry_ledger.cpp
@@ -26,6 +26,12 @@
     ledgers_[call_id] = std::move(ledger);
 }
 
+void RetryLedger::open_if_absent(const std::string& call_id, const LedgerTerms& terms) {
+    if (!ledgers_.contains(call_id)) {
+        open(call_id, terms);
+    }
+}
+
 DrawReply RetryLedger::draw(TimePoint now, const DrawRequest& request) {
     const auto found = ledgers_.find(request.call_id);
     if (found == ledgers_.end()) {
@@ -45,6 +51,7 @@
     if (ledger.remaining == 0) {
         return refusal(DrawVerdict::kExhausted);
     }
+    nested->second.ever_ran = nested->second.ever_ran || nested->second.may_have_run;
     nested->second.may_have_run = true;
     --ledger.remaining;
     return lend(now, ledger, DrawVerdict::kRepeat);
@@ -77,6 +84,9 @@
     if (nested != ledger.nested.end()) {
         nested->second.may_have_run = !request.not_run;
     }
+    if (request.forget_attempt) {
+        ledger.nested.erase(request.identity);
+    }
 }
 
 LedgerReport RetryLedger::close(TimePoint now, const std::string& call_id) {
@@ -85,8 +95,13 @@
         return {};
     }
     Ledger& ledger = found->second;
-    LedgerReport report{ledger.terms.allowance - ledger.remaining, ledger.refused_by_overload,
-                        ledger.nested_time};
+    LedgerReport report;
+    report.used = ledger.terms.allowance - ledger.remaining;
+    report.refused_by_overload = ledger.refused_by_overload;
+    report.nested_time = ledger.nested_time;
+    report.nested_ran = std::any_of(ledger.nested.begin(), ledger.nested.end(), [](const auto& entry) {
+        return entry.second.may_have_run || entry.second.ever_ran;
+    });
     ledger.ended = true;
     ledger.ended_at = now;
     ledger.nested.clear();
@@ -96,7 +111,8 @@
 
 void RetryLedger::forget(TimePoint now) {
     std::erase_if(ledgers_, [&](const auto& entry) {
-        return entry.second.ended && now - entry.second.ended_at >= kRememberEnded;
+        const auto over_since = entry.second.ended ? entry.second.ended_at : entry.second.terms.deadline;
+        return now - over_since >= kRememberEnded;
     });
 }
 
--- a/src/retry/retry_ledger.hpp
+++ b/src/retry/retry_ledger.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "protocol/serialize_all.hpp"
 #include "protocol/time_types.hpp"
 
 namespace anisehold::retry {
@@ -28,7 +29,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& call_id& identity& repeatable;
+        serialize_all(archive, call_id, identity, repeatable);
     }
 };
 
@@ -41,7 +42,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& verdict& lent& loan_id& remaining_ms& root_age_ms;
+        serialize_all(archive, verdict, lent, loan_id, remaining_ms, root_age_ms);
     }
 };
 
@@ -61,10 +62,12 @@
     bool refused_by_overload = false;  ///< The nested call, or one below it, was refused for overload.
     bool not_run = false;              ///< Nothing of it ran, so a non-repeatable one may be made again.
     std::uint64_t duration_us = 0;
+    bool forget_attempt = false;  ///< The attempt ran nothing and is not to be counted as one.
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        archive& call_id& identity& loan_id& used& refused_by_overload& not_run& duration_us;
+        serialize_all(archive, call_id, identity, loan_id, used, refused_by_overload, not_run, duration_us,
+                      forget_attempt);
     }
 };
 
@@ -72,7 +75,8 @@
 struct LedgerReport {
     unsigned used = 0;  ///< Loans not yet returned count as used.
     bool refused_by_overload = false;
-    Duration nested_time{};  ///< Time spent in nested calls.
+    bool nested_ran = false;  ///< A nested call may have run.
+    Duration nested_time{};   ///< Time spent in nested calls.
 };
 
 /// Ledgers of the calls that this daemon has dispatched. Pure.
@@ -80,12 +84,14 @@
   public:
     /// Opens the ledger of a call that is dispatched.
     void open(const std::string& call_id, const LedgerTerms& terms);
+    /// Opens a ledger unless there is one: for a client's request, which may come again.
+    void open_if_absent(const std::string& call_id, const LedgerTerms& terms);
     DrawReply draw(TimePoint now, const DrawRequest& request);
     /// Settling a loan a second time has no effect.
     void settle(const SettleRequest& request);
     /// Ends a call. Nested calls that it still makes are answered with `kEnded` until `forget`.
     LedgerReport close(TimePoint now, const std::string& call_id);
-    /// Drops calls that ended before `now - kRememberEnded`.
+    /// Drops calls that ended, or ran out of time, before `now - kRememberEnded`.
     void forget(TimePoint now);
     std::size_t size() const { return ledgers_.size(); }
 
@@ -94,7 +100,8 @@
 
   private:
     struct NestedCall {
-        bool may_have_run = true;
+        bool may_have_run = true;  ///< The latest attempt.
+        bool ever_ran = false;     ///< Some earlier attempt may have run.
     };
     struct Ledger {
         LedgerTerms terms;
--- a/src/routing/call.hpp
+++ b/src/routing/call.hpp
@@ -38,6 +38,7 @@
     Duration retry_after{};
     unsigned retries_used = 0;         ///< By the call and all below it.
     bool refused_by_overload = false;  ///< The call, or one below it.
+    bool nested_ran = false;           ///< A call nested in this one may have run.
     bool server_leaving = false;
 
     /// A result without a back end's answer; what is known of its execution follows from the kind.
--- /dev/null
+++ b/src/routing/handles/client_ledger_route.cpp
@@ -0,0 +1,50 @@
+#include "routing/handles/client_ledger_route.hpp"
+
+namespace anisehold::routing {
+namespace {
+
+using retry::DrawVerdict;
+
+/// How long a client's request is remembered for its retries to be known.
+constexpr seconds kClientMemory{60};
+constexpr milliseconds kRetryAfter{1'000};
+
+/// What names the client's request over its retries; empty if nothing does.
+std::string client_request_name(const Call& call) {
+    if (const auto key = call.request->fields.find(header::kIdempotencyKey)) {
+        return "key:" + std::string(*key);
+    }
+    if (const auto trace_id = trace_id_of(call.request->fields.find(header::kTraceParent).value_or(""))) {
+        return "trace:" + *trace_id;
+    }
+    return {};
+}
+
+}  // namespace
+
+CallResult ClientLedgerRoute::route(Call& call) {
+    const auto name = client_request_name(call);
+    const bool accounted =
+        context_.has(config::Mechanism::kRetryEscrow) && call.route.row.repeatable && !name.empty();
+    if (!accounted) {
+        return next_.route(call);
+    }
+    gates_.open_client_ledger(name, {call.route.row.retries, call.received + kClientMemory, call.received});
+    const auto loan = gates_.handle(retry::DrawRequest{name, call.identity, true});
+    if (loan.verdict == DrawVerdict::kExhausted) {
+        return CallResult::failure(ErrorKind::kRetriesExhausted, kRetryAfter);
+    }
+    call.context.retry_allowance = loan.lent;
+    auto result = next_.route(call);
+    retry::SettleRequest settlement;
+    settlement.call_id = name;
+    settlement.identity = call.identity;
+    settlement.loan_id = loan.loan_id;
+    settlement.used = result.retries_used;
+    // A client that was refused and comes back as told makes its first attempt still.
+    settlement.forget_attempt = !result.response && result.execution == Execution::kNotRun;
+    gates_.handle(settlement);
+    return result;
+}
+
+}  // namespace anisehold::routing
--- a/src/routing/handles/server_route.cpp
+++ b/src/routing/handles/server_route.cpp
@@ -1,5 +1,8 @@
 #include "routing/handles/server_route.hpp"
 
+#include <algorithm>
+#include <utility>
+
 #include "routing/balancer.hpp"
 
 namespace anisehold::routing {
@@ -42,6 +45,29 @@
 }  // namespace
 
 CallResult ServerRoute::route(Call& call) {
+    const unsigned allowance = call.context.retry_allowance;
+    auto result = route_to_one_of(call);
+    result.retries_used += allowance - call.context.retry_allowance;
+    call.context.retry_allowance = allowance;
+    return result;
+}
+
+/// Charges the call for what it used at a server before it goes to another. False if it may not go on:
+/// where calls nested in it have run, another server is a retry like any other.
+bool ServerRoute::charge_for_move(Call& call, CallResult& result) {
+    const unsigned used = std::min(std::exchange(result.retries_used, 0), call.context.retry_allowance);
+    call.context.retry_allowance -= used;
+    if (!result.nested_ran) {
+        return true;
+    }
+    if (call.context.retry_allowance == 0) {
+        return false;
+    }
+    --call.context.retry_allowance;
+    return true;
+}
+
+CallResult ServerRoute::route_to_one_of(Call& call) {
     std::vector<Endpoint> tried;
     auto result = CallResult::failure(ErrorKind::kNoBackend, kNoBackendRetryAfter);
     for (int attempt = 0; attempt < kMostServers; ++attempt) {
@@ -55,7 +81,7 @@
         context_.decisions.add(call.context.root_id, call.context.call_id,
                                observability::DecisionStep::kServerChosen, chosen->endpoint.text());
         result = route_to(call, chosen->endpoint, chosen->zone);
-        if (streamed || !may_go_elsewhere(result)) {
+        if (streamed || !may_go_elsewhere(result) || !charge_for_move(call, result)) {
             return result;
         }
         tried.push_back(chosen->endpoint);
@@ -120,6 +146,7 @@
     if (report) {
         result.retries_used = report->retries_used;
         result.refused_by_overload = report->refused_by_overload;
+        result.nested_ran = report->nested_ran;
         result.server_leaving = report->leaving;
         result.retry_after = milliseconds(report->retry_after_ms);
         registry_.on_report(TimePoint::clock::now(), server,
--- a/src/routing/handles/server_route.hpp
+++ b/src/routing/handles/server_route.hpp
@@ -23,6 +23,8 @@
     CallResult route(Call& call) override;
 
   private:
+    CallResult route_to_one_of(Call& call);
+    static bool charge_for_move(Call& call, CallResult& result);
     CallResult route_to(Call& call, const Endpoint& server, const std::string& zone);
     CallResult ask_remote_gate(Call& call, const Endpoint& server, const membership::MemberInfo& gate);
     CallResult remote_result(net::HttpResponse response, const Call& call, const Endpoint& server);
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -348,7 +348,10 @@
     for (std::size_t index = 0; daemon_order.empty() && index < daemons_.size(); ++index) {
         order.push_back(index);
     }
-    std::vector<std::string> all{"load", "--id-prefix", name + "-"};
+    std::vector<std::string> all{"load"};
+    if (std::find(arguments.begin(), arguments.end(), "--id-prefix") == arguments.end()) {
+        all.insert(all.end(), {"--id-prefix", name + "-"});
+    }
     const auto flags = target_flags(order);
     all.insert(all.end(), flags.begin(), flags.end());
     all.insert(all.end(), arguments.begin(), arguments.end());
--- a/tests/unit/protocol/call_context_test.cpp
+++ b/tests/unit/protocol/call_context_test.cpp
@@ -68,15 +68,16 @@
 }
 
 TEST_CASE("a gate report survives encoding") {
-    const auto decoded = decode_gate_report(encode_gate_report({1, true, false, 5, 6, 7, 800}));
+    const auto decoded = decode_gate_report(encode_gate_report({1, true, false, true, 5, 6, 7, 800}));
     REQUIRE(decoded);
     CHECK(decoded->retries_used == 1);
     CHECK(decoded->refused_by_overload);
-    CHECK_FALSE(decoded->leaving);
+    CHECK_FALSE(decoded->nested_ran);
+    CHECK(decoded->leaving);
     CHECK(decoded->limit == 7);
     CHECK(decoded->retry_after_ms == 800);
     CHECK_FALSE(decode_gate_report("1;2;3"));
-    CHECK_FALSE(decode_gate_report("a;b;c;d;e;f;g"));
+    CHECK_FALSE(decode_gate_report("a;b;c;d;e;f;g;h"));
 }
 
 TEST_CASE("trace ids are read from traceparent") {
--- a/tests/unit/retry/retry_ledger_test.cpp
+++ b/tests/unit/retry/retry_ledger_test.cpp
@@ -84,6 +84,21 @@
     CHECK(ledger.draw(at_ms(0), {"call", 1, false}).verdict == DrawVerdict::kNotRepeated);
 }
 
+TEST_CASE("the report tells whether a nested call may have run") {
+    RetryLedger ledger;
+    ledger.open("call", terms(2));
+    auto first = settlement(ledger.draw(at_ms(0), {"call", 1, true}), 1, 0);
+    first.not_run = true;
+    ledger.settle(first);
+    CHECK_FALSE(ledger.close(at_ms(0), "call").nested_ran);
+    ledger.open("call", terms(2));
+    ledger.settle(settlement(ledger.draw(at_ms(0), {"call", 1, true}), 1, 0));
+    auto second = settlement(ledger.draw(at_ms(0), {"call", 1, true}), 1, 0);
+    second.not_run = true;
+    ledger.settle(second);
+    CHECK(ledger.close(at_ms(0), "call").nested_ran);
+}
+
 TEST_CASE("calls that ended or were never here are told apart") {
     RetryLedger ledger;
     CHECK(ledger.draw(at_ms(0), {"call", 1, true}).verdict == DrawVerdict::kUnknownCall);
@@ -119,7 +134,7 @@
                     }
                     const auto used = run(layer + 1, loan.lent);
                     if (used) {
-                        SettleRequest request{call_id, 1, loan.loan_id, *used, false, false, 0};
+                        SettleRequest request{call_id, 1, loan.loan_id, *used, false, false, 0, false};
                         ledger.settle(request);
                     }
                 }
@@ -132,6 +147,23 @@
     }
 }
 
+TEST_CASE("a client's attempt that ran nothing isn't counted") {
+    RetryLedger ledger;
+    ledger.open_if_absent("call", terms(1));
+    for (int attempt = 0; attempt < 5; ++attempt) {
+        const auto loan = ledger.draw(at_ms(0), {"call", 1, true});
+        CHECK(loan.verdict == DrawVerdict::kFirst);
+        CHECK(loan.lent == 1);
+        auto refused = settlement(loan, 1, 0);
+        refused.forget_attempt = true;
+        ledger.settle(refused);
+        ledger.open_if_absent("call", terms(1));
+    }
+    const auto loan = ledger.draw(at_ms(0), {"call", 1, true});
+    ledger.settle(settlement(loan, 1, 1));
+    CHECK(ledger.draw(at_ms(0), {"call", 1, true}).verdict == DrawVerdict::kExhausted);
+}
+
 TEST_CASE("the retry budget allows a share of first attempts") {
     RetryBudget budget;
     unsigned retries = 0;
