--- a/lab/backend.cpp
+++ b/lab/backend.cpp
@@ -58,9 +58,13 @@
 /// Gives the slot back at the end of the scope.
 class Backend::SlotLease {
   public:
-    explicit SlotLease(Backend& backend) : backend_(backend), taken_at_(TimePoint::clock::now()) {}
+    SlotLease(Backend& backend, Counts& counts)
+        : backend_(backend), counts_(counts), taken_at_(TimePoint::clock::now()) {}
     ~SlotLease() {
-        backend_.slot_seconds_ += std::chrono::duration<double>(TimePoint::clock::now() - taken_at_).count();
+        const double held_seconds =
+            std::chrono::duration<double>(TimePoint::clock::now() - taken_at_).count();
+        backend_.slot_seconds_ += held_seconds;
+        counts_.slot_seconds += held_seconds;
         backend_.return_slot();
     }
     SlotLease(const SlotLease&) = delete;
@@ -68,6 +72,7 @@
 
   private:
     Backend& backend_;
+    Counts& counts_;
     TimePoint taken_at_;
 };
 
@@ -144,7 +149,9 @@
     json kinds = json::object();
     for (const auto& [kind, requests] : counts_) {
         for (const auto& [request_id, count] : requests) {
-            kinds[kind][request_id] = {{"started", count.started}, {"committed", count.committed}};
+            kinds[kind][request_id] = {{"started", count.started},
+                                       {"committed", count.committed},
+                                       {"slot_seconds", count.slot_seconds}};
         }
     }
     return json_answer(kOk, {{"received", received_},
@@ -214,9 +221,9 @@
     if (!take_slot(deadline, cancel)) {
         return refuse("no slot in time");
     }
-    const SlotLease lease(*this);
     const auto request_id = request_id_of(request);
     Counts& count = counts_[kind.name][request_id];
+    const SlotLease lease(*this, count);
     ++count.started;
     if (!work(kind, cancel)) {
         return refuse("cancelled");
--- a/lab/backend.hpp
+++ b/lab/backend.hpp
@@ -46,6 +46,7 @@
     struct Counts {
         unsigned started = 0;
         unsigned committed = 0;
+        double slot_seconds = 0;
     };
     enum class NestedOutcome { kWhole, kNotRun, kFailed };
     class SlotLease;
--- a/lab/load.cpp
+++ b/lab/load.cpp
@@ -28,15 +28,6 @@
     return to_hex(material);
 }
 
-double percentile(std::vector<double> values, double share) {
-    if (values.empty()) {
-        return 0;
-    }
-    const auto rank = static_cast<std::size_t>(share * static_cast<double>(values.size() - 1));
-    std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(rank), values.end());
-    return values[rank];
-}
-
 milliseconds come_back_after(const net::HttpResponse& response) {
     const auto problem = json::parse(response.body.prefix, nullptr, false);
     const bool named = problem.is_object() && problem.contains("retry_after_ms") &&
@@ -125,7 +116,7 @@
         case RequestOutcome::kWhole:
             ++result.whole;
             ++bucket.whole;
-            result.latencies_ms.push_back(
+            result.latencies.add(
                 std::chrono::duration<double, std::milli>(TimePoint::clock::now() - arrival).count());
             whole_ids_.push_back(id);
             break;
@@ -204,16 +195,15 @@
                        {"failed", result.failed},
                        {"wrong", result.wrong},
                        {"told_not_run", result.told_not_run},
-                       {"p50_ms", percentile(result.latencies_ms, 0.5)},
-                       {"p99_ms", percentile(result.latencies_ms, 0.99)}};
+                       {"p50_ms", result.latencies.percentile_ms(0.5)},
+                       {"p99_ms", result.latencies.percentile_ms(0.99)}};
         total.sent += result.sent;
         total.attempts += result.attempts;
         total.whole += result.whole;
         total.refused += result.refused;
         total.failed += result.failed;
         total.wrong += result.wrong;
-        total.latencies_ms.insert(total.latencies_ms.end(), result.latencies_ms.begin(),
-                                  result.latencies_ms.end());
+        total.latencies.add(result.latencies);
     }
     const json summary{{"sent", total.sent},
                        {"attempts", total.attempts},
@@ -221,8 +211,8 @@
                        {"refused", total.refused},
                        {"failed", total.failed},
                        {"wrong", total.wrong},
-                       {"p50_ms", percentile(total.latencies_ms, 0.5)},
-                       {"p99_ms", percentile(total.latencies_ms, 0.99)},
+                       {"p50_ms", total.latencies.percentile_ms(0.5)},
+                       {"p99_ms", total.latencies.percentile_ms(0.99)},
                        {"kinds", std::move(kinds)},
                        {"not_run_ids", not_run_ids_},
                        {"whole_ids", whole_ids_}};
--- a/lab/load.hpp
+++ b/lab/load.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "lab/deployment.hpp"
+#include "lab/latency_histogram.hpp"
 #include "lab/service_caller.hpp"
 #include "protocol/time_types.hpp"
 
@@ -54,7 +55,7 @@
         std::uint64_t failed = 0;
         std::uint64_t wrong = 0;
         std::uint64_t told_not_run = 0;
-        std::vector<double> latencies_ms;
+        LatencyHistogram latencies;
     };
     /// Outcomes in one tenth of a second, by the time of arrival.
     struct Bucket {
--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -126,6 +126,9 @@
     if (request.method == "POST" && target == "/table/accept") {
         return accept_table(request);
     }
+    if (request.method == "POST" && target == "/lab/peers" && context_.settings.lab_enabled) {
+        return set_peer_faults(request);
+    }
     if (request.method != "GET") {
         return json_response(kBadRequest, {{"error", "only GET is served here"}});
     }
@@ -154,6 +157,26 @@
     return json_response(kNotFound, {{"error", "no such page"}});
 }
 
+/// Lab only: {"loss": SHARE, "cut": ["IP:PORT", ...]} with the peer addresses that nothing is sent to.
+net::HttpResponse AdminServer::set_peer_faults(const net::HttpRequest& request) {
+    const auto body = ordered_json::parse(request.body.prefix, nullptr, false);
+    const bool shaped = body.is_object() && body.contains("cut") && body["cut"].is_array();
+    if (!shaped) {
+        return json_response(kBadRequest, {{"error", "the body must have cut"}});
+    }
+    context_.peer_faults = {};
+    if (body.contains("loss") && body["loss"].is_number()) {
+        context_.peer_faults.loss = body["loss"].get<double>();
+    }
+    for (const auto& text : body["cut"]) {
+        const auto endpoint = text.is_string() ? parse_endpoint(text.get<std::string>()) : std::nullopt;
+        if (endpoint) {
+            context_.peer_faults.cut.insert(*endpoint);
+        }
+    }
+    return json_response(kOk, {{"cut", context_.peer_faults.cut.size()}});
+}
+
 net::HttpResponse AdminServer::status() const {
     const auto now = TimePoint::clock::now();
     const auto table = documents_.table();
@@ -189,6 +212,7 @@
                                {"zone", context_.self.zone},
                                {"stopping", stopping_},
                                {"calls_in_flight", gates_.calls_in_flight()},
+                               {"control_bytes", context_.control_bytes},
                                {"table_revision", table ? table->revision() : 0},
                                {"change_id", table ? table->record().change_id : ""},
                                {"store_reader", documents_.is_store_reader()},
--- a/src/daemon/admin_server.hpp
+++ b/src/daemon/admin_server.hpp
@@ -23,6 +23,7 @@
 
   private:
     net::HttpResponse handle(net::HttpRequest& request);
+    net::HttpResponse set_peer_faults(const net::HttpRequest& request);
     net::HttpResponse status() const;
     net::HttpResponse explain(std::string_view target) const;
     net::HttpResponse events() const;
--- a/src/daemon/claim_service.cpp
+++ b/src/daemon/claim_service.cpp
@@ -302,12 +302,24 @@
 void ClaimService::run_view_keeper() {
     constexpr auto no_wish = TimePoint::max();
     TimePoint wished_since = no_wish;
+    std::uint64_t seen_version = 0;
+    std::uint64_t seen_epoch = 0;
     while (true) {
         boost::this_fiber::sleep_for(kKeeperPeriod);
-        const auto working = as_holders(membership_.working_members());
         const auto& view = documents_.holder_view();
+        const bool changed = membership_.version() != seen_version || view.epoch != seen_epoch;
+        if (!changed && wished_since == no_wish) {
+            continue;
+        }
+        seen_version = membership_.version();
+        seen_epoch = view.epoch;
+        const auto working = as_holders(membership_.working_members());
         const auto wished = claims::choose_holders(view.holders, working, kHoldersPerZone);
         const bool differs = wished != view.holders && !wished.empty();
+        if (differs && !is_view_keeper()) {
+            // Looked at again, since the keeper may fail without any change here.
+            seen_version = 0;
+        }
         if (!differs || !is_view_keeper() || context_.settings.platform_stores.empty()) {
             wished_since = no_wish;
             continue;
@@ -352,17 +364,20 @@
 }
 
 void ClaimService::propose_view(const std::vector<Holder>& holders) {
+    // The view may change while its holders are asked; the swap must be against the one they were asked
+    // about.
+    const auto revision = documents_.holder_view_revision();
+    const auto current = documents_.holder_view();
     if (!present_view_is_covered()) {
         return;
     }
-    const auto& current = documents_.holder_view();
     claims::HolderView next;
     next.epoch = current.epoch + 1;
     next.holders = holders;
     next.previous = current.holders;
     const auto text = claims::to_json_text(next);
-    const auto swap = documents_.store().compare_and_swap(
-        platform::kHolderViewKey, documents_.holder_view_revision(), {{platform::kHolderViewKey, text}});
+    const auto swap = documents_.store().compare_and_swap(platform::kHolderViewKey, revision,
+                                                          {{platform::kHolderViewKey, text}});
     if (swap.outcome == platform::SwapOutcome::kDone) {
         log_event(Event::kHolderViewChanged,
                   {{"epoch", std::to_string(next.epoch)}, {"holders", std::to_string(holders.size())}});
--- a/src/daemon/membership_service.cpp
+++ b/src/daemon/membership_service.cpp
@@ -71,7 +71,11 @@
 void MembershipService::send(const std::vector<membership::Datagram>& datagrams) {
     for (const auto& datagram : datagrams) {
         const auto bytes = encode(datagram.message, context_.settings.daemon_mesh_key);
-        socket_.send(datagram.to, bytes);
+        context_.control_bytes += bytes.size();
+        const bool lost = context_.peer_faults.loss > 0 && context_.random_unit() < context_.peer_faults.loss;
+        if (!lost && !context_.peer_faults.cut.contains(datagram.to)) {
+            socket_.send(datagram.to, bytes);
+        }
         context_.metrics.count_gossip_bytes(bytes.size(), 0);
     }
 }
@@ -84,6 +88,7 @@
         return;
     }
     context_.metrics.count_gossip_bytes(0, bytes.size());
+    context_.control_bytes += bytes.size();
     send(swim_.receive(TimePoint::clock::now(), from, *message));
     report_events();
     if (listener_) {
@@ -163,17 +168,25 @@
     unreachable_until_[id] = TimePoint::clock::now() + kUnreachableHolds;
 }
 
-std::vector<MemberRecord> MembershipService::gate_members(const std::string& zone) const {
+const std::vector<MemberRecord>& MembershipService::working_members() const {
+    if (working_version_ != swim_.version()) {
+        working_ = swim_.working_members();
+        working_version_ = swim_.version();
+    }
+    return working_;
+}
+
+std::vector<const MemberInfo*> MembershipService::gate_members(const std::string& zone) const {
     const auto now = TimePoint::clock::now();
-    std::vector<MemberRecord> reachable;
-    std::vector<MemberRecord> in_zone;
-    for (const auto& record : swim_.working_members()) {
+    std::vector<const MemberInfo*> reachable;
+    std::vector<const MemberInfo*> in_zone;
+    for (const auto& record : working_members()) {
         if (is_unreachable(record.info.id, now)) {
             continue;
         }
-        reachable.push_back(record);
+        reachable.push_back(&record.info);
         if (record.info.zone == zone) {
-            in_zone.push_back(record);
+            in_zone.push_back(&record.info);
         }
     }
     return in_zone.empty() ? reachable : in_zone;
@@ -184,17 +197,16 @@
     if (members.empty()) {
         return std::nullopt;
     }
-    const auto on_machine = [&](const MemberRecord& record) { return record.info.call.ip == server.ip; };
+    const auto on_machine = [&](const MemberInfo* member) { return member->call.ip == server.ip; };
     if (std::count_if(members.begin(), members.end(), on_machine) == 1) {
-        return std::find_if(members.begin(), members.end(), on_machine)->info;
+        return **std::find_if(members.begin(), members.end(), on_machine);
     }
     const auto key = server.text();
-    const auto best =
-        std::max_element(members.begin(), members.end(), [&](const auto& left, const auto& right) {
-            return routing::rendezvous_score(left.info.id, key) <
-                   routing::rendezvous_score(right.info.id, key);
+    const auto* const* best = &*std::max_element(
+        members.begin(), members.end(), [&](const MemberInfo* left, const MemberInfo* right) {
+            return routing::rendezvous_score(left->id, key) < routing::rendezvous_score(right->id, key);
         });
-    return best->info;
+    return **best;
 }
 
 }  // namespace anisehold::daemon
--- a/src/daemon/membership_service.hpp
+++ b/src/daemon/membership_service.hpp
@@ -30,16 +30,16 @@
 
     const membership::MemberRecord* find(const std::string& id) const { return swim_.find(id); }
     std::vector<membership::MemberRecord> records() const { return swim_.records(); }
-    std::vector<membership::MemberRecord> working_members() const { return swim_.working_members(); }
+    /// Members that take new work; kept until something changes.
+    const std::vector<membership::MemberRecord>& working_members() const;
+    /// Rises with each change of any member.
+    std::uint64_t version() const { return swim_.version(); }
     /// Takes in a full list and returns the own one.
     std::vector<membership::MemberRecord> exchange_records(
         const std::vector<membership::MemberRecord>& theirs);
     /// A random member that isn't gone.
     std::optional<membership::MemberInfo> random_peer() { return swim_.random_peer(); }
 
-    /// The members that gate servers of `zone`: working ones of that zone, else all working ones. Members
-    /// that this daemon just failed to reach are left out.
-    std::vector<membership::MemberRecord> gate_members(const std::string& zone) const;
     /// The gate of a server: the daemon on the server's own machine, else one by rendezvous hash.
     std::optional<membership::MemberInfo> gate_of(const Endpoint& server, const std::string& zone) const;
     /// A call to this member's daemon failed before anything was sent; it is passed over for a second.
@@ -52,6 +52,9 @@
     void run_full_exchanges();
     void report_events();
     bool is_unreachable(const std::string& id, TimePoint now) const;
+    /// The members that gate servers of `zone`: working ones of that zone, else all working ones. Members
+    /// that this daemon just failed to reach are left out.
+    std::vector<const membership::MemberInfo*> gate_members(const std::string& zone) const;
 
     DaemonContext& context_;
     PeerClient& peers_;
@@ -59,6 +62,8 @@
     net::UdpSocket socket_;
     RevisionListener listener_;
     std::map<std::string, TimePoint> unreachable_until_;
+    mutable std::vector<membership::MemberRecord> working_;
+    mutable std::optional<std::uint64_t> working_version_;
 };
 
 }  // namespace anisehold::daemon
--- a/src/daemon/peer_service.cpp
+++ b/src/daemon/peer_service.cpp
@@ -59,7 +59,9 @@
         return std::nullopt;
     }
     const Answerer answerer(membership_, documents_, claims_, gates_);
-    return encode(boost::apply_visitor(answerer, *request), key);
+    auto reply = encode(boost::apply_visitor(answerer, *request), key);
+    context_.control_bytes += frame.size() + reply.size();
+    return reply;
 }
 
 }  // namespace anisehold::daemon
--- a/src/membership/swim.cpp
+++ b/src/membership/swim.cpp
@@ -130,6 +130,7 @@
 }
 
 void Swim::forget_old(TimePoint now) {
+    ++version_;
     std::erase_if(members_, [&](const auto& entry) {
         return is_gone(entry.second.record.state) && now - entry.second.changed_at >= config_.forget_after_ms;
     });
@@ -210,6 +211,7 @@
             return;
         }
         members_[record.info.id] = Member{record, now};
+        ++version_;
         events_.push_back({record, std::nullopt});
         if (spread == Spread::kYes) {
             enqueue_update(record.info.id);
@@ -227,6 +229,7 @@
     const bool rebooted = member.record.info.boot_id != record.info.boot_id;
     member.record = record;
     member.changed_at = now;
+    ++version_;
     if (spread == Spread::kYes) {
         enqueue_update(record.info.id);
     }
@@ -253,6 +256,7 @@
 }
 
 void Swim::enqueue_update(const std::string& id) {
+    ++version_;
     std::erase_if(updates_, [&](const Update& update) { return update.id == id; });
     updates_.push_back({id, 0});
 }
--- a/src/membership/swim.hpp
+++ b/src/membership/swim.hpp
@@ -57,6 +57,8 @@
     std::vector<Datagram> set_revisions(const DocumentRevisions& revisions);
 
     const MemberRecord& self() const { return self_; }
+    /// Rises with each change of any record, so that what is derived from them can be kept.
+    std::uint64_t version() const { return version_; }
     /// All known members, the own one first.
     std::vector<MemberRecord> records() const;
     const MemberRecord* find(const std::string& id) const;
@@ -120,6 +122,7 @@
     std::mt19937_64 random_;
     std::uint64_t next_sequence_ = 1;
     std::uint64_t periods_ = 0;
+    std::uint64_t version_ = 0;
     unsigned local_health_ = 0;  // 0 is healthy; each failed probe of our own raises it.
     std::optional<TimePoint> last_tick_;
     TimePoint period_started_;
--- a/src/routing/handles/server_route.cpp
+++ b/src/routing/handles/server_route.cpp
@@ -112,6 +112,9 @@
 
 CallResult ServerRoute::ask_remote_gate(Call& call, const Endpoint& server,
                                         const membership::MemberInfo& gate) {
+    if (context_.peer_faults.cut.contains(gate.peer)) {
+        return CallResult::failure(ErrorKind::kConnectFailed, kNoBackendRetryAfter);
+    }
     auto request = gate_request(call, server, context_.settings.daemon_mesh_key);
     net::ExchangeProgress progress;
     std::error_code error;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -374,6 +374,7 @@
         for (const auto& [request_id, count] : counts->at("kinds").at(kind).items()) {
             total.started[request_id] += count.at("started").get<unsigned>();
             total.committed[request_id] += count.at("committed").get<unsigned>();
+            total.slot_seconds[request_id] += count.at("slot_seconds").get<double>();
         }
     }
     return total;
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -91,6 +91,7 @@
     /// Starts a process again that has ended.
     void restart(const std::string& name);
     bool is_running(const std::string& name);
+    int process_id(const std::string& name) { return process(name).child.id(); }
 
     /// GET or POST (with a body) of JSON; nothing if no JSON answer came.
     std::optional<nlohmann::json> get(const Endpoint& server, const std::string& target);
@@ -122,6 +123,7 @@
     struct Executions {
         std::map<std::string, unsigned> started;
         std::map<std::string, unsigned> committed;
+        std::map<std::string, double> slot_seconds;
     };
     Executions executions(const std::string& kind);
 
