--- a/bench/bench.cpp
+++ b/bench/bench.cpp
@@ -11,6 +11,7 @@
 #include <iomanip>
 #include <iostream>
 #include <set>
+#include <sstream>
 
 #include "bench/ideal.hpp"
 #include "bench/series.hpp"
@@ -22,9 +23,11 @@
 using nlohmann::json;
 using testing::Fleet;
 
-constexpr long kBeforeMs = 5'000;
-constexpr long kCauseMs = 10'000;
-constexpr long kAfterMs = 10'000;
+constexpr long kBeforeMs = 4'000;
+constexpr long kCauseMs = 6'000;
+constexpr long kAfterMs = 7'000;
+/// How long a client waits for one request, its retries included.
+constexpr long kPatienceMs = 3'000;
 constexpr long kEndMs = kBeforeMs + kCauseMs + kAfterMs;
 /// The load before the cause, as a share of what the slots can do.
 constexpr double kBaseLoad = 0.7;
@@ -104,6 +107,7 @@
     double wasted = 0;
     double p99_ms = 0;
     Series series;
+    std::map<std::string, double> errors;  ///< Answers made by the daemons, by row and kind.
 };
 
 testing::FleetOptions fleet_options(const std::string& deployment, Mode mode, std::uint16_t base_port) {
@@ -125,7 +129,7 @@
             "--rate",        std::to_string(rate / zones),
             "--duration-ms", std::to_string(kEndMs),
             "--retries",     "3",
-            "--timeout-ms",  "3000",
+            "--timeout-ms",  std::to_string(kPatienceMs),
             "--series",      fleet.run_folder() + "/series-" + std::to_string(zone) + ".csv"};
         arguments.insert(arguments.end(), {"--profile", "0:1"});
         if (scenario.moving_demand) {
@@ -177,45 +181,46 @@
     }
 }
 
-/// Whole requests in [from, to) against what the slots could complete of those offered.
-void add_goodput(const Series& series, const lab::Deployment& deployment, long from_ms, long to_ms,
-                 const SlowFactors& slow, double& whole, double& ideal, double& top_whole,
-                 double& top_ideal) {
-    std::map<std::string, double> offered;
-    const auto totals = series.totals(from_ms, to_ms);
-    for (const auto& [kind, interval] : totals) {
-        offered[kind] = interval.sent;
+/// What arrived in each interval, and how slow the deepest service was.
+std::vector<IdealInterval> ideal_intervals(const Scenario& scenario, const lab::Deployment& deployment,
+                                           const Series& series) {
+    std::vector<IdealInterval> intervals(static_cast<std::size_t>(kEndMs / kIntervalMs));
+    for (const auto& [place, interval] : series.intervals()) {
+        if (place.first < static_cast<long>(intervals.size())) {
+            intervals[static_cast<std::size_t>(place.first)].offered[place.second] = interval.sent;
+        }
     }
-    const auto best =
-        ideal_completions(deployment, offered, static_cast<double>(to_ms - from_ms) / 1'000.0, slow);
-    for (const auto& [kind, interval] : totals) {
-        const bool important = deployment.kind(kind)->priority <= kImportant;
-        whole += interval.whole;
-        ideal += best.at(kind);
-        top_whole += important ? interval.whole : 0;
-        top_ideal += important ? best.at(kind) : 0;
+    for (long index = kBeforeMs / kIntervalMs; index < (kBeforeMs + kCauseMs) / kIntervalMs; ++index) {
+        auto& slow = intervals[static_cast<std::size_t>(index)].slow;
+        // A service that is gone can complete nothing.
+        slow[deepest_service(deployment)] = scenario.restart_service ? 1e9 : scenario.slow_factor;
     }
+    return intervals;
 }
 
+/// Whole requests against the ideal, of what arrived from the cause's start on.
 void measure_goodput(const Scenario& scenario, const lab::Deployment& deployment, RunResult& result) {
+    const auto intervals = ideal_intervals(scenario, deployment, result.series);
+    const auto best =
+        ideal_completions(deployment, intervals, kIntervalMs / 1'000.0, kPatienceMs / kIntervalMs);
     double whole = 0;
     double ideal = 0;
     double top_whole = 0;
     double top_ideal = 0;
-    SlowFactors slow;
-    slow[deepest_service(deployment)] = scenario.slow_factor;
-    const long cause_end_ms = kBeforeMs + kCauseMs;
-    if (scenario.restart_service) {
-        // The service is gone: what needs it can't be completed, so only the time after counts.
-        slow[deepest_service(deployment)] = 1;
-    } else {
-        add_goodput(result.series, deployment, kBeforeMs, cause_end_ms, slow, whole, ideal, top_whole,
-                    top_ideal);
+    for (const auto& [place, interval] : result.series.intervals()) {
+        if (place.first < kBeforeMs / kIntervalMs || place.first >= static_cast<long>(best.size())) {
+            continue;
+        }
+        const double could = best[static_cast<std::size_t>(place.first)].at(place.second);
+        const bool important = deployment.kind(place.second)->priority <= kImportant;
+        whole += interval.whole;
+        ideal += could;
+        top_whole += important ? interval.whole : 0;
+        top_ideal += important ? could : 0;
     }
-    add_goodput(result.series, deployment, cause_end_ms, kEndMs, {}, whole, ideal, top_whole, top_ideal);
     result.goodput = whole / std::max(ideal, 1.0);
     result.top_goodput = top_whole / std::max(top_ideal, 1.0);
-    result.recovery_s = recovery_seconds(result.series, kBeforeMs, cause_end_ms, kEndMs);
+    result.recovery_s = recovery_seconds(result.series, kBeforeMs, kBeforeMs + kCauseMs, kEndMs);
 }
 
 void measure_executions(Fleet& fleet, const std::set<std::string>& whole_ids, RunResult& result) {
@@ -237,6 +242,23 @@
     result.wasted = wasted_seconds / std::max(all_seconds, 1e-9);
 }
 
+/// Sums the daemons' refusals and failures by row and kind, from their metrics.
+std::map<std::string, double> errors_by_kind(Fleet& fleet) {
+    std::map<std::string, double> errors;
+    for (const auto& place : fleet.daemons()) {
+        std::istringstream lines(fleet.get_text(place.admin, "/metrics"));
+        std::string line;
+        while (std::getline(lines, line)) {
+            const auto end = line.rfind(' ');
+            if (line.rfind("anisehold_errors_total{", 0) == 0) {
+                const auto labels = line.substr(line.find('{'), end - line.find('{'));
+                errors[labels] += std::stod(line.substr(end + 1));
+            }
+        }
+    }
+    return errors;
+}
+
 bool run_once(const std::string& deployment, const Scenario& scenario, Mode mode, std::uint16_t base_port,
               RunResult& result) {
     Fleet fleet(fleet_options(deployment, mode, base_port));
@@ -262,6 +284,7 @@
         }
         result.series.add_file(fleet.run_folder() + "/series-" + std::to_string(zone) + ".csv");
     }
+    result.errors = errors_by_kind(fleet);
     measure_goodput(scenario, fleet.deployment(), result);
     measure_executions(fleet, whole_ids, result);
     return true;
@@ -290,6 +313,9 @@
               << " recovery_s=" << result.recovery_s << " amplification=" << result.amplification
               << " most=" << result.most_executions << " wasted=" << result.wasted << std::setprecision(0)
               << " p99_ms=" << result.p99_ms << std::endl;
+    for (const auto& [labels, count] : result.errors) {
+        std::cout << "      " << labels << " " << count << std::endl;
+    }
 }
 
 }  // namespace
--- a/bench/ideal.cpp
+++ b/bench/ideal.cpp
@@ -53,30 +53,50 @@
     return capacity;
 }
 
-std::map<std::string, double> ideal_completions(const lab::Deployment& deployment,
-                                                const std::map<std::string, double>& offered, double seconds,
-                                                const SlowFactors& slow) {
-    std::map<std::string, double> room;
-    for (const auto& service : deployment.services) {
-        room[service.name] = static_cast<double>(service.servers) * service.slots * seconds;
-    }
+namespace {
+
+std::vector<const lab::KindSpec*> kinds_by_importance(const lab::Deployment& deployment) {
     std::vector<const lab::KindSpec*> kinds;
     for (const auto& kind : deployment.kinds) {
         kinds.push_back(&kind);
     }
     std::stable_sort(kinds.begin(), kinds.end(),
                      [](const auto* left, const auto* right) { return left->priority < right->priority; });
-    std::map<std::string, double> completed;
-    for (const auto* kind : kinds) {
-        const auto wanted = offered.find(kind->name);
-        double count = wanted == offered.end() ? 0.0 : wanted->second;
-        const auto demand = slot_demand(deployment, *kind, slow);
-        for (const auto& [service, slots] : demand) {
-            count = slots > 0 ? std::min(count, room[service] / slots) : count;
+    return kinds;
+}
+
+/// Takes the room for up to `wanted` requests; returns for how many there was room.
+double serve(const SlotDemand& demand, double wanted, SlotDemand& room) {
+    double count = wanted;
+    for (const auto& [service, slots] : demand) {
+        count = slots > 0 ? std::min(count, room[service] / slots) : count;
+    }
+    for (const auto& [service, slots] : demand) {
+        room[service] -= count * slots;
+    }
+    return count;
+}
+
+}  // namespace
+
+std::vector<std::map<std::string, double>> ideal_completions(const lab::Deployment& deployment,
+                                                             const std::vector<IdealInterval>& intervals,
+                                                             double interval_seconds, std::size_t patience) {
+    std::vector<std::map<std::string, double>> waiting;
+    std::vector<std::map<std::string, double>> completed(intervals.size());
+    for (std::size_t now = 0; now < intervals.size(); ++now) {
+        waiting.push_back(intervals[now].offered);
+        SlotDemand room;
+        for (const auto& service : deployment.services) {
+            room[service.name] = static_cast<double>(service.servers) * service.slots * interval_seconds;
         }
-        completed[kind->name] = count;
-        for (const auto& [service, slots] : demand) {
-            room[service] -= count * slots;
+        for (const auto* kind : kinds_by_importance(deployment)) {
+            const auto demand = slot_demand(deployment, *kind, intervals[now].slow);
+            for (std::size_t arrival = now > patience ? now - patience : 0; arrival <= now; ++arrival) {
+                const double served = serve(demand, waiting[arrival][kind->name], room);
+                waiting[arrival][kind->name] -= served;
+                completed[arrival][kind->name] += served;
+            }
         }
     }
     return completed;
--- a/bench/ideal.hpp
+++ b/bench/ideal.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 #include "lab/deployment.hpp"
 
@@ -20,10 +21,16 @@
 /// Highest rate of the deployment's mix, in requests a second, that all services can serve.
 double capacity_per_second(const lab::Deployment& deployment);
 
-/// Most requests of each kind that can be completed out of `offered` (by kind) in `seconds`, the most
-/// important kinds first. `live_servers` overrides the number of servers of a service.
-std::map<std::string, double> ideal_completions(const lab::Deployment& deployment,
-                                                const std::map<std::string, double>& offered, double seconds,
-                                                const SlowFactors& slow);
+/// Requests of each kind that arrive in one interval, and what the slots are like in it.
+struct IdealInterval {
+    std::map<std::string, double> offered;  ///< By kind.
+    SlowFactors slow;
+};
+
+/// Most requests of each kind that could be completed, by interval of arrival: slots are never wasted, the
+/// most important kinds go first, and a request waits for its slots up to `patience` intervals.
+std::vector<std::map<std::string, double>> ideal_completions(const lab::Deployment& deployment,
+                                                             const std::vector<IdealInterval>& intervals,
+                                                             double interval_seconds, std::size_t patience);
 
 }  // namespace anisehold::bench
--- a/bench/scale.cpp
+++ b/bench/scale.cpp
@@ -84,7 +84,7 @@
     static testing::FleetOptions options(std::uint16_t base_port) {
         testing::FleetOptions options;
         options.base_port = base_port;
-        options.daemon_flags = {"--membership-period-ms=500"};
+        options.membership_period_ms = 500;
         return options;
     }
     std::size_t hollow_count() const { return members_ - kRealDaemons; }
--- a/lab/hollow.cpp
+++ b/lab/hollow.cpp
@@ -110,7 +110,9 @@
             }
             const auto* watched = members_[index]->membership().find(options_.watched);
             const bool dead = watched != nullptr && watched->state == MemberState::kDead;
-            if (dead && observed.death_at_us == 0) {
+            if (!dead) {
+                observed.death_at_us = 0;
+            } else if (observed.death_at_us == 0) {
                 observed.death_at_us = now_us();
             }
         }
--- a/src/admission/adaptive_throttle.cpp
+++ b/src/admission/adaptive_throttle.cpp
@@ -5,61 +5,51 @@
 namespace anisehold::admission {
 namespace {
 
-constexpr milliseconds kBucketLength{100};
-/// Requests let through per accepted one: the excess is what notices that room has come back.
-constexpr double kExcess = 1.25;
-/// Below this many requests in the window nothing is refused: too little is known.
-constexpr unsigned kLeastRequests = 10;
-
-std::int64_t tick_of(TimePoint now) {
-    return now.time_since_epoch() / kBucketLength;
-}
+constexpr milliseconds kWindow{100};
+/// Refusals among those let through that are put up with: they notice when room comes back.
+constexpr double kTolerated = 0.15;
+/// Share of the way to refusing all, per window, when all are refused further down.
+constexpr double kRise = 0.5;
+/// Fall per window without more refusals than tolerated.
+constexpr double kFall = 0.1;
+/// Some are always let through.
+constexpr double kMostRefused = 0.95;
 
 }  // namespace
 
-AdaptiveThrottle::Bucket& AdaptiveThrottle::bucket(TimePoint now, const std::string& row) {
-    const auto tick = tick_of(now);
-    Bucket& bucket = windows_[row][static_cast<std::size_t>(tick) % kBuckets];
-    if (bucket.tick != tick) {
-        bucket = Bucket{tick, 0, 0};
+AdaptiveThrottle::Row& AdaptiveThrottle::advance(TimePoint now, const std::string& name) {
+    Row& row = rows_[name];
+    const auto windows = (now - row.window_started) / kWindow;
+    if (windows < 1) {
+        return row;
     }
-    return bucket;
+    const double refused_share = row.ended == 0 ? 0.0 : static_cast<double>(row.refused) / row.ended;
+    if (refused_share > kTolerated) {
+        row.share = std::min(row.share + (1.0 - row.share) * kRise * refused_share, kMostRefused);
+    } else {
+        row.share -= kFall;
+    }
+    // Windows in which nothing ended count as windows without refusals.
+    row.share = std::max(0.0, row.share - kFall * static_cast<double>(windows - 1));
+    row.window_started = now;
+    row.ended = 0;
+    row.refused = 0;
+    return row;
 }
 
-double AdaptiveThrottle::refusal_probability(TimePoint now, const std::string& row) const {
-    const auto found = windows_.find(row);
-    if (found == windows_.end()) {
-        return 0;
-    }
-    const auto oldest = tick_of(now) - static_cast<std::int64_t>(kBuckets) + 1;
-    double requests = 0;
-    double accepted = 0;
-    for (const auto& bucket : found->second) {
-        if (bucket.tick >= oldest) {
-            requests += bucket.requests;
-            accepted += bucket.accepted;
-        }
-    }
-    if (requests < kLeastRequests) {
-        return 0;
-    }
-    return std::max(0.0, (requests - kExcess * accepted) / (requests + 1));
+double AdaptiveThrottle::refusal_share(const std::string& row) const {
+    const auto found = rows_.find(row);
+    return found == rows_.end() ? 0.0 : found->second.share;
 }
 
 bool AdaptiveThrottle::refuses(TimePoint now, const std::string& row, double random) {
-    const bool refused = random < refusal_probability(now, row);
-    if (refused) {
-        ++bucket(now, row).requests;
-    }
-    return refused;
+    return random < advance(now, row).share;
 }
 
 void AdaptiveThrottle::on_result(TimePoint now, const std::string& row, bool refused_by_overload) {
-    Bucket& current = bucket(now, row);
-    ++current.requests;
-    if (!refused_by_overload) {
-        ++current.accepted;
-    }
+    Row& state = advance(now, row);
+    ++state.ended;
+    state.refused += refused_by_overload ? 1 : 0;
 }
 
 }  // namespace anisehold::admission
--- a/src/admission/adaptive_throttle.hpp
+++ b/src/admission/adaptive_throttle.hpp
@@ -2,8 +2,6 @@
 /// Early refusal of new root requests at the ingress, before any work is done for them.
 #pragma once
 
-#include <array>
-#include <cstdint>
 #include <map>
 #include <string>
 
@@ -11,30 +9,30 @@
 
 namespace anisehold::admission {
 
-/// Client-side adaptive throttling (Beyer et al., Site Reliability Engineering, ch. 21) per table row:
-/// refuses new roots with probability (requests - k * accepted) / requests over the last two seconds, where
-/// a root counts as accepted unless it, or a call below it, was refused for overload. Pure.
+/// Learns for each table row the share of new roots to refuse, so that few of those let through are refused
+/// for overload further down. A root counts as refused if it, or a call below it, was. The share rises with
+/// the refusals of each tenth of a second and falls by a fixed step without them, so that it is gone a second
+/// after its cause. Pure.
 class AdaptiveThrottle {
   public:
     /// Whether a new root of this row is refused. `random` is uniform in [0, 1).
     bool refuses(TimePoint now, const std::string& row, double random);
-    /// Records how an admitted root ended.
+    /// Records how a root that was let through ended.
     void on_result(TimePoint now, const std::string& row, bool refused_by_overload);
-    /// Present probability of refusal for a row.
-    double refusal_probability(TimePoint now, const std::string& row) const;
+    /// Present share of new roots of a row that are refused.
+    double refusal_share(const std::string& row) const;
 
   private:
-    static constexpr std::size_t kBuckets = 20;
-    struct Bucket {
-        std::int64_t tick = -1;
-        unsigned requests = 0;
-        unsigned accepted = 0;
+    struct Row {
+        double share = 0;
+        TimePoint window_started;
+        unsigned ended = 0;
+        unsigned refused = 0;
     };
-    using Window = std::array<Bucket, kBuckets>;
 
-    Bucket& bucket(TimePoint now, const std::string& row);
+    Row& advance(TimePoint now, const std::string& row);
 
-    std::map<std::string, Window> windows_;
+    std::map<std::string, Row> rows_;
 };
 
 }  // namespace anisehold::admission
--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -20,6 +20,7 @@
 constexpr unsigned kConflict = 409;
 constexpr unsigned kUnavailable = 503;
 constexpr std::uint64_t kLargestTableBytes = 4 * 1024 * 1024;
+constexpr milliseconds kPeerTimeout{500};
 constexpr std::string_view kExplainPrefix = "/explain?id=";
 
 net::HttpResponse json_response(unsigned status, const ordered_json& object) {
@@ -101,9 +102,11 @@
 
 }  // namespace
 
-AdminServer::AdminServer(DaemonContext& context, MembershipService& membership, DocumentService& documents,
-                         ClaimService& claims, GateService& gates, routing::BackendRegistry& registry)
+AdminServer::AdminServer(DaemonContext& context, PeerClient& peers, MembershipService& membership,
+                         DocumentService& documents, ClaimService& claims, GateService& gates,
+                         routing::BackendRegistry& registry)
     : context_(context),
+      peers_(peers),
       membership_(membership),
       documents_(documents),
       claims_(claims),
@@ -148,6 +151,9 @@
     if (target == "/table") {
         return table();
     }
+    if (target == "/table/zones") {
+        return table_by_zone();
+    }
     if (target.starts_with(kExplainPrefix)) {
         return explain(target.substr(kExplainPrefix.size()));
     }
@@ -258,6 +264,22 @@
                                {"rows", table ? rows_json(table->record().table) : ordered_json::array()}});
 }
 
+/// Table revisions of all members, by zone, asked from each member.
+net::HttpResponse AdminServer::table_by_zone() {
+    ordered_json zones = ordered_json::object();
+    // A copy, since the list may change while members are asked.
+    const auto members = membership_.working_members();
+    for (const auto& record : members) {
+        std::uint64_t revision = documents_.revisions()[0];
+        if (record.info.id != context_.self.id) {
+            const auto reply = peers_.ask<RevisionsReply>(record.info.peer, RevisionsRequest{}, kPeerTimeout);
+            revision = reply ? reply->revisions[0] : 0;
+        }
+        zones[record.info.zone].push_back({{"id", record.info.id}, {"table_revision", revision}});
+    }
+    return json_response(kOk, {{"zones", std::move(zones)}});
+}
+
 net::HttpResponse AdminServer::accept_table(const net::HttpRequest& request) {
     const auto& token = context_.settings.daemon_operator_token;
     const auto given = request.fields.find("Authorization").value_or("");
--- a/src/daemon/admin_server.hpp
+++ b/src/daemon/admin_server.hpp
@@ -7,6 +7,7 @@
 #include "daemon/document_service.hpp"
 #include "daemon/gate_service.hpp"
 #include "daemon/membership_service.hpp"
+#include "daemon/peer_client.hpp"
 #include "net/http_server.hpp"
 #include "routing/backend_registry.hpp"
 
@@ -15,8 +16,9 @@
 /// Serves operators and scrapers.
 class AdminServer {
   public:
-    AdminServer(DaemonContext& context, MembershipService& membership, DocumentService& documents,
-                ClaimService& claims, GateService& gates, routing::BackendRegistry& registry);
+    AdminServer(DaemonContext& context, PeerClient& peers, MembershipService& membership,
+                DocumentService& documents, ClaimService& claims, GateService& gates,
+                routing::BackendRegistry& registry);
     std::error_code start();
     /// Shown by /healthz and /status from now on.
     void set_stopping() { stopping_ = true; }
@@ -28,9 +30,11 @@
     net::HttpResponse explain(std::string_view target) const;
     net::HttpResponse events() const;
     net::HttpResponse table() const;
+    net::HttpResponse table_by_zone();
     net::HttpResponse accept_table(const net::HttpRequest& request);
 
     DaemonContext& context_;
+    PeerClient& peers_;
     MembershipService& membership_;
     DocumentService& documents_;
     ClaimService& claims_;
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -70,7 +70,7 @@
           watch(context, membership, registry),
           ingress(context, peers, membership, documents, claims, gates, registry),
           peer_service(context, membership, documents, claims, gates),
-          admin(context, membership, documents, claims, gates, registry),
+          admin(context, peers, membership, documents, claims, gates, registry),
           server(context.io, server_limits(context.settings),
                  {[this](net::HttpRequest& request, net::CancelSignal& cancel) {
                       return ingress.handle(request, cancel);
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -58,6 +58,10 @@
         const auto report = service_.ledger_.close(now, call_id_);
         --service_.in_flight_;
         service_.registry_.on_finish(server_);
+        if (report.refused_by_overload && outcome != SampleOutcome::kCompleted) {
+            // The overload is further down; it says nothing about this server.
+            outcome = SampleOutcome::kIgnored;
+        }
         service_.wake(*gate_, gate_->gate.finish(now, id_, outcome, report.nested_time));
         return report;
     }
--- a/src/daemon/peer_service.cpp
+++ b/src/daemon/peer_service.cpp
@@ -32,6 +32,9 @@
         gates.handle(request);
         return Acknowledged{};
     }
+    PeerReply operator()(const RevisionsRequest& /*request*/) const {
+        return RevisionsReply{documents.revisions()};
+    }
     PeerReply operator()(const AnswerRequest& request) const { return claims.handle(request); }
 };
 
--- a/src/protocol/peer_messages.hpp
+++ b/src/protocol/peer_messages.hpp
@@ -47,6 +47,21 @@
     }
 };
 
+/// Asks which document revisions a daemon has.
+struct RevisionsRequest {
+    template <typename Archive>
+    void serialize(Archive& /*archive*/, unsigned /*version*/) {}
+};
+
+struct RevisionsReply {
+    DocumentRevisions revisions{};
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        serialize_all(archive, revisions);
+    }
+};
+
 /// Asks a coordinator for the answer that it kept for a key.
 struct AnswerRequest {
     std::string key;
@@ -75,10 +90,10 @@
 
 using PeerRequest = boost::variant<MembersRequest, DocumentRequest, claims::ClaimRequest, claims::ClaimUpdate,
                                    claims::ClaimSyncRequest, claims::ClaimStatusRequest, retry::DrawRequest,
-                                   retry::SettleRequest, AnswerRequest>;
+                                   retry::SettleRequest, AnswerRequest, RevisionsRequest>;
 using PeerReply =
     boost::variant<Acknowledged, MembersReply, Document, claims::ClaimReply, claims::ClaimSyncReply,
-                   claims::ClaimStatusReply, retry::DrawReply, AnswerReply>;
+                   claims::ClaimStatusReply, retry::DrawReply, AnswerReply, RevisionsReply>;
 
 /// Largest encoded message; a longer frame is refused unread.
 inline constexpr std::size_t kMaxFrameBytes = 8 * 1024 * 1024;
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -161,12 +161,15 @@
     return process(name).child.running();
 }
 
-std::optional<json> Fleet::get(const Endpoint& server, const std::string& target) {
+std::string Fleet::get_text(const Endpoint& server, const std::string& target) {
     net::HttpClient client(loop().io(), server);
     auto request = net::make_request("GET", target);
     std::error_code error;
-    const auto text = net::fetch_text(client, request, TimePoint::clock::now() + kHttpTimeout, error);
-    auto object = json::parse(text.value_or(""), nullptr, false);
+    return net::fetch_text(client, request, TimePoint::clock::now() + kHttpTimeout, error).value_or("");
+}
+
+std::optional<json> Fleet::get(const Endpoint& server, const std::string& target) {
+    auto object = json::parse(get_text(server, target), nullptr, false);
     return object.is_discarded() ? std::nullopt : std::optional(std::move(object));
 }
 
@@ -294,7 +297,7 @@
             "--platform-machine-list=" + machines_.text(),
             "--platform-poll-ms=" + std::to_string(options_.poll_ms),
             "--membership-seeds=" + seeds,
-            "--membership-period-ms=200",
+            "--membership-period-ms=" + std::to_string(options_.membership_period_ms),
             "--claims-window-ms=" + std::to_string(options_.claims_window_ms),
             "--backends-initial-limit=" + std::to_string(options_.initial_limit),
             "--lab-enabled=true",
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -26,6 +26,7 @@
     long long claims_window_ms = 60'000;
     long long poll_ms = 500;
     long long initial_limit = 8;
+    long long membership_period_ms = 200;
     bool proxy_backends = false;  ///< A fault-injecting proxy before each back end.
     bool proxy_store = false;     ///< A fault-injecting proxy before the store.
     unsigned back_end_queue = 200;
@@ -95,6 +96,8 @@
 
     /// GET or POST (with a body) of JSON; nothing if no JSON answer came.
     std::optional<nlohmann::json> get(const Endpoint& server, const std::string& target);
+    /// The text of a page; empty if none came.
+    std::string get_text(const Endpoint& server, const std::string& target);
     std::optional<nlohmann::json> post(const Endpoint& server, const std::string& target,
                                        const nlohmann::json& body);
     /// Sets faults of a stand-in.
--- a/tests/unit/admission/policy_test.cpp
+++ b/tests/unit/admission/policy_test.cpp
@@ -1,5 +1,5 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
-#include <deque>
 
 #include "admission/adaptive_throttle.hpp"
 #include "admission/policy/aimd_limit.hpp"
@@ -69,17 +69,32 @@
     }
 }
 
-TEST_CASE("the throttle refuses about what the service refuses, and recovers within its window") {
+TEST_CASE("the throttle lets through little more than the service takes, and is gone a second after its cause") {
+    // A thousand roots a second, of which the service takes 250.
     AdaptiveThrottle throttle;
-    for (int request = 0; request < 1'000; ++request) {
-        throttle.on_result(at_ms(request), "row", request % 4 != 0);
+    unsigned let_through = 0;
+    unsigned taken = 0;
+    double room = 0;
+    for (int ms = 0; ms < 10'000; ++ms) {
+        room = std::min(room + 0.25, 5.0);
+        const double random = (ms * 37 % 100) / 100.0;
+        if (throttle.refuses(at_ms(ms), "row", random)) {
+            continue;
+        }
+        const bool refused = room < 1;
+        room -= refused ? 0 : 1;
+        throttle.on_result(at_ms(ms), "row", refused);
+        const bool settled = ms >= 2'000;
+        let_through += settled ? 1 : 0;
+        taken += settled && !refused ? 1 : 0;
     }
-    const double probability = throttle.refusal_probability(at_ms(1'000), "row");
-    CHECK(probability > 0.6);
-    CHECK(probability < 0.75);
-    CHECK(throttle.refusal_probability(at_ms(1'000), "other") == 0);
-    for (int request = 0; request < 400; ++request) {
-        throttle.on_result(at_ms(3'100 + request), "row", false);
+    CHECK(taken > 0.85 * 8'000 * 0.25);
+    CHECK(let_through < 1.6 * taken);
+    CHECK(throttle.refusal_share("other") == 0);
+    for (int ms = 10'000; ms < 11'100; ++ms) {
+        if (!throttle.refuses(at_ms(ms), "row", (ms * 37 % 100) / 100.0)) {
+            throttle.on_result(at_ms(ms), "row", false);
+        }
     }
-    CHECK(throttle.refusal_probability(at_ms(3'500), "row") == 0);
+    CHECK(throttle.refusal_share("row") == 0);
 }
