Early refusal by priority and by the service that refuses

Cause: rows were throttled each by itself, so that standing checks (priority 0) were refused at the ingress while bookings (priority 1) were let through to the same slots, and a call started with less time left than it would need. The service that refused now goes up with the answer; each ingress keeps a level per such service, and a row is refused only when all less important rows that reach it are. A call is started only with 1.5 average service times left.

--- a/src/admission/adaptive_throttle.cpp
+++ b/src/admission/adaptive_throttle.cpp
@@ -1,6 +1,7 @@
 #include "admission/adaptive_throttle.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 namespace anisehold::admission {
 namespace {
@@ -8,48 +9,75 @@
 constexpr milliseconds kWindow{100};
 /// Refusals among those let through that are put up with: they notice when room comes back.
 constexpr double kTolerated = 0.15;
-/// Share of the way to refusing all, per window, when all are refused further down.
-constexpr double kRise = 0.5;
-/// Fall per window without more refusals than tolerated.
-constexpr double kFall = 0.1;
-/// Some are always let through.
-constexpr double kMostRefused = 0.95;
+/// Fall of the level per window when all are refused further down, as a share of the priorities.
+constexpr double kFall = 0.25;
+/// Rise of the level per window without more refusals than tolerated, as a share of the priorities.
+constexpr double kRise = 0.1;
+/// Some of the most important are always let through.
+constexpr double kLeastLevel = 0.1;
 
 }  // namespace
 
-AdaptiveThrottle::Row& AdaptiveThrottle::advance(TimePoint now, const std::string& name) {
-    Row& row = rows_[name];
-    const auto windows = (now - row.window_started) / kWindow;
+double AdaptiveThrottle::Service::share_let_through(unsigned priority) const {
+    const auto place = std::distance(priorities.begin(), priorities.lower_bound(priority));
+    return std::clamp(level - static_cast<double>(place), 0.0, 1.0);
+}
+
+void AdaptiveThrottle::advance(TimePoint now, Service& service) {
+    const auto windows = (now - service.window_started) / kWindow;
     if (windows < 1) {
-        return row;
+        return;
     }
-    const double refused_share = row.ended == 0 ? 0.0 : static_cast<double>(row.refused) / row.ended;
+    const auto most = static_cast<double>(service.priorities.size());
+    const double refused_share =
+        service.ended == 0 ? 0.0 : static_cast<double>(service.refused) / service.ended;
     if (refused_share > kTolerated) {
-        row.share = std::min(row.share + (1.0 - row.share) * kRise * refused_share, kMostRefused);
+        service.level -= kFall * most * refused_share;
     } else {
-        row.share -= kFall;
+        service.level += kRise * most;
     }
     // Windows in which nothing ended count as windows without refusals.
-    row.share = std::max(0.0, row.share - kFall * static_cast<double>(windows - 1));
-    row.window_started = now;
-    row.ended = 0;
-    row.refused = 0;
-    return row;
+    service.level += kRise * most * static_cast<double>(windows - 1);
+    service.level = std::clamp(service.level, kLeastLevel, most);
+    service.window_started = now;
+    service.ended = 0;
+    service.refused = 0;
 }
 
-double AdaptiveThrottle::refusal_share(const std::string& row) const {
-    const auto found = rows_.find(row);
-    return found == rows_.end() ? 0.0 : found->second.share;
+double AdaptiveThrottle::refusal_share(const ThrottledRow& row) const {
+    double let_through = 1.0;
+    for (const auto& [name, service] : services_) {
+        if (service.rows.contains(row.name)) {
+            let_through = std::min(let_through, service.share_let_through(row.priority));
+        }
+    }
+    return 1.0 - let_through;
 }
 
-bool AdaptiveThrottle::refuses(TimePoint now, const std::string& row, double random) {
-    return random < advance(now, row).share;
+bool AdaptiveThrottle::refuses(TimePoint now, const ThrottledRow& row, double random) {
+    for (auto& [name, service] : services_) {
+        advance(now, service);
+    }
+    return random < refusal_share(row);
 }
 
-void AdaptiveThrottle::on_result(TimePoint now, const std::string& row, bool refused_by_overload) {
-    Row& state = advance(now, row);
-    ++state.ended;
-    state.refused += refused_by_overload ? 1 : 0;
+void AdaptiveThrottle::on_result(TimePoint now, const ThrottledRow& row,
+                                 const std::string& overloaded_service) {
+    if (!overloaded_service.empty()) {
+        Service& service = services_[overloaded_service];
+        service.rows.insert(row.name);
+        if (service.priorities.insert(row.priority).second) {
+            // The new priority starts as let through.
+            service.level += 1.0;
+        }
+    }
+    for (auto& [name, service] : services_) {
+        if (service.rows.contains(row.name)) {
+            advance(now, service);
+            ++service.ended;
+            service.refused += name == overloaded_service ? 1 : 0;
+        }
+    }
 }
 
 }  // namespace anisehold::admission
--- a/src/admission/adaptive_throttle.hpp
+++ b/src/admission/adaptive_throttle.hpp
@@ -3,36 +3,48 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 
 #include "protocol/time_types.hpp"
 
 namespace anisehold::admission {
 
-/// Learns for each table row the share of new roots to refuse, so that few of those let through are refused
-/// for overload further down. A root counts as refused if it, or a call below it, was. The share rises with
-/// the refusals of each tenth of a second and falls by a fixed step without them, so that it is gone a second
-/// after its cause. Pure.
+/// What the throttle needs to know of a root request.
+struct ThrottledRow {
+    std::string name;       ///< Table row.
+    unsigned priority = 0;  ///< 0 is the most important.
+};
+
+/// Learns, for each service that refuses calls for overload, down to which priority new roots that reach it
+/// are worth letting through. The level of a service falls while more of those let through are refused there
+/// than is tolerated, and rises by a fixed step while not, so that it is gone a second after its cause. Which
+/// rows reach a service is learned from refusals. A row is refused only when all less important rows that
+/// reach the same service are. Pure.
 class AdaptiveThrottle {
   public:
     /// Whether a new root of this row is refused. `random` is uniform in [0, 1).
-    bool refuses(TimePoint now, const std::string& row, double random);
-    /// Records how a root that was let through ended.
-    void on_result(TimePoint now, const std::string& row, bool refused_by_overload);
+    bool refuses(TimePoint now, const ThrottledRow& row, double random);
+    /// Records how a root that was let through ended; `overloaded_service` is empty if it wasn't refused.
+    void on_result(TimePoint now, const ThrottledRow& row, const std::string& overloaded_service);
     /// Present share of new roots of a row that are refused.
-    double refusal_share(const std::string& row) const;
+    double refusal_share(const ThrottledRow& row) const;
 
   private:
-    struct Row {
-        double share = 0;
+    struct Service {
+        std::set<std::string> rows;     ///< Those that were refused by it.
+        std::set<unsigned> priorities;  ///< Of those rows.
+        double level = 0;               ///< Number of priorities let through; the last one in part.
         TimePoint window_started;
         unsigned ended = 0;
         unsigned refused = 0;
+
+        double share_let_through(unsigned priority) const;
     };
 
-    Row& advance(TimePoint now, const std::string& row);
+    static void advance(TimePoint now, Service& service);
 
-    std::map<std::string, Row> rows_;
+    std::map<std::string, Service> services_;
 };
 
 }  // namespace anisehold::admission
--- a/src/admission/server_gate.cpp
+++ b/src/admission/server_gate.cpp
@@ -13,6 +13,9 @@
 /// Weight of a new sample in the averages, as a divisor.
 constexpr int kAverageDivisor = 16;
 constexpr milliseconds kLeastRetryAfter{50};
+/// A call is only started if it has this many average service times left: one that runs out of time on the
+/// way is wasted.
+constexpr double kRunMargin = 1.5;
 
 Duration moving_average(Duration average, Duration sample) {
     if (average == Duration::zero()) {
@@ -37,7 +40,7 @@
     const std::size_t position = position_of(newcomer);
     const Duration wait = expected_wait(position);
     decision.retry_after = std::max<Duration>(expected_wait(queue_.size()), kLeastRetryAfter);
-    if (now + wait + service_time_ > call.deadline) {
+    if (now + wait + time_to_run() > call.deadline) {
         decision.verdict = GateVerdict::kRefused;
         decision.refusal = ErrorKind::kOverloaded;
         return decision;
@@ -55,7 +58,7 @@
         queue_.erase(worst);
     }
     decision.verdict = GateVerdict::kQueued;
-    decision.give_up_at = call.deadline - service_time_;
+    decision.give_up_at = call.deadline - time_to_run();
     queue_.push_back(newcomer);
     return decision;
 }
@@ -175,6 +178,10 @@
     return hold_time_ * static_cast<long>(position + 1) / static_cast<long>(limit_->limit());
 }
 
+Duration ServerGate::time_to_run() const {
+    return std::chrono::duration_cast<Duration>(service_time_ * kRunMargin);
+}
+
 double ServerGate::pass_of(const std::string& row) const {
     const auto found = passes_.find(row);
     return found == passes_.end() ? current_pass_ : std::max(found->second, current_pass_);
--- a/src/admission/server_gate.hpp
+++ b/src/admission/server_gate.hpp
@@ -99,6 +99,7 @@
     std::size_t position_of(const Waiting& newcomer) const;
     std::size_t capacity() const;
     Duration expected_wait(std::size_t position) const;
+    Duration time_to_run() const;
     double pass_of(const std::string& row) const;
 
     std::unique_ptr<ConcurrencyLimit> limit_;
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -58,7 +58,7 @@
         const auto report = service_.ledger_.close(now, call_id_);
         --service_.in_flight_;
         service_.registry_.on_finish(server_);
-        if (report.refused_by_overload && outcome != SampleOutcome::kCompleted) {
+        if (!report.overloaded_service.empty() && outcome != SampleOutcome::kCompleted) {
             // The overload is further down; it says nothing about this server.
             outcome = SampleOutcome::kIgnored;
         }
@@ -202,7 +202,7 @@
         return std::nullopt;
     }
     if (decision.verdict == admission::GateVerdict::kRefused) {
-        return CallResult::failure(decision.refusal, decision.retry_after);
+        return CallResult::refusal(decision.refusal, call.service, decision.retry_after);
     }
     context_.decisions.add(call.context.root_id, call.context.call_id, DecisionStep::kQueued, gate_call.row);
     const auto waiter = std::make_shared<Waiter>();
@@ -217,14 +217,14 @@
     }
     gate.gate.abandon(id);
     if (waiter->evicted) {
-        return CallResult::failure(ErrorKind::kOverloaded, decision.retry_after);
+        return CallResult::refusal(ErrorKind::kOverloaded, call.service, decision.retry_after);
     }
     if (call.cancel != nullptr && call.cancel->cancelled()) {
         auto result = CallResult::failure(ErrorKind::kCancelled);
         result.execution = Execution::kNotRun;
         return result;
     }
-    return CallResult::failure(ErrorKind::kQueueTimeout, decision.retry_after);
+    return CallResult::refusal(ErrorKind::kQueueTimeout, call.service, decision.retry_after);
 }
 
 void GateService::wake(Gate& gate, const std::vector<std::uint64_t>& ids) {
@@ -291,12 +291,12 @@
         }
         registry_.mark_leaving(now, server);
     }
-    auto result = answer_result(std::move(*response), call.context.retry_allowance, admission);
+    auto result = answer_result(std::move(*response), call, admission);
     result.server_leaving = says_leaving;
     return result;
 }
 
-CallResult GateService::answer_result(net::HttpResponse response, unsigned allowance,
+CallResult GateService::answer_result(net::HttpResponse response, const Call& call,
                                       const std::shared_ptr<Admission>& admission) {
     for (const auto name : {header::kError, header::kExecution, header::kGateReport, header::kContext}) {
         response.fields.remove(name);
@@ -305,7 +305,8 @@
         response.status >= kFirstServerError && response.fields.find(header::kNotRun).has_value();
     if (refused) {
         const auto report = admission->end(SampleOutcome::kShed);
-        auto result = CallResult::failure(ErrorKind::kBackendRefused, retry_after_of(response));
+        const auto& overloaded = report.overloaded_service.empty() ? call.service : report.overloaded_service;
+        auto result = CallResult::refusal(ErrorKind::kBackendRefused, overloaded, retry_after_of(response));
         result.retries_used = report.used;
         result.nested_ran = report.nested_ran;
         return result;
@@ -314,10 +315,12 @@
     if (response.body.whole()) {
         const auto report = admission->end(SampleOutcome::kCompleted);
         result.retries_used = report.used;
-        result.refused_by_overload = report.refused_by_overload && response.status >= kFirstServerError;
+        if (response.status >= kFirstServerError) {
+            result.overloaded_service = report.overloaded_service;
+        }
     } else {
         // Nested calls may go on while the body streams, so all that was lent counts as used.
-        result.retries_used = allowance;
+        result.retries_used = call.context.retry_allowance;
         response.body.rest =
             std::make_unique<AdmittedBodyReader<Admission>>(std::move(response.body.rest), admission);
     }
@@ -347,7 +350,7 @@
     } else {
         result.retries_used = report.used;
     }
-    result.refused_by_overload = report.refused_by_overload;
+    result.overloaded_service = report.overloaded_service;
     return result;
 }
 
--- a/src/daemon/gate_service.hpp
+++ b/src/daemon/gate_service.hpp
@@ -71,7 +71,7 @@
                                                           std::uint64_t id);
     routing::CallResult run(const std::shared_ptr<Gate>& gate, routing::Call& call, const Endpoint& server,
                             std::uint64_t id);
-    routing::CallResult answer_result(net::HttpResponse response, unsigned allowance,
+    routing::CallResult answer_result(net::HttpResponse response, const routing::Call& call,
                                       const std::shared_ptr<Admission>& admission);
     routing::CallResult failure_result(const net::ExchangeProgress& progress, const routing::Call& call,
                                        Admission& admission);
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -53,7 +53,7 @@
 GateReport report_for(const CallResult& result, const admission::GateLoad& load) {
     GateReport report;
     report.retries_used = result.retries_used;
-    report.refused_by_overload = result.refused_by_overload;
+    report.overloaded_service = result.overloaded_service;
     report.nested_ran = result.nested_ran;
     report.leaving = result.server_leaving;
     report.in_flight = load.in_flight;
--- a/src/protocol/call_context.cpp
+++ b/src/protocol/call_context.cpp
@@ -16,6 +16,7 @@
 constexpr unsigned kMaxAllowance = 100;
 constexpr std::size_t kContextFields = 7;
 constexpr std::size_t kReportFields = 8;
+constexpr std::size_t kServiceField = 1;  // Of the report: the only one that isn't a number.
 constexpr unsigned kMaxReported = 2'000'000'000;
 constexpr std::string_view kContextPurpose = "context:";
 constexpr std::string_view kGatePurpose = "gate:";
@@ -161,7 +162,7 @@
 
 std::string encode_gate_report(const GateReport& report) {
     std::string value = std::to_string(report.retries_used);
-    value += ';' + std::to_string(report.refused_by_overload ? 1 : 0);
+    value += ';' + report.overloaded_service;
     value += ';' + std::to_string(report.nested_ran ? 1 : 0);
     value += ';' + std::to_string(report.leaving ? 1 : 0);
     value += ';' + std::to_string(report.in_flight);
@@ -177,14 +178,23 @@
     }
     std::array<unsigned, kReportFields> numbers{};
     for (std::size_t index = 0; index < kReportFields; ++index) {
-        const auto number = parse_bounded((*fields)[index], kMaxReported);
+        const auto number =
+            index == kServiceField ? std::optional(0U) : parse_bounded((*fields)[index], kMaxReported);
         if (!number) {
             return std::nullopt;
         }
         numbers[index] = *number;
     }
-    return GateReport{numbers[0], numbers[1] != 0, numbers[2] != 0, numbers[3] != 0,
-                      numbers[4], numbers[5],      numbers[6],      numbers[7]};
+    GateReport report;
+    report.retries_used = numbers[0];
+    report.overloaded_service = (*fields)[kServiceField];
+    report.nested_ran = numbers[2] != 0;
+    report.leaving = numbers[3] != 0;
+    report.in_flight = numbers[4];
+    report.queued = numbers[5];
+    report.limit = numbers[6];
+    report.retry_after_ms = numbers[7];
+    return report;
 }
 
 }  // namespace anisehold
--- a/src/protocol/call_context.hpp
+++ b/src/protocol/call_context.hpp
@@ -73,10 +73,10 @@
 
 /// What a gate reports with its answer.
 struct GateReport {
-    unsigned retries_used = 0;         ///< By the call and all below it.
-    bool refused_by_overload = false;  ///< The call, or one below it, was refused for overload.
-    bool nested_ran = false;           ///< A call nested in this one may have run.
-    bool leaving = false;              ///< The server is leaving.
+    unsigned retries_used = 0;       ///< By the call and all below it.
+    std::string overloaded_service;  ///< That refused the call or one below it; empty if none did.
+    bool nested_ran = false;         ///< A call nested in this one may have run.
+    bool leaving = false;            ///< The server is leaving.
     unsigned in_flight = 0;
     unsigned queued = 0;
     unsigned limit = 0;
--- a/src/retry/retry_ledger.cpp
+++ b/src/retry/retry_ledger.cpp
@@ -78,7 +78,9 @@
     }
     ledger.remaining += loan->second - std::min(request.used, loan->second);
     ledger.loans.erase(loan);
-    ledger.refused_by_overload |= request.refused_by_overload;
+    if (!request.overloaded_service.empty()) {
+        ledger.overloaded_service = request.overloaded_service;
+    }
     ledger.nested_time += microseconds(request.duration_us);
     const auto nested = ledger.nested.find(request.identity);
     if (nested != ledger.nested.end()) {
@@ -97,7 +99,7 @@
     Ledger& ledger = found->second;
     LedgerReport report;
     report.used = ledger.terms.allowance - ledger.remaining;
-    report.refused_by_overload = ledger.refused_by_overload;
+    report.overloaded_service = ledger.overloaded_service;
     report.nested_time = ledger.nested_time;
     report.nested_ran = std::any_of(ledger.nested.begin(), ledger.nested.end(), [](const auto& entry) {
         return entry.second.may_have_run || entry.second.ever_ran;
--- a/src/retry/retry_ledger.hpp
+++ b/src/retry/retry_ledger.hpp
@@ -59,24 +59,24 @@
     std::uint64_t identity = 0;
     std::uint64_t loan_id = 0;
     unsigned used = 0;
-    bool refused_by_overload = false;  ///< The nested call, or one below it, was refused for overload.
-    bool not_run = false;              ///< Nothing of it ran, so a non-repeatable one may be made again.
+    std::string overloaded_service;  ///< That refused the nested call or one below it; empty if none did.
+    bool not_run = false;            ///< Nothing of it ran, so a non-repeatable one may be made again.
     std::uint64_t duration_us = 0;
     bool forget_attempt = false;  ///< The attempt ran nothing and is not to be counted as one.
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        serialize_all(archive, call_id, identity, loan_id, used, refused_by_overload, not_run, duration_us,
+        serialize_all(archive, call_id, identity, loan_id, used, overloaded_service, not_run, duration_us,
                       forget_attempt);
     }
 };
 
 /// What a call used in all, when it ends.
 struct LedgerReport {
-    unsigned used = 0;  ///< Loans not yet returned count as used.
-    bool refused_by_overload = false;
-    bool nested_ran = false;  ///< A nested call may have run.
-    Duration nested_time{};   ///< Time spent in nested calls.
+    unsigned used = 0;               ///< Loans not yet returned count as used.
+    std::string overloaded_service;  ///< That refused a nested call or one below it; empty if none did.
+    bool nested_ran = false;         ///< A nested call may have run.
+    Duration nested_time{};          ///< Time spent in nested calls.
 };
 
 /// Ledgers of the calls that this daemon has dispatched. Pure.
@@ -106,7 +106,7 @@
     struct Ledger {
         LedgerTerms terms;
         unsigned remaining = 0;
-        bool refused_by_overload = false;
+        std::string overloaded_service;
         bool ended = false;
         TimePoint ended_at;
         Duration nested_time{};
--- a/src/routing/call.hpp
+++ b/src/routing/call.hpp
@@ -36,19 +36,25 @@
     ErrorKind error = ErrorKind::kBackendFailed;   ///< When there is no response.
     Execution execution = Execution::kMayHaveRun;  ///< When there is no response.
     Duration retry_after{};
-    unsigned retries_used = 0;         ///< By the call and all below it.
-    bool refused_by_overload = false;  ///< The call, or one below it.
-    bool nested_ran = false;           ///< A call nested in this one may have run.
+    unsigned retries_used = 0;       ///< By the call and all below it.
+    std::string overloaded_service;  ///< That refused the call or one below it; empty if none did.
+    bool nested_ran = false;         ///< A call nested in this one may have run.
     bool server_leaving = false;
 
+    bool refused_by_overload() const { return !overloaded_service.empty(); }
+
     /// A result without a back end's answer; what is known of its execution follows from the kind.
     static CallResult failure(ErrorKind kind, Duration retry_after = {}) {
         CallResult result;
         result.error = kind;
         result.execution = answer_for(kind).execution;
         result.retry_after = retry_after;
-        result.refused_by_overload = kind == ErrorKind::kOverloaded || kind == ErrorKind::kQueueTimeout ||
-                                     kind == ErrorKind::kBackendRefused;
+        return result;
+    }
+    /// Like `failure`, for a call that `service` refused for overload.
+    static CallResult refusal(ErrorKind kind, const std::string& service, Duration retry_after) {
+        auto result = failure(kind, retry_after);
+        result.overloaded_service = service;
         return result;
     }
 };
--- a/src/routing/handles/ledger_route.cpp
+++ b/src/routing/handles/ledger_route.cpp
@@ -58,7 +58,7 @@
     settlement.identity = call.identity;
     settlement.loan_id = reply->loan_id;
     settlement.used = result.retries_used;
-    settlement.refused_by_overload = result.refused_by_overload;
+    settlement.overloaded_service = result.overloaded_service;
     settlement.not_run = !result.response && result.execution == Execution::kNotRun;
     settlement.duration_us =
         static_cast<std::uint64_t>(std::chrono::duration_cast<microseconds>(taken).count());
--- a/src/routing/handles/retry_route.cpp
+++ b/src/routing/handles/retry_route.cpp
@@ -58,7 +58,7 @@
     const bool cancelled = call.cancel != nullptr && call.cancel->cancelled();
     const bool time_left = TimePoint::clock::now() + kBackoff < call.deadline;
     const bool allowed = call.route.row.repeatable && call.context.retry_allowance > 0 &&
-                         call.request->body.whole() && !result.refused_by_overload;
+                         call.request->body.whole() && !result.refused_by_overload();
     if (!failed || cancelled || !time_left || !allowed) {
         return false;
     }
--- a/src/routing/handles/server_route.cpp
+++ b/src/routing/handles/server_route.cpp
@@ -148,7 +148,7 @@
     result.retries_used = call.context.retry_allowance;
     if (report) {
         result.retries_used = report->retries_used;
-        result.refused_by_overload = report->refused_by_overload;
+        result.overloaded_service = report->overloaded_service;
         result.nested_ran = report->nested_ran;
         result.server_leaving = report->leaving;
         result.retry_after = milliseconds(report->retry_after_ms);
--- a/tests/unit/admission/policy_test.cpp
+++ b/tests/unit/admission/policy_test.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 
 #include "admission/adaptive_throttle.hpp"
 #include "admission/policy/aimd_limit.hpp"
@@ -64,37 +65,42 @@
 TEST_CASE("the throttle lets all through while nothing is refused") {
     AdaptiveThrottle throttle;
     for (int request = 0; request < 1'000; ++request) {
-        CHECK_FALSE(throttle.refuses(at_ms(request), "row", 0.0));
-        throttle.on_result(at_ms(request), "row", false);
+        CHECK_FALSE(throttle.refuses(at_ms(request), {"row", 5}, 0.0));
+        throttle.on_result(at_ms(request), {"row", 5}, "");
     }
 }
 
-TEST_CASE("the throttle lets through little more than the service takes, and is gone a second after its cause") {
-    // A thousand roots a second, of which the service takes 250.
+TEST_CASE(
+    "the throttle refuses the least important first, lets through little more than the service takes, "
+    "and is gone a second after its cause") {
+    // A thousand roots a second, half of them important; the service takes 600, the important ones first.
     AdaptiveThrottle throttle;
-    unsigned let_through = 0;
+    const ThrottledRow important{"important", 0};
+    const ThrottledRow bulk{"bulk", 8};
+    std::map<std::string, unsigned> let_through;
     unsigned taken = 0;
     double room = 0;
     for (int ms = 0; ms < 10'000; ++ms) {
-        room = std::min(room + 0.25, 5.0);
-        const double random = (ms * 37 % 100) / 100.0;
-        if (throttle.refuses(at_ms(ms), "row", random)) {
+        room = std::min(room + 0.6, 5.0);
+        const auto& row = ms % 2 == 0 ? important : bulk;
+        if (throttle.refuses(at_ms(ms), row, (ms * 37 % 100) / 100.0)) {
             continue;
         }
-        const bool refused = room < 1;
+        const bool refused = room < (row.priority == 0 ? 1 : 3);
         room -= refused ? 0 : 1;
-        throttle.on_result(at_ms(ms), "row", refused);
+        throttle.on_result(at_ms(ms), row, refused ? "deep" : "");
         const bool settled = ms >= 2'000;
-        let_through += settled ? 1 : 0;
+        let_through[row.name] += settled ? 1 : 0;
         taken += settled && !refused ? 1 : 0;
     }
-    CHECK(taken > 0.85 * 8'000 * 0.25);
-    CHECK(let_through < 1.6 * taken);
-    CHECK(throttle.refusal_share("other") == 0);
+    CHECK(let_through["important"] > 0.97 * 4'000);
+    CHECK(taken > 0.85 * 8'000 * 0.6);
+    CHECK(let_through["important"] + let_through["bulk"] < 1.3 * taken);
+    CHECK(throttle.refusal_share({"other", 9}) == 0);
     for (int ms = 10'000; ms < 11'100; ++ms) {
-        if (!throttle.refuses(at_ms(ms), "row", (ms * 37 % 100) / 100.0)) {
-            throttle.on_result(at_ms(ms), "row", false);
+        if (!throttle.refuses(at_ms(ms), bulk, (ms * 37 % 100) / 100.0)) {
+            throttle.on_result(at_ms(ms), bulk, "");
         }
     }
-    CHECK(throttle.refusal_share("row") == 0);
+    CHECK(throttle.refusal_share(bulk) == 0);
 }
--- a/tests/unit/protocol/call_context_test.cpp
+++ b/tests/unit/protocol/call_context_test.cpp
@@ -68,10 +68,10 @@
 }
 
 TEST_CASE("a gate report survives encoding") {
-    const auto decoded = decode_gate_report(encode_gate_report({1, true, false, true, 5, 6, 7, 800}));
+    const auto decoded = decode_gate_report(encode_gate_report({1, "deep", false, true, 5, 6, 7, 800}));
     REQUIRE(decoded);
     CHECK(decoded->retries_used == 1);
-    CHECK(decoded->refused_by_overload);
+    CHECK(decoded->overloaded_service == "deep");
     CHECK_FALSE(decoded->nested_ran);
     CHECK(decoded->leaving);
     CHECK(decoded->limit == 7);
--- a/tests/unit/retry/retry_ledger_test.cpp
+++ b/tests/unit/retry/retry_ledger_test.cpp
@@ -134,7 +134,7 @@
                     }
                     const auto used = run(layer + 1, loan.lent);
                     if (used) {
-                        SettleRequest request{call_id, 1, loan.loan_id, *used, false, false, 0, false};
+                        SettleRequest request{call_id, 1, loan.loan_id, *used, "", false, 0, false};
                         ledger.settle(request);
                     }
                 }
