--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -55,7 +55,7 @@
         }
         ended_ = true;
         const auto now = TimePoint::clock::now();
-        const auto report = service_.ledger_.close(now, call_id_);
+        auto report = service_.ledger_.close(now, call_id_);
         --service_.in_flight_;
         service_.registry_.on_finish(server_);
         if (!report.overloaded_service.empty() && outcome != SampleOutcome::kCompleted) {
--- a/tests/integration/bad_input_test.cpp
+++ b/tests/integration/bad_input_test.cpp
@@ -19,7 +19,7 @@
     return options;
 }
 
-std::optional<net::HttpResponse> send(const Endpoint& daemon, net::HttpRequest request) {
+std::optional<net::HttpResponse> send(const Endpoint& daemon, net::HttpRequest& request) {
     net::HttpClient client(Fleet::loop().io(), daemon);
     net::ExchangeProgress progress;
     std::error_code error;
@@ -37,6 +37,11 @@
     return request;
 }
 
+std::optional<net::HttpResponse> send_standing_check(const Endpoint& daemon) {
+    auto request = standing_check();
+    return send(daemon, request);
+}
+
 }  // namespace
 
 TEST_CASE("bad input of every kind gets a clear error, and the daemon serves on", "[bad-input]") {
@@ -57,26 +62,26 @@
         CHECK(raw_exchange(daemon.call, "GET / HTTP/1.1\r\nHost:", true).empty());
         auto unknown = standing_check();
         unknown.fields.set("Host", "nobody");
-        CHECK(error_of(send(daemon.call, std::move(unknown))) == "unknown-service");
+        CHECK(error_of(send(daemon.call, unknown)) == "unknown-service");
         auto keyless = net::make_request("POST", "/bookings/1");
         keyless.fields.set("Host", "bookings");
-        CHECK(error_of(send(daemon.call, std::move(keyless))) == "key-required");
+        CHECK(error_of(send(daemon.call, keyless)) == "key-required");
     }
 
     SECTION("forged and replayed contexts start a new root request, or are refused") {
         auto forged = standing_check();
         forged.fields.set(header::kContext, "0123456789abcdef0123456789abcdef;0123456789abcdef;x;0;9;0;0;00");
-        CHECK(send(daemon.call, std::move(forged))->status == 200);
+        CHECK(send(daemon.call, forged)->status == 200);
         CallContext ended;
         ended.root_id = "0123456789abcdef0123456789abcdef";
         ended.call_id = "0123456789abcdef";
         ended.home = daemon.name;
         auto replayed = standing_check();
         replayed.fields.set(header::kContext, encode_call_context(ended, "lab-mesh-key-0123456789"));
-        CHECK(error_of(send(daemon.call, std::move(replayed))) == "home-unreachable");
+        CHECK(error_of(send(daemon.call, replayed)) == "home-unreachable");
         auto gate = standing_check();
         gate.fields.set(header::kGate, "127.0.0.1:1,0;00");
-        CHECK(error_of(send(daemon.call, std::move(gate))) == "bad-request");
+        CHECK(error_of(send(daemon.call, gate)) == "bad-request");
     }
 
     SECTION("peer frames") {
@@ -114,7 +119,7 @@
         CHECK(fleet.get(daemon.admin, "/status")->at("servers").size() == fleet.backends().size());
     }
 
-    CHECK(send(daemon.call, standing_check())->status == 200);
+    CHECK(send_standing_check(daemon.call)->status == 200);
 }
 
 TEST_CASE("without store and peers calls get a clear refusal", "[bad-input]") {
@@ -127,8 +132,8 @@
                          "--daemon-peer=127.0.0.1:23391", "--daemon-admin=127.0.0.1:23392",
                          "--daemon-mesh-key=0123456789abcdef", "--platform-stores=127.0.0.1:1",
                          "--platform-machine-list=127.0.0.1:1"});
-    CHECK(fleet.eventually(seconds(5), [&] { return error_of(send(call, standing_check())) == "no-table"; }));
-    const auto response = send(call, standing_check());
+    CHECK(fleet.eventually(seconds(5), [&] { return error_of(send_standing_check(call)) == "no-table"; }));
+    const auto response = send_standing_check(call);
     CHECK(response->status == 503);
     CHECK(response->fields.find(header::kRetryAfter));
     CHECK(response->fields.find("Content-Type") == "application/problem+json");
--- a/tests/integration/leaving_proof_test.cpp
+++ b/tests/integration/leaving_proof_test.cpp
@@ -53,7 +53,7 @@
         fleet.restart(place.name);
         CHECK(fleet.eventually(seconds(10), [&] {
             const auto status = fleet.get(place.admin, "/status");
-            return status && status->at("table_revision") > 0 && status->at("servers").size() > 0;
+            return status && status->at("table_revision") > 0 && !status->at("servers").empty();
         }));
     }
     unsigned sent = 0;
--- a/tests/unit/admission/policy_test.cpp
+++ b/tests/unit/admission/policy_test.cpp
@@ -52,14 +52,15 @@
 }
 
 TEST_CASE("the gradient limit settles near the slots of a server that queues by itself") {
-    constexpr unsigned kSlots = 10;
+    constexpr unsigned server_slots = 10;
     GradientLimit limit({4, 200});
     for (int sample = 0; sample < 20'000; ++sample) {
         const auto in_flight = limit.limit();
-        limit.on_sample(at_ms(sample), {SampleOutcome::kCompleted, latency_at(in_flight, kSlots), in_flight});
+        limit.on_sample(at_ms(sample),
+                        {SampleOutcome::kCompleted, latency_at(in_flight, server_slots), in_flight});
     }
-    CHECK(limit.limit() >= kSlots);
-    CHECK(limit.limit() <= 2 * kSlots);
+    CHECK(limit.limit() >= server_slots);
+    CHECK(limit.limit() <= 2 * server_slots);
 }
 
 TEST_CASE("the throttle lets all through while nothing is refused") {
--- a/tests/unit/claims/claims_test.cpp
+++ b/tests/unit/claims/claims_test.cpp
@@ -32,6 +32,7 @@
 
 TEST_CASE("a key's holders stand in different zones where there are enough") {
     std::vector<Holder> holders;
+    holders.reserve(9);
     for (int index = 0; index < 9; ++index) {
         holders.push_back(holder("h" + std::to_string(index), 1, "z" + std::to_string(index % 3)));
     }
--- a/tests/unit/config/table_test.cpp
+++ b/tests/unit/config/table_test.cpp
@@ -76,11 +76,9 @@
 }
 
 TEST_CASE("malformed records are refused, never a crash") {
-    for (const auto* text :
-         {"", "[]", "{}", "{\"rows\":3}",
-          "{\"sequence\":1,\"change_id\":\"\",\"author\":\"\",\"accepted_at\":\"\",\"rows\":[3]}",
-          "{\"sequence\":1,\"change_id\":\"\",\"author\":\"\",\"accepted_at\":\"\",\"rows\":[{\"name\":3}]"
-          "}"}) {
+    const std::string head = R"({"sequence":1,"change_id":"","author":"","accepted_at":"","rows":)";
+    for (const auto& text : {std::string(), std::string("[]"), std::string("{}"),
+                             std::string(R"({"rows":3})"), head + "[3]}", head + R"([{"name":3}]})"}) {
         CHECK_FALSE(parse_table_record(text).errors.empty());
     }
 }
--- a/tests/unit/protocol/peer_messages_test.cpp
+++ b/tests/unit/protocol/peer_messages_test.cpp
@@ -55,7 +55,8 @@
         if (!payload.empty()) {
             payload[random() % payload.size()] = static_cast<char>(random());
         }
-        const auto bytes = message_authentication_code(kKey, "gossip-1:" + payload) + payload;
+        const std::string material = "gossip-1:" + payload;
+        const auto bytes = message_authentication_code(kKey, material).append(payload);
         CHECK_FALSE(decode_gossip(bytes, kKey));
     }
 }
--- a/tests/unit/retry/retry_ledger_test.cpp
+++ b/tests/unit/retry/retry_ledger_test.cpp
@@ -112,8 +112,8 @@
 TEST_CASE("retries of all layers of a chain together stay within the allowance, whatever is lost") {
     // Each layer makes one nested call and repeats it while it may; any answer may be lost, which makes the
     // layer repeat and its loan stay out. Executions at the bottom are bounded by 1 + allowance.
-    constexpr unsigned kAllowance = 3;
-    constexpr int kLayers = 4;
+    constexpr unsigned chain_allowance = 3;
+    constexpr int layers = 4;
     std::mt19937 random(7);
     for (int round = 0; round < 5'000; ++round) {
         unsigned executions = 0;
@@ -124,7 +124,7 @@
             [&](int layer, unsigned allowance) -> std::optional<unsigned> {
             const auto call_id = std::to_string(next_call++);
             ledger.open(call_id, terms(allowance));
-            if (layer == kLayers) {
+            if (layer == layers) {
                 ++executions;
             } else {
                 for (int attempt = 0; attempt < 4; ++attempt) {
@@ -142,8 +142,8 @@
             const auto used = ledger.close(at_ms(0), call_id).used;
             return random() % 3 == 0 ? std::nullopt : std::optional(used);
         };
-        run(0, kAllowance);
-        REQUIRE(executions <= 1 + kAllowance);
+        run(0, chain_allowance);
+        REQUIRE(executions <= 1 + chain_allowance);
     }
 }
 
