--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= cooperative
 JOBS ?= 8
 
-.PHONY: deps build test demo check clean
+.PHONY: deps build test demo prove bench scale check clean
 
 deps:
 	bash scripts/install-dependencies.sh
@@ -12,13 +12,28 @@
 	cmake -S . -B $(BUILD) -G Ninja > /dev/null
 	cmake --build $(BUILD) -j $(JOBS)
 
+# Unit tests, and the proofs and bad-input tests with real processes.
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure
 
+# A whole deployment on stand-ins: DEPLOYMENT=cooperative or brightwater.
 demo: build
 	$(BUILD)/anisehold-demo $(DEPLOYMENT)
 
+# The proofs one by one; scripts/prove.sh --without MECHANISM shows that they can fail.
+prove: build
+	bash scripts/prove.sh --build $(BUILD)
+
+# Overload scenarios; about 14 minutes. Files go to $(BUILD)/bench.
+bench: build
+	$(BUILD)/anisehold-bench
+
+# Hollow members beside real daemons, up to 550; about 8 minutes.
+scale: build
+	$(BUILD)/anisehold-scale
+
 check: deps
+	cmake -S . -B $(BUILD) -G Ninja > /dev/null
 	bash scripts/check-style.sh $(BUILD)
 
 clean:
--- a/lab/backend.cpp
+++ b/lab/backend.cpp
@@ -215,6 +215,10 @@
 
 net::HttpResponse Backend::run(const KindSpec& kind, net::HttpRequest& request, net::CancelSignal& cancel) {
     const auto deadline = TimePoint::clock::now() + timeout_of(request);
+    std::error_code error;
+    if (!net::read_whole(request.body, net::kLargestFetchedText, error)) {
+        return refuse("the request broke off");
+    }
     if (slots_used_ >= slots_ && waiting_.size() >= options_.queue) {
         return refuse("full");
     }
--- a/lab/load.cpp
+++ b/lab/load.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
-#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 
@@ -69,6 +68,7 @@
     while (next - started_ < options_.duration_ms) {
         boost::this_fiber::sleep_until(next);
         const auto& kind = pick_kind();
+        record(kind);
         const auto id = options_.id_prefix + std::to_string(++sent_);
         ++running_;
         net::EventLoop::spawn([this, &kind, id] {
@@ -87,6 +87,17 @@
                        [](const auto& entry) { return entry.second.wrong == 0; });
 }
 
+void Load::record(const KindSpec& kind) {
+    if (options_.record_file.empty()) {
+        return;
+    }
+    if (!record_.is_open()) {
+        record_.open(options_.record_file);
+    }
+    const auto at_us = std::chrono::duration_cast<microseconds>(TimePoint::clock::now() - started_).count();
+    record_ << at_us << ",request," << kind.name << "," << options_.zone << "\n";
+}
+
 void Load::run_request(const KindSpec& kind, const std::string& id) {
     const auto arrival = TimePoint::clock::now();
     const auto deadline = arrival + options_.client_timeout_ms;
--- a/lab/load.hpp
+++ b/lab/load.hpp
@@ -2,6 +2,7 @@
 /// The load generator: open-loop arrivals by kind, clients that retry, every answer checked.
 #pragma once
 
+#include <fstream>
 #include <map>
 #include <memory>
 #include <random>
@@ -30,6 +31,8 @@
     bool hard = false;  ///< Retries come at once; else after the time that the answer names.
     milliseconds client_timeout_ms{5'000};  ///< For one request with all its retries.
     std::string id_prefix = "r";            ///< Distinguishes several load generators.
+    std::string zone = "zone-1";            ///< Named in the recorded trace.
+    std::string record_file;                ///< CSV trace of all arrivals, for replay; empty for none.
     std::string series_file;                ///< CSV of outcomes over time; empty for none.
     bool client_delay = true;               ///< Whether the deployment's client delay is simulated.
 };
@@ -77,6 +80,7 @@
     Attempt judge(const KindSpec& kind, const std::string& id, net::HttpResponse& response) const;
     void print_summary() const;
     void write_series() const;
+    void record(const KindSpec& kind);
 
     Deployment deployment_;
     LoadOptions options_;
@@ -87,6 +91,7 @@
     std::uint64_t sent_ = 0;
     std::map<std::string, KindResult> results_;
     std::map<std::pair<std::size_t, std::string>, Bucket> series_;  // By bucket and kind.
+    std::ofstream record_;
     std::vector<std::string> not_run_ids_;
     std::vector<std::string> whole_ids_;
 };
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -14,6 +14,7 @@
 #include "lab/load.hpp"
 #include "lab/machines.hpp"
 #include "lab/proxy.hpp"
+#include "lab/replay.hpp"
 #include "lab/store.hpp"
 #include "net/event_loop.hpp"
 
@@ -190,6 +191,32 @@
     net::exit_process(kDone);
 }
 
+/// Replays a trace and compares with the stated outcomes; prints each kind's.
+int run_replay(const CommonOptions& options, const std::string& trace_file, const std::string& stated_file,
+               const std::vector<std::string>& without) {
+    auto deployment = load_deployment(options.deployment_file);
+    const auto trace = load_trace(trace_file);
+    const auto stated = load_stated_outcomes(stated_file);
+    if (!deployment || !trace || !stated) {
+        return kUsage;
+    }
+    Replay replay(std::move(*deployment), config::MechanismSet(without));
+    auto outcomes = replay.run(*trace);
+    for (const auto& [kind, outcome] : outcomes) {
+        std::cout << kind << ": sent=" << outcome.sent << " whole=" << outcome.whole
+                  << " refused_early=" << outcome.refused_early << " refused=" << outcome.refused << "\n";
+    }
+    bool as_stated = true;
+    for (const auto& wanted : *stated) {
+        const auto whole = outcomes[wanted.kind].whole;
+        const bool good = whole >= wanted.least_whole && whole <= wanted.most_whole;
+        as_stated = as_stated && good;
+        std::cout << (good ? "as stated: " : "NOT as stated: ") << wanted.kind << " whole=" << whole
+                  << ", stated " << wanted.least_whole << " to " << wanted.most_whole << "\n";
+    }
+    return as_stated ? kDone : kFailed;
+}
+
 int print_table(const CommonOptions& options) {
     const auto deployment = load_deployment(options.deployment_file);
     if (!deployment) {
@@ -240,6 +267,8 @@
     load->add_option("--timeout-ms", timeout_ms, "Patience of a client, retries included");
     load->add_option("--id-prefix", load_options.id_prefix, "Start of all request ids");
     load->add_option("--series", load_options.series_file, "CSV file of outcomes over time");
+    load->add_option("--record", load_options.record_file, "CSV trace of all arrivals, for replay");
+    load->add_option("--zone", load_options.zone, "Zone named in the trace");
     load->add_flag("--no-client-delay", no_client_delay, "Don't simulate the way between clients and system");
     add_target_options(*load, options);
 
@@ -264,7 +293,19 @@
     hollow->add_option("--watched", hollow_options.watched, "Member whose death is timed");
     hollow->add_option("--control", control, "IP:PORT of the control endpoint")->required();
 
+    auto* replay = app.add_subcommand("replay", "Replay a trace in virtual time against stated outcomes");
+    std::string trace_file;
+    std::string stated_file;
+    std::vector<std::string> without;
+    replay->add_option("--deployment", options.deployment_file, "Deployment file")->required();
+    replay->add_option("--trace", trace_file, "Trace, CSV")->required();
+    replay->add_option("--stated", stated_file, "Stated outcomes, CSV")->required();
+    replay->add_option("--without", without, "Mechanism to switch off");
+
     CLI11_PARSE(app, argc, argv);
+    if (replay->parsed()) {
+        return run_replay(options, trace_file, stated_file, without);
+    }
     if (table->parsed()) {
         return print_table(options);
     }
--- a/lab/proxy.cpp
+++ b/lab/proxy.cpp
@@ -10,6 +10,7 @@
 #include "lab/proxy.hpp"
 #include "net/await_io.hpp"
 #include "net/event_loop.hpp"
+#include "net/listen.hpp"
 
 namespace anisehold::lab {
 namespace {
@@ -125,19 +126,7 @@
 Proxy::~Proxy() = default;
 
 std::error_code Proxy::start(const Endpoint& listen, const Endpoint& control) {
-    boost::system::error_code error;
-    const Tcp::endpoint bind_to(boost::asio::ip::make_address(listen.ip), listen.port);
-    state_->acceptor.open(bind_to.protocol(), error);
-    if (!error) {
-        state_->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        state_->acceptor.bind(bind_to, error);
-    }
-    if (!error) {
-        state_->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-    }
-    if (error) {
+    if (const auto error = net::listen_on(state_->acceptor, listen)) {
         return error;
     }
     net::EventLoop::spawn([state = state_] { state->accept_all(); });
--- a/src/admission/policy/aimd_limit.cpp
+++ b/src/admission/policy/aimd_limit.cpp
@@ -3,13 +3,6 @@
 #include <algorithm>
 
 namespace anisehold::admission {
-namespace {
-
-constexpr double kCut = 0.85;
-/// One overload shows in many samples; it is answered by one cut in this time.
-constexpr milliseconds kCutInterval{100};
-
-}  // namespace
 
 AimdLimit::AimdLimit(LimitBounds bounds)
     : bounds_(bounds), limit_(std::min(bounds.initial, bounds.ceiling)) {}
@@ -26,12 +19,7 @@
         }
         return;
     }
-    const bool overloaded =
-        sample.outcome == SampleOutcome::kShed || sample.outcome == SampleOutcome::kTimeout;
-    if (overloaded && now - last_cut_ >= kCutInterval) {
-        last_cut_ = now;
-        limit_ = std::max(1.0, limit_ * kCut);
-    }
+    limit_ = cut_.apply(now, sample.outcome, limit_);
 }
 
 }  // namespace anisehold::admission
--- a/src/admission/policy/aimd_limit.hpp
+++ b/src/admission/policy/aimd_limit.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "admission/concurrency_limit.hpp"
+#include "admission/policy/overload_cut.hpp"
 
 namespace anisehold::admission {
 
@@ -17,7 +18,7 @@
   private:
     LimitBounds bounds_;
     double limit_;
-    TimePoint last_cut_;
+    OverloadCut cut_;
 };
 
 }  // namespace anisehold::admission
--- a/src/admission/policy/gradient_limit.cpp
+++ b/src/admission/policy/gradient_limit.cpp
@@ -14,8 +14,6 @@
 constexpr double kSmoothing = 0.5;
 /// Per window; the baseline doubles in about five minutes if nothing faster is seen.
 constexpr double kBaselineDrift = 1.00023;
-constexpr double kCut = 0.85;
-constexpr milliseconds kCutInterval{100};
 
 }  // namespace
 
@@ -31,12 +29,7 @@
         on_completed(now, sample);
         return;
     }
-    const bool overloaded =
-        sample.outcome == SampleOutcome::kShed || sample.outcome == SampleOutcome::kTimeout;
-    if (overloaded && now - last_cut_ >= kCutInterval) {
-        last_cut_ = now;
-        limit_ = std::max(1.0, limit_ * kCut);
-    }
+    limit_ = cut_.apply(now, sample.outcome, limit_);
 }
 
 void GradientLimit::on_completed(TimePoint now, const Sample& sample) {
--- a/src/admission/policy/gradient_limit.hpp
+++ b/src/admission/policy/gradient_limit.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "admission/concurrency_limit.hpp"
+#include "admission/policy/overload_cut.hpp"
 
 namespace anisehold::admission {
 
@@ -27,7 +28,7 @@
     unsigned window_max_in_flight_ = 0;
     double baseline_us_ = 0;  // Least window average, raised slowly so that a changed server is relearned.
     TimePoint window_started_;
-    TimePoint last_cut_;
+    OverloadCut cut_;
 };
 
 }  // namespace anisehold::admission
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -108,6 +108,7 @@
         while (true) {
             boost::this_fiber::sleep_for(kHousekeepingPeriod);
             ledger_.forget(TimePoint::clock::now());
+            drop_unlisted_gates();
             for (const auto& [server, gate] : gates_) {
                 const auto load = gate->gate.load();
                 context_.metrics.set_gate(server.text(), {load.in_flight, load.queued, load.limit});
@@ -116,6 +117,14 @@
     });
 }
 
+/// Servers come and go by the hundred a day; a gate goes with its server.
+void GateService::drop_unlisted_gates() {
+    std::erase_if(gates_, [&](const auto& entry) {
+        const auto load = entry.second->gate.load();
+        return registry_.find(entry.first) == nullptr && load.in_flight == 0 && load.queued == 0;
+    });
+}
+
 retry::DrawReply GateService::handle(const retry::DrawRequest& request) {
     return ledger_.draw(TimePoint::clock::now(), request);
 }
@@ -239,24 +248,13 @@
 
 net::HttpRequest GateService::server_request(Call& call) const {
     const auto now = TimePoint::clock::now();
-    net::HttpRequest request;
-    request.method = call.request->method;
-    request.target = call.request->target;
-    request.fields = call.request->fields;
+    auto request = routing::forwarded_request(call);
     CallContext context = call.context;
     context.home = context_.self.id;
     request.fields.set(header::kContext, encode_call_context(context, context_.settings.daemon_mesh_key));
     request.fields.set(header::kTraceParent, make_trace_parent(context.root_id, context.call_id));
     request.fields.set(header::kTimeout, std::to_string(std::max(0LL, to_milliseconds(call.deadline - now))));
     request.fields.remove(header::kGate);
-    request.body.length = call.request->body.length;
-    if (call.request->body.whole()) {
-        request.body.prefix = call.request->body.prefix;
-    } else {
-        // A streamed body can be sent once; the row's retries don't apply to it.
-        request.body.prefix = std::move(call.request->body.prefix);
-        request.body.rest = std::move(call.request->body.rest);
-    }
     return request;
 }
 
--- a/src/daemon/gate_service.hpp
+++ b/src/daemon/gate_service.hpp
@@ -76,6 +76,7 @@
     routing::CallResult failure_result(const net::ExchangeProgress& progress, const routing::Call& call,
                                        Admission& admission);
     net::HttpRequest server_request(routing::Call& call) const;
+    void drop_unlisted_gates();
     void wake(Gate& gate, const std::vector<std::uint64_t>& ids);
 
     DaemonContext& context_;
--- a/src/net/frame_transport.cpp
+++ b/src/net/frame_transport.cpp
@@ -12,6 +12,7 @@
 #include "net/await_io.hpp"
 #include "net/event_loop.hpp"
 #include "net/frame_transport.hpp"
+#include "net/listen.hpp"
 
 namespace anisehold::net {
 namespace {
@@ -26,6 +27,7 @@
 /// Clients drop idle connections before the server does.
 constexpr seconds kClientIdle{30};
 constexpr std::size_t kIdlePerServer = 4;
+constexpr seconds kReapPeriod{10};
 
 boost::system::error_code write_frame(Stream& stream, std::string_view frame) {
     const auto size = static_cast<std::uint32_t>(frame.size());
@@ -104,21 +106,7 @@
 }
 
 std::error_code FrameServer::start(const Endpoint& endpoint) {
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(endpoint.ip, error);
-    const Tcp::endpoint bind_to(address, endpoint.port);
-    if (!error) {
-        state_->acceptor.open(bind_to.protocol(), error);
-    }
-    if (!error) {
-        state_->acceptor.set_option(Tcp::acceptor::reuse_address(true), error);
-    }
-    if (!error) {
-        state_->acceptor.bind(bind_to, error);
-    }
-    if (!error) {
-        state_->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-    }
+    const auto error = listen_on(state_->acceptor, endpoint);
     if (!error) {
         EventLoop::spawn([state = state_] { state->accept_all(); });
     }
@@ -138,6 +126,19 @@
 
     State(boost::asio::io_context& io, std::size_t largest) : io(io), largest(largest) {}
 
+    /// Closes connections that have been idle for too long, to whatever server: over days a daemon talks to
+    /// every member once.
+    void reap(TimePoint now) {
+        if (now - last_reap < kReapPeriod) {
+            return;
+        }
+        last_reap = now;
+        for (auto& [server, pool] : idle) {
+            std::erase_if(pool, [&](const Idle& entry) { return now - entry.since >= kClientIdle; });
+        }
+        std::erase_if(idle, [](const auto& entry) { return entry.second.empty(); });
+    }
+
     std::unique_ptr<Stream> take_idle(const Endpoint& server) {
         auto& pool = idle[server];
         while (!pool.empty()) {
@@ -188,6 +189,7 @@
     boost::asio::io_context& io;
     std::size_t largest;
     std::map<Endpoint, std::deque<Idle>> idle;
+    TimePoint last_reap;
 };
 
 FrameClient::FrameClient(boost::asio::io_context& io, std::size_t largest_frame)
@@ -200,6 +202,7 @@
 std::optional<std::string> FrameClient::exchange(const Endpoint& server, std::string_view frame,
                                                  TimePoint deadline, std::error_code& error) {
     const auto state = state_;
+    state->reap(TimePoint::clock::now());
     boost::system::error_code io_error;
     if (auto kept = state->take_idle(server)) {
         if (auto reply = state->try_exchange(*kept, frame, deadline, io_error)) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -88,9 +88,15 @@
 }
 
 void HttpClient::State::give_back(std::unique_ptr<Connection> connection) {
-    connection->idle_since = TimePoint::clock::now();
+    const auto now = TimePoint::clock::now();
+    connection->idle_since = now;
     connection->stream.expires_never();
     idle.push_back(std::move(connection));
+    while (now - idle.front()->idle_since > limits.idle_timeout_ms) {
+        auto expired = std::move(idle.front());
+        idle.pop_front();
+        discard(std::move(expired));
+    }
 }
 
 void HttpClient::State::discard(std::unique_ptr<Connection> connection) {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -7,6 +7,7 @@
 
 #include "net/event_loop.hpp"
 #include "net/http_server.hpp"
+#include "net/listen.hpp"
 
 namespace anisehold::net {
 namespace {
@@ -236,23 +237,11 @@
 }
 
 std::error_code HttpServer::start(const Endpoint& endpoint) {
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(endpoint.ip, error);
-    const Tcp::endpoint bind_to(address, endpoint.port);
-    const auto step = [&](auto&& action) {
-        if (!error) {
-            action();
-        }
-    };
-    step([&] { state_->acceptor.open(bind_to.protocol(), error); });
-    step([&] { state_->acceptor.set_option(Tcp::acceptor::reuse_address(true), error); });
-    step([&] { state_->acceptor.bind(bind_to, error); });
-    step([&] { state_->acceptor.listen(boost::asio::socket_base::max_listen_connections, error); });
-    if (error) {
-        return error;
+    const auto error = listen_on(state_->acceptor, endpoint);
+    if (!error) {
+        EventLoop::spawn([state = state_] { state->accept_connections(); });
     }
-    EventLoop::spawn([state = state_] { state->accept_connections(); });
-    return {};
+    return error;
 }
 
 std::uint16_t HttpServer::port() const {
--- a/src/routing/call.hpp
+++ b/src/routing/call.hpp
@@ -59,6 +59,10 @@
     }
 };
 
+/// The request to send on for a call. A small body is copied, so that it can be sent again; a streamed one is
+/// taken out of the call, and can be sent once.
+net::HttpRequest forwarded_request(Call& call);
+
 /// One step of routing. Handles compose: each does its part and passes the call to the next.
 class RouteHandle {
   public:
--- a/src/routing/handles/server_route.cpp
+++ b/src/routing/handles/server_route.cpp
@@ -22,23 +22,13 @@
 
 net::HttpRequest gate_request(Call& call, const Endpoint& server, std::string_view key) {
     const auto now = TimePoint::clock::now();
-    net::HttpRequest request;
-    request.method = call.request->method;
-    request.target = call.request->target;
-    request.fields = call.request->fields;
+    auto request = forwarded_request(call);
     const auto context = encode_call_context(call.context, key);
     const auto age = static_cast<std::uint64_t>(std::max(0LL, to_milliseconds(now - call.root_started)));
     request.fields.set("Host", call.service);
     request.fields.set(header::kContext, context);
     request.fields.set(header::kGate, encode_gate_request({server.text(), age}, context, key));
     request.fields.set(header::kTimeout, std::to_string(std::max(0LL, to_milliseconds(call.deadline - now))));
-    request.body.length = call.request->body.length;
-    if (call.request->body.whole()) {
-        request.body.prefix = call.request->body.prefix;
-    } else {
-        request.body.prefix = std::move(call.request->body.prefix);
-        request.body.rest = std::move(call.request->body.rest);
-    }
     return request;
 }
 
