Exchange full member lists soon after joining

Cause: when 200 members started at once, gossip's six updates a message carried the news of all joins too slowly: after 27 s members knew between 164 and 200 of 200, and the scale run gave up after 60 s. Ruled out: processor time (the same without anything beside it). The first full exchanges now come after 2, 4, 8, ... seconds, then every minute.

--- a/src/daemon/membership_service.cpp
+++ b/src/daemon/membership_service.cpp
@@ -17,7 +17,9 @@
 
 constexpr int kTicksPerPeriod = 8;
 constexpr seconds kExchangeTimeout{2};
-/// Full lists are exchanged this often, as a safety net under the gossip.
+/// Full lists are exchanged as a safety net under the gossip: soon after joining, since a fleet that starts
+/// at once has more news than gossip carries, then ever less often.
+constexpr seconds kFirstFullExchange{2};
 constexpr seconds kFullExchangePeriod{60};
 constexpr milliseconds kJoinRetry{250};
 constexpr seconds kUnreachableHolds{1};
@@ -121,8 +123,10 @@
         }
         boost::this_fiber::sleep_for(kJoinRetry);
     }
+    Duration period = kFirstFullExchange;
     while (true) {
-        boost::this_fiber::sleep_for(kFullExchangePeriod);
+        boost::this_fiber::sleep_for(context_.jittered(period));
+        period = std::min<Duration>(period * 2, kFullExchangePeriod);
         const auto peer = swim_.random_peer();
         if (!peer) {
             continue;
