--- a/lab/deployment.cpp
+++ b/lab/deployment.cpp
@@ -104,7 +104,6 @@
         deployment.name = root["name"].value_or(std::string());
         deployment.zones = texts(root["zones"]);
         deployment.client_delay_ms = milliseconds(root["client_delay_ms"].value_or<int64_t>(1));
-        deployment.connect_delay_ms = milliseconds(root["connect_delay_ms"].value_or<int64_t>(1));
         deployment.table_csv = root["table"].value_or(std::string());
         read_all(root, "services", deployment.services, read_service);
         read_all(root, "kinds", deployment.kinds, read_kind);
--- a/lab/deployment.hpp
+++ b/lab/deployment.hpp
@@ -35,8 +35,7 @@
 struct Deployment {
     std::string name;
     std::vector<std::string> zones;
-    milliseconds client_delay_ms{1};   ///< One way, between clients and the system.
-    milliseconds connect_delay_ms{1};  ///< What a new connection costs.
+    milliseconds client_delay_ms{1};  ///< One way, between clients and the system.
     std::vector<ServiceSpec> services;
     std::vector<KindSpec> kinds;
     std::string table_csv;  ///< The table to start with.
