--- a/Makefile
+++ b/Makefile
@@ -24,11 +24,11 @@
 prove: build
 	bash scripts/prove.sh --build $(BUILD)
 
-# Overload scenarios; about 14 minutes. Files go to $(BUILD)/bench.
+# Overload scenarios, both deployments, one run after the other. Files go to $(BUILD)/bench.
 bench: build
 	$(BUILD)/anisehold-bench
 
-# Hollow members beside real daemons, up to 550; about 8 minutes.
+# Hollow members beside real daemons, up to 550.
 scale: build
 	$(BUILD)/anisehold-scale
 
--- a/src/admission/server_gate.hpp
+++ b/src/admission/server_gate.hpp
@@ -30,11 +30,6 @@
 
 enum class GateVerdict { kAdmitted, kQueued, kRefused };
 
-/// A call that was waiting and is refused now, to make room for a more important one.
-struct Evicted {
-    std::uint64_t id = 0;
-};
-
 struct ArrivalDecision {
     GateVerdict verdict = GateVerdict::kAdmitted;
     ErrorKind refusal = ErrorKind::kOverloaded;  ///< When refused.
--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -266,14 +266,15 @@
 
 /// Table revisions of all members, by zone, asked from each member.
 net::HttpResponse AdminServer::table_by_zone() {
+    constexpr auto table_index = static_cast<std::size_t>(DocumentKind::kTable);
     ordered_json zones = ordered_json::object();
     // A copy, since the list may change while members are asked.
     const auto members = membership_.working_members();
     for (const auto& record : members) {
-        std::uint64_t revision = documents_.revisions()[0];
+        std::uint64_t revision = documents_.revisions()[table_index];
         if (record.info.id != context_.self.id) {
             const auto reply = peers_.ask<RevisionsReply>(record.info.peer, RevisionsRequest{}, kPeerTimeout);
-            revision = reply ? reply->revisions[0] : 0;
+            revision = reply ? reply->revisions[table_index] : 0;
         }
         zones[record.info.zone].push_back({{"id", record.info.id}, {"table_revision", revision}});
     }
--- a/src/daemon/ingress.cpp
+++ b/src/daemon/ingress.cpp
@@ -21,7 +21,7 @@
 constexpr std::size_t kRootIdDigits = 32;
 constexpr std::size_t kCallIdDigits = 16;
 constexpr long long kMaxTimeoutMs = 3'600'000;
-/// Given to a caller that sent no valid context and whose table row can't be known yet.
+/// Media type of problem details (RFC 9457).
 constexpr const char* kProblemType = "application/problem+json";
 
 /// The service named by the Host header, without a port.
