--- a/lab/store.cpp
+++ b/lab/store.cpp
@@ -5,14 +5,14 @@
 #include <mutex>
 
 #include "lab/control.hpp"
-#include "platform/base64.hpp"
+#include "store/base64.hpp"
 
 namespace anisehold::lab {
 namespace {
 
 using nlohmann::json;
-using platform::base64_decode;
-using platform::base64_encode;
+using store::base64_decode;
+using store::base64_encode;
 
 constexpr seconds kWatchKeepAlive{2};
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 
 #include "cli/settings_options.hpp"
+#include "cli/sidecar_command.hpp"
 #include "cli/status_commands.hpp"
 #include "cli/table_commands.hpp"
 #include "config/table.hpp"
@@ -78,7 +79,13 @@
     ExplainCommand explain_command;
     explain_command.add_to(app);
 
+    SidecarCommand sidecar_command;
+    sidecar_command.add_to(app);
+
     CLI11_PARSE(app, argc, argv);
+    if (sidecar_command.chosen()) {
+        return sidecar_command.run();
+    }
     if (check_command->parsed()) {
         return check(check_options, table_file);
     }
--- /dev/null
+++ b/src/cli/sidecar_command.cpp
@@ -0,0 +1,79 @@
+#include "cli/sidecar_command.hpp"
+
+#include <boost/fiber/operations.hpp>
+#include <csignal>
+#include <iostream>
+
+#include "cli/settings_options.hpp"
+#include "config/sidecar_settings.hpp"
+#include "net/event_loop.hpp"
+#include "observability/events.hpp"
+#include "platform/dialect.hpp"
+#include "platform/store_client.hpp"
+#include "sidecar/sidecar.hpp"
+
+namespace anisehold::cli {
+namespace {
+
+constexpr int kDone = 0;
+constexpr int kFailed = 1;
+constexpr int kUsage = 2;
+/// Log lines are written in groups: each write costs a system call.
+constexpr milliseconds kLogFlushPeriod{200};
+
+void flush_log_later() {
+    net::EventLoop::spawn([] {
+        boost::this_fiber::sleep_for(kLogFlushPeriod);
+        observability::flush_log();
+    });
+}
+
+int serve(const config::SidecarSettings& settings, const std::string& settings_file) {
+    // A changed settings file is noticed without a signal; the signal must only do no harm.
+    std::signal(SIGHUP, SIG_IGN);
+    net::EventLoop loop;
+    observability::start_logging(settings.log_level, "json", settings.name,
+                                 observability::LogOutput::kStandardOutput);
+    observability::set_log_scheduler(flush_log_later);
+    const platform::Dialect dialect;
+    platform::StoreClient store(loop.io(), settings.store);
+    sidecar::Sidecar sidecar(loop, dialect, store, settings, settings_file);
+    const bool started = sidecar.start();
+    if (started) {
+        loop.wait_for_stop_signal();
+        sidecar.stop();
+    }
+    observability::stop_logging();
+    // Detached fibers still refer to the sidecar: the process ends without unwinding them.
+    net::exit_process(started ? kDone : kFailed);
+}
+
+}  // namespace
+
+void SidecarCommand::add_to(CLI::App& app) {
+    command_ = app.add_subcommand("sidecar", "Run the daemon beside one server");
+    command_->add_option("--config", settings_file_, "Settings file (TOML)")->required();
+    command_->add_flag("--check", check_only_, "Only check the settings");
+}
+
+int SidecarCommand::run() const {
+    std::string text;
+    if (!read_file(settings_file_, text)) {
+        std::cerr << settings_file_ << ": can't be read\n";
+        return kUsage;
+    }
+    const auto loaded = config::load_sidecar_settings(settings_file_, text);
+    for (const auto& error : loaded.errors) {
+        std::cerr << error.text() << "\n";
+    }
+    if (!loaded.errors.empty()) {
+        return kUsage;
+    }
+    if (check_only_) {
+        std::cout << "all good\n";
+        return kDone;
+    }
+    return serve(loaded.settings, settings_file_);
+}
+
+}  // namespace anisehold::cli
--- a/src/cli/table_commands.cpp
+++ b/src/cli/table_commands.cpp
@@ -9,12 +9,12 @@
 #include "cli/settings_options.hpp"
 #include "config/csv.hpp"
 #include "config/table.hpp"
-#include "platform/etcd_store.hpp"
+#include "store/etcd_store.hpp"
 
 namespace anisehold::cli {
 namespace {
 
-using platform::AcceptOutcome;
+using store::AcceptOutcome;
 
 constexpr milliseconds kStoreTimeout{3'000};
 constexpr seconds kInForceTimeout{30};
@@ -106,8 +106,8 @@
         }
         endpoints.push_back(*endpoint);
     }
-    platform::EtcdStore store(loop.io(), endpoints, kStoreTimeout);
-    platform::TableStore tables(store);
+    store::EtcdStore store(loop.io(), endpoints, kStoreTimeout);
+    store::TableStore tables(store);
     if (set_->parsed()) {
         return set_cells(tables);
     }
@@ -123,7 +123,7 @@
     return show(tables, export_->parsed());
 }
 
-int TableCommands::show(platform::TableStore& tables, bool as_csv) {
+int TableCommands::show(store::TableStore& tables, bool as_csv) {
     std::error_code error;
     const auto stored = tables.load(error);
     if (!stored) {
@@ -140,7 +140,7 @@
     return kDone;
 }
 
-int TableCommands::set_cells(platform::TableStore& tables) {
+int TableCommands::set_cells(store::TableStore& tables) {
     std::error_code error;
     const auto base = tables.load(error);
     if (!base) {
@@ -164,7 +164,7 @@
     return report(tables.accept(*base, wanted, author_));
 }
 
-int TableCommands::accept_file(platform::TableStore& tables) {
+int TableCommands::accept_file(store::TableStore& tables) {
     std::string text;
     if (!read_file(file_, text)) {
         std::cerr << file_ << ": can't be read\n";
@@ -186,7 +186,7 @@
     return report(tables.accept(*base, parsed.table, author_));
 }
 
-int TableCommands::report(const platform::AcceptResult& result) {
+int TableCommands::report(const store::AcceptResult& result) {
     switch (result.outcome) {
         case AcceptOutcome::kAccepted:
             std::cout << "accepted: change " << result.change_id << ", revision " << result.revision
@@ -256,7 +256,7 @@
     return kDone;
 }
 
-int TableCommands::show_history(platform::TableStore& tables) {
+int TableCommands::show_history(store::TableStore& tables) {
     std::error_code error;
     const auto entries = tables.history(history_limit_, error);
     if (!entries) {
@@ -271,7 +271,7 @@
     return kDone;
 }
 
-int TableCommands::show_outcome(platform::TableStore& tables) {
+int TableCommands::show_outcome(store::TableStore& tables) {
     std::error_code error;
     const auto entry = tables.find_change(change_id_, error);
     if (error) {
--- a/src/cli/table_commands.hpp
+++ b/src/cli/table_commands.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "net/event_loop.hpp"
-#include "platform/table_store.hpp"
+#include "store/table_store.hpp"
 #include "protocol/endpoint.hpp"
 
 namespace anisehold::cli {
@@ -23,12 +23,12 @@
     int run(net::EventLoop& loop);
 
   private:
-    int show(platform::TableStore& tables, bool as_csv);
-    int set_cells(platform::TableStore& tables);
-    int accept_file(platform::TableStore& tables);
-    int show_history(platform::TableStore& tables);
-    int show_outcome(platform::TableStore& tables);
-    int report(const platform::AcceptResult& result);
+    int show(store::TableStore& tables, bool as_csv);
+    int set_cells(store::TableStore& tables);
+    int accept_file(store::TableStore& tables);
+    int show_history(store::TableStore& tables);
+    int show_outcome(store::TableStore& tables);
+    int report(const store::AcceptResult& result);
     int wait_until_in_force(std::uint64_t revision);
     std::optional<Endpoint> daemon_endpoint() const;
 
--- /dev/null
+++ b/src/config/sidecar_settings.cpp
@@ -0,0 +1,104 @@
+#include "config/sidecar_settings.hpp"
+
+#include <toml++/toml.h>
+
+#include <charconv>
+
+#include "protocol/duration_text.hpp"
+
+namespace anisehold::config {
+namespace {
+
+/// Reads values of one file and collects what is wrong with them.
+class Reader {
+  public:
+    Reader(std::string file_name, const toml::table& table, std::vector<SettingError>& errors)
+        : file_name_(std::move(file_name)), table_(table), errors_(errors) {}
+
+    void text(std::string_view name, std::string& value) {
+        const auto found = find(name);
+        if (found.empty()) {
+            fail(name, "is missing");
+        } else {
+            value = found;
+        }
+    }
+
+    void endpoint(std::string_view name, Endpoint& value) {
+        const auto parsed = parse_endpoint(find(name));
+        if (parsed) {
+            value = *parsed;
+        } else {
+            fail(name, "isn't IP:PORT");
+        }
+    }
+
+    void duration(std::string_view name, milliseconds& value) {
+        const auto found = find(name);
+        if (found.empty()) {
+            return;
+        }
+        const auto parsed = parse_duration(found);
+        if (parsed) {
+            value = *parsed;
+        } else {
+            fail(name, "isn't a length of time such as 1500ms or 2.5s");
+        }
+    }
+
+    void number(std::string_view name, double& value) {
+        const auto found = find(name);
+        if (found.empty()) {
+            return;
+        }
+        const auto* end = found.data() + found.size();
+        const auto result = std::from_chars(found.data(), end, value);
+        if (result.ec != std::errc{} || result.ptr != end || value < 0) {
+            fail(name, "isn't a number from 0");
+        }
+    }
+
+  private:
+    std::string find(std::string_view name) const { return table_.at_path(name).value_or(std::string{}); }
+    void fail(std::string_view name, const std::string& message) {
+        errors_.push_back({file_name_ + " " + std::string(name), message});
+    }
+
+    std::string file_name_;
+    const toml::table& table_;
+    std::vector<SettingError>& errors_;
+};
+
+}  // namespace
+
+SidecarSettingsResult load_sidecar_settings(const std::string& file_name, std::string_view text) {
+    SidecarSettingsResult result;
+    toml::table table;
+    try {
+        table = toml::parse(text);
+    } catch (const toml::parse_error& error) {
+        const auto line = std::to_string(error.source().begin.line);
+        result.errors.push_back({file_name + ":" + line, std::string(error.description())});
+        return result;
+    }
+    auto& settings = result.settings;
+    Reader reader(file_name, table, result.errors);
+    reader.text("sidecar.name", settings.name);
+    reader.text("sidecar.zone", settings.zone);
+    reader.text("sidecar.service", settings.service);
+    reader.endpoint("listen.calls", settings.calls);
+    reader.endpoint("listen.hops", settings.hops);
+    reader.endpoint("listen.control", settings.control);
+    reader.endpoint("listen.readiness", settings.readiness);
+    reader.endpoint("listen.gossip", settings.gossip);
+    reader.endpoint("listen.metrics", settings.metrics);
+    reader.endpoint("store.address", settings.store);
+    reader.duration("servers.heartbeat_interval", settings.heartbeat_interval);
+    reader.duration("sidecar.stop_grace", settings.stop_grace);
+    reader.number("repeats.ratio", settings.repeat_ratio);
+    reader.number("repeats.extra", settings.repeat_extra);
+    reader.duration("repeats.window", settings.repeat_window);
+    return result;
+}
+
+}  // namespace anisehold::config
--- /dev/null
+++ b/src/config/sidecar_settings.hpp
@@ -0,0 +1,44 @@
+/// @file
+/// Settings of the sidecar: the daemon that stands beside one server and takes the calls of its machine.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/settings.hpp"
+#include "protocol/endpoint.hpp"
+#include "protocol/time_types.hpp"
+
+namespace anisehold::config {
+
+/// Checked settings of one sidecar.
+struct SidecarSettings {
+    std::string name;     ///< Unique in the fleet.
+    std::string zone;
+    std::string service;  ///< Service of the server on this machine; told to servers as the caller.
+    Endpoint calls;       ///< Where the machine's clients and server send requests.
+    Endpoint hops;        ///< Where other daemons send requests for this machine's server.
+    Endpoint control;     ///< Where the server registers.
+    Endpoint readiness;   ///< Where the platform asks for readiness.
+    Endpoint gossip;      ///< Where peers' records come in (UDP).
+    Endpoint metrics;     ///< Where metrics are served.
+    Endpoint store;
+    milliseconds heartbeat_interval{1'500};
+    milliseconds stop_grace{6'000};
+    double repeat_ratio = 0.2;
+    double repeat_extra = 0;
+    milliseconds repeat_window{10'000};
+    std::string log_level = "info";
+};
+
+/// Settings, usable only when `errors` is empty.
+struct SidecarSettingsResult {
+    SidecarSettings settings;
+    std::vector<SettingError> errors;
+};
+
+/// Reads TOML. Unknown keys are skipped; missing and malformed ones are errors with their place.
+SidecarSettingsResult load_sidecar_settings(const std::string& file_name, std::string_view text);
+
+}  // namespace anisehold::config
--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -5,7 +5,7 @@
 #include "config/table.hpp"
 #include "daemon/table_page.hpp"
 #include "observability/events.hpp"
-#include "platform/table_store.hpp"
+#include "store/table_store.hpp"
 #include "protocol/message_digest.hpp"
 
 namespace anisehold::daemon {
@@ -60,35 +60,35 @@
     return list;
 }
 
-std::string accept_outcome_name(platform::AcceptOutcome outcome) {
+std::string accept_outcome_name(store::AcceptOutcome outcome) {
     switch (outcome) {
-        case platform::AcceptOutcome::kAccepted:
+        case store::AcceptOutcome::kAccepted:
             return "accepted";
-        case platform::AcceptOutcome::kNothingToDo:
+        case store::AcceptOutcome::kNothingToDo:
             return "nothing-to-do";
-        case platform::AcceptOutcome::kCollision:
+        case store::AcceptOutcome::kCollision:
             return "collision";
-        case platform::AcceptOutcome::kUnknown:
+        case store::AcceptOutcome::kUnknown:
             return "unknown";
-        case platform::AcceptOutcome::kUnreachable:
+        case store::AcceptOutcome::kUnreachable:
             return "unreachable";
-        case platform::AcceptOutcome::kBadTable:
+        case store::AcceptOutcome::kBadTable:
             return "bad-table";
     }
     return "unknown";
 }
 
-unsigned http_status_of(platform::AcceptOutcome outcome) {
+unsigned http_status_of(store::AcceptOutcome outcome) {
     switch (outcome) {
-        case platform::AcceptOutcome::kAccepted:
-        case platform::AcceptOutcome::kNothingToDo:
+        case store::AcceptOutcome::kAccepted:
+        case store::AcceptOutcome::kNothingToDo:
             return kOk;
-        case platform::AcceptOutcome::kCollision:
+        case store::AcceptOutcome::kCollision:
             return kConflict;
-        case platform::AcceptOutcome::kBadTable:
+        case store::AcceptOutcome::kBadTable:
             return kBadRequest;
-        case platform::AcceptOutcome::kUnknown:
-        case platform::AcceptOutcome::kUnreachable:
+        case store::AcceptOutcome::kUnknown:
+        case store::AcceptOutcome::kUnreachable:
             return kUnavailable;
     }
     return kUnavailable;
@@ -301,7 +301,7 @@
     if (!wanted.errors.empty()) {
         return json_response(kBadRequest, {{"outcome", "bad-table"}, {"errors", errors_json(wanted.errors)}});
     }
-    platform::TableStore tables(documents_.store());
+    store::TableStore tables(documents_.store());
     std::error_code error;
     auto base = tables.load(error);
     if (!base) {
--- a/src/daemon/backend_watch.hpp
+++ b/src/daemon/backend_watch.hpp
@@ -7,7 +7,7 @@
 
 #include "daemon/daemon_context.hpp"
 #include "daemon/membership_service.hpp"
-#include "platform/machine_list.hpp"
+#include "store/machine_list.hpp"
 #include "routing/backend_registry.hpp"
 
 namespace anisehold::daemon {
@@ -27,7 +27,7 @@
     DaemonContext& context_;
     MembershipService& membership_;
     routing::BackendRegistry& registry_;
-    platform::MachineListClient list_;
+    store::MachineListClient list_;
     std::map<Endpoint, std::shared_ptr<net::HttpClient>> health_clients_;
     bool list_reachable_ = true;
 };
--- a/src/daemon/document_service.cpp
+++ b/src/daemon/document_service.cpp
@@ -24,10 +24,10 @@
 }
 
 std::optional<DocumentKind> kind_of_key(const std::string& key) {
-    if (key == platform::kTableKey) {
+    if (key == store::kTableKey) {
         return DocumentKind::kTable;
     }
-    if (key == platform::kHolderViewKey) {
+    if (key == store::kHolderViewKey) {
         return DocumentKind::kHolderView;
     }
     return std::nullopt;
@@ -109,7 +109,7 @@
 bool DocumentService::read_store_once() {
     std::error_code error;
     bool read_all = true;
-    for (const auto* key : {platform::kTableKey, platform::kHolderViewKey}) {
+    for (const auto* key : {store::kTableKey, store::kHolderViewKey}) {
         const auto result = store_.range(key, "", error);
         read_all = read_all && result.has_value();
         if (!result) {
@@ -126,8 +126,8 @@
 
 void DocumentService::watch_store() {
     const std::string prefix = "/anisehold/";
-    store_.watch(prefix, platform::prefix_end(prefix), store_revision_ + 1,
-                 [this](const platform::KeyValue& change) {
+    store_.watch(prefix, store::prefix_end(prefix), store_revision_ + 1,
+                 [this](const store::KeyValue& change) {
                      store_revision_ = std::max(store_revision_, change.mod_revision);
                      if (const auto kind = kind_of_key(change.key)) {
                          offer({*kind, change.mod_revision, change.value}, "store");
--- a/src/daemon/document_service.hpp
+++ b/src/daemon/document_service.hpp
@@ -11,7 +11,7 @@
 #include "daemon/daemon_context.hpp"
 #include "daemon/membership_service.hpp"
 #include "daemon/peer_client.hpp"
-#include "platform/etcd_store.hpp"
+#include "store/etcd_store.hpp"
 #include "protocol/documents.hpp"
 #include "routing/route_table.hpp"
 
@@ -39,7 +39,7 @@
 
     /// Whether this daemon is one of those of its zone that read the store.
     bool is_store_reader() const;
-    platform::KeyValueStore& store() { return store_; }
+    store::KeyValueStore& store() { return store_; }
 
   private:
     void run_store_reader();
@@ -54,7 +54,7 @@
     DaemonContext& context_;
     PeerClient& peers_;
     MembershipService& membership_;
-    platform::EtcdStore store_;
+    store::EtcdStore store_;
     std::array<Document, kDocumentKinds> documents_;
     DocumentRevisions rejected_{};  // Highest revision refused, so that it isn't fetched again and again.
     std::array<bool, kDocumentKinds> fetching_{};
--- /dev/null
+++ b/src/hop/hop_header.cpp
@@ -0,0 +1,131 @@
+#include "hop/hop_header.hpp"
+
+#include <array>
+#include <charconv>
+#include <map>
+
+namespace anisehold::hop {
+namespace {
+
+constexpr std::array<std::string_view, 4> kOutcomeNames{"answered", "not-sent", "refused-by-server",
+                                                        "unknown"};
+
+using Fields = std::map<std::string_view, std::string_view>;
+
+void append(std::string& text, std::string_view name, std::string_view value) {
+    if (!text.empty()) {
+        text += ';';
+    }
+    text.append(name).append("=").append(value);
+}
+
+void append(std::string& text, std::string_view name, std::uint64_t value) {
+    append(text, name, std::string_view(std::to_string(value)));
+}
+
+Fields split(std::string_view text) {
+    Fields fields;
+    while (!text.empty()) {
+        const auto end = text.find(';');
+        const auto part = text.substr(0, end);
+        const auto equals = part.find('=');
+        if (equals != std::string_view::npos) {
+            fields[part.substr(0, equals)] = part.substr(equals + 1);
+        }
+        text = end == std::string_view::npos ? std::string_view{} : text.substr(end + 1);
+    }
+    return fields;
+}
+
+template <typename Number>
+bool read(const Fields& fields, std::string_view name, Number& number) {
+    const auto found = fields.find(name);
+    if (found == fields.end()) {
+        return false;
+    }
+    const auto* end = found->second.data() + found->second.size();
+    const auto result = std::from_chars(found->second.data(), end, number);
+    return result.ec == std::errc{} && result.ptr == end;
+}
+
+bool read(const Fields& fields, std::string_view name, std::string& text) {
+    const auto found = fields.find(name);
+    if (found == fields.end()) {
+        return false;
+    }
+    text = std::string(found->second);
+    return true;
+}
+
+}  // namespace
+
+std::string_view outcome_name(HopOutcome outcome) {
+    return kOutcomeNames.at(static_cast<std::size_t>(outcome));
+}
+
+std::string encode(const HopRequest& request) {
+    std::string text;
+    append(text, "instance", std::string_view(request.instance));
+    append(text, "caller", std::string_view(request.caller));
+    append(text, "priority", request.priority);
+    append(text, "remaining_ms", static_cast<std::uint64_t>(request.remaining.count()));
+    append(text, "once", request.at_most_once ? 1 : 0);
+    return text;
+}
+
+std::string encode(const HopResult& result) {
+    std::string text;
+    append(text, "outcome", outcome_name(result.outcome));
+    append(text, "error", answer_for(result.error).name);
+    append(text, "retry_after_ms", static_cast<std::uint64_t>(result.retry_after.count()));
+    append(text, "instance", std::string_view(result.instance));
+    append(text, "in_flight", result.in_flight);
+    append(text, "queued", result.queued);
+    append(text, "limit", result.limit);
+    append(text, "latency_us", result.latency_us);
+    return text;
+}
+
+std::optional<HopRequest> decode_hop_request(std::string_view text) {
+    const auto fields = split(text);
+    HopRequest request;
+    std::uint32_t remaining_ms = 0;
+    unsigned once = 0;
+    const bool whole = read(fields, "instance", request.instance) &&
+                       read(fields, "caller", request.caller) && read(fields, "priority", request.priority) &&
+                       read(fields, "remaining_ms", remaining_ms) && read(fields, "once", once);
+    if (!whole) {
+        return std::nullopt;
+    }
+    request.remaining = milliseconds(remaining_ms);
+    request.at_most_once = once != 0;
+    return request;
+}
+
+std::optional<HopResult> decode_hop_result(std::string_view text) {
+    const auto fields = split(text);
+    HopResult result;
+    std::string outcome;
+    std::string error;
+    std::uint32_t retry_after_ms = 0;
+    const bool whole = read(fields, "outcome", outcome) && read(fields, "error", error) &&
+                       read(fields, "retry_after_ms", retry_after_ms) &&
+                       read(fields, "instance", result.instance) &&
+                       read(fields, "in_flight", result.in_flight) && read(fields, "queued", result.queued) &&
+                       read(fields, "limit", result.limit) && read(fields, "latency_us", result.latency_us);
+    const auto kind = error_kind_from_name(error);
+    if (!whole || !kind) {
+        return std::nullopt;
+    }
+    for (std::size_t index = 0; index < kOutcomeNames.size(); ++index) {
+        if (kOutcomeNames.at(index) == outcome) {
+            result.outcome = static_cast<HopOutcome>(index);
+            result.error = *kind;
+            result.retry_after = milliseconds(retry_after_ms);
+            return result;
+        }
+    }
+    return std::nullopt;
+}
+
+}  // namespace anisehold::hop
--- /dev/null
+++ b/src/hop/hop_header.hpp
@@ -0,0 +1,56 @@
+/// @file
+/// The header lines that a request and its answer carry between the daemon near the caller and the daemon
+/// beside the server.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "protocol/error_kind.hpp"
+#include "protocol/time_types.hpp"
+
+namespace anisehold::hop {
+
+inline constexpr std::string_view kRequestHeader = "Anisehold-Hop";
+inline constexpr std::string_view kResultHeader = "Anisehold-Hop-Result";
+
+/// What the gate must know of a request beyond the request itself.
+struct HopRequest {
+    std::string instance;  ///< The server that is meant.
+    std::string caller;    ///< Service on the machine where the request began.
+    unsigned priority = 0;
+    milliseconds remaining{0};  ///< Time left until the request is given up.
+    bool at_most_once = false;  ///< It must not run twice.
+};
+
+/// What became of the request at the gate.
+enum class HopOutcome {
+    kAnswered,         ///< The message is the server's answer.
+    kNotSent,          ///< Refused at the gate; the server was sent nothing.
+    kRefusedByServer,  ///< The server declared that it ran nothing.
+    kUnknown,          ///< It may have run; the message is no answer of the server.
+};
+
+/// What the gate tells with every answer.
+struct HopResult {
+    HopOutcome outcome = HopOutcome::kUnknown;
+    ErrorKind error = ErrorKind::kBackendFailed;  ///< Unless answered.
+    milliseconds retry_after{0};                  ///< When room is expected, unless answered.
+    std::string instance;
+    unsigned in_flight = 0;
+    unsigned queued = 0;
+    unsigned limit = 0;
+    unsigned latency_us = 0;
+};
+
+std::string encode(const HopRequest& request);
+std::string encode(const HopResult& result);
+/// Nothing if the text is malformed.
+std::optional<HopRequest> decode_hop_request(std::string_view text);
+std::optional<HopResult> decode_hop_result(std::string_view text);
+/// Stable lower-case name of an outcome.
+std::string_view outcome_name(HopOutcome outcome);
+
+}  // namespace anisehold::hop
--- /dev/null
+++ b/src/membership/peer_directory.cpp
@@ -0,0 +1,122 @@
+#include "membership/peer_directory.hpp"
+
+#include <algorithm>
+
+namespace anisehold::membership {
+namespace {
+
+bool same_servers(const PeerRecord& left, const PeerRecord& right) {
+    const auto same_instance = [](const ServerRecord& one, const ServerRecord& other) {
+        return one.instance == other.instance && one.service == other.service;
+    };
+    return left.leaving == right.leaving &&
+           std::equal(left.servers.begin(), left.servers.end(), right.servers.begin(), right.servers.end(),
+                      same_instance);
+}
+
+}  // namespace
+
+bool PeerDirectory::reachable(TimePoint now, const Peer& peer) const {
+    return peer.was_heard && !peer.unreachable && now - peer.heard < times_.silent_after;
+}
+
+PeerChange PeerDirectory::on_record(TimePoint now, const PeerRecord& record) {
+    if (record.name == own_name_ || record.name.empty()) {
+        return PeerChange::kNone;
+    }
+    auto& peer = peers_[record.name];
+    const bool same_boot = peer.was_heard && peer.record.boot_id == record.boot_id;
+    if (same_boot && record.sequence <= peer.record.sequence) {
+        return PeerChange::kNone;
+    }
+    PeerChange change = PeerChange::kRefreshed;
+    if (!same_boot || !reachable(now, peer)) {
+        change = PeerChange::kAppeared;
+    } else if (!same_servers(peer.record, record)) {
+        change = PeerChange::kServers;
+    }
+    peer = Peer{record, now, now, true, false};
+    return change;
+}
+
+void PeerDirectory::on_address(TimePoint now, const PeerAddress& address) {
+    if (address.name == own_name_ || peers_.contains(address.name)) {
+        return;
+    }
+    Peer peer;
+    peer.record.name = address.name;
+    peer.record.gossip = address.gossip;
+    peer.learned = now;
+    peers_.emplace(address.name, std::move(peer));
+}
+
+void PeerDirectory::on_unreachable(const std::string& name, std::uint64_t boot_id) {
+    const auto found = peers_.find(name);
+    if (found != peers_.end() && found->second.record.boot_id == boot_id) {
+        found->second.unreachable = true;
+    }
+}
+
+void PeerDirectory::on_load(const std::string& name, const ServerRecord& server) {
+    const auto found = peers_.find(name);
+    if (found == peers_.end()) {
+        return;
+    }
+    for (auto& known : found->second.record.servers) {
+        if (known.instance == server.instance) {
+            known.in_flight = server.in_flight;
+            known.queued = server.queued;
+            known.limit = server.limit;
+            known.latency_us = server.latency_us;
+        }
+    }
+}
+
+void PeerDirectory::expire(TimePoint now) {
+    std::erase_if(peers_, [&](const auto& entry) {
+        const auto& peer = entry.second;
+        return now - (peer.was_heard ? peer.heard : peer.learned) > times_.forgotten_after;
+    });
+}
+
+std::vector<KnownServer> PeerDirectory::servers_of(TimePoint now, const std::string& service) const {
+    std::vector<KnownServer> servers;
+    for (const auto& [name, peer] : peers_) {
+        if (!reachable(now, peer) || peer.record.leaving) {
+            continue;
+        }
+        for (const auto& server : peer.record.servers) {
+            if (server.service == service) {
+                servers.push_back({server, name, peer.record.zone, peer.record.call, peer.record.boot_id,
+                                   now - peer.heard});
+            }
+        }
+    }
+    return servers;
+}
+
+std::vector<PeerAddress> PeerDirectory::addresses() const {
+    std::vector<PeerAddress> addresses;
+    for (const auto& [name, peer] : peers_) {
+        addresses.push_back({name, peer.record.gossip});
+    }
+    return addresses;
+}
+
+std::size_t PeerDirectory::reachable_count(TimePoint now) const {
+    return static_cast<std::size_t>(std::count_if(
+        peers_.begin(), peers_.end(), [&](const auto& entry) { return reachable(now, entry.second); }));
+}
+
+std::optional<PeerRecord> PeerDirectory::best_configuration(TimePoint now) const {
+    const PeerRecord* best = nullptr;
+    for (const auto& [name, peer] : peers_) {
+        const auto version = peer.record.configuration_version;
+        if (reachable(now, peer) && (best == nullptr || version > best->configuration_version)) {
+            best = &peer.record;
+        }
+    }
+    return best == nullptr ? std::nullopt : std::optional(*best);
+}
+
+}  // namespace anisehold::membership
--- /dev/null
+++ b/src/membership/peer_record.hpp
@@ -0,0 +1,59 @@
+/// @file
+/// What a daemon tells its peers about itself and about the server beside it.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/endpoint.hpp"
+#include "protocol/serialize_all.hpp"
+
+namespace anisehold::membership {
+
+/// The server beside a daemon, as its gate sees it.
+struct ServerRecord {
+    std::string instance;  ///< Of this start of the server; every start has another one.
+    std::string service;
+    unsigned slots = 0;      ///< Requests that it works on at the same time.
+    unsigned in_flight = 0;  ///< Requests that the gate has running there.
+    unsigned queued = 0;     ///< Requests waiting at the gate.
+    unsigned limit = 0;      ///< Learned concurrency limit.
+    unsigned latency_us = 0; ///< Moving average of its answers' time.
+    unsigned cold_ms = 0;    ///< How much longer it is slow from its start.
+
+    bool operator==(const ServerRecord&) const = default;
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        serialize_all(archive, instance, service, slots, in_flight, queued, limit, latency_us, cold_ms);
+    }
+};
+
+/// One daemon. Sent by itself only, never passed on by others.
+struct PeerRecord {
+    std::string name;
+    std::string zone;
+    std::uint64_t boot_id = 0;   ///< Random at each start: tells a restarted process from its predecessor.
+    std::uint64_t sequence = 0;  ///< Rises with each record of one boot.
+    Endpoint call;               ///< Where peers send requests for the server (TCP).
+    Endpoint gossip;             ///< Where records are sent to (UDP).
+    bool leaving = false;        ///< A planned stop has begun; no new requests.
+    std::uint64_t configuration_version = 0;
+    std::vector<ServerRecord> servers;  ///< Servers that take requests; at most a few.
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        serialize_all(archive, name, zone, boot_id, sequence, call, gossip, leaving,
+                      configuration_version, servers);
+    }
+};
+
+/// Encodes a record for one datagram.
+std::string encode(const PeerRecord& record);
+/// Nothing if the bytes aren't a record.
+std::optional<PeerRecord> decode_peer_record(std::string_view bytes);
+
+}  // namespace anisehold::membership
--- a/src/net/beast_support.hpp
+++ b/src/net/beast_support.hpp
@@ -34,8 +34,9 @@
 template <typename Fields>
 HeaderFields copy_end_to_end_fields(const Fields& source) {
     HeaderFields fields;
+    http::token_list nominated(source[http::field::connection]);
     for (const auto& field : source) {
-        if (!is_hop_by_hop(field.name_string())) {
+        if (!is_hop_by_hop(field.name_string()) && !nominated.exists(field.name_string())) {
             fields.add(std::string(field.name_string()), std::string(field.value()));
         }
     }
--- /dev/null
+++ b/src/net/fiber_signal.hpp
@@ -0,0 +1,33 @@
+/// @file
+/// A signal that can be given many times, for one waiting fiber of the same thread.
+#pragma once
+
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <mutex>
+
+#include "protocol/time_types.hpp"
+
+namespace anisehold::net {
+
+/// Remembers that it was given until the next wait.
+class FiberSignal {
+  public:
+    void give() {
+        given_ = true;
+        condition_.notify_all();
+    }
+    /// Waits until the signal is given or `deadline` has come, and takes the signal.
+    void wait_until(TimePoint deadline) {
+        std::unique_lock lock(mutex_);
+        condition_.wait_until(lock, deadline, [this] { return given_; });
+        given_ = false;
+    }
+
+  private:
+    bool given_ = false;
+    boost::fibers::mutex mutex_;
+    boost::fibers::condition_variable condition_;
+};
+
+}  // namespace anisehold::net
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,8 +1,10 @@
 #include "net/beast_support.hpp"
 // Beast comes first, see there.
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <charconv>
 #include <deque>
 #include <limits>
 
@@ -21,8 +23,44 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     TimePoint idle_since;
+    Duration longest_rest = Duration::max();  ///< As the server announced it.
 };
 
+/// Share of the announced rest after which a connection isn't used any more.
+constexpr double kRestMargin = 0.7;
+
+/// The rest that the server grants an idle connection: `Keep-Alive: timeout=SECONDS`.
+Duration announced_rest(beast::string_view keep_alive) {
+    constexpr beast::string_view name = "timeout=";
+    const auto at = keep_alive.find(name);
+    if (at == beast::string_view::npos) {
+        return Duration::max();
+    }
+    const auto text = keep_alive.substr(at + name.size());
+    unsigned rest_s = 0;
+    if (std::from_chars(text.data(), text.data() + text.size(), rest_s).ec != std::errc{}) {
+        return Duration::max();
+    }
+    return std::chrono::duration_cast<Duration>(seconds(rest_s) * kRestMargin);
+}
+
+/// Makes the system give up a connection whose peer has fallen silent.
+void detect_silence(Tcp::socket& socket, milliseconds timeout) {
+    if (timeout == milliseconds::zero()) {
+        return;
+    }
+    constexpr int probe_interval_s = 1;
+    constexpr int probes = 2;
+    const int on = 1;
+    const int timeout_ms = static_cast<int>(timeout.count());
+    const int descriptor = socket.native_handle();
+    ::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &probe_interval_s, sizeof probe_interval_s);
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &probe_interval_s, sizeof probe_interval_s);
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+}
+
 /// Whether an idle connection has been closed, or holds bytes that nobody asked for.
 bool is_stale(Connection& connection) {
     char byte = 0;
@@ -38,7 +76,7 @@
     State(boost::asio::io_context& io, Endpoint server, HttpPoolLimits limits)
         : io(io), server(std::move(server)), limits(limits) {}
 
-    std::unique_ptr<Connection> take_idle(TimePoint now);
+    std::unique_ptr<Connection> take_idle(TimePoint now, Duration longest_rest);
     std::unique_ptr<Connection> connect(TimePoint deadline, std::error_code& error);
     void give_back(std::unique_ptr<Connection> connection);
     void discard(std::unique_ptr<Connection> connection);
@@ -50,12 +88,13 @@
     std::size_t open = 0;
 };
 
-std::unique_ptr<Connection> HttpClient::State::take_idle(TimePoint now) {
+std::unique_ptr<Connection> HttpClient::State::take_idle(TimePoint now, Duration longest_rest) {
     while (!idle.empty()) {
         // The most recently used first: the least likely to have been closed.
         auto connection = std::move(idle.back());
         idle.pop_back();
-        const bool expired = now - connection->idle_since > limits.idle_timeout_ms;
+        const auto rest = std::min({longest_rest, connection->longest_rest, Duration(limits.idle_timeout_ms)});
+        const bool expired = now - connection->idle_since > rest;
         if (limits.reuse_unclean || (!expired && !is_stale(*connection))) {
             return connection;
         }
@@ -84,6 +123,7 @@
     }
     boost::system::error_code ignored;
     connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
+    detect_silence(connection->stream.socket(), limits.silence_timeout_ms);
     return connection;
 }
 
@@ -200,7 +240,7 @@
 std::optional<HttpResponse> HttpClient::run_exchange(HttpRequest& request, const ExchangeOptions& options,
                                                      std::size_t buffered_bytes, ExchangeProgress& progress,
                                                      std::error_code& error) {
-    auto connection = state_->take_idle(TimePoint::clock::now());
+    auto connection = state_->take_idle(TimePoint::clock::now(), options.longest_rest);
     progress.connection_reused = connection != nullptr;
     if (!connection) {
         connection = state_->connect(options.deadline, error);
@@ -241,6 +281,12 @@
         response.status = parser->get().result_int();
         response.fields = copy_end_to_end_fields(parser->get());
         response.peer_closes = !parser->keep_alive();
+        lease->longest_rest = announced_rest(parser->get()["Keep-Alive"]);
+        if (options.expected_echo &&
+            response.fields.find(options.expected_echo->name) != options.expected_echo->value) {
+            error = make_error_code(ErrorKind::kBackendFailed);
+            return std::nullopt;
+        }
         read_body_prefix(lease->stream, lease->buffer, *parser, response.body.prefix, buffered_bytes,
                          io_error);
     }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -21,6 +21,7 @@
     milliseconds connect_timeout_ms{1'000};
     milliseconds idle_timeout_ms{5'000};   ///< Idle connections older than this are closed, not reused.
     milliseconds body_timeout_ms{10'000};  ///< Longest pause inside a streamed answer.
+    milliseconds silence_timeout_ms{0};  ///< A peer that acknowledges nothing for that long is dead; 0: never.
     bool reuse_unclean = false;            ///< Lab only: pools connections whatever became of the exchange.
 };
 
@@ -35,6 +36,10 @@
 struct ExchangeOptions {
     TimePoint deadline;
     CancelSignal* cancel = nullptr;
+    /// A header line that the answer must repeat; an answer without it belongs to another request.
+    std::optional<HeaderField> expected_echo = std::nullopt;
+    /// Connections that rested longer than that aren't used for this exchange.
+    Duration longest_rest = Duration::max();
 };
 
 /// A pool of connections to one server. A connection goes back to the pool only after a whole, clean
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,11 +1,12 @@
 #include "net/beast_support.hpp"
 // Beast comes first, see there.
-#include <sys/socket.h>
-
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
+#include <deque>
+#include <set>
 
 #include "net/event_loop.hpp"
+#include "net/fiber_event.hpp"
 #include "net/http_server.hpp"
 #include "net/listen.hpp"
 
@@ -16,6 +17,15 @@
 using RequestParser = http::request_parser<http::buffer_body>;
 
 constexpr milliseconds kAcceptPause{10};
+constexpr milliseconds kRestCheckPeriod{1'000};
+/// How long bytes that belong to no request are read off a connection after its last answer.
+constexpr milliseconds kLingerTime{1'000};
+/// Most requests of one connection that are answered at the same time.
+constexpr std::size_t kMostPipelined = 8;
+
+const boost::system::error_category& parse_category() {
+    return make_error_code(http::error::bad_method).category();
+}
 
 /// Which kind of rejection a failed read of a request calls for, if the sender deserves an answer at all.
 std::optional<ErrorKind> rejection_for(const boost::system::error_code& error, bool anything_received) {
@@ -28,50 +38,13 @@
     if (error == beast::error::timeout) {
         return anything_received ? std::optional(ErrorKind::kSlowSender) : std::nullopt;
     }
-    const bool is_parse_error = error.category() == make_error_code(http::error::bad_method).category();
+    const bool is_parse_error = error.category() == parse_category();
     if (is_parse_error && error != http::error::end_of_stream && error != http::error::partial_message) {
         return ErrorKind::kBadRequest;
     }
     return std::nullopt;
 }
 
-/// Fires a cancel signal when the peer closes while its request is being answered.
-class DisconnectWatch {
-  public:
-    DisconnectWatch(Tcp::socket& socket, CancelSignal& signal)
-        : state_(std::make_shared<State>()), socket_(socket) {
-        state_->signal = &signal;
-        state_->descriptor = socket.native_handle();
-        socket.async_wait(Tcp::socket::wait_read, [state = state_](boost::system::error_code error) {
-            if (state->signal != nullptr && !error && peer_closed(state->descriptor)) {
-                state->signal->cancel();
-            }
-        });
-    }
-    ~DisconnectWatch() {
-        state_->signal = nullptr;
-        boost::system::error_code ignored;
-        socket_.cancel(ignored);
-    }
-    DisconnectWatch(const DisconnectWatch&) = delete;
-    DisconnectWatch& operator=(const DisconnectWatch&) = delete;
-
-  private:
-    struct State {
-        CancelSignal* signal = nullptr;
-        int descriptor = -1;
-    };
-
-    static bool peer_closed(int descriptor) {
-        char byte = 0;
-        const auto received = ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        return received == 0 || (received < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-    }
-
-    std::shared_ptr<State> state_;
-    Tcp::socket& socket_;
-};
-
 /// Reads the unbuffered rest of a request body.
 class RequestBodyReader final : public BodyReader {
   public:
@@ -94,24 +67,75 @@
     Duration pause_;
 };
 
+/// One request on a connection and its place in the order of answers.
+struct PendingExchange {
+    HttpRequest request;
+    CancelSignal cancel;
+    bool keep_alive = true;
+    unsigned version = 11;
+    std::shared_ptr<PendingExchange> previous;
+    FiberEvent body_taken;  ///< Set when the handler no longer reads the request's body.
+    FiberEvent written;     ///< Set when the answer has left, or never will.
+};
+
+/// Waits for the end of an exchange, if there is one. Takes a share of it: its owners let go of it as it ends.
+void wait_until_written(std::shared_ptr<PendingExchange> exchange) {
+    if (exchange) {
+        exchange->written.wait();
+    }
+}
+
 }  // namespace
 
+/// One accepted connection. A reader fiber takes requests off it; each request has a fiber of its own.
+struct HttpServer::Connection {
+    explicit Connection(Tcp::socket socket) : stream(std::move(socket)) {}
+
+    bool is_resting() const { return open_exchanges.empty() && waiting_for_request; }
+    void close_at_rest() {
+        boost::system::error_code ignored;
+        stream.socket().shutdown(Tcp::socket::shutdown_both, ignored);
+    }
+    void cancel_all() {
+        peer_gone = true;
+        const auto exchanges = open_exchanges;
+        for (const auto& exchange : exchanges) {
+            exchange->cancel.cancel();
+        }
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    std::deque<std::shared_ptr<PendingExchange>> open_exchanges;
+    std::shared_ptr<PendingExchange> last;  ///< The latest exchange, while its answer isn't written.
+    TimePoint resting_since = TimePoint::clock::now();
+    bool waiting_for_request = false;
+    bool peer_gone = false;
+    bool answers_closed = false;  ///< An answer that closes the connection was written.
+};
+
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State> {
     State(boost::asio::io_context& io, HttpServerLimits limits, HttpServerHandlers handlers)
         : acceptor(io), limits(limits), handlers(std::move(handlers)) {}
 
     void accept_connections();
-    void serve_connection(beast::tcp_stream& stream);
-    bool serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer);
-    void reject(beast::tcp_stream& stream, ErrorKind kind);
+    void close_rested_connections();
+    void serve_connection(const std::shared_ptr<Connection>& connection);
+    bool wait_for_request(Connection& connection);
+    bool read_request(const std::shared_ptr<Connection>& connection);
+    void answer(const std::shared_ptr<Connection>& connection,
+                const std::shared_ptr<PendingExchange>& exchange);
+    void finish(Connection& connection, const std::shared_ptr<PendingExchange>& exchange);
+    void discard_until_closed(Connection& connection);
+    void reject(Connection& connection, ErrorKind kind);
     bool write_response(beast::tcp_stream& stream, HttpResponse& response, unsigned version, bool keep_alive);
 
     Tcp::acceptor acceptor;
     HttpServerLimits limits;
     HttpServerHandlers handlers;
+    std::set<std::shared_ptr<Connection>> connections;
     bool closing = false;
     bool stopping = false;
-    std::size_t connections = 0;
     std::size_t in_flight = 0;
 };
 
@@ -125,28 +149,60 @@
             boost::this_fiber::sleep_for(kAcceptPause);
             continue;
         }
-        if (connections >= limits.connections) {
+        if (connections.size() >= limits.connections) {
             continue;
         }
-        ++connections;
-        auto stream = std::make_shared<beast::tcp_stream>(std::move(socket));
-        EventLoop::spawn([self = shared_from_this(), stream] {
-            self->serve_connection(*stream);
-            --self->connections;
+        auto connection = std::make_shared<Connection>(std::move(socket));
+        connections.insert(connection);
+        EventLoop::spawn([self = shared_from_this(), connection] {
+            self->serve_connection(connection);
+            self->connections.erase(connection);
         });
     }
 }
 
-void HttpServer::State::serve_connection(beast::tcp_stream& stream) {
+void HttpServer::State::close_rested_connections() {
+    while (!stopping) {
+        boost::this_fiber::sleep_for(kRestCheckPeriod);
+        const auto now = TimePoint::clock::now();
+        for (const auto& connection : connections) {
+            if (connection->is_resting() && now - connection->resting_since > limits.idle_timeout_ms) {
+                connection->close_at_rest();
+            }
+        }
+    }
+}
+
+void HttpServer::State::serve_connection(const std::shared_ptr<Connection>& connection) {
     boost::system::error_code ignored;
-    stream.socket().set_option(Tcp::no_delay(true), ignored);
-    beast::flat_buffer buffer;
-    while (serve_request(stream, buffer)) {
+    connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
+    bool reading = true;
+    while (reading) {
+        reading = wait_for_request(*connection) && read_request(connection);
+    }
+    discard_until_closed(*connection);
+    wait_until_written(connection->last);
+    connection->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+bool HttpServer::State::wait_for_request(Connection& connection) {
+    if (connection.open_exchanges.size() >= kMostPipelined) {
+        wait_until_written(connection.open_exchanges.front());
+    }
+    if (connection.buffer.size() > 0) {
+        return true;
     }
-    stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+    connection.waiting_for_request = true;
+    auto& socket = connection.stream.socket();
+    const auto result =
+        await_io([&](auto handler) { socket.async_wait(Tcp::socket::wait_read, std::move(handler)); });
+    connection.waiting_for_request = false;
+    return !result.error && !connection.answers_closed;
 }
 
-bool HttpServer::State::serve_request(beast::tcp_stream& stream, beast::flat_buffer& buffer) {
+bool HttpServer::State::read_request(const std::shared_ptr<Connection>& connection) {
+    auto& stream = connection->stream;
+    auto& buffer = connection->buffer;
     RequestParser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
@@ -154,63 +210,120 @@
     auto error = await_io([&](auto handler) {
                      http::async_read_header(stream, buffer, parser, std::move(handler));
                  }).error;
-    if (error) {
-        if (const auto kind = rejection_for(error, parser.got_some())) {
-            reject(stream, *kind);
+    auto exchange = std::make_shared<PendingExchange>();
+    auto& request = exchange->request;
+    if (!error) {
+        request.method = std::string(parser.get().method_string());
+        request.target = std::string(parser.get().target());
+        request.fields = copy_end_to_end_fields(parser.get());
+        if (parser.content_length()) {
+            request.body.length = *parser.content_length();
         }
-        return false;
-    }
-
-    HttpRequest request;
-    request.method = std::string(parser.get().method_string());
-    request.target = std::string(parser.get().target());
-    request.fields = copy_end_to_end_fields(parser.get());
-    if (parser.content_length()) {
-        request.body.length = *parser.content_length();
-    }
-    stream.expires_after(limits.body_timeout_ms);
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        http::response<http::empty_body> go_on(http::status::continue_, parser.get().version());
-        await_io([&](auto handler) { http::async_write(stream, go_on, std::move(handler)); });
+        stream.expires_after(limits.body_timeout_ms);
+        if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
+            http::response<http::empty_body> go_on(http::status::continue_, parser.get().version());
+            await_io([&](auto handler) { http::async_write(stream, go_on, std::move(handler)); });
+        }
+        read_body_prefix(stream, buffer, parser, request.body.prefix, kBufferedBodyBytes, error);
     }
-    read_body_prefix(stream, buffer, parser, request.body.prefix, kBufferedBodyBytes, error);
     if (error) {
-        if (const auto kind = rejection_for(error, true)) {
-            reject(stream, *kind);
+        const bool ended = error == http::error::end_of_stream || error.category() != parse_category();
+        const auto kind = rejection_for(error, parser.got_some());
+        if (kind) {
+            reject(*connection, *kind);
+        } else if (ended) {
+            connection->cancel_all();
         }
         return false;
     }
-    if (parser.is_done()) {
+    stream.expires_never();
+    exchange->keep_alive = parser.keep_alive();
+    exchange->version = parser.get().version();
+    exchange->previous = connection->last;
+    const bool whole = parser.is_done();
+    if (whole) {
         request.body.length = request.body.prefix.size();
     } else {
         request.body.rest =
             std::make_unique<RequestBodyReader>(stream, buffer, parser, limits.body_timeout_ms);
     }
-
+    connection->last = exchange;
+    connection->open_exchanges.push_back(exchange);
     ++in_flight;
-    HttpResponse response;
-    bool caller_gone = false;
-    {
-        CancelSignal cancel;
-        std::optional<DisconnectWatch> watch;
-        if (parser.is_done()) {
-            watch.emplace(stream.socket(), cancel);
+    EventLoop::spawn(
+        [self = shared_from_this(), connection, exchange] { self->answer(connection, exchange); });
+    if (!whole) {
+        // The parser lives on this fiber's stack: the body must be done with before the next request.
+        exchange->body_taken.wait();
+        exchange->keep_alive = exchange->keep_alive && parser.is_done();
+        if (!parser.is_done()) {
+            return false;
         }
-        response = handlers.handle(request, cancel);
-        caller_gone = cancel.cancelled();
     }
-    const bool keep_alive = parser.is_done() && parser.keep_alive() && !closing && !caller_gone;
-    const bool written = !caller_gone && write_response(stream, response, parser.get().version(), keep_alive);
+    return exchange->keep_alive;
+}
+
+void HttpServer::State::answer(const std::shared_ptr<Connection>& connection,
+                               const std::shared_ptr<PendingExchange>& exchange) {
+    HttpResponse response = handlers.handle(exchange->request, exchange->cancel);
+    const bool body_left = !exchange->request.body.whole();
+    exchange->request.body.rest.reset();
+    exchange->body_taken.set();
+    wait_until_written(std::move(exchange->previous));
+    const bool keep_alive = exchange->keep_alive && !closing && !body_left;
+    const bool writable = !connection->peer_gone && !connection->answers_closed;
+    const bool written =
+        writable && write_response(connection->stream, response, exchange->version, keep_alive);
+    if (!written || !keep_alive) {
+        connection->answers_closed = true;
+        boost::system::error_code ignored;
+        connection->stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+        connection->stream.cancel();
+    }
+    finish(*connection, exchange);
+}
+
+void HttpServer::State::finish(Connection& connection, const std::shared_ptr<PendingExchange>& exchange) {
     --in_flight;
-    return written && keep_alive;
+    std::erase(connection.open_exchanges, exchange);
+    if (connection.last == exchange) {
+        connection.last.reset();
+    }
+    connection.resting_since = TimePoint::clock::now();
+    exchange->written.set();
 }
 
-void HttpServer::State::reject(beast::tcp_stream& stream, ErrorKind kind) {
+void HttpServer::State::discard_until_closed(Connection& connection) {
+    // What comes now belongs to no request. Reading it tells when the peer leaves, and keeps its arrival from
+    // destroying an answer that is still on its way.
+    std::array<char, kStreamChunkBytes> scratch;
+    while (!connection.peer_gone) {
+        const bool lingering = connection.answers_closed || connection.open_exchanges.empty();
+        if (lingering) {
+            boost::system::error_code ignored;
+            connection.stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
+            connection.stream.expires_after(kLingerTime);
+        } else {
+            connection.stream.expires_never();
+        }
+        const auto result = await_io([&](auto handler) {
+            connection.stream.async_read_some(boost::asio::buffer(scratch), std::move(handler));
+        });
+        const bool answers_just_closed = !lingering && connection.answers_closed;
+        if (result.error && !answers_just_closed) {
+            connection.cancel_all();
+        }
+    }
+}
+
+void HttpServer::State::reject(Connection& connection, ErrorKind kind) {
+    wait_until_written(connection.last);
     // A timed-out stream is closed by Beast; the write then fails, which is all that can be done.
     auto response = handlers.reject(kind);
-    stream.expires_after(limits.body_timeout_ms);
+    connection.stream.expires_after(limits.body_timeout_ms);
     constexpr unsigned http_11 = 11;
-    write_response(stream, response, http_11, false);
+    write_response(connection.stream, response, http_11, false);
+    connection.answers_closed = true;
 }
 
 bool HttpServer::State::write_response(beast::tcp_stream& stream, HttpResponse& response, unsigned version,
@@ -240,6 +353,7 @@
     const auto error = listen_on(state_->acceptor, endpoint);
     if (!error) {
         EventLoop::spawn([state = state_] { state->accept_connections(); });
+        EventLoop::spawn([state = state_] { state->close_rested_connections(); });
     }
     return error;
 }
@@ -260,6 +374,18 @@
     state_->acceptor.close(ignored);
 }
 
+void HttpServer::set_limits(const HttpServerLimits& limits) {
+    state_->limits = limits;
+}
+
+void HttpServer::close_idle() {
+    for (const auto& connection : state_->connections) {
+        if (connection->is_resting()) {
+            connection->close_at_rest();
+        }
+    }
+}
+
 std::size_t HttpServer::requests_in_flight() const {
     return state_->in_flight;
 }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -1,5 +1,7 @@
 /// @file
-/// An HTTP/1.1 server: one fiber per connection, bounded headers and bodies, bounded sender time.
+/// An HTTP/1.1 server: bounded headers and bodies, bounded sender time. A connection is read ahead while its
+/// requests are being answered, so that pipelined requests start at once and a caller that leaves is noticed;
+/// answers are written in the order of the requests.
 #pragma once
 
 #include <functional>
@@ -20,7 +22,8 @@
 struct HttpServerLimits {
     std::size_t header_bytes = 16 * 1024;
     std::uint64_t body_bytes = 64ULL * 1024 * 1024;
-    milliseconds header_timeout_ms{15'000};  ///< Also the longest idle time of a kept connection.
+    milliseconds header_timeout_ms{15'000};  ///< Longest time for a header, from its first byte.
+    milliseconds idle_timeout_ms{15'000};    ///< Longest rest of a kept connection between requests.
     milliseconds body_timeout_ms{10'000};    ///< Longest pause inside a body, either way.
     std::size_t connections = 4096;
 };
@@ -45,14 +48,19 @@
     std::error_code start(const Endpoint& endpoint);
     /// The bound port, which differs from the asked one when that was 0.
     std::uint16_t port() const;
+    /// Replaces the bounds; connections follow with their next request.
+    void set_limits(const HttpServerLimits& limits);
     /// From now on answers carry `Connection: close`; connections and requests are still accepted.
     void begin_closing();
     /// Accepts no new connection.
     void stop_accepting();
+    /// Closes the connections that have no request in progress.
+    void close_idle();
     /// Requests being answered now.
     std::size_t requests_in_flight() const;
 
   private:
+    struct Connection;
     struct State;
     std::shared_ptr<State> state_;
 };
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -6,6 +6,7 @@
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -14,6 +15,8 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "observability/bounded_output.hpp"
+
 namespace anisehold::observability {
 namespace {
 
@@ -30,6 +33,10 @@
                "The planned stop ended; `in_flight` calls were left at its end."},
     EventEntry{Event::kStartFailed, Level::kError, "start-failed",
                "An address could not be bound; the process ends."},
+    EventEntry{Event::kSettingsReloaded, Level::kInfo, "settings-reloaded",
+               "The settings file changed and is in force."},
+    EventEntry{Event::kSettingsRejected, Level::kError, "settings-rejected",
+               "The settings file changed and has a mistake; the settings before stay in force."},
     EventEntry{Event::kTableInForce, Level::kInfo, "table-in-force",
                "A table with a higher revision is in force."},
     EventEntry{Event::kTableRejected, Level::kError, "table-rejected",
@@ -41,6 +48,12 @@
                "The machine list doesn't answer or is malformed; the last one stays in use."},
     EventEntry{Event::kMachineListReachable, Level::kInfo, "machine-list-reachable",
                "The machine list answers again."},
+    EventEntry{Event::kConfigurationInForce, Level::kInfo, "configuration-in-force",
+               "A configuration with a higher version is in force."},
+    EventEntry{Event::kConfigurationRejected, Level::kError, "configuration-rejected",
+               "A configuration is malformed; the one before stays in force."},
+    EventEntry{Event::kRegistrationLost, Level::kWarn, "registration-lost",
+               "The lease of this daemon's registration is over; it registers again."},
     EventEntry{Event::kHolderViewInForce, Level::kInfo, "holder-view-in-force",
                "This daemon uses a new claim holder view."},
     EventEntry{Event::kHolderViewChanged, Level::kInfo, "holder-view-changed",
@@ -54,6 +67,8 @@
                "A member joined, or its state changed."},
     EventEntry{Event::kPeerFrameRefused, Level::kWarn, "peer-frame-refused",
                "A peer message was malformed, too large or not authenticated."},
+    EventEntry{Event::kPeerChanged, Level::kInfo, "peer-changed",
+               "A peer appeared, restarted, or its server or leaving changed."},
     EventEntry{Event::kServerLeaving, Level::kInfo, "server-leaving",
                "A back end said that it is leaving; it gets no new work."},
     EventEntry{Event::kServerEjected, Level::kWarn, "server-ejected",
@@ -61,8 +76,18 @@
     EventEntry{Event::kServerListed, Level::kInfo, "server-listed",
                "The machine list names a new server, a changed state, or no longer names a server."},
     EventEntry{Event::kGateOpened, Level::kInfo, "gate-opened", "This daemon became the gate of a server."},
+    EventEntry{Event::kServerRegistered, Level::kInfo, "server-registered",
+               "The server beside this daemon registered, or its slots, service or address changed."},
+    EventEntry{Event::kServerSilent, Level::kWarn, "server-silent",
+               "The server beside this daemon sent no heartbeat for long; it gets no new work."},
+    EventEntry{Event::kHeartbeatRefused, Level::kWarn, "heartbeat-refused",
+               "A heartbeat was malformed."},
     EventEntry{Event::kContextRefused, Level::kWarn, "context-refused",
                "A call brought a context that is forged, malformed or of an ended call."},
+    EventEntry{Event::kIngressCall, Level::kInfo, "ingress-call",
+               "A request that came in at this daemon got its final answer."},
+    EventEntry{Event::kGateCall, Level::kInfo, "gate-call",
+               "A request for the server beside this daemon ended at its gate."},
     EventEntry{Event::kMechanismOff, Level::kWarn, "mechanism-off", "The lab switched a mechanism off."},
 };
 
@@ -97,23 +122,34 @@
 /// The one logger of the process and its ring of recent events.
 class EventLog {
   public:
-    void start(const std::string& level, const std::string& layout, const std::string& member) {
+    void start(const std::string& level, const std::string& layout, const std::string& member,
+               LogOutput output) {
         initializer_ = std::make_unique<log4cplus::Initializer>();
         text_layout_ = layout == "text";
         member_ = member;
-        log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(true, true));
-        console->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
-        // Writing to a slow terminal or pipe must not hold up the event loop.
-        log4cplus::SharedAppenderPtr async(new log4cplus::AsyncAppender(console, kLogQueue));
         auto logger = log4cplus::Logger::getRoot();
-        logger.addAppender(async);
+        logger.addAppender(appender_for(output));
         logger.setLogLevel(
             log4cplus::getLogLevelManager().fromString(level == "warn" ? "WARN" : upper(level)));
         started_ = true;
     }
 
+    void set_scheduler(std::function<void()> schedule) {
+        if (bounded_ != nullptr) {
+            bounded_->set_scheduler(std::move(schedule));
+        }
+    }
+
+    void flush() {
+        if (bounded_ != nullptr) {
+            bounded_->flush();
+        }
+    }
+
     void stop() {
         if (started_) {
+            flush();
+            bounded_ = nullptr;
             log4cplus::Logger::shutdown();
             initializer_.reset();
             started_ = false;
@@ -145,6 +181,17 @@
     std::vector<std::string> recent() const { return {recent_.begin(), recent_.end()}; }
 
   private:
+    log4cplus::SharedAppenderPtr appender_for(LogOutput output) {
+        if (output == LogOutput::kStandardOutput) {
+            bounded_ = new BoundedOutput(STDOUT_FILENO);
+            return log4cplus::SharedAppenderPtr(bounded_);
+        }
+        log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(true, true));
+        console->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
+        // Writing to a slow terminal or pipe must not hold up the event loop.
+        return log4cplus::SharedAppenderPtr(new log4cplus::AsyncAppender(console, kLogQueue));
+    }
+
     static std::string upper(std::string text) {
         std::transform(text.begin(), text.end(), text.begin(),
                        [](unsigned char c) { return std::toupper(c); });
@@ -177,6 +224,7 @@
     std::unique_ptr<log4cplus::Initializer> initializer_;
     bool started_ = false;
     bool text_layout_ = false;
+    BoundedOutput* bounded_ = nullptr;  ///< Owned by the logger.
     std::string member_;
     std::deque<std::string> recent_;
 };
@@ -197,8 +245,17 @@
                          [&](const EventEntry& entry) { return entry.event == event; });
 }
 
-void start_logging(const std::string& level, const std::string& layout, const std::string& member) {
-    event_log().start(level, layout, member);
+void start_logging(const std::string& level, const std::string& layout, const std::string& member,
+                   LogOutput output) {
+    event_log().start(level, layout, member, output);
+}
+
+void set_log_scheduler(std::function<void()> schedule) {
+    event_log().set_scheduler(std::move(schedule));
+}
+
+void flush_log() {
+    event_log().flush();
 }
 
 void stop_logging() {
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <initializer_list>
 #include <span>
 #include <string>
@@ -19,23 +20,34 @@
     kStopping = 1002,
     kStopped = 1003,
     kStartFailed = 1004,
+    kSettingsReloaded = 1005,
+    kSettingsRejected = 1006,
     kTableInForce = 1101,
     kTableRejected = 1102,
     kStoreUnreachable = 1103,
     kStoreReachable = 1104,
     kMachineListUnreachable = 1105,
     kMachineListReachable = 1106,
+    kConfigurationInForce = 1107,
+    kConfigurationRejected = 1108,
+    kRegistrationLost = 1109,
     kHolderViewInForce = 1201,
     kHolderViewChanged = 1202,
     kClaimsServing = 1203,
     kClaimsAbstaining = 1204,
     kMemberChanged = 1301,
     kPeerFrameRefused = 1302,
+    kPeerChanged = 1303,
     kServerLeaving = 1401,
     kServerEjected = 1402,
     kServerListed = 1403,
     kGateOpened = 1404,
+    kServerRegistered = 1405,
+    kServerSilent = 1406,
+    kHeartbeatRefused = 1407,
     kContextRefused = 1501,
+    kIngressCall = 1601,
+    kGateCall = 1602,
     kMechanismOff = 1901,
 };
 
@@ -58,8 +70,18 @@
     std::string value;
 };
 
-/// Starts logging to standard error. `layout` is "json" or "text", `level` a name as in the settings.
-void start_logging(const std::string& level, const std::string& layout, const std::string& member);
+/// Where log lines go.
+enum class LogOutput {
+    kStandardError,   ///< Through a bounded queue and a thread.
+    kStandardOutput,  ///< Through a bounded buffer that never blocks; see `flush_log`.
+};
+
+/// Starts logging. `layout` is "json" or "text", `level` a name as in the settings.
+void start_logging(const std::string& level, const std::string& layout, const std::string& member,
+                   LogOutput output = LogOutput::kStandardError);
+/// With standard output: has lines written in groups. `schedule` must bring about a later `flush_log`.
+void set_log_scheduler(std::function<void()> schedule);
+void flush_log();
 /// Writes out what is pending.
 void stop_logging();
 
--- a/src/protocol/peer_messages.cpp
+++ b/src/protocol/peer_messages.cpp
@@ -1,77 +1,16 @@
 #include "protocol/peer_messages.hpp"
 
-#include <boost/archive/binary_iarchive_impl.hpp>
-#include <boost/archive/binary_oarchive.hpp>
-#include <boost/archive/impl/archive_serializer_map.ipp>
-#include <boost/archive/impl/basic_binary_iarchive.ipp>
-#include <boost/archive/impl/basic_binary_iprimitive.ipp>
-#include <boost/serialization/array.hpp>
-#include <boost/serialization/string.hpp>
-#include <boost/serialization/variant.hpp>
-#include <boost/serialization/vector.hpp>
-#include <sstream>
-#include <streambuf>
-
+#include "protocol/message_archive.hpp"
 #include "protocol/message_digest.hpp"
 
 namespace anisehold {
 namespace {
 
-constexpr unsigned kArchiveFlags = boost::archive::no_header | boost::archive::no_codecvt;
-
 // The purposes keep a message of one kind, or of another version of the protocol, from being accepted.
 constexpr std::string_view kGossipPurpose = "gossip-1:";
 constexpr std::string_view kRequestPurpose = "request-1:";
 constexpr std::string_view kReplyPurpose = "reply-1:";
 
-/// Reads from bytes that stay where they are.
-class BytesBuffer final : public std::streambuf {
-  public:
-    explicit BytesBuffer(std::string_view bytes) {
-        // The archive only reads; the interface of streambuf asks for mutable characters.
-        auto* begin = const_cast<char*>(bytes.data());
-        setg(begin, begin, begin + bytes.size());
-    }
-    std::size_t remaining() const { return static_cast<std::size_t>(egptr() - gptr()); }
-};
-
-/// A binary archive that refuses lengths greater than what is left of the message, so that no malformed one
-/// makes it allocate more.
-class BoundedArchive final
-    : public boost::archive::binary_iarchive_impl<BoundedArchive, char, std::char_traits<char>> {
-    using Base = boost::archive::binary_iarchive_impl<BoundedArchive, char, std::char_traits<char>>;
-    friend class boost::archive::detail::interface_iarchive<BoundedArchive>;
-    friend class boost::archive::load_access;
-
-  public:
-    explicit BoundedArchive(BytesBuffer& buffer) : Base(buffer, kArchiveFlags), buffer_(buffer) {}
-
-    template <typename Value>
-    void load_override(Value& value) {
-        Base::load_override(value);
-    }
-    void load_override(boost::serialization::collection_size_type& size) {
-        Base::load_override(size);
-        check_length(size);
-    }
-    void load_override(std::string& text) {
-        std::size_t length = 0;
-        load_binary(&length, sizeof(length));
-        check_length(length);
-        text.resize(length);
-        load_binary(text.data(), length);
-    }
-
-  private:
-    void check_length(std::size_t length) const {
-        if (length > buffer_.remaining()) {
-            throw boost::archive::archive_exception(boost::archive::archive_exception::input_stream_error);
-        }
-    }
-
-    BytesBuffer& buffer_;
-};
-
 std::string code_for(std::string_view purpose, std::string_view payload, std::string_view key) {
     std::string material(purpose);
     material += payload;
@@ -80,12 +19,7 @@
 
 template <typename Message>
 std::string encode_as(std::string_view purpose, const Message& message, std::string_view key) {
-    std::ostringstream stream;
-    {
-        boost::archive::binary_oarchive archive(stream, kArchiveFlags);
-        archive << message;
-    }
-    const std::string payload = std::move(stream).str();
+    const std::string payload = archive_bytes(message);
     return code_for(purpose, payload, key) + payload;
 }
 
@@ -98,16 +32,7 @@
     if (!equal_in_constant_time(bytes.substr(0, kMacBytes), code_for(purpose, payload, key))) {
         return std::nullopt;
     }
-    try {
-        BytesBuffer buffer(payload);
-        BoundedArchive archive(buffer);
-        Message message;
-        archive >> message;
-        return message;
-    } catch (const std::exception&) {
-        // Archive, length and allocation errors all mean the same: the content isn't a message.
-        return std::nullopt;
-    }
+    return unarchive_bytes<Message>(payload);
 }
 
 }  // namespace
--- /dev/null
+++ b/src/registration/server_registry.hpp
@@ -0,0 +1,63 @@
+/// @file
+/// The servers that register at this daemon by heartbeat.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "protocol/endpoint.hpp"
+#include "protocol/time_types.hpp"
+
+namespace anisehold::registration {
+
+/// What a server says of itself in each heartbeat.
+struct Heartbeat {
+    std::string instance;  ///< Unique for each start of a server.
+    std::string service;
+    Endpoint address;
+    std::string zone;
+    unsigned slots = 1;          ///< Requests that it works on at the same time.
+    bool draining = false;       ///< It ends soon and takes no new requests.
+    std::uint64_t sequence = 0;  ///< Rises with each heartbeat, so that a late one is known.
+    milliseconds cold_remaining{0};
+};
+
+/// What a heartbeat or a leave changed.
+enum class RegistryChange {
+    kNone,       ///< Late, or of a server that has left.
+    kRefreshed,  ///< Nothing that others need to know at once.
+    kAppeared,   ///< A new server takes requests.
+    kChanged,    ///< Slots or service differ.
+    kDraining,   ///< It takes no new requests from now on.
+    kLeft,
+};
+
+/// A registered server.
+struct RegisteredServer {
+    Heartbeat heartbeat;
+    TimePoint heard;
+    TimePoint cold_until;
+};
+
+/// Keeps the newest state of each server. Draining and leaving are final for an instance. Pure.
+class ServerRegistry {
+  public:
+    RegistryChange on_heartbeat(TimePoint now, const Heartbeat& heartbeat);
+    RegistryChange on_leave(TimePoint now, const std::string& instance);
+    /// Forgets servers that fell silent for `silence`, and what was remembered of those that left long ago.
+    /// Returns the instances that fell silent.
+    std::vector<std::string> expire(TimePoint now, Duration silence);
+
+    /// The server, if it takes new requests.
+    const RegisteredServer* find_ready(const std::string& instance) const;
+    /// All servers that take new requests.
+    std::vector<RegisteredServer> ready_servers() const;
+
+  private:
+    std::map<std::string, RegisteredServer> servers_;
+    std::map<std::string, TimePoint> left_;
+};
+
+}  // namespace anisehold::registration
--- /dev/null
+++ b/src/retry/attempt_plan.cpp
@@ -0,0 +1,82 @@
+#include "retry/attempt_plan.hpp"
+
+#include <algorithm>
+
+namespace anisehold::retry {
+namespace {
+
+/// Most refusals before any server was reached that one request collects.
+constexpr unsigned kMostUnsent = 12;
+/// A repeat isn't worth starting with less time left.
+constexpr milliseconds kLeastTimeToRepeat{20};
+
+}  // namespace
+
+bool AttemptPlan::repeat_allowed(bool another_server) const {
+    return another_server && !repeat_refused_ && reached_ + running_ < terms_.most_servers;
+}
+
+AttemptStep AttemptPlan::next(TimePoint now, bool another_server) const {
+    if (answered_) {
+        return AttemptStep::kDeliver;
+    }
+    if (now >= terms_.deadline) {
+        return AttemptStep::kTimeUp;
+    }
+    const bool time_to_repeat = now + kLeastTimeToRepeat < terms_.deadline;
+    if (running_ > 0) {
+        const bool overdue = now - last_launch_ >= terms_.hedge_after;
+        const bool hedge = terms_.may_repeat && overdue && time_to_repeat && repeat_allowed(another_server);
+        return hedge ? AttemptStep::kLaunchRepeat : AttemptStep::kWait;
+    }
+    const bool has_not_run = unknown_ == 0 && failed_answers_ == 0;
+    if (reached_ == 0) {
+        return another_server && launched_ < kMostUnsent ? AttemptStep::kLaunch : AttemptStep::kRefuse;
+    }
+    const bool may_go_on = has_not_run || terms_.may_repeat;
+    if (may_go_on && time_to_repeat && repeat_allowed(another_server)) {
+        return AttemptStep::kLaunchRepeat;
+    }
+    if (failed_answers_ > 0) {
+        return AttemptStep::kDeliver;
+    }
+    return has_not_run ? AttemptStep::kRefuse : AttemptStep::kFail;
+}
+
+TimePoint AttemptPlan::wait_until() const {
+    const bool may_hedge =
+        terms_.may_repeat && !repeat_refused_ && reached_ + running_ < terms_.most_servers;
+    return may_hedge ? std::min(terms_.deadline, last_launch_ + terms_.hedge_after) : terms_.deadline;
+}
+
+void AttemptPlan::on_launched(TimePoint now) {
+    ++launched_;
+    ++running_;
+    last_launch_ = now;
+}
+
+void AttemptPlan::on_outcome(AttemptOutcome outcome) {
+    --running_;
+    repeat_refused_ = false;
+    switch (outcome) {
+        case AttemptOutcome::kAnswered:
+            answered_ = true;
+            ++reached_;
+            break;
+        case AttemptOutcome::kFailedAnswer:
+            ++failed_answers_;
+            ++reached_;
+            break;
+        case AttemptOutcome::kNotSent:
+            break;
+        case AttemptOutcome::kRefusedByServer:
+            ++reached_;
+            break;
+        case AttemptOutcome::kUnknown:
+            ++unknown_;
+            ++reached_;
+            break;
+    }
+}
+
+}  // namespace anisehold::retry
--- /dev/null
+++ b/src/retry/attempt_plan.hpp
@@ -0,0 +1,70 @@
+/// @file
+/// When one request is sent to a server, sent again, waited for or given up.
+#pragma once
+
+#include "protocol/time_types.hpp"
+
+namespace anisehold::retry {
+
+/// What bounds the attempts of one request.
+struct AttemptTerms {
+    bool may_repeat = false;    ///< The request may run more than once.
+    unsigned most_servers = 1;  ///< Most servers that the request may reach.
+    TimePoint deadline;
+    Duration hedge_after{};  ///< An attempt that takes longer is joined by another one.
+};
+
+/// How one attempt ended.
+enum class AttemptOutcome {
+    kAnswered,         ///< A whole answer that is good.
+    kFailedAnswer,     ///< The server's own answer, which says that it failed.
+    kNotSent,          ///< Refused before any server was reached.
+    kRefusedByServer,  ///< Reached a server, which declared that it ran nothing.
+    kUnknown,          ///< May have run.
+};
+
+enum class AttemptStep {
+    kLaunch,        ///< Send it; no server was reached yet.
+    kLaunchRepeat,  ///< Send it again, if the budget has a repeat.
+    kWait,
+    kDeliver,  ///< Give the answer.
+    kRefuse,   ///< It has not run and won't: refuse with a time to come back.
+    kFail,     ///< It may have run and has no answer.
+    kTimeUp,
+};
+
+/// The plan of one request. Feed it what happens, ask it what to do. Pure.
+class AttemptPlan {
+  public:
+    explicit AttemptPlan(AttemptTerms terms) : terms_(terms) {}
+
+    /// The next step. `another_server`: some server hasn't been tried that could be.
+    AttemptStep next(TimePoint now, bool another_server) const;
+    /// When to ask again if nothing happens before, after `kWait`.
+    TimePoint wait_until() const;
+
+    void on_launched(TimePoint now);
+    /// No repeat was to be had; none is asked for until an attempt has ended.
+    void on_repeat_refused() { repeat_refused_ = true; }
+    void on_outcome(AttemptOutcome outcome);
+
+    unsigned running() const { return running_; }
+    unsigned launched() const { return launched_; }
+    /// Whether the request may have run.
+    bool may_have_run() const { return unknown_ > 0 || failed_answers_ > 0 || running_ > 0; }
+
+  private:
+    bool repeat_allowed(bool another_server) const;
+
+    AttemptTerms terms_;
+    unsigned launched_ = 0;
+    unsigned running_ = 0;
+    unsigned reached_ = 0;  ///< Ended attempts that reached a server.
+    unsigned unknown_ = 0;
+    unsigned failed_answers_ = 0;
+    bool answered_ = false;
+    bool repeat_refused_ = false;
+    TimePoint last_launch_;
+};
+
+}  // namespace anisehold::retry
--- /dev/null
+++ b/src/routing/configuration.hpp
@@ -0,0 +1,76 @@
+/// @file
+/// The operators' routing configuration: routes by host and path, services, and what clients may send.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/time_types.hpp"
+
+namespace anisehold::routing {
+
+/// What may be repeated.
+enum class RepeatRule {
+    kRepeatable,   ///< May run more than once.
+    kAtMostOnce,   ///< Each client attempt runs at most once.
+    kLargeAnswer,  ///< Repeatable, with a large answer.
+};
+
+/// Whether a request under this rule may run more than once.
+inline bool may_repeat(RepeatRule rule) {
+    return rule != RepeatRule::kAtMostOnce;
+}
+
+/// One part of a weighted split.
+struct WeightedService {
+    std::string service;
+    unsigned weight = 1;
+
+    bool operator==(const WeightedService&) const = default;
+};
+
+/// One route: requests of a host below a path prefix go to one service, or to several by weight.
+struct HostRoute {
+    std::string name;
+    std::string host;
+    std::string path_prefix;  ///< Begins and ends with a slash.
+    RepeatRule repeat = RepeatRule::kAtMostOnce;
+    milliseconds timeout{0};         ///< Longest time a request is held.
+    milliseconds target_latency{0};  ///< Time within which an answer is worth most.
+    unsigned priority = 0;           ///< 0 is the most important.
+    unsigned most_servers = 1;       ///< Most servers that one client attempt is sent to.
+    std::vector<WeightedService> parts;
+};
+
+/// What the operators say of a service.
+struct ServiceTerms {
+    std::string health_path;
+    unsigned most_connections = 0;  ///< Per server, from all callers together; 0 for unknown.
+};
+
+/// Bounds of what a client may send.
+struct ClientBounds {
+    std::size_t header_bytes = 16 * 1024;
+    std::uint64_t body_bytes = 64ULL * 1024 * 1024;
+    milliseconds header_timeout{3'000};
+    milliseconds idle_timeout{15'000};
+};
+
+/// One version of the whole configuration.
+struct Configuration {
+    std::uint64_t version = 0;
+    std::vector<HostRoute> routes;
+    std::map<std::string, ServiceTerms> services;
+    ClientBounds clients;
+
+    /// The route of `host` (without a port) whose prefix is the longest that begins `path`; null without one.
+    const HostRoute* find(std::string_view host, std::string_view path) const;
+};
+
+/// The path of a request target, without its query.
+std::string_view path_of(std::string_view target);
+
+}  // namespace anisehold::routing
--- /dev/null
+++ b/src/sidecar/call_ingress.cpp
@@ -0,0 +1,339 @@
+#include "sidecar/call_ingress.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+#include "net/event_loop.hpp"
+#include "observability/events.hpp"
+
+namespace anisehold::sidecar {
+namespace {
+
+using hop::HopOutcome;
+using membership::KnownServer;
+using observability::Event;
+using observability::log_event;
+using retry::AttemptOutcome;
+using retry::AttemptStep;
+
+/// When a caller may come back if nothing better is known.
+constexpr milliseconds kDefaultRetryAfter{200};
+/// The answer must reach the client before its own time is up.
+constexpr milliseconds kAnswerMargin{5};
+/// An attempt that takes this many times the server's average is joined by another one.
+constexpr int kHedgeFactor = 3;
+constexpr milliseconds kLeastHedge{100};
+/// Expected time of an answer while none was measured.
+constexpr milliseconds kUnmeasuredLatency{150};
+
+std::string host_of(const net::HttpRequest& request) {
+    const auto host = request.fields.find("Host").value_or("");
+    return std::string(host.substr(0, host.find(':')));
+}
+
+retry::WindowBudgetTerms budget_terms(const config::SidecarSettings& settings) {
+    retry::WindowBudgetTerms terms;
+    terms.ratio = settings.repeat_ratio;
+    terms.extra = settings.repeat_extra;
+    terms.window = settings.repeat_window;
+    return terms;
+}
+
+AttemptOutcome outcome_of(const GateAnswer& answer) {
+    constexpr unsigned first_server_error = 500;
+    switch (answer.result.outcome) {
+        case HopOutcome::kAnswered:
+            return answer.response->status >= first_server_error ? AttemptOutcome::kFailedAnswer
+                                                                 : AttemptOutcome::kAnswered;
+        case HopOutcome::kNotSent:
+            return AttemptOutcome::kNotSent;
+        case HopOutcome::kRefusedByServer:
+            return AttemptOutcome::kRefusedByServer;
+        case HopOutcome::kUnknown:
+            return AttemptOutcome::kUnknown;
+    }
+    return AttemptOutcome::kUnknown;
+}
+
+bool is_server_failure(AttemptOutcome outcome) {
+    return outcome == AttemptOutcome::kUnknown || outcome == AttemptOutcome::kRefusedByServer;
+}
+
+net::HttpRequest copy_of(const net::HttpRequest& request) {
+    net::HttpRequest copy;
+    copy.method = request.method;
+    copy.target = request.target;
+    copy.fields = request.fields;
+    copy.body.prefix = request.body.prefix;
+    copy.body.length = request.body.length;
+    return copy;
+}
+
+}  // namespace
+
+CallIngress::CallIngress(SidecarContext& context, ConfigurationHolder& configuration,
+                         membership::PeerDirectory& directory, LocalGate& gate)
+    : context_(context),
+      configuration_(configuration),
+      directory_(directory),
+      gate_(gate),
+      hops_(context, directory),
+      selector_(context.settings.zone, [&context] { return context.random_unit(); }),
+      budget_(budget_terms(context.settings), TimePoint::clock::now()) {}
+
+void CallIngress::apply_settings() {
+    budget_.set_terms(budget_terms(context_.settings));
+}
+
+net::HttpResponse CallIngress::reject(ErrorKind kind) {
+    context_.metrics.count_error("", kind);
+    log_event(Event::kIngressCall, {{"outcome", std::string(answer_for(kind).name)}});
+    return error_response({kind, kDefaultRetryAfter}, "");
+}
+
+net::HttpResponse CallIngress::handle(net::HttpRequest& request, net::CancelSignal& cancel) {
+    Call call;
+    if (const auto failure = prepare(request, call)) {
+        return fail(call, *failure, false);
+    }
+    request.fields.remove(hop::kRequestHeader);
+    return run(call, request, cancel);
+}
+
+std::optional<CallIngress::Failure> CallIngress::prepare(const net::HttpRequest& request, Call& call) {
+    call.received = TimePoint::clock::now();
+    const auto client = context_.dialect.read_client_call(request);
+    call.request_id = client.id;
+    const auto configuration = configuration_.current();
+    if (!configuration) {
+        return Failure{ErrorKind::kNoTable, kDefaultRetryAfter};
+    }
+    call.configuration_version = configuration->version;
+    const auto* route = configuration->find(host_of(request), routing::path_of(request.target));
+    if (route == nullptr) {
+        return Failure{ErrorKind::kUnknownService};
+    }
+    if (client.id.empty()) {
+        return Failure{ErrorKind::kBadRequest};
+    }
+    call.terms = *route;
+    call.route = route->name;
+    call.service = choose_service(*route, call.received);
+    const auto allowed = client.time_left ? std::min(*client.time_left, route->timeout) : route->timeout;
+    call.deadline = call.received + std::max(allowed - kAnswerMargin, milliseconds(1));
+    return std::nullopt;
+}
+
+std::string CallIngress::choose_service(const routing::HostRoute& route, TimePoint now) {
+    const auto chosen = split_.next(route, context_.random_unit());
+    if (!candidates(chosen, now).empty()) {
+        return chosen;
+    }
+    for (const auto& part : route.parts) {
+        if (part.weight > 0 && !candidates(part.service, now).empty()) {
+            return part.service;
+        }
+    }
+    return chosen;
+}
+
+std::vector<KnownServer> CallIngress::candidates(const std::string& service, TimePoint now) const {
+    auto servers = directory_.servers_of(now, service);
+    for (const auto& own : gate_.records(now)) {
+        if (own.service == service) {
+            servers.push_back({own, context_.settings.name, context_.settings.zone, context_.settings.hops,
+                               context_.boot_id, Duration::zero()});
+        }
+    }
+    return servers;
+}
+
+retry::AttemptTerms CallIngress::terms_of(const Call& call, const net::HttpRequest& request,
+                                          TimePoint now) const {
+    retry::AttemptTerms terms;
+    // A body that is streamed can be sent once only.
+    terms.may_repeat = may_repeat(call.terms.repeat) && request.body.whole();
+    terms.most_servers = request.body.whole() ? call.terms.most_servers : 1;
+    terms.deadline = call.deadline;
+    Duration latency{};
+    unsigned measured = 0;
+    for (const auto& server : candidates(call.service, now)) {
+        if (server.server.latency_us > 0) {
+            latency += std::chrono::microseconds(server.server.latency_us);
+            ++measured;
+        }
+    }
+    const Duration average = measured == 0 ? Duration(kUnmeasuredLatency) : latency / measured;
+    terms.hedge_after = std::max<Duration>(kLeastHedge, kHedgeFactor * average);
+    return terms;
+}
+
+net::HttpResponse CallIngress::run(Call& call, net::HttpRequest& request, net::CancelSignal& cancel) {
+    budget_.on_request(call.received, call.service);
+    retry::AttemptPlan plan(terms_of(call, request, call.received));
+    const auto board = std::make_shared<AttemptBoard>();
+    const bool streamed = !request.body.whole();
+    board->request = streamed ? std::move(request) : copy_of(request);
+    const net::CancelSubscription subscription(&cancel, [board] { board->changed.give(); });
+    Failure failure{ErrorKind::kNoBackend, kDefaultRetryAfter};
+    std::shared_ptr<Attempt> best;
+    AttemptStep step = AttemptStep::kWait;
+    bool going_on = true;
+    while (going_on) {
+        take_outcomes(call, *board, plan, failure, best);
+        const auto now = TimePoint::clock::now();
+        const auto server = selector_.choose(now, candidates(call.service, now), call.tried);
+        step = plan.next(now, server.has_value());
+        if (cancel.cancelled()) {
+            going_on = false;
+        } else if (step == AttemptStep::kLaunch) {
+            launch(call, board, *server, streamed);
+            plan.on_launched(now);
+        } else if (step == AttemptStep::kLaunchRepeat) {
+            const auto members = directory_.known_count() + 1;
+            if (budget_.try_repeat(now, call.service, members)) {
+                context_.metrics.count_retry(call.service);
+                launch(call, board, *server, streamed);
+                plan.on_launched(now);
+            } else {
+                plan.on_repeat_refused();
+            }
+        } else if (step == AttemptStep::kWait) {
+            board->changed.wait_until(plan.wait_until());
+        } else {
+            going_on = false;
+        }
+    }
+    for (const auto& attempt : board->attempts) {
+        if (!attempt->ended) {
+            attempt->cancel.cancel();
+        }
+    }
+    while (streamed && plan.running() > 0) {
+        // The body is read off the client's connection, which must outlast the attempt.
+        board->changed.wait_until(TimePoint::clock::now() + kLeastHedge);
+        take_outcomes(call, *board, plan, failure, best);
+    }
+    if (cancel.cancelled()) {
+        return fail(call, {ErrorKind::kCancelled}, true);
+    }
+    if (step == AttemptStep::kDeliver || (best && step == AttemptStep::kTimeUp)) {
+        return answer(call, std::move(*best->answer.response));
+    }
+    if (step == AttemptStep::kTimeUp) {
+        failure.error = plan.may_have_run() ? ErrorKind::kDeadlineExceeded : ErrorKind::kQueueTimeout;
+    } else if (step == AttemptStep::kFail) {
+        failure.error = ErrorKind::kOutcomeUnknown;
+    }
+    return fail(call, failure, plan.may_have_run());
+}
+
+void CallIngress::launch(Call& call, const std::shared_ptr<AttemptBoard>& board, const KnownServer& server,
+                         bool streamed) {
+    const auto attempt = std::make_shared<Attempt>();
+    attempt->server = server;
+    attempt->started = TimePoint::clock::now();
+    board->attempts.push_back(attempt);
+    call.tried.push_back(server.server.instance);
+    selector_.on_sent(server.server.instance);
+    hop::HopRequest hop_call;
+    hop_call.instance = server.server.instance;
+    hop_call.caller = context_.settings.service;
+    hop_call.priority = call.terms.priority;
+    hop_call.remaining = milliseconds(std::max(1LL, to_milliseconds(call.deadline - attempt->started)));
+    hop_call.at_most_once = !may_repeat(call.terms.repeat);
+    net::EventLoop::spawn([this, board, attempt, hop_call, streamed] {
+        auto request = streamed ? std::move(board->request) : copy_of(board->request);
+        const bool own = attempt->server.peer == context_.settings.name;
+        attempt->answer = own ? gate_.run(std::move(request), hop_call, &attempt->cancel)
+                              : hops_.run(attempt->server, std::move(request), hop_call, &attempt->cancel);
+        attempt->ended = true;
+        const bool failed = !attempt->cancel.cancelled() && is_server_failure(outcome_of(attempt->answer));
+        selector_.on_ended(TimePoint::clock::now(), attempt->server.server.instance, failed);
+        board->changed.give();
+    });
+}
+
+void CallIngress::take_outcomes(Call& call, AttemptBoard& board, retry::AttemptPlan& plan, Failure& failure,
+                                std::shared_ptr<Attempt>& best) const {
+    for (const auto& attempt : board.attempts) {
+        if (!attempt->ended || attempt->taken) {
+            continue;
+        }
+        attempt->taken = true;
+        const auto outcome = outcome_of(attempt->answer);
+        plan.on_outcome(outcome);
+        const auto& result = attempt->answer.result;
+        const bool answered = attempt->answer.response.has_value();
+        if (outcome == AttemptOutcome::kAnswered || (answered && !best)) {
+            best = attempt;
+        }
+        if (!answered) {
+            failure.error = result.error;
+            failure.retry_after = result.retry_after;
+        }
+        call.servers += (call.servers.empty() ? "" : " ") + attempt->server.server.instance + ":" +
+                        (answered ? std::to_string(attempt->answer.response->status)
+                                  : std::string(hop::outcome_name(result.outcome)) + "/" +
+                                        std::string(answer_for(result.error).name)) +
+                        ":" + std::to_string(to_milliseconds(TimePoint::clock::now() - attempt->started)) +
+                        "ms:age" + std::to_string(to_milliseconds(attempt->server.age));
+    }
+}
+
+net::HttpResponse CallIngress::answer(Call& call, net::HttpResponse response) {
+    context_.metrics.count_answer(call.route, response.status, TimePoint::clock::now() - call.received);
+    log(call, std::to_string(response.status));
+    return response;
+}
+
+net::HttpResponse CallIngress::fail(Call& call, const Failure& failure, bool may_have_run) {
+    auto given = failure;
+    const auto& kind = answer_for(given.error);
+    if (may_have_run && kind.execution == Execution::kNotRun) {
+        // A refusal would promise that the request has not run.
+        given.error = ErrorKind::kOutcomeUnknown;
+    } else if (!may_have_run && kind.execution == Execution::kMayHaveRun &&
+               given.error != ErrorKind::kCancelled) {
+        given.error = ErrorKind::kNoBackend;
+    } else if (given.error == ErrorKind::kConnectFailed) {
+        given.error = ErrorKind::kNoBackend;
+    }
+    context_.metrics.count_error(call.route, given.error);
+    log(call, std::string(answer_for(given.error).name));
+    return error_response(given, call.request_id);
+}
+
+net::HttpResponse CallIngress::error_response(const Failure& failure, const std::string& request_id) const {
+    const auto& kind = answer_for(failure.error);
+    const nlohmann::ordered_json problem{{"title", kind.title},
+                                         {"status", kind.http_status},
+                                         {"kind", kind.name},
+                                         {"request_id", request_id}};
+    auto response = net::make_response(
+        kind.http_status, "application/problem+json",
+        problem.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace));
+    if (!request_id.empty()) {
+        const auto echo = context_.dialect.echoed_field(request_id);
+        response.fields.set(echo.name, echo.value);
+    }
+    if (kind.come_back == ComeBack::kSoon && kind.execution == Execution::kNotRun) {
+        const auto wait = failure.retry_after > milliseconds(0) ? failure.retry_after : kDefaultRetryAfter;
+        context_.dialect.write_retry_after(response, wait);
+    }
+    return response;
+}
+
+void CallIngress::log(const Call& call, const std::string& outcome) const {
+    const auto now = TimePoint::clock::now();
+    log_event(Event::kIngressCall, {{"request_id", call.request_id},
+                                    {"route", call.route},
+                                    {"version", std::to_string(call.configuration_version)},
+                                    {"service", call.service},
+                                    {"attempts", call.servers},
+                                    {"taken_ms", std::to_string(to_milliseconds(now - call.received))},
+                                    {"time_left_ms", std::to_string(to_milliseconds(call.deadline - now))},
+                                    {"outcome", outcome}});
+}
+
+}  // namespace anisehold::sidecar
--- /dev/null
+++ b/src/sidecar/call_ingress.hpp
@@ -0,0 +1,94 @@
+/// @file
+/// Takes requests of this machine's clients and server, and sees each to its final answer.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "membership/peer_directory.hpp"
+#include "net/fiber_signal.hpp"
+#include "retry/attempt_plan.hpp"
+#include "retry/window_budget.hpp"
+#include "routing/server_selector.hpp"
+#include "routing/weighted_split.hpp"
+#include "sidecar/configuration_holder.hpp"
+#include "sidecar/hop_client.hpp"
+#include "sidecar/local_gate.hpp"
+#include "sidecar/sidecar_context.hpp"
+
+namespace anisehold::sidecar {
+
+/// Route, choose, send, repeat where that is allowed, answer.
+class CallIngress {
+  public:
+    CallIngress(SidecarContext& context, ConfigurationHolder& configuration,
+                membership::PeerDirectory& directory, LocalGate& gate);
+
+    /// Answers one request; blocks its fiber until then.
+    net::HttpResponse handle(net::HttpRequest& request, net::CancelSignal& cancel);
+    /// Answers a request that could not be read.
+    net::HttpResponse reject(ErrorKind kind);
+    /// Follows changed settings.
+    void apply_settings();
+
+  private:
+    /// One request on its way.
+    struct Call {
+        std::string request_id;
+        std::string route;
+        std::string service;
+        routing::HostRoute terms;
+        std::uint64_t configuration_version = 0;
+        TimePoint received;
+        TimePoint deadline;
+        std::vector<std::string> tried;  ///< Instances that were sent the request, or refused it.
+        std::string servers;             ///< The same for the log, with outcomes.
+    };
+    /// One sending of a request to one server.
+    struct Attempt {
+        membership::KnownServer server;
+        net::CancelSignal cancel;
+        GateAnswer answer;
+        TimePoint started;
+        bool ended = false;
+        bool taken = false;  ///< Its outcome was fed to the plan.
+    };
+    /// The attempts of one request; shared with their fibers, which may outlast it.
+    struct AttemptBoard {
+        net::HttpRequest request;
+        net::FiberSignal changed;
+        std::vector<std::shared_ptr<Attempt>> attempts;
+    };
+    /// How a request ended, when no server answered it.
+    struct Failure {
+        ErrorKind error = ErrorKind::kNoBackend;
+        milliseconds retry_after{0};
+    };
+
+    std::optional<Failure> prepare(const net::HttpRequest& request, Call& call);
+    std::string choose_service(const routing::HostRoute& route, TimePoint now);
+    std::vector<membership::KnownServer> candidates(const std::string& service, TimePoint now) const;
+    net::HttpResponse run(Call& call, net::HttpRequest& request, net::CancelSignal& cancel);
+    void launch(Call& call, const std::shared_ptr<AttemptBoard>& board, const membership::KnownServer& server,
+                bool streamed);
+    void take_outcomes(Call& call, AttemptBoard& board, retry::AttemptPlan& plan, Failure& failure,
+                       std::shared_ptr<Attempt>& best) const;
+    retry::AttemptTerms terms_of(const Call& call, const net::HttpRequest& request, TimePoint now) const;
+    net::HttpResponse answer(Call& call, net::HttpResponse response);
+    net::HttpResponse fail(Call& call, const Failure& failure, bool may_have_run);
+    net::HttpResponse error_response(const Failure& failure, const std::string& request_id) const;
+    void log(const Call& call, const std::string& outcome) const;
+
+    SidecarContext& context_;
+    ConfigurationHolder& configuration_;
+    membership::PeerDirectory& directory_;
+    LocalGate& gate_;
+    HopClient hops_;
+    routing::WeightedSplit split_;
+    routing::ServerSelector selector_;
+    retry::WindowBudget budget_;
+};
+
+}  // namespace anisehold::sidecar
--- /dev/null
+++ b/src/sidecar/hop_client.cpp
@@ -0,0 +1,88 @@
+#include "sidecar/hop_client.hpp"
+
+namespace anisehold::sidecar {
+namespace {
+
+using hop::HopOutcome;
+
+constexpr std::size_t kMostConnections = 512;
+constexpr milliseconds kConnectTimeout{300};
+constexpr milliseconds kConnectionRest{60'000};
+constexpr milliseconds kSilenceInBody{60'000};
+constexpr milliseconds kSilentPeer{3'000};
+/// How much longer than the request's own time the gate's answer is waited for.
+constexpr milliseconds kAnswerSlack{60};
+
+net::HttpPoolLimits pool_limits() {
+    net::HttpPoolLimits limits;
+    limits.connections = kMostConnections;
+    limits.connect_timeout_ms = kConnectTimeout;
+    limits.idle_timeout_ms = kConnectionRest;
+    limits.body_timeout_ms = kSilenceInBody;
+    limits.silence_timeout_ms = kSilentPeer;
+    return limits;
+}
+
+GateAnswer without_answer(HopOutcome outcome, ErrorKind error, const std::string& instance) {
+    GateAnswer answer;
+    answer.result.outcome = outcome;
+    answer.result.error = error;
+    answer.result.instance = instance;
+    return answer;
+}
+
+membership::ServerRecord load_of(const hop::HopResult& result) {
+    membership::ServerRecord server;
+    server.instance = result.instance;
+    server.in_flight = result.in_flight;
+    server.queued = result.queued;
+    server.limit = result.limit;
+    server.latency_us = result.latency_us;
+    return server;
+}
+
+}  // namespace
+
+std::shared_ptr<net::HttpClient> HopClient::client_for(const membership::KnownServer& server) {
+    auto& connections = connections_[server.peer];
+    const bool same = connections.client && connections.boot_id == server.boot_id &&
+                      connections.client->server() == server.call;
+    if (!same) {
+        connections.boot_id = server.boot_id;
+        connections.client = std::make_shared<net::HttpClient>(context_.io, server.call, pool_limits());
+    }
+    return connections.client;
+}
+
+GateAnswer HopClient::run(const membership::KnownServer& server, net::HttpRequest request,
+                          const hop::HopRequest& call, net::CancelSignal* cancel) {
+    const auto client = client_for(server);
+    request.fields.set(hop::kRequestHeader, encode(call));
+    net::ExchangeOptions options{TimePoint::clock::now() + call.remaining + kAnswerSlack, cancel};
+    net::ExchangeProgress progress;
+    std::error_code error;
+    auto response = client->exchange(request, options, progress, error);
+    if (!response) {
+        const bool gave_up = cancel != nullptr && cancel->cancelled();
+        if (!gave_up && error != std::errc::timed_out) {
+            directory_.on_unreachable(server.peer, server.boot_id);
+        }
+        return progress.request_started
+                   ? without_answer(HopOutcome::kUnknown, ErrorKind::kBackendFailed, call.instance)
+                   : without_answer(HopOutcome::kNotSent, ErrorKind::kConnectFailed, call.instance);
+    }
+    const auto result = hop::decode_hop_result(response->fields.find(hop::kResultHeader).value_or(""));
+    if (!result) {
+        return without_answer(HopOutcome::kUnknown, ErrorKind::kBackendFailed, call.instance);
+    }
+    directory_.on_load(server.peer, load_of(*result));
+    GateAnswer answer;
+    answer.result = *result;
+    if (result->outcome == HopOutcome::kAnswered) {
+        response->fields.remove(hop::kResultHeader);
+        answer.response = std::move(response);
+    }
+    return answer;
+}
+
+}  // namespace anisehold::sidecar
--- /dev/null
+++ b/src/sidecar/local_gate.cpp
@@ -0,0 +1,281 @@
+#include "sidecar/local_gate.hpp"
+
+#include <algorithm>
+
+#include "admission/policy/aimd_limit.hpp"
+#include "observability/events.hpp"
+
+namespace anisehold::sidecar {
+namespace {
+
+using hop::HopOutcome;
+using observability::Event;
+using observability::log_event;
+using registration::RegistryChange;
+
+/// Heartbeats that a server may miss before it counts as gone.
+constexpr int kMissedHeartbeats = 6;
+/// Weight of a new sample in the average latency, as a divisor.
+constexpr int kLatencyDivisor = 8;
+/// A non-repeatable request isn't sent on a connection that rested longer: the server may be closing it.
+constexpr milliseconds kFreshRest{2'000};
+/// How much longer than the request's own time an answer is waited for, so that the server's own one wins.
+constexpr milliseconds kAnswerSlack{20};
+constexpr std::size_t kMostConnections = 256;
+constexpr milliseconds kConnectTimeout{500};
+constexpr milliseconds kConnectionRest{8'000};
+constexpr milliseconds kSilenceInBody{60'000};
+
+GateAnswer refusal(HopOutcome outcome, ErrorKind error, Duration retry_after) {
+    GateAnswer answer;
+    answer.result.outcome = outcome;
+    answer.result.error = error;
+    answer.result.retry_after = milliseconds(std::max(0LL, to_milliseconds(retry_after)));
+    return answer;
+}
+
+net::HttpPoolLimits pool_limits() {
+    net::HttpPoolLimits limits;
+    limits.connections = kMostConnections;
+    limits.connect_timeout_ms = kConnectTimeout;
+    limits.idle_timeout_ms = kConnectionRest;
+    limits.body_timeout_ms = kSilenceInBody;
+    return limits;
+}
+
+admission::SampleOutcome sample_of(const GateAnswer& answer) {
+    switch (answer.result.outcome) {
+        case HopOutcome::kAnswered:
+            return admission::SampleOutcome::kCompleted;
+        case HopOutcome::kRefusedByServer:
+            return admission::SampleOutcome::kShed;
+        default:
+            return admission::SampleOutcome::kIgnored;
+    }
+}
+
+}  // namespace
+
+RegistryChange LocalGate::on_registration(TimePoint now, const RegistrationCall& call) {
+    const auto& heartbeat = call.heartbeat;
+    const auto change = call.leaves ? registry_.on_leave(now, heartbeat.instance)
+                                    : registry_.on_heartbeat(now, heartbeat);
+    switch (change) {
+        case RegistryChange::kAppeared:
+        case RegistryChange::kChanged:
+            log_event(Event::kServerRegistered, {{"server", heartbeat.instance},
+                                                 {"service", heartbeat.service},
+                                                 {"address", heartbeat.address.text()},
+                                                 {"slots", std::to_string(heartbeat.slots)},
+                                                 {"sequence", std::to_string(heartbeat.sequence)}});
+            break;
+        case RegistryChange::kDraining:
+        case RegistryChange::kLeft:
+            log_event(Event::kServerLeaving, {{"server", heartbeat.instance},
+                                              {"service", heartbeat.service},
+                                              {"sequence", std::to_string(heartbeat.sequence)}});
+            break;
+        case RegistryChange::kNone:
+        case RegistryChange::kRefreshed:
+            break;
+    }
+    return change;
+}
+
+bool LocalGate::expire(TimePoint now) {
+    const auto silent = registry_.expire(now, kMissedHeartbeats * context_.settings.heartbeat_interval);
+    for (const auto& instance : silent) {
+        log_event(Event::kServerSilent, {{"server", instance}});
+    }
+    std::erase_if(servers_, [&](const auto& entry) {
+        return registry_.find_ready(entry.first) == nullptr && entry.second.use_count() == 1;
+    });
+    return !silent.empty();
+}
+
+std::vector<membership::ServerRecord> LocalGate::records(TimePoint now) const {
+    std::vector<membership::ServerRecord> records;
+    for (const auto& registered : registry_.ready_servers()) {
+        const auto& heartbeat = registered.heartbeat;
+        membership::ServerRecord record;
+        record.instance = heartbeat.instance;
+        record.service = heartbeat.service;
+        record.slots = heartbeat.slots;
+        record.limit = heartbeat.slots;
+        record.cold_ms =
+            static_cast<unsigned>(std::max(0LL, to_milliseconds(registered.cold_until - now)));
+        const auto found = servers_.find(heartbeat.instance);
+        if (found != servers_.end()) {
+            hop::HopResult load;
+            fill_load(*found->second, load);
+            record.in_flight = load.in_flight;
+            record.queued = load.queued;
+            record.limit = load.limit;
+            record.latency_us = load.latency_us;
+        }
+        records.push_back(std::move(record));
+    }
+    return records;
+}
+
+std::shared_ptr<LocalGate::Server> LocalGate::server_for(const registration::RegisteredServer& registered) {
+    const auto& heartbeat = registered.heartbeat;
+    auto& server = servers_[heartbeat.instance];
+    if (!server) {
+        const admission::LimitBounds bounds{heartbeat.slots, heartbeat.slots};
+        server = std::make_shared<Server>(std::make_unique<admission::AimdLimit>(bounds), context_.io,
+                                          heartbeat.address, pool_limits());
+    }
+    return server;
+}
+
+GateAnswer LocalGate::run(net::HttpRequest request, const hop::HopRequest& call, net::CancelSignal* cancel) {
+    const auto arrived = TimePoint::clock::now();
+    const auto deadline = arrived + call.remaining;
+    const auto request_id = context_.dialect.read_client_call(request).id;
+    const auto* registered = registry_.find_ready(call.instance);
+    if (registered == nullptr) {
+        auto answer = refusal(HopOutcome::kNotSent, ErrorKind::kNoBackend, Duration::zero());
+        answer.result.instance = call.instance;
+        log(request_id, call, answer, arrived, Duration::zero());
+        return answer;
+    }
+    const auto server = server_for(*registered);
+    const auto id = next_id_++;
+    ++in_flight_;
+    auto refused = wait_for_admission(*server, call, id, deadline, cancel);
+    const auto started = TimePoint::clock::now();
+    GateAnswer answer;
+    if (refused) {
+        answer = std::move(*refused);
+    } else {
+        if (registry_.find_ready(call.instance) == nullptr) {
+            answer = refusal(HopOutcome::kNotSent, ErrorKind::kNoBackend, Duration::zero());
+        } else {
+            answer = exchange(*server, request, call, deadline, cancel);
+        }
+        finish(*server, id, started, answer);
+    }
+    fill_load(*server, answer.result);
+    answer.result.instance = call.instance;
+    --in_flight_;
+    log(request_id, call, answer, arrived, started - arrived);
+    return answer;
+}
+
+std::optional<GateAnswer> LocalGate::wait_for_admission(Server& server, const hop::HopRequest& call,
+                                                        std::uint64_t id, TimePoint deadline,
+                                                        net::CancelSignal* cancel) {
+    const auto now = TimePoint::clock::now();
+    admission::GateCall gate_call;
+    gate_call.id = id;
+    gate_call.priority = call.priority;
+    gate_call.root_started = now;
+    gate_call.deadline = deadline;
+    const auto decision = server.gate.arrive(now, gate_call);
+    if (decision.evicted) {
+        const auto found = server.waiters.find(*decision.evicted);
+        if (found != server.waiters.end()) {
+            found->second->decided.set();
+        }
+    }
+    if (decision.verdict == admission::GateVerdict::kAdmitted) {
+        return std::nullopt;
+    }
+    if (decision.verdict == admission::GateVerdict::kRefused) {
+        return refusal(HopOutcome::kNotSent, decision.refusal, decision.retry_after);
+    }
+    const auto waiter = std::make_shared<Waiter>();
+    server.waiters[id] = waiter;
+    {
+        const net::CancelSubscription subscription(cancel, [waiter] { waiter->decided.set(); });
+        if (cancel == nullptr || !cancel->cancelled()) {
+            waiter->decided.wait_until(decision.give_up_at);
+        }
+    }
+    server.waiters.erase(id);
+    if (waiter->admitted) {
+        return std::nullopt;
+    }
+    server.gate.abandon(id);
+    return refusal(HopOutcome::kNotSent, ErrorKind::kQueueTimeout, decision.retry_after);
+}
+
+GateAnswer LocalGate::exchange(Server& server, net::HttpRequest& request, const hop::HopRequest& call,
+                               TimePoint deadline, net::CancelSignal* cancel) {
+    const auto now = TimePoint::clock::now();
+    const auto request_id = context_.dialect.read_client_call(request).id;
+    const milliseconds time_left(std::max(1LL, to_milliseconds(deadline - now)));
+    context_.dialect.write_server_call(request, {call.instance, call.caller, time_left});
+    net::ExchangeOptions options{deadline + kAnswerSlack, cancel};
+    options.expected_echo = context_.dialect.echoed_field(request_id);
+    if (call.at_most_once) {
+        options.longest_rest = kFreshRest;
+    }
+    net::ExchangeProgress progress;
+    std::error_code error;
+    auto response = server.client.exchange(request, options, progress, error);
+    if (!response) {
+        if (!progress.request_started) {
+            return refusal(HopOutcome::kNotSent, ErrorKind::kConnectFailed, Duration::zero());
+        }
+        return refusal(HopOutcome::kUnknown, ErrorKind::kBackendFailed, Duration::zero());
+    }
+    GateAnswer answer;
+    switch (context_.dialect.nature_of(*response)) {
+        case AnswerNature::kNotRun:
+            return refusal(HopOutcome::kRefusedByServer, ErrorKind::kBackendRefused, server.latency);
+        case AnswerNature::kSpoiled:
+            return refusal(HopOutcome::kUnknown, ErrorKind::kBackendFailed, Duration::zero());
+        case AnswerNature::kGenuine:
+            answer.result.outcome = HopOutcome::kAnswered;
+            answer.response = std::move(response);
+    }
+    return answer;
+}
+
+void LocalGate::finish(Server& server, std::uint64_t id, TimePoint started, const GateAnswer& answer) {
+    const auto now = TimePoint::clock::now();
+    if (answer.result.outcome == HopOutcome::kAnswered) {
+        const auto taken = now - started;
+        server.latency = server.latency == Duration::zero()
+                             ? taken
+                             : server.latency + (taken - server.latency) / kLatencyDivisor;
+    }
+    for (const auto admitted : server.gate.finish(now, id, sample_of(answer), Duration::zero())) {
+        const auto found = server.waiters.find(admitted);
+        if (found != server.waiters.end()) {
+            found->second->admitted = true;
+            found->second->decided.set();
+        }
+    }
+}
+
+void LocalGate::fill_load(const Server& server, hop::HopResult& result) const {
+    const auto load = server.gate.load();
+    result.in_flight = load.in_flight;
+    result.queued = load.queued;
+    result.limit = load.limit;
+    result.latency_us = static_cast<unsigned>(
+        std::chrono::duration_cast<std::chrono::microseconds>(server.latency).count());
+}
+
+void LocalGate::log(const std::string& request_id, const hop::HopRequest& call, const GateAnswer& answer,
+                    TimePoint arrived, Duration waited) const {
+    const auto& result = answer.result;
+    const bool answered = result.outcome == HopOutcome::kAnswered;
+    log_event(Event::kGateCall,
+              {{"request_id", request_id},
+               {"server", call.instance},
+               {"outcome", std::string(hop::outcome_name(result.outcome))},
+               {"status", answered ? std::to_string(answer.response->status)
+                                   : std::string(answer_for(result.error).name)},
+               {"waited_ms", std::to_string(to_milliseconds(waited))},
+               {"taken_ms", std::to_string(to_milliseconds(TimePoint::clock::now() - arrived))},
+               {"time_left_ms", std::to_string(call.remaining.count())},
+               {"in_flight", std::to_string(result.in_flight)},
+               {"queued", std::to_string(result.queued)},
+               {"limit", std::to_string(result.limit)}});
+}
+
+}  // namespace anisehold::sidecar
--- /dev/null
+++ b/src/sidecar/local_gate.hpp
@@ -0,0 +1,77 @@
+/// @file
+/// The gate of the server beside this daemon: registration, admission, and the exchange with the server.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "admission/server_gate.hpp"
+#include "hop/hop_header.hpp"
+#include "membership/peer_record.hpp"
+#include "net/fiber_event.hpp"
+#include "net/http_client.hpp"
+#include "registration/server_registry.hpp"
+#include "sidecar/sidecar_context.hpp"
+
+namespace anisehold::sidecar {
+
+/// What became of a request at a gate, with the server's answer if it gave one.
+struct GateAnswer {
+    hop::HopResult result;
+    std::optional<net::HttpResponse> response;
+};
+
+/// All requests for this machine's server pass here, so its state is known exactly.
+class LocalGate {
+  public:
+    explicit LocalGate(SidecarContext& context) : context_(context) {}
+
+    /// Runs a request at the server that `call` names, or refuses it. Blocks the fiber.
+    GateAnswer run(net::HttpRequest request, const hop::HopRequest& call, net::CancelSignal* cancel);
+
+    registration::RegistryChange on_registration(TimePoint now, const RegistrationCall& call);
+    /// Drops servers that fell silent; true if there were any.
+    bool expire(TimePoint now);
+
+    /// The servers that take requests, for peers.
+    std::vector<membership::ServerRecord> records(TimePoint now) const;
+    std::size_t in_flight() const { return in_flight_; }
+
+  private:
+    struct Waiter {
+        net::FiberEvent decided;
+        bool admitted = false;
+    };
+    struct Server {
+        Server(std::unique_ptr<admission::ConcurrencyLimit> limit, boost::asio::io_context& io,
+               const Endpoint& address, const net::HttpPoolLimits& pool)
+            : gate(std::move(limit), admission::GateOptions{}), client(io, address, pool) {}
+
+        admission::ServerGate gate;
+        net::HttpClient client;
+        std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
+        Duration latency{};  ///< Moving average of answers.
+    };
+
+    std::shared_ptr<Server> server_for(const registration::RegisteredServer& registered);
+    std::optional<GateAnswer> wait_for_admission(Server& server, const hop::HopRequest& call, std::uint64_t id,
+                                                 TimePoint deadline, net::CancelSignal* cancel);
+    GateAnswer exchange(Server& server, net::HttpRequest& request, const hop::HopRequest& call,
+                        TimePoint deadline, net::CancelSignal* cancel);
+    void finish(Server& server, std::uint64_t id, TimePoint started, const GateAnswer& answer);
+    void fill_load(const Server& server, hop::HopResult& result) const;
+    void log(const std::string& request_id, const hop::HopRequest& call, const GateAnswer& answer,
+             TimePoint arrived, Duration waited) const;
+
+    SidecarContext& context_;
+    registration::ServerRegistry registry_;
+    std::map<std::string, std::shared_ptr<Server>> servers_;
+    std::uint64_t next_id_ = 1;
+    std::size_t in_flight_ = 0;
+};
+
+}  // namespace anisehold::sidecar
--- /dev/null
+++ b/src/sidecar/peer_exchange.cpp
@@ -0,0 +1,124 @@
+#include "sidecar/peer_exchange.hpp"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
+#include "observability/events.hpp"
+
+namespace anisehold::sidecar {
+namespace {
+
+using membership::PeerChange;
+using observability::Event;
+using observability::log_event;
+
+constexpr milliseconds kLeastPeriod{1'000};
+/// Most records that a daemon sends a second on average; a larger fleet is told more slowly.
+constexpr double kMostRecordsPerSecond = 100;
+/// The store's watch usually brings a new configuration; a peer is asked when it hasn't after this time.
+constexpr milliseconds kFetchPause{150};
+constexpr milliseconds kFetchTimeout{1'000};
+
+}  // namespace
+
+PeerExchange::PeerExchange(SidecarContext& context, membership::PeerDirectory& directory, LocalGate& gate,
+                           ConfigurationHolder& configuration)
+    : context_(context),
+      directory_(directory),
+      gate_(gate),
+      configuration_(configuration),
+      socket_(context.io) {}
+
+std::error_code PeerExchange::start() {
+    const auto error = socket_.start(context_.settings.gossip, [this](const Endpoint& /*from*/,
+                                                                      std::string_view bytes) {
+        receive(bytes);
+    });
+    if (!error) {
+        net::EventLoop::spawn([this] { announce_periodically(); });
+    }
+    return error;
+}
+
+membership::PeerRecord PeerExchange::own_record() {
+    const auto& settings = context_.settings;
+    membership::PeerRecord record;
+    record.name = settings.name;
+    record.zone = settings.zone;
+    record.boot_id = context_.boot_id;
+    record.sequence = ++sequence_;
+    record.call = settings.hops;
+    record.gossip = settings.gossip;
+    record.leaving = context_.leaving;
+    record.configuration_version = configuration_.version();
+    record.servers = gate_.records(TimePoint::clock::now());
+    return record;
+}
+
+void PeerExchange::announce() {
+    const auto bytes = encode(own_record());
+    for (const auto& peer : directory_.addresses()) {
+        socket_.send(peer.gossip, bytes);
+    }
+}
+
+void PeerExchange::announce_periodically() {
+    while (true) {
+        const double by_fleet_s = static_cast<double>(directory_.known_count()) / kMostRecordsPerSecond;
+        const auto by_fleet = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(by_fleet_s));
+        const auto period = std::max<Duration>(kLeastPeriod, by_fleet);
+        boost::this_fiber::sleep_for(
+            std::chrono::duration_cast<Duration>(period * (0.9 + 0.2 * context_.random_unit())));
+        const auto now = TimePoint::clock::now();
+        gate_.expire(now);
+        directory_.expire(now);
+        announce();
+    }
+}
+
+void PeerExchange::receive(std::string_view bytes) {
+    const auto record = membership::decode_peer_record(bytes);
+    if (!record) {
+        log_event(Event::kPeerFrameRefused, {{"bytes", std::to_string(bytes.size())}});
+        return;
+    }
+    const auto change = directory_.on_record(TimePoint::clock::now(), *record);
+    if (change == PeerChange::kAppeared) {
+        socket_.send(record->gossip, encode(own_record()));
+    }
+    if (change == PeerChange::kAppeared || change == PeerChange::kServers) {
+        log_event(Event::kPeerChanged,
+                  {{"peer", record->name},
+                   {"boot", std::to_string(record->boot_id)},
+                   {"sequence", std::to_string(record->sequence)},
+                   {"leaving", record->leaving ? "yes" : "no"},
+                   {"server", record->servers.empty() ? "" : record->servers.front().instance},
+                   {"service", record->servers.empty() ? "" : record->servers.front().service}});
+    }
+    const auto version = record->configuration_version;
+    if (version > configuration_.version() && version > fetching_version_) {
+        fetching_version_ = version;
+        net::EventLoop::spawn([this, peer = record->call, version] { fetch_configuration(peer, version); });
+    }
+}
+
+void PeerExchange::fetch_configuration(const Endpoint& peer, std::uint64_t version) {
+    if (configuration_.version() != 0) {
+        boost::this_fiber::sleep_for(kFetchPause);
+    }
+    if (configuration_.version() < version) {
+        net::HttpClient client(context_.io, peer);
+        auto request = net::make_request("GET", kConfigurationPath);
+        std::error_code error;
+        const auto text =
+            net::fetch_text(client, request, TimePoint::clock::now() + kFetchTimeout, error);
+        if (text) {
+            configuration_.offer(*text, ConfigurationSource::kPeer);
+        }
+    }
+    fetching_version_ = 0;
+}
+
+}  // namespace anisehold::sidecar
--- /dev/null
+++ b/src/sidecar/peer_exchange.hpp
@@ -0,0 +1,45 @@
+/// @file
+/// Tells peers about this daemon and its server, and hears the same from them.
+#pragma once
+
+#include <functional>
+#include <vector>
+
+#include "membership/peer_directory.hpp"
+#include "net/udp_socket.hpp"
+#include "sidecar/configuration_holder.hpp"
+#include "sidecar/local_gate.hpp"
+#include "sidecar/sidecar_context.hpp"
+
+namespace anisehold::sidecar {
+
+/// Sends this daemon's record to every known peer, in turn and at once when something changes.
+class PeerExchange {
+  public:
+    PeerExchange(SidecarContext& context, membership::PeerDirectory& directory, LocalGate& gate,
+                 ConfigurationHolder& configuration);
+
+    std::error_code start();
+    /// Sends the record to all peers now.
+    void announce();
+
+  private:
+    void announce_periodically();
+    void receive(std::string_view bytes);
+    membership::PeerRecord own_record();
+    /// Gets the configuration from a peer that has a higher version.
+    void fetch_configuration(const Endpoint& peer, std::uint64_t version);
+
+    SidecarContext& context_;
+    membership::PeerDirectory& directory_;
+    LocalGate& gate_;
+    ConfigurationHolder& configuration_;
+    net::UdpSocket socket_;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t fetching_version_ = 0;
+};
+
+/// Path at the hop listener under which a daemon gives its configuration to peers.
+inline constexpr const char* kConfigurationPath = "/anisehold/configuration";
+
+}  // namespace anisehold::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar.cpp
@@ -0,0 +1,271 @@
+#include "sidecar/sidecar.hpp"
+
+#include <boost/fiber/operations.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "net/http_server.hpp"
+#include "observability/events.hpp"
+#include "sidecar/call_ingress.hpp"
+#include "sidecar/peer_exchange.hpp"
+#include "sidecar/store_follower.hpp"
+
+namespace anisehold::sidecar {
+namespace {
+
+using observability::Event;
+using observability::log_event;
+using registration::RegistryChange;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+constexpr const char* kJsonType = "application/json";
+constexpr const char* kTextType = "text/plain";
+
+/// A daemon without known peers counts as ready after this time: it may be alone, or the store down.
+constexpr seconds kAloneAfter{5};
+constexpr milliseconds kSettingsPeriod{1'000};
+/// How long new requests are still served after a stop began, until callers have turned away.
+constexpr milliseconds kTurnAwayTime{2'500};
+constexpr milliseconds kStopPoll{20};
+/// Part of the grace time that is kept for the end itself.
+constexpr milliseconds kStopMargin{400};
+/// Connections are kept longer than callers reuse them.
+constexpr int kIdleMarginPercent = 125;
+constexpr milliseconds kPeerIdle{120'000};
+constexpr milliseconds kBodyPause{60'000};
+
+net::HttpServerLimits limits_for(const routing::ClientBounds& bounds) {
+    net::HttpServerLimits limits;
+    limits.header_bytes = bounds.header_bytes;
+    limits.body_bytes = bounds.body_bytes;
+    limits.header_timeout_ms = bounds.header_timeout;
+    limits.idle_timeout_ms = bounds.idle_timeout * kIdleMarginPercent / 100;
+    limits.body_timeout_ms = kBodyPause;
+    return limits;
+}
+
+net::HttpServerLimits peer_limits() {
+    net::HttpServerLimits limits;
+    limits.header_bytes = 64 * 1024;
+    limits.idle_timeout_ms = kPeerIdle;
+    limits.body_timeout_ms = kBodyPause;
+    return limits;
+}
+
+std::string read_text(const std::string& path) {
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return std::move(text).str();
+}
+
+}  // namespace
+
+struct Sidecar::Parts {
+    Parts(net::EventLoop& loop, const WireDialect& dialect, store::CoordinationStore& store,
+          config::SidecarSettings settings, Sidecar& owner)
+        : context(loop.io(), dialect, std::move(settings)),
+          directory(context.settings.name, membership::PeerTimes{}),
+          configuration(context),
+          gate(context),
+          peers(context, directory, gate, configuration),
+          follower(context, store, configuration, directory),
+          ingress(context, configuration, directory, gate),
+          calls(loop.io(), limits_for({}),
+                {[this](net::HttpRequest& request, net::CancelSignal& cancel) {
+                     return ingress.handle(request, cancel);
+                 },
+                 [this](ErrorKind kind) { return ingress.reject(kind); }}),
+          hops(loop.io(), peer_limits(),
+               {[&owner](net::HttpRequest& request, net::CancelSignal& cancel) {
+                    return owner.handle_hop(request, cancel);
+                },
+                [this](ErrorKind kind) { return ingress.reject(kind); }}),
+          control(loop.io(), peer_limits(), internal(owner, &Sidecar::handle_registration)),
+          readiness(loop.io(), peer_limits(), internal(owner, &Sidecar::handle_readiness)),
+          metrics(loop.io(), peer_limits(), internal(owner, &Sidecar::handle_metrics)) {}
+
+    net::HttpServerHandlers internal(Sidecar& owner, net::HttpResponse (Sidecar::*handle)(net::HttpRequest&)) {
+        return {[&owner, handle](net::HttpRequest& request, net::CancelSignal& /*cancel*/) {
+                    return (owner.*handle)(request);
+                },
+                [this](ErrorKind kind) { return ingress.reject(kind); }};
+    }
+
+    SidecarContext context;
+    membership::PeerDirectory directory;
+    ConfigurationHolder configuration;
+    LocalGate gate;
+    PeerExchange peers;
+    StoreFollower follower;
+    CallIngress ingress;
+    net::HttpServer calls;
+    net::HttpServer hops;
+    net::HttpServer control;
+    net::HttpServer readiness;
+    net::HttpServer metrics;
+    TimePoint started = TimePoint::clock::now();
+};
+
+Sidecar::Sidecar(net::EventLoop& loop, const WireDialect& dialect, store::CoordinationStore& store,
+                 config::SidecarSettings settings, std::string settings_file)
+    : loop_(loop),
+      parts_(std::make_unique<Parts>(loop, dialect, store, std::move(settings), *this)),
+      settings_file_(std::move(settings_file)),
+      settings_text_(read_text(settings_file_)) {}
+
+Sidecar::~Sidecar() = default;
+
+bool Sidecar::start() {
+    const auto& settings = parts_->context.settings;
+    const auto bound = [](std::error_code error, const Endpoint& endpoint, std::string_view purpose) {
+        if (error) {
+            log_event(Event::kStartFailed, {{"address", endpoint.text()},
+                                            {"purpose", std::string(purpose)},
+                                            {"reason", error.message()}});
+        }
+        return !error;
+    };
+    parts_->configuration.set_listener([this](const routing::Configuration& configuration) {
+        parts_->calls.set_limits(limits_for(configuration.clients));
+        parts_->peers.announce();
+    });
+    const bool all_bound = bound(parts_->hops.start(settings.hops), settings.hops, "hops") &&
+                           bound(parts_->peers.start(), settings.gossip, "gossip") &&
+                           bound(parts_->control.start(settings.control), settings.control, "control") &&
+                           bound(parts_->metrics.start(settings.metrics), settings.metrics, "metrics") &&
+                           bound(parts_->calls.start(settings.calls), settings.calls, "calls") &&
+                           bound(parts_->readiness.start(settings.readiness), settings.readiness, "readiness");
+    if (!all_bound) {
+        return false;
+    }
+    parts_->follower.start([this] { parts_->peers.announce(); });
+    net::EventLoop::spawn([this] { watch_settings(); });
+    log_event(Event::kStarted, {{"zone", settings.zone},
+                                {"listen", settings.calls.text()},
+                                {"boot", std::to_string(parts_->context.boot_id)}});
+    return true;
+}
+
+void Sidecar::stop() {
+    auto& context = parts_->context;
+    log_event(Event::kStopping, {{"in_flight", std::to_string(parts_->calls.requests_in_flight())}});
+    context.leaving = true;
+    parts_->peers.announce();
+    parts_->calls.begin_closing();
+    parts_->hops.begin_closing();
+    const auto began = TimePoint::clock::now();
+    const auto grace_ends = began + context.settings.stop_grace - kStopMargin;
+    const auto busy = [this] {
+        return parts_->calls.requests_in_flight() > 0 || parts_->hops.requests_in_flight() > 0 ||
+               parts_->gate.in_flight() > 0;
+    };
+    boost::this_fiber::sleep_for(std::min<Duration>(kTurnAwayTime, context.settings.stop_grace / 2));
+    while (busy() && TimePoint::clock::now() < grace_ends) {
+        boost::this_fiber::sleep_for(kStopPoll);
+    }
+    parts_->calls.stop_accepting();
+    parts_->hops.stop_accepting();
+    parts_->calls.close_idle();
+    parts_->hops.close_idle();
+    boost::this_fiber::sleep_for(kStopPoll);
+    log_event(Event::kStopped, {{"in_flight", std::to_string(parts_->calls.requests_in_flight())}});
+}
+
+bool Sidecar::is_ready() const {
+    const bool knows_peers = parts_->follower.has_listed() || parts_->directory.known_count() > 0 ||
+                             TimePoint::clock::now() - parts_->started > kAloneAfter;
+    return !parts_->context.leaving && parts_->configuration.version() != 0 && knows_peers;
+}
+
+net::HttpResponse Sidecar::handle_hop(net::HttpRequest& request, net::CancelSignal& cancel) {
+    const auto header = request.fields.find(hop::kRequestHeader);
+    if (!header) {
+        const bool asks_configuration = request.target == kConfigurationPath;
+        return asks_configuration && parts_->configuration.version() != 0
+                   ? net::make_response(kOk, kJsonType, parts_->configuration.text())
+                   : net::make_response(kNotFound, kTextType, "not found\n");
+    }
+    const auto call = hop::decode_hop_request(*header);
+    if (!call) {
+        return parts_->ingress.reject(ErrorKind::kBadRequest);
+    }
+    request.fields.remove(hop::kRequestHeader);
+    auto answer = parts_->gate.run(std::move(request), *call, &cancel);
+    auto response = answer.response ? std::move(*answer.response)
+                                    : net::make_response(kUnavailable, kTextType, "");
+    response.fields.set(hop::kResultHeader, encode(answer.result));
+    return response;
+}
+
+net::HttpResponse Sidecar::handle_registration(net::HttpRequest& request) {
+    std::string problem;
+    const auto call = parts_->context.dialect.read_registration(request, problem);
+    if (!call) {
+        if (problem.empty()) {
+            return net::make_response(kNotFound, kTextType, "not found\n");
+        }
+        log_event(Event::kHeartbeatRefused, {{"reason", problem}});
+        constexpr unsigned bad_request = 400;
+        return net::make_response(bad_request, kTextType, problem + "\n");
+    }
+    const auto change = parts_->gate.on_registration(TimePoint::clock::now(), *call);
+    if (change != RegistryChange::kNone && change != RegistryChange::kRefreshed) {
+        parts_->peers.announce();
+    }
+    return net::make_response(kOk, kJsonType, "{}");
+}
+
+net::HttpResponse Sidecar::handle_readiness(net::HttpRequest& request) {
+    if (!parts_->context.dialect.is_readiness_call(request)) {
+        return net::make_response(kNotFound, kTextType, "not found\n");
+    }
+    return is_ready() ? net::make_response(kOk, kTextType, "ready\n")
+                      : net::make_response(kUnavailable, kTextType, "not ready\n");
+}
+
+net::HttpResponse Sidecar::handle_metrics(net::HttpRequest& request) {
+    if (routing::path_of(request.target) != "/metrics") {
+        return net::make_response(kNotFound, kTextType, "not found\n");
+    }
+    const auto now = TimePoint::clock::now();
+    for (const auto& server : parts_->gate.records(now)) {
+        parts_->context.metrics.set_gate(server.instance, {server.in_flight, server.queued, server.limit});
+    }
+    parts_->context.metrics.set_members("alive", parts_->directory.reachable_count(now));
+    parts_->context.metrics.set_table_revision(parts_->configuration.version());
+    return net::make_response(kOk, kTextType, parts_->context.metrics.text());
+}
+
+void Sidecar::watch_settings() {
+    while (!parts_->context.leaving) {
+        boost::this_fiber::sleep_for(kSettingsPeriod);
+        reload_settings();
+    }
+}
+
+void Sidecar::reload_settings() {
+    const auto text = read_text(settings_file_);
+    if (text == settings_text_) {
+        return;
+    }
+    settings_text_ = text;
+    const auto loaded = config::load_sidecar_settings(settings_file_, text);
+    if (!loaded.errors.empty()) {
+        log_event(Event::kSettingsRejected, {{"reason", loaded.errors.front().text()}});
+        return;
+    }
+    auto& settings = parts_->context.settings;
+    settings.service = loaded.settings.service;
+    settings.heartbeat_interval = loaded.settings.heartbeat_interval;
+    settings.stop_grace = loaded.settings.stop_grace;
+    settings.repeat_ratio = loaded.settings.repeat_ratio;
+    settings.repeat_extra = loaded.settings.repeat_extra;
+    settings.repeat_window = loaded.settings.repeat_window;
+    parts_->ingress.apply_settings();
+    log_event(Event::kSettingsReloaded, {{"service", settings.service}});
+}
+
+}  // namespace anisehold::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar.hpp
@@ -0,0 +1,47 @@
+/// @file
+/// The sidecar: one process beside one server, between all callers and all servers of a deployment.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "config/sidecar_settings.hpp"
+#include "net/event_loop.hpp"
+#include "sidecar/wire_dialect.hpp"
+#include "store/coordination_store.hpp"
+
+namespace anisehold::sidecar {
+
+/// Puts the parts together, starts and stops them.
+class Sidecar {
+  public:
+    /// `settings_file` is read again on SIGHUP and when it changes.
+    Sidecar(net::EventLoop& loop, const WireDialect& dialect, store::CoordinationStore& store,
+            config::SidecarSettings settings, std::string settings_file);
+    ~Sidecar();
+    Sidecar(const Sidecar&) = delete;
+    Sidecar& operator=(const Sidecar&) = delete;
+
+    /// Binds all addresses and starts serving; false if one can't be bound.
+    bool start();
+    /// Planned stop: leaves the fleet, finishes what is in flight, and returns within the grace time.
+    void stop();
+
+  private:
+    struct Parts;
+
+    net::HttpResponse handle_hop(net::HttpRequest& request, net::CancelSignal& cancel);
+    net::HttpResponse handle_registration(net::HttpRequest& request);
+    net::HttpResponse handle_readiness(net::HttpRequest& request);
+    net::HttpResponse handle_metrics(net::HttpRequest& request);
+    bool is_ready() const;
+    void watch_settings();
+    void reload_settings();
+
+    net::EventLoop& loop_;
+    std::unique_ptr<Parts> parts_;
+    std::string settings_file_;
+    std::string settings_text_;
+};
+
+}  // namespace anisehold::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar_context.hpp
@@ -0,0 +1,45 @@
+/// @file
+/// What all parts of a sidecar share.
+#pragma once
+
+#include <cstdint>
+#include <random>
+#include <string>
+
+#include "config/sidecar_settings.hpp"
+#include "observability/metrics.hpp"
+#include "sidecar/wire_dialect.hpp"
+
+namespace boost::asio {
+class io_context;
+}
+
+namespace anisehold::sidecar {
+
+/// Settings, identity and tools of this process.
+struct SidecarContext {
+    SidecarContext(boost::asio::io_context& io_context, const WireDialect& wire_dialect,
+                   config::SidecarSettings sidecar_settings)
+        : io(io_context), dialect(wire_dialect), settings(std::move(sidecar_settings)), random(seed()) {
+        boot_id = random();
+    }
+
+    /// A number in [0, 1).
+    double random_unit() { return std::uniform_real_distribution<double>(0.0, 1.0)(random); }
+
+    boost::asio::io_context& io;
+    const WireDialect& dialect;
+    config::SidecarSettings settings;  ///< As of the last reload.
+    observability::Metrics metrics;
+    std::mt19937_64 random;
+    std::uint64_t boot_id = 0;
+    bool leaving = false;  ///< A planned stop has begun.
+
+  private:
+    static std::uint64_t seed() {
+        std::random_device device;
+        return (static_cast<std::uint64_t>(device()) << 32U) | device();
+    }
+};
+
+}  // namespace anisehold::sidecar
--- a/src/platform/base64.cpp
+++ b/src/store/base64.cpp
@@ -1,8 +1,8 @@
-#include "platform/base64.hpp"
+#include "store/base64.hpp"
 
 #include <openssl/evp.h>
 
-namespace anisehold::platform {
+namespace anisehold::store {
 
 std::string base64_encode(std::string_view bytes) {
     std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
@@ -33,4 +33,4 @@
     return bytes;
 }
 
-}  // namespace anisehold::platform
+}  // namespace anisehold::store
--- a/src/platform/base64.hpp
+++ b/src/store/base64.hpp
@@ -6,10 +6,10 @@
 #include <string>
 #include <string_view>
 
-namespace anisehold::platform {
+namespace anisehold::store {
 
 std::string base64_encode(std::string_view bytes);
 /// Nothing if the text isn't base64.
 std::optional<std::string> base64_decode(std::string_view text);
 
-}  // namespace anisehold::platform
+}  // namespace anisehold::store
--- /dev/null
+++ b/src/store/coordination_store.cpp
@@ -0,0 +1,13 @@
+#include "store/coordination_store.hpp"
+
+#include <array>
+
+namespace anisehold::store {
+
+std::string_view call_outcome_name(CallOutcome outcome) {
+    static constexpr std::array<std::string_view, 6> kNames{"done",         "not-found", "conflict",
+                                                            "history-lost", "refused",   "unknown"};
+    return kNames.at(static_cast<std::size_t>(outcome));
+}
+
+}  // namespace anisehold::store
--- /dev/null
+++ b/src/store/coordination_store.hpp
@@ -0,0 +1,82 @@
+/// @file
+/// A store that daemons coordinate through: revisions, conditions, leases and watches. An implementation
+/// makes calls and translates; it holds no retry and no decision.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "protocol/time_types.hpp"
+
+namespace anisehold::store {
+
+/// What is known after a call.
+enum class CallOutcome {
+    kDone,
+    kNotFound,     ///< No such key or lease.
+    kConflict,     ///< A condition doesn't hold; nothing was written.
+    kHistoryLost,  ///< The revision that a watch was to start from is no longer kept.
+    kRefused,      ///< The store refused to act; nothing was done.
+    kUnknown,      ///< No answer came; a write may have been done, or may still be.
+};
+
+/// Stable lower-case name of an outcome, for logs.
+std::string_view call_outcome_name(CallOutcome outcome);
+
+/// A key with its value and the store revision that last changed it.
+struct StoreItem {
+    std::string key;
+    std::string value;
+    std::uint64_t revision = 0;
+};
+
+struct ReadReply {
+    CallOutcome outcome = CallOutcome::kUnknown;
+    StoreItem item;
+    std::uint64_t store_revision = 0;
+};
+
+struct ListReply {
+    CallOutcome outcome = CallOutcome::kUnknown;
+    std::vector<StoreItem> items;
+    bool more = false;  ///< Another page starts after the last item.
+    std::uint64_t store_revision = 0;
+};
+
+struct WatchReply {
+    CallOutcome outcome = CallOutcome::kUnknown;
+    std::vector<StoreItem> changed;      ///< Written items, oldest first.
+    std::uint64_t store_revision = 0;  ///< Where the next watch starts.
+};
+
+struct WriteReply {
+    CallOutcome outcome = CallOutcome::kUnknown;
+    std::uint64_t revision = 0;
+};
+
+struct LeaseReply {
+    CallOutcome outcome = CallOutcome::kUnknown;
+    std::uint64_t lease = 0;
+    milliseconds lifetime{0};
+};
+
+/// The store behind its published protocol. Every call blocks its fiber until `deadline` at the latest.
+class CoordinationStore {
+  public:
+    virtual ~CoordinationStore() = default;
+
+    virtual ReadReply read(const std::string& key, TimePoint deadline) = 0;
+    /// Items whose keys begin with `prefix`, from the one after `after`.
+    virtual ListReply list(const std::string& prefix, const std::string& after, TimePoint deadline) = 0;
+    /// Changes below `prefix` after a revision; comes back without any once `wait` is over.
+    virtual WatchReply watch(const std::string& prefix, std::uint64_t after_revision, milliseconds wait) = 0;
+    /// Writes one key bound to a lease (0: none).
+    virtual WriteReply write(const std::string& key, const std::string& value, std::uint64_t lease,
+                             TimePoint deadline) = 0;
+    virtual LeaseReply open_lease(milliseconds lifetime, TimePoint deadline) = 0;
+    virtual LeaseReply renew_lease(std::uint64_t lease, TimePoint deadline) = 0;
+};
+
+}  // namespace anisehold::store
--- a/src/platform/etcd_store.cpp
+++ b/src/store/etcd_store.cpp
@@ -1,12 +1,12 @@
-#include "platform/etcd_store.hpp"
+#include "store/etcd_store.hpp"
 
 #include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
 
-#include "platform/base64.hpp"
+#include "store/base64.hpp"
 
-namespace anisehold::platform {
+namespace anisehold::store {
 namespace {
 
 using nlohmann::json;
@@ -264,4 +264,4 @@
     return error;
 }
 
-}  // namespace anisehold::platform
+}  // namespace anisehold::store
--- a/src/platform/etcd_store.hpp
+++ b/src/store/etcd_store.hpp
@@ -6,10 +6,10 @@
 #include <vector>
 
 #include "net/http_client.hpp"
-#include "platform/key_value_store.hpp"
+#include "store/key_value_store.hpp"
 #include "protocol/time_types.hpp"
 
-namespace anisehold::platform {
+namespace anisehold::store {
 
 /// Talks to one of several store addresses; goes on to the next when one fails.
 class EtcdStore final : public KeyValueStore {
@@ -33,4 +33,4 @@
     milliseconds timeout_ms_;
 };
 
-}  // namespace anisehold::platform
+}  // namespace anisehold::store
--- a/src/platform/key_value_store.hpp
+++ b/src/store/key_value_store.hpp
@@ -9,7 +9,7 @@
 #include <system_error>
 #include <vector>
 
-namespace anisehold::platform {
+namespace anisehold::store {
 
 /// A key with its value and the store revision that last changed it.
 struct KeyValue {
@@ -69,4 +69,4 @@
 inline constexpr const char* kHolderViewKey = "/anisehold/holders";
 inline constexpr const char* kHistoryPrefix = "/anisehold/history/";
 
-}  // namespace anisehold::platform
+}  // namespace anisehold::store
--- a/src/platform/machine_list.cpp
+++ b/src/store/machine_list.cpp
@@ -1,8 +1,8 @@
-#include "platform/machine_list.hpp"
+#include "store/machine_list.hpp"
 
 #include <nlohmann/json.hpp>
 
-namespace anisehold::platform {
+namespace anisehold::store {
 namespace {
 
 using nlohmann::json;
@@ -70,4 +70,4 @@
     return servers;
 }
 
-}  // namespace anisehold::platform
+}  // namespace anisehold::store
--- a/src/platform/machine_list.hpp
+++ b/src/store/machine_list.hpp
@@ -12,7 +12,7 @@
 #include "net/http_client.hpp"
 #include "routing/backend_registry.hpp"
 
-namespace anisehold::platform {
+namespace anisehold::store {
 
 /// Reads the list's JSON: an array of groups with "targets" and the labels "service", "zone" and "state"
 /// ("live" or "leaving"). Nothing if any part is malformed.
@@ -30,4 +30,4 @@
     std::string path_;
 };
 
-}  // namespace anisehold::platform
+}  // namespace anisehold::store
--- a/src/platform/table_store.cpp
+++ b/src/store/table_store.cpp
@@ -1,4 +1,4 @@
-#include "platform/table_store.hpp"
+#include "store/table_store.hpp"
 
 #include <algorithm>
 #include <array>
@@ -10,7 +10,7 @@
 #include "protocol/message_digest.hpp"
 #include "protocol/time_types.hpp"
 
-namespace anisehold::platform {
+namespace anisehold::store {
 namespace {
 
 using config::CellChange;
@@ -274,4 +274,4 @@
     return found == entries->end() ? std::nullopt : std::optional(*found);
 }
 
-}  // namespace anisehold::platform
+}  // namespace anisehold::store
--- a/src/platform/table_store.hpp
+++ b/src/store/table_store.hpp
@@ -7,9 +7,9 @@
 #include <vector>
 
 #include "config/table.hpp"
-#include "platform/key_value_store.hpp"
+#include "store/key_value_store.hpp"
 
-namespace anisehold::platform {
+namespace anisehold::store {
 
 /// The table as the store has it.
 struct StoredTable {
@@ -72,4 +72,4 @@
 std::vector<config::CellChange> rebase(const config::Table& base, const config::Table& wanted,
                                        config::Table& current);
 
-}  // namespace anisehold::platform
+}  // namespace anisehold::store
--- a/tests/unit/platform/platform_test.cpp
+++ b/tests/unit/store/store_test.cpp
@@ -1,12 +1,12 @@
 #include <catch2/catch.hpp>
 
 #include "config/table.hpp"
-#include "platform/base64.hpp"
-#include "platform/machine_list.hpp"
-#include "platform/table_store.hpp"
+#include "store/base64.hpp"
+#include "store/machine_list.hpp"
+#include "store/table_store.hpp"
 
 using namespace anisehold;
-using namespace anisehold::platform;
+using namespace anisehold::store;
 
 namespace {
 
