--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -58,8 +58,8 @@
 
 RegistryChange LocalGate::on_registration(TimePoint now, const RegistrationCall& call) {
     const auto& heartbeat = call.heartbeat;
-    const auto change = call.leaves ? registry_.on_leave(now, heartbeat.instance)
-                                    : registry_.on_heartbeat(now, heartbeat);
+    const auto change =
+        call.leaves ? registry_.on_leave(now, heartbeat.instance) : registry_.on_heartbeat(now, heartbeat);
     switch (change) {
         case RegistryChange::kAppeared:
         case RegistryChange::kChanged:
@@ -102,8 +102,7 @@
         record.service = heartbeat.service;
         record.slots = heartbeat.slots;
         record.limit = heartbeat.slots;
-        record.cold_ms =
-            static_cast<unsigned>(std::max(0LL, to_milliseconds(registered.cold_until - now)));
+        record.cold_ms = static_cast<unsigned>(std::max(0LL, to_milliseconds(registered.cold_until - now)));
         const auto found = servers_.find(heartbeat.instance);
         if (found != servers_.end()) {
             hop::HopResult load;
@@ -256,8 +255,8 @@
     result.in_flight = load.in_flight;
     result.queued = load.queued;
     result.limit = load.limit;
-    result.latency_us = static_cast<unsigned>(
-        std::chrono::duration_cast<std::chrono::microseconds>(server.latency).count());
+    result.latency_us =
+        static_cast<unsigned>(std::chrono::duration_cast<std::chrono::microseconds>(server.latency).count());
 }
 
 void LocalGate::log(const std::string& request_id, const hop::HopRequest& call, const GateAnswer& answer,
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -58,8 +58,9 @@
     };
 
     std::shared_ptr<Server> server_for(const registration::RegisteredServer& registered);
-    std::optional<GateAnswer> wait_for_admission(Server& server, const hop::HopRequest& call, std::uint64_t id,
-                                                 TimePoint deadline, net::CancelSignal* cancel);
+    std::optional<GateAnswer> wait_for_admission(Server& server, const hop::HopRequest& call,
+                                                 std::uint64_t id, TimePoint deadline,
+                                                 net::CancelSignal* cancel);
     GateAnswer exchange(Server& server, net::HttpRequest& request, const hop::HopRequest& call,
                         TimePoint deadline, net::CancelSignal* cancel);
     void finish(Server& server, std::uint64_t id, TimePoint started, const GateAnswer& answer);
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -32,10 +32,9 @@
       socket_(context.io) {}
 
 std::error_code PeerExchange::start() {
-    const auto error = socket_.start(context_.settings.gossip, [this](const Endpoint& /*from*/,
-                                                                      std::string_view bytes) {
-        receive(bytes);
-    });
+    const auto error =
+        socket_.start(context_.settings.gossip,
+                      [this](const Endpoint& /*from*/, std::string_view bytes) { receive(bytes); });
     if (!error) {
         net::EventLoop::spawn([this] { announce_periodically(); });
     }
@@ -112,8 +111,7 @@
         net::HttpClient client(context_.io, peer);
         auto request = net::make_request("GET", kConfigurationPath);
         std::error_code error;
-        const auto text =
-            net::fetch_text(client, request, TimePoint::clock::now() + kFetchTimeout, error);
+        const auto text = net::fetch_text(client, request, TimePoint::clock::now() + kFetchTimeout, error);
         if (text) {
             configuration_.offer(*text, ConfigurationSource::kPeer);
         }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -87,7 +87,8 @@
           readiness(loop.io(), peer_limits(), internal(owner, &Sidecar::handle_readiness)),
           metrics(loop.io(), peer_limits(), internal(owner, &Sidecar::handle_metrics)) {}
 
-    net::HttpServerHandlers internal(Sidecar& owner, net::HttpResponse (Sidecar::*handle)(net::HttpRequest&)) {
+    net::HttpServerHandlers internal(Sidecar& owner,
+                                     net::HttpResponse (Sidecar::*handle)(net::HttpRequest&)) {
         return {[&owner, handle](net::HttpRequest& request, net::CancelSignal& /*cancel*/) {
                     return (owner.*handle)(request);
                 },
@@ -132,12 +133,13 @@
         parts_->calls.set_limits(limits_for(configuration.clients));
         parts_->peers.announce();
     });
-    const bool all_bound = bound(parts_->hops.start(settings.hops), settings.hops, "hops") &&
-                           bound(parts_->peers.start(), settings.gossip, "gossip") &&
-                           bound(parts_->control.start(settings.control), settings.control, "control") &&
-                           bound(parts_->metrics.start(settings.metrics), settings.metrics, "metrics") &&
-                           bound(parts_->calls.start(settings.calls), settings.calls, "calls") &&
-                           bound(parts_->readiness.start(settings.readiness), settings.readiness, "readiness");
+    const bool all_bound =
+        bound(parts_->hops.start(settings.hops), settings.hops, "hops") &&
+        bound(parts_->peers.start(), settings.gossip, "gossip") &&
+        bound(parts_->control.start(settings.control), settings.control, "control") &&
+        bound(parts_->metrics.start(settings.metrics), settings.metrics, "metrics") &&
+        bound(parts_->calls.start(settings.calls), settings.calls, "calls") &&
+        bound(parts_->readiness.start(settings.readiness), settings.readiness, "readiness");
     if (!all_bound) {
         return false;
     }
@@ -194,8 +196,8 @@
     }
     request.fields.remove(hop::kRequestHeader);
     auto answer = parts_->gate.run(std::move(request), *call, &cancel);
-    auto response = answer.response ? std::move(*answer.response)
-                                    : net::make_response(kUnavailable, kTextType, "");
+    auto response =
+        answer.response ? std::move(*answer.response) : net::make_response(kUnavailable, kTextType, "");
     response.fields.set(hop::kResultHeader, encode(answer.result));
     return response;
 }
--- a/src/sidecar/store_follower.cpp
+++ b/src/sidecar/store_follower.cpp
@@ -68,8 +68,7 @@
         if (watch_from == 0) {
             watch_from = read_configuration();
         } else {
-            const auto reply =
-                store_.watch(context_.dialect.configuration_key(), watch_from, kLongestWatch);
+            const auto reply = store_.watch(context_.dialect.configuration_key(), watch_from, kLongestWatch);
             note(reply.outcome, "watch configuration");
             for (const auto& item : reply.changed) {
                 if (item.key == context_.dialect.configuration_key()) {
@@ -93,8 +92,8 @@
         return false;
     }
     const auto& settings = context_.settings;
-    const auto written = store_.write(kMemberPrefix + settings.name, settings.gossip.text(), opened.lease,
-                                      call_deadline());
+    const auto written =
+        store_.write(kMemberPrefix + settings.name, settings.gossip.text(), opened.lease, call_deadline());
     if (!note(written.outcome, "register") || written.outcome != CallOutcome::kDone) {
         return false;
     }
--- /dev/null
+++ b/tests/unit/config/sidecar_settings_test.cpp
@@ -0,0 +1,65 @@
+#include "config/sidecar_settings.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace anisehold;
+using namespace anisehold::config;
+
+namespace {
+
+const std::string kGood = R"(
+[sidecar]
+name = "n1"
+zone = "z1"
+service = "orders"
+stop_grace = "6s"
+unknown = "skipped"
+[listen]
+calls = "127.0.0.1:1001"
+hops = "127.0.0.1:1002"
+control = "127.0.0.1:1003"
+readiness = "127.0.0.1:1004"
+gossip = "127.0.0.1:1005"
+metrics = "127.0.0.1:1006"
+[store]
+address = "127.0.0.1:1007"
+[repeats]
+ratio = "0.25"
+extra = "57.0"
+window = "10s"
+)";
+
+std::string without(std::string text, const std::string& line_start) {
+    const auto at = text.find(line_start);
+    return text.erase(at, text.find('\n', at) - at);
+}
+
+}  // namespace
+
+TEST_CASE("settings are read, and unknown ones skipped") {
+    const auto result = load_sidecar_settings("f.toml", kGood);
+    REQUIRE(result.errors.empty());
+    CHECK(result.settings.calls.port == 1001);
+    CHECK(result.settings.stop_grace == milliseconds(6'000));
+    CHECK(result.settings.repeat_ratio == Approx(0.25));
+    CHECK(result.settings.repeat_extra == Approx(57.0));
+}
+
+TEST_CASE("what is wrong is named with its place") {
+    const auto missing = load_sidecar_settings("f.toml", without(kGood, "name ="));
+    REQUIRE(missing.errors.size() == 1);
+    CHECK(missing.errors.front().text() == "f.toml sidecar.name: is missing");
+    const auto no_endpoint = load_sidecar_settings("f.toml", without(kGood, "hops ="));
+    REQUIRE(no_endpoint.errors.size() == 1);
+    CHECK(no_endpoint.errors.front().place == "f.toml listen.hops");
+    const auto broken = load_sidecar_settings("f.toml", "[sidecar\nname=");
+    REQUIRE(broken.errors.size() == 1);
+    CHECK(broken.errors.front().place == "f.toml:1");
+}
+
+TEST_CASE("a bad length of time or number is refused") {
+    auto text = kGood;
+    text.replace(text.find("\"6s\""), 4, "\"6x\"");
+    text.replace(text.find("\"0.25\""), 6, "\"lots\"");
+    CHECK(load_sidecar_settings("f.toml", text).errors.size() == 2);
+}
--- /dev/null
+++ b/tests/unit/hop/hop_header_test.cpp
@@ -0,0 +1,46 @@
+#include "hop/hop_header.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace anisehold;
+using namespace anisehold::hop;
+
+TEST_CASE("a hop request survives its encoding") {
+    const HopRequest sent{"i-1", "orders", 2, milliseconds(1'250), true};
+    const auto received = decode_hop_request(encode(sent));
+    REQUIRE(received);
+    CHECK(received->instance == "i-1");
+    CHECK(received->caller == "orders");
+    CHECK(received->priority == 2);
+    CHECK(received->remaining == milliseconds(1'250));
+    CHECK(received->at_most_once);
+}
+
+TEST_CASE("every outcome survives its encoding") {
+    for (const auto outcome :
+         {HopOutcome::kAnswered, HopOutcome::kNotSent, HopOutcome::kRefusedByServer, HopOutcome::kUnknown}) {
+        HopResult sent;
+        sent.outcome = outcome;
+        sent.error = ErrorKind::kOverloaded;
+        sent.retry_after = milliseconds(40);
+        sent.instance = "i-1";
+        sent.in_flight = 3;
+        const auto received = decode_hop_result(encode(sent));
+        REQUIRE(received);
+        CHECK(received->outcome == outcome);
+        CHECK(received->error == ErrorKind::kOverloaded);
+        CHECK(received->retry_after == milliseconds(40));
+        CHECK(received->in_flight == 3);
+    }
+}
+
+TEST_CASE("malformed hop headers are refused") {
+    CHECK_FALSE(decode_hop_request(""));
+    CHECK_FALSE(decode_hop_request("instance=a;caller=b;priority=x;remaining_ms=1;once=0"));
+    CHECK_FALSE(decode_hop_request("instance=a;caller=b;priority=1;remaining_ms=-1;once=0"));
+    CHECK_FALSE(decode_hop_result("outcome=answered"));
+    auto text = encode(HopResult{});
+    CHECK(decode_hop_result(text));
+    text.replace(text.find("unknown"), 7, "perhaps");
+    CHECK_FALSE(decode_hop_result(text));
+}
--- /dev/null
+++ b/tests/unit/membership/peer_directory_test.cpp
@@ -0,0 +1,123 @@
+#include "membership/peer_directory.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace anisehold;
+using namespace anisehold::membership;
+
+namespace {
+
+const TimePoint kStart = TimePoint() + seconds(100);
+
+PeerRecord record(const std::string& name, std::uint64_t boot, std::uint64_t sequence) {
+    PeerRecord result;
+    result.name = name;
+    result.zone = "z1";
+    result.boot_id = boot;
+    result.sequence = sequence;
+    result.call = {"10.0.0.1", 80};
+    result.gossip = {"10.0.0.1", 81};
+    ServerRecord server;
+    server.instance = name + "-server";
+    server.service = "orders";
+    result.servers = {server};
+    return result;
+}
+
+PeerDirectory directory() {
+    return PeerDirectory("self", PeerTimes{milliseconds(3'500), milliseconds(600'000)});
+}
+
+}  // namespace
+
+TEST_CASE("servers of reachable peers are known") {
+    auto peers = directory();
+    CHECK(peers.on_record(kStart, record("a", 1, 1)) == PeerChange::kAppeared);
+    REQUIRE(peers.servers_of(kStart, "orders").size() == 1);
+    CHECK(peers.servers_of(kStart, "orders").front().peer == "a");
+    CHECK(peers.servers_of(kStart, "other").empty());
+}
+
+TEST_CASE("an older record of the same boot changes nothing") {
+    auto peers = directory();
+    peers.on_record(kStart, record("a", 1, 5));
+    CHECK(peers.on_record(kStart, record("a", 1, 5)) == PeerChange::kNone);
+    CHECK(peers.on_record(kStart, record("a", 1, 4)) == PeerChange::kNone);
+    CHECK(peers.on_record(kStart, record("a", 1, 6)) == PeerChange::kRefreshed);
+}
+
+TEST_CASE("a restarted peer starts its sequence anew") {
+    auto peers = directory();
+    peers.on_record(kStart, record("a", 1, 50));
+    CHECK(peers.on_record(kStart, record("a", 2, 1)) == PeerChange::kAppeared);
+    CHECK(peers.servers_of(kStart, "orders").front().boot_id == 2);
+}
+
+TEST_CASE("a silent peer is unreachable but still sent to") {
+    auto peers = directory();
+    peers.on_record(kStart, record("a", 1, 1));
+    CHECK(peers.servers_of(kStart + seconds(4), "orders").empty());
+    CHECK(peers.reachable_count(kStart + seconds(4)) == 0);
+    CHECK(peers.addresses().size() == 1);
+    CHECK(peers.on_record(kStart + seconds(5), record("a", 1, 2)) == PeerChange::kAppeared);
+    peers.expire(kStart + seconds(700));
+    CHECK(peers.addresses().empty());
+}
+
+TEST_CASE("a failed connection makes a peer unreachable until it is heard again") {
+    auto peers = directory();
+    peers.on_record(kStart, record("a", 1, 1));
+    peers.on_unreachable("a", 2);
+    CHECK(peers.servers_of(kStart, "orders").size() == 1);
+    peers.on_unreachable("a", 1);
+    CHECK(peers.servers_of(kStart, "orders").empty());
+    peers.on_record(kStart, record("a", 1, 2));
+    CHECK(peers.servers_of(kStart, "orders").size() == 1);
+}
+
+TEST_CASE("a leaving peer's server gets nothing new") {
+    auto peers = directory();
+    auto leaving = record("a", 1, 1);
+    leaving.leaving = true;
+    peers.on_record(kStart, leaving);
+    CHECK(peers.servers_of(kStart, "orders").empty());
+}
+
+TEST_CASE("an address from the store doesn't replace what was heard") {
+    auto peers = directory();
+    peers.on_record(kStart, record("a", 1, 1));
+    peers.on_address(kStart, {"a", {"10.9.9.9", 9}});
+    peers.on_address(kStart, {"b", {"10.0.0.2", 81}});
+    peers.on_address(kStart, {"self", {"10.0.0.3", 81}});
+    CHECK(peers.addresses().size() == 2);
+    CHECK(peers.addresses().front().gossip.ip == "10.0.0.1");
+    CHECK(peers.reachable_count(kStart) == 1);
+}
+
+TEST_CASE("load told on an answer is taken for the same instance only") {
+    auto peers = directory();
+    peers.on_record(kStart, record("a", 1, 1));
+    ServerRecord load;
+    load.instance = "a-server";
+    load.in_flight = 7;
+    peers.on_load("a", load);
+    CHECK(peers.servers_of(kStart, "orders").front().server.in_flight == 7);
+    load.instance = "another";
+    load.in_flight = 9;
+    peers.on_load("a", load);
+    CHECK(peers.servers_of(kStart, "orders").front().server.in_flight == 7);
+}
+
+TEST_CASE("records survive their encoding, and malformed ones are refused") {
+    const auto sent = record("a", 1, 1);
+    const auto bytes = encode(sent);
+    const auto received = decode_peer_record(bytes);
+    REQUIRE(received);
+    CHECK(received->name == "a");
+    CHECK(received->servers == sent.servers);
+    CHECK_FALSE(decode_peer_record(""));
+    CHECK_FALSE(decode_peer_record("B" + bytes.substr(1)));
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        CHECK_FALSE(decode_peer_record(std::string_view(bytes).substr(0, length)));
+    }
+}
--- /dev/null
+++ b/tests/unit/platform/dialect_test.cpp
@@ -0,0 +1,131 @@
+#include "platform/dialect.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace anisehold;
+using namespace anisehold::platform;
+using sidecar::AnswerNature;
+
+namespace {
+
+net::HttpResponse answer(unsigned status, bool with_signature) {
+    auto response = net::make_response(status, "text/plain", "body");
+    if (with_signature) {
+        response.fields.set("Server-Signature", "s");
+    }
+    return response;
+}
+
+}  // namespace
+
+TEST_CASE("the id and the time left of a request are read") {
+    auto request = net::make_request("GET", "/a");
+    request.fields.add("request-id", "9c41");
+    request.fields.add("Deadline-Milliseconds", "1500");
+    const auto call = Dialect().read_client_call(request);
+    CHECK(call.id == "9c41");
+    CHECK(call.time_left == milliseconds(1'500));
+    CHECK_FALSE(Dialect().read_client_call(net::make_request("GET", "/a")).time_left);
+}
+
+TEST_CASE("what the client claims of itself is replaced") {
+    auto request = net::make_request("GET", "/a");
+    request.fields.add("Caller-Service", "forged");
+    request.fields.add("Expected-Instance", "forged");
+    Dialect().write_server_call(request, {"i-1", "orders", milliseconds(900)});
+    CHECK(request.fields.find("Caller-Service") == "orders");
+    CHECK(request.fields.find("Expected-Instance") == "i-1");
+    CHECK(request.fields.find("Deadline-Milliseconds") == "900");
+}
+
+TEST_CASE("only a whole answer of a server is passed on") {
+    CHECK(Dialect().nature_of(answer(200, true)) == AnswerNature::kGenuine);
+    CHECK(Dialect().nature_of(answer(500, true)) == AnswerNature::kGenuine);
+    CHECK(Dialect().nature_of(answer(200, false)) == AnswerNature::kSpoiled);
+    auto encoded = answer(200, true);
+    encoded.fields.set("Content-Encoding", "gzip");
+    CHECK(Dialect().nature_of(encoded) == AnswerNature::kSpoiled);
+}
+
+TEST_CASE("only the server's own word says that it ran nothing") {
+    auto declared = answer(503, false);
+    declared.fields.set("Not-Executed", "1");
+    CHECK(Dialect().nature_of(declared) == AnswerNature::kNotRun);
+    CHECK(Dialect().nature_of(answer(421, false)) == AnswerNature::kNotRun);
+    // Passed on, each of these would promise the client that the request has not run.
+    for (const unsigned status : {408U, 429U, 503U}) {
+        CHECK(Dialect().nature_of(answer(status, true)) == AnswerNature::kSpoiled);
+    }
+}
+
+TEST_CASE("heartbeats and leaves are read") {
+    const std::string body =
+        R"({"address":"10.128.0.9:8080","information":{"service":"s","version":"v1","zone":"z","slots":87},)"
+        R"("status":{"state":"draining","sequence":4,"coldRemaining":"250ms"},"more":1})";
+    std::string problem;
+    const auto call =
+        Dialect().read_registration(net::make_request("PUT", "/-/instances/i-7", body), problem);
+    REQUIRE(call);
+    CHECK(call->heartbeat.instance == "i-7");
+    CHECK(call->heartbeat.slots == 87);
+    CHECK(call->heartbeat.draining);
+    CHECK(call->heartbeat.cold_remaining == milliseconds(250));
+    const auto leave = Dialect().read_registration(net::make_request("DELETE", "/-/instances/i-7"), problem);
+    REQUIRE(leave);
+    CHECK(leave->leaves);
+    CHECK_FALSE(Dialect().read_registration(net::make_request("PUT", "/-/instances/"), problem));
+    CHECK_FALSE(Dialect().read_registration(net::make_request("PUT", "/other"), problem));
+    CHECK(problem.empty());
+}
+
+TEST_CASE("a malformed heartbeat is refused with its place") {
+    for (const auto* body : {"", "[]", "{}", R"({"address":"x","information":{},"status":{}})",
+                             R"({"address":5,"information":{"service":1},"status":7})"}) {
+        std::string problem;
+        CHECK_FALSE(Dialect().read_registration(net::make_request("PUT", "/-/instances/i-7", body), problem));
+        CHECK_FALSE(problem.empty());
+    }
+}
+
+TEST_CASE("a configuration is read") {
+    const std::string text =
+        R"({"version":"r7","routes":{"one":{"host":"a.example","pathPrefix":"/x/","kind":"unsafe",)"
+        R"("timeout":"1200ms","targetLatency":"1.5s","priority":3,"service":"s1","retryAttempts":2},)"
+        R"("two":{"host":"a.example","pathPrefix":"/y/","kind":"download","timeout":"1s",)"
+        R"("trafficSplit":[{"service":"s1","weight":90},{"service":"s2","weight":10}],"retryAttempts":0}},)"
+        R"("services":{"s1":{"healthCheckPath":"/health","maxConnections":364}},)"
+        R"("limits":{"maxHeaderBytes":16384,"maxBodyBytes":100,"headerTimeout":"3s","idleTimeout":"15s"}})";
+    const auto reading = Dialect().read_configuration(text);
+    REQUIRE(reading.configuration);
+    const auto& configuration = *reading.configuration;
+    CHECK(configuration.version == 7);
+    CHECK(configuration.clients.body_bytes == 100);
+    CHECK(configuration.services.at("s1").most_connections == 364);
+    const auto* one = configuration.find("a.example", "/x/1");
+    REQUIRE(one != nullptr);
+    CHECK(one->repeat == routing::RepeatRule::kAtMostOnce);
+    CHECK(one->timeout == milliseconds(1'200));
+    CHECK(one->most_servers == 2);
+    const auto* two = configuration.find("a.example", "/y/1");
+    REQUIRE(two != nullptr);
+    CHECK(two->repeat == routing::RepeatRule::kLargeAnswer);
+    CHECK(two->parts.size() == 2);
+    CHECK(two->most_servers == 1);
+}
+
+TEST_CASE("a malformed configuration is refused with its place") {
+    for (const auto* text :
+         {"", "{", "[]", R"({"version":"r7"})", R"({"version":"7","routes":{},"services":{}})",
+          R"({"version":"r7x","routes":{},"services":{}})",
+          R"({"version":"r1","routes":{"a":{}},"services":{}})"}) {
+        const auto reading = Dialect().read_configuration(text);
+        CHECK_FALSE(reading.configuration);
+        CHECK_FALSE(reading.problem.empty());
+    }
+}
+
+TEST_CASE("the time to come back is told in seconds with fractions") {
+    auto response = net::make_response(503, "text/plain", "");
+    Dialect().write_retry_after(response, milliseconds(350));
+    CHECK(response.fields.find("Retry-After") == "0.350");
+}
--- /dev/null
+++ b/tests/unit/retry/attempt_plan_test.cpp
@@ -0,0 +1,100 @@
+#include "retry/attempt_plan.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace anisehold;
+using namespace anisehold::retry;
+
+namespace {
+
+const TimePoint kStart = TimePoint() + seconds(100);
+const TimePoint kDeadline = kStart + seconds(2);
+
+AttemptPlan plan(bool may_repeat, unsigned most_servers = 2) {
+    return AttemptPlan({may_repeat, most_servers, kDeadline, milliseconds(300)});
+}
+
+}  // namespace
+
+TEST_CASE("the first step is to send, or to refuse when there is no server") {
+    CHECK(plan(true).next(kStart, true) == AttemptStep::kLaunch);
+    CHECK(plan(true).next(kStart, false) == AttemptStep::kRefuse);
+}
+
+TEST_CASE("a request that no server was reached with moves on free of charge") {
+    auto request = plan(false, 1);
+    request.on_launched(kStart);
+    request.on_outcome(AttemptOutcome::kNotSent);
+    CHECK(request.next(kStart, true) == AttemptStep::kLaunch);
+    CHECK(request.next(kStart, false) == AttemptStep::kRefuse);
+    CHECK_FALSE(request.may_have_run());
+}
+
+TEST_CASE("an at-most-once request whose outcome is unknown is never sent again") {
+    auto request = plan(false);
+    request.on_launched(kStart);
+    CHECK(request.next(kStart + seconds(1), true) == AttemptStep::kWait);
+    request.on_outcome(AttemptOutcome::kUnknown);
+    CHECK(request.next(kStart + seconds(1), true) == AttemptStep::kFail);
+    CHECK(request.may_have_run());
+}
+
+TEST_CASE("an at-most-once request that a server declined may go to another one") {
+    auto request = plan(false);
+    request.on_launched(kStart);
+    request.on_outcome(AttemptOutcome::kRefusedByServer);
+    CHECK(request.next(kStart, true) == AttemptStep::kLaunchRepeat);
+    request.on_repeat_refused();
+    CHECK(request.next(kStart, true) == AttemptStep::kRefuse);
+}
+
+TEST_CASE("a repeatable request is repeated after a failure, within its servers") {
+    auto request = plan(true, 2);
+    request.on_launched(kStart);
+    request.on_outcome(AttemptOutcome::kUnknown);
+    CHECK(request.next(kStart, true) == AttemptStep::kLaunchRepeat);
+    request.on_launched(kStart);
+    request.on_outcome(AttemptOutcome::kUnknown);
+    CHECK(request.next(kStart, true) == AttemptStep::kFail);
+}
+
+TEST_CASE("a server's failure answer is kept for when there is nothing better") {
+    auto request = plan(true, 2);
+    request.on_launched(kStart);
+    request.on_outcome(AttemptOutcome::kFailedAnswer);
+    CHECK(request.next(kStart, true) == AttemptStep::kLaunchRepeat);
+    request.on_repeat_refused();
+    CHECK(request.next(kStart, true) == AttemptStep::kDeliver);
+}
+
+TEST_CASE("a slow attempt is joined by another one, and the first good answer ends it") {
+    auto request = plan(true, 2);
+    request.on_launched(kStart);
+    CHECK(request.next(kStart + milliseconds(299), true) == AttemptStep::kWait);
+    CHECK(request.wait_until() == kStart + milliseconds(300));
+    CHECK(request.next(kStart + milliseconds(300), true) == AttemptStep::kLaunchRepeat);
+    request.on_launched(kStart + milliseconds(300));
+    CHECK(request.next(kStart + seconds(1), true) == AttemptStep::kWait);
+    CHECK(request.wait_until() == kDeadline);
+    request.on_outcome(AttemptOutcome::kAnswered);
+    CHECK(request.next(kStart + seconds(1), true) == AttemptStep::kDeliver);
+}
+
+TEST_CASE("a refused repeat is not asked for again until something ends") {
+    auto request = plan(true, 3);
+    request.on_launched(kStart);
+    request.on_repeat_refused();
+    CHECK(request.next(kStart + seconds(1), true) == AttemptStep::kWait);
+    CHECK(request.wait_until() == kDeadline);
+    request.on_outcome(AttemptOutcome::kUnknown);
+    CHECK(request.next(kStart + seconds(1), true) == AttemptStep::kLaunchRepeat);
+}
+
+TEST_CASE("nothing is started when the time is up") {
+    auto request = plan(true);
+    CHECK(request.next(kDeadline, true) == AttemptStep::kTimeUp);
+    auto late = plan(true);
+    late.on_launched(kStart);
+    late.on_outcome(AttemptOutcome::kUnknown);
+    CHECK(late.next(kDeadline - milliseconds(10), true) == AttemptStep::kFail);
+}
--- /dev/null
+++ b/tests/unit/retry/window_budget_test.cpp
@@ -0,0 +1,90 @@
+#include "retry/window_budget.hpp"
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <memory>
+#include <random>
+#include <vector>
+
+using namespace anisehold;
+using namespace anisehold::retry;
+
+namespace {
+
+const TimePoint kStart = TimePoint() + seconds(1'000);
+
+WindowBudgetTerms terms() {
+    return {0.2, 50, milliseconds(10'000), 0.5};
+}
+
+unsigned repeats_at(WindowBudget& budget, TimePoint now, std::size_t members) {
+    unsigned count = 0;
+    while (budget.try_repeat(now, "s", members)) {
+        ++count;
+    }
+    return count;
+}
+
+}  // namespace
+
+TEST_CASE("a new process has no share of the extra in its first window") {
+    WindowBudget budget(terms(), kStart);
+    CHECK_FALSE(budget.try_repeat(kStart + seconds(9), "s", 1));
+    CHECK(budget.try_repeat(kStart + seconds(10), "s", 1));
+}
+
+TEST_CASE("own requests bring repeats, and leave with their window") {
+    WindowBudget budget(terms(), kStart);
+    for (int request = 0; request < 100; ++request) {
+        budget.on_request(kStart, "s");
+    }
+    CHECK(repeats_at(budget, kStart, 1) == 10);
+    CHECK_FALSE(budget.try_repeat(kStart + seconds(5), "s", 1000));
+    // After the window both the requests and the repeats are gone.
+    CHECK_FALSE(budget.try_repeat(kStart + seconds(10), "s", 1000));
+}
+
+TEST_CASE("services have budgets of their own") {
+    WindowBudget budget(terms(), kStart);
+    for (int request = 0; request < 20; ++request) {
+        budget.on_request(kStart, "other");
+    }
+    CHECK_FALSE(budget.try_repeat(kStart, "s", 1));
+}
+
+TEST_CASE("a fleet never passes the bound in any window, whatever restarts") {
+    std::mt19937 random(5);
+    std::uniform_real_distribution<double> unit(0.0, 1.0);
+    constexpr std::size_t members = 8;
+    const auto bound = terms();
+    std::vector<std::unique_ptr<WindowBudget>> fleet;
+    for (std::size_t member = 0; member < members; ++member) {
+        fleet.push_back(std::make_unique<WindowBudget>(bound, kStart));
+    }
+    std::deque<TimePoint> requests;
+    std::deque<TimePoint> repeats;
+    TimePoint now = kStart;
+    for (int step = 0; step < 20'000; ++step) {
+        now += milliseconds(5);
+        const auto member = static_cast<std::size_t>(unit(random) * members);
+        if (unit(random) < 0.001) {
+            fleet[member] = std::make_unique<WindowBudget>(bound, now);
+        }
+        if (unit(random) < 0.5) {
+            fleet[member]->on_request(now, "s");
+            requests.push_back(now);
+        }
+        if (fleet[member]->try_repeat(now, "s", members)) {
+            repeats.push_back(now);
+        }
+        while (!requests.empty() && now - requests.front() >= bound.window) {
+            requests.pop_front();
+        }
+        while (!repeats.empty() && now - repeats.front() >= bound.window) {
+            repeats.pop_front();
+        }
+        REQUIRE(static_cast<double>(repeats.size()) <=
+                bound.ratio * static_cast<double>(requests.size()) + bound.extra);
+    }
+    CHECK_FALSE(repeats.empty());
+}
