A stopping daemon's server goes on serving the fleet; stops end in time; repeats by reason

Two of four servers of one service had no daemon at the same time: a stopping daemon told its peers at once that it leaves, and then waited up to the grace time for its own callers. Ruled out: the learned limit (never under the slots), priorities (nested calls already go first). Now the callers turn away first, then the peers are told, then the rest drains. Cause 2: processes logged 'stopped' and never ended: taking the logging library down waited for its own threads. The process now writes its log and ends. Now 0.3 for attempts without an answer, 0.1 for doubtful ones.

--- a/src/cli/sidecar_command.cpp
+++ b/src/cli/sidecar_command.cpp
@@ -43,8 +43,9 @@
         loop.wait_for_stop_signal();
         sidecar.stop();
     }
-    observability::stop_logging();
-    // Detached fibers still refer to the sidecar: the process ends without unwinding them.
+    // The log holds no thread of ours: what waits is written, and the process ends without unwinding the
+    // fibers, which still refer to the sidecar. Taking the logging library down may wait for its own threads.
+    observability::flush_log();
     net::exit_process(started ? kDone : kFailed);
 }
 
--- a/src/retry/attempt_plan.cpp
+++ b/src/retry/attempt_plan.cpp
@@ -44,11 +44,17 @@
 }
 
 TimePoint AttemptPlan::wait_until() const {
-    const bool may_hedge =
-        terms_.may_repeat && !repeat_refused_ && reached_ + running_ < terms_.most_servers;
+    const bool may_hedge = terms_.may_repeat && !repeat_refused_ && reached_ + running_ < terms_.most_servers;
     return may_hedge ? std::min(terms_.deadline, last_launch_ + terms_.hedge_after) : terms_.deadline;
 }
 
+RepeatReason AttemptPlan::repeat_reason() const {
+    if (running_ > 0) {
+        return RepeatReason::kSlow;
+    }
+    return failed_answers_ > 0 ? RepeatReason::kFailedAnswer : RepeatReason::kNoAnswer;
+}
+
 void AttemptPlan::on_launched(TimePoint now) {
     ++launched_;
     ++running_;
--- a/src/retry/attempt_plan.hpp
+++ b/src/retry/attempt_plan.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "protocol/time_types.hpp"
+#include "retry/window_budget.hpp"
 
 namespace anisehold::retry {
 
@@ -48,6 +49,9 @@
     void on_repeat_refused() { repeat_refused_ = true; }
     void on_outcome(AttemptOutcome outcome);
 
+    /// Why the next repeat would be one.
+    RepeatReason repeat_reason() const;
+
     unsigned running() const { return running_; }
     unsigned launched() const { return launched_; }
     /// Whether the request may have run.
--- a/src/retry/window_budget.hpp
+++ b/src/retry/window_budget.hpp
@@ -10,13 +10,24 @@
 
 namespace anisehold::retry {
 
+/// Why a request is repeated; the less certain the use, the smaller the part of the budget.
+enum class RepeatReason {
+    kNoAnswer,      ///< The attempt ended without an answer, or the server declined it.
+    kFailedAnswer,  ///< The server answered that it failed; often something below it did.
+    kSlow,          ///< The attempt takes long; it may still be answered.
+};
+
 /// Bounds of the fleet's repeats at each service.
 struct WindowBudgetTerms {
     double ratio = 0.2;  ///< Repeats per request in each window.
     double extra = 0;    ///< Repeats allowed beyond, over the whole fleet.
     milliseconds window{10'000};
-    /// Share of the bound that is spent; the rest covers calls that repeated runs make, which are repeats too.
-    double spent_share = 0.5;
+    /// Share of the bound that is spent on attempts without an answer. Each repeated run repeats the calls
+    /// that it makes, and these count at the called services: three levels of calls that all spend their
+    /// share stay within the bound.
+    double no_answer_share = 0.3;
+    /// Share beyond which nothing is spent on failed answers and slow attempts.
+    double doubtful_share = 0.1;
 };
 
 /// This daemon's part of the fleet's budget: the ratio of its own requests, and an equal share of the extra.
@@ -28,7 +39,7 @@
 
     void on_request(TimePoint now, const std::string& service);
     /// Takes one repeat; false if the budget has none left. `members` is the number of daemons in the fleet.
-    bool try_repeat(TimePoint now, const std::string& service, std::size_t members);
+    bool try_repeat(TimePoint now, const std::string& service, std::size_t members, RepeatReason reason);
 
     void set_terms(const WindowBudgetTerms& terms) { terms_ = terms; }
 
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -191,7 +191,7 @@
             plan.on_launched(now);
         } else if (step == AttemptStep::kLaunchRepeat) {
             const auto members = directory_.known_count() + 1;
-            if (budget_.try_repeat(now, call.service, members)) {
+            if (budget_.try_repeat(now, call.service, members, plan.repeat_reason())) {
                 context_.metrics.count_retry(call.service);
                 launch(call, board, *server, streamed);
                 plan.on_launched(now);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -27,7 +27,9 @@
 constexpr seconds kAloneAfter{5};
 constexpr milliseconds kSettingsPeriod{1'000};
 /// How long new requests are still served after a stop began, until callers have turned away.
-constexpr milliseconds kTurnAwayTime{2'500};
+constexpr milliseconds kTurnAwayTime{2'100};
+/// How long requests of peers that haven't heard of the leaving may still come.
+constexpr milliseconds kLeaveSpread{50};
 constexpr milliseconds kStopPoll{20};
 /// Part of the grace time that is kept for the end itself.
 constexpr milliseconds kStopMargin{400};
@@ -154,17 +156,20 @@
 void Sidecar::stop() {
     auto& context = parts_->context;
     log_event(Event::kStopping, {{"in_flight", std::to_string(parts_->calls.requests_in_flight())}});
-    context.leaving = true;
-    parts_->peers.announce();
+    context.stopping = true;
     parts_->calls.begin_closing();
-    parts_->hops.begin_closing();
     const auto began = TimePoint::clock::now();
     const auto grace_ends = began + context.settings.stop_grace - kStopMargin;
     const auto busy = [this] {
         return parts_->calls.requests_in_flight() > 0 || parts_->hops.requests_in_flight() > 0 ||
                parts_->gate.in_flight() > 0;
     };
-    boost::this_fiber::sleep_for(std::min<Duration>(kTurnAwayTime, context.settings.stop_grace / 2));
+    // The server beside goes on serving the fleet while this machine's callers turn away.
+    boost::this_fiber::sleep_for(std::min<Duration>(kTurnAwayTime, context.settings.stop_grace / 3));
+    context.leaving = true;
+    parts_->peers.announce();
+    parts_->hops.begin_closing();
+    boost::this_fiber::sleep_for(kLeaveSpread);
     while (busy() && TimePoint::clock::now() < grace_ends) {
         boost::this_fiber::sleep_for(kStopPoll);
     }
@@ -179,7 +184,7 @@
 bool Sidecar::is_ready() const {
     const bool knows_peers = parts_->follower.has_listed() || parts_->directory.known_count() > 0 ||
                              TimePoint::clock::now() - parts_->started > kAloneAfter;
-    return !parts_->context.leaving && parts_->configuration.version() != 0 && knows_peers;
+    return !parts_->context.stopping && parts_->configuration.version() != 0 && knows_peers;
 }
 
 net::HttpResponse Sidecar::handle_hop(net::HttpRequest& request, net::CancelSignal& cancel) {
@@ -242,7 +247,7 @@
 }
 
 void Sidecar::watch_settings() {
-    while (!parts_->context.leaving) {
+    while (!parts_->context.stopping) {
         boost::this_fiber::sleep_for(kSettingsPeriod);
         reload_settings();
     }
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -33,7 +33,8 @@
     observability::Metrics metrics;
     std::mt19937_64 random;
     std::uint64_t boot_id = 0;
-    bool leaving = false;  ///< A planned stop has begun.
+    bool stopping = false;  ///< A planned stop has begun; callers are asked to turn away.
+    bool leaving = false;   ///< Peers are told to send nothing more.
 
   private:
     static std::uint64_t seed() {
--- a/src/sidecar/store_follower.cpp
+++ b/src/sidecar/store_follower.cpp
@@ -126,7 +126,7 @@
 
 void StoreFollower::keep_registered() {
     unsigned failures = 0;
-    while (!context_.leaving) {
+    while (!context_.stopping) {
         // Registering comes first: of two daemons that start together, the later reader sees the other.
         if (lease_ == 0 && !register_self()) {
             pause(failures++);
--- a/tests/unit/retry/attempt_plan_test.cpp
+++ b/tests/unit/retry/attempt_plan_test.cpp
@@ -98,3 +98,15 @@
     late.on_outcome(AttemptOutcome::kUnknown);
     CHECK(late.next(kDeadline - milliseconds(10), true) == AttemptStep::kFail);
 }
+
+TEST_CASE("the reason of a repeat is told") {
+    auto slow = plan(true);
+    slow.on_launched(kStart);
+    CHECK(slow.repeat_reason() == RepeatReason::kSlow);
+    slow.on_outcome(AttemptOutcome::kUnknown);
+    CHECK(slow.repeat_reason() == RepeatReason::kNoAnswer);
+    auto failed = plan(true);
+    failed.on_launched(kStart);
+    failed.on_outcome(AttemptOutcome::kFailedAnswer);
+    CHECK(failed.repeat_reason() == RepeatReason::kFailedAnswer);
+}
--- a/tests/unit/retry/window_budget_test.cpp
+++ b/tests/unit/retry/window_budget_test.cpp
@@ -14,12 +14,12 @@
 const TimePoint kStart = TimePoint() + seconds(1'000);
 
 WindowBudgetTerms terms() {
-    return {0.2, 50, milliseconds(10'000), 0.5};
+    return {0.2, 50, milliseconds(10'000), 0.5, 0.1};
 }
 
 unsigned repeats_at(WindowBudget& budget, TimePoint now, std::size_t members) {
     unsigned count = 0;
-    while (budget.try_repeat(now, "s", members)) {
+    while (budget.try_repeat(now, "s", members, RepeatReason::kNoAnswer)) {
         ++count;
     }
     return count;
@@ -29,8 +29,8 @@
 
 TEST_CASE("a new process has no share of the extra in its first window") {
     WindowBudget budget(terms(), kStart);
-    CHECK_FALSE(budget.try_repeat(kStart + seconds(9), "s", 1));
-    CHECK(budget.try_repeat(kStart + seconds(10), "s", 1));
+    CHECK_FALSE(budget.try_repeat(kStart + seconds(9), "s", 1, RepeatReason::kNoAnswer));
+    CHECK(budget.try_repeat(kStart + seconds(10), "s", 1, RepeatReason::kNoAnswer));
 }
 
 TEST_CASE("own requests bring repeats, and leave with their window") {
@@ -39,9 +39,9 @@
         budget.on_request(kStart, "s");
     }
     CHECK(repeats_at(budget, kStart, 1) == 10);
-    CHECK_FALSE(budget.try_repeat(kStart + seconds(5), "s", 1000));
+    CHECK_FALSE(budget.try_repeat(kStart + seconds(5), "s", 1000, RepeatReason::kNoAnswer));
     // After the window both the requests and the repeats are gone.
-    CHECK_FALSE(budget.try_repeat(kStart + seconds(10), "s", 1000));
+    CHECK_FALSE(budget.try_repeat(kStart + seconds(10), "s", 1000, RepeatReason::kNoAnswer));
 }
 
 TEST_CASE("services have budgets of their own") {
@@ -49,7 +49,7 @@
     for (int request = 0; request < 20; ++request) {
         budget.on_request(kStart, "other");
     }
-    CHECK_FALSE(budget.try_repeat(kStart, "s", 1));
+    CHECK_FALSE(budget.try_repeat(kStart, "s", 1, RepeatReason::kNoAnswer));
 }
 
 TEST_CASE("a fleet never passes the bound in any window, whatever restarts") {
@@ -74,7 +74,7 @@
             fleet[member]->on_request(now, "s");
             requests.push_back(now);
         }
-        if (fleet[member]->try_repeat(now, "s", members)) {
+        if (fleet[member]->try_repeat(now, "s", members, RepeatReason::kNoAnswer)) {
             repeats.push_back(now);
         }
         while (!requests.empty() && now - requests.front() >= bound.window) {
@@ -88,3 +88,34 @@
     }
     CHECK_FALSE(repeats.empty());
 }
+
+TEST_CASE("doubtful repeats leave most of the budget to attempts without an answer") {
+    WindowBudget budget(terms(), kStart);
+    for (int request = 0; request < 100; ++request) {
+        budget.on_request(kStart, "s");
+    }
+    CHECK(budget.try_repeat(kStart, "s", 1, RepeatReason::kSlow));
+    CHECK(budget.try_repeat(kStart, "s", 1, RepeatReason::kFailedAnswer));
+    CHECK_FALSE(budget.try_repeat(kStart, "s", 1, RepeatReason::kSlow));
+    CHECK_FALSE(budget.try_repeat(kStart, "s", 1, RepeatReason::kFailedAnswer));
+    CHECK(budget.try_repeat(kStart, "s", 1, RepeatReason::kNoAnswer));
+}
+
+TEST_CASE("three levels of calls that all spend their share stay within the bound") {
+    // Every request of the first level makes one call at the second, and that one at the third.
+    const WindowBudgetTerms standard{0.2, 0, milliseconds(10'000)};
+    constexpr int requests = 1'000;
+    int repeats_above = 0;
+    for (int level = 0; level < 3; ++level) {
+        WindowBudget budget(standard, kStart);
+        for (int request = 0; request < requests; ++request) {
+            budget.on_request(kStart, "s");
+        }
+        int own = 0;
+        while (budget.try_repeat(kStart, "s", 1, RepeatReason::kNoAnswer)) {
+            ++own;
+        }
+        repeats_above += own;
+        CHECK(repeats_above <= standard.ratio * requests);
+    }
+}
