Early refusal of clients' requests whose calls are refused further down

Change: the gate marks a server's failure when calls of its machine were refused for overload meanwhile; the ingress feeds that to the throttle by priority that the product had. Only routes that clients call are refused early; they are told from servers' calls by requests that come while the server beside is idle.

--- a/src/admission/adaptive_throttle.cpp
+++ b/src/admission/adaptive_throttle.cpp
@@ -6,13 +6,10 @@
 namespace anisehold::admission {
 namespace {
 
-constexpr milliseconds kWindow{100};
+/// Windows after which one ends whatever it saw.
+constexpr int kLongestInWindows = 10;
 /// Refusals among those let through that are put up with: they notice when room comes back.
 constexpr double kTolerated = 0.15;
-/// Fall of the level per window when all are refused further down, as a share of the priorities.
-constexpr double kFall = 0.25;
-/// Rise of the level per window without more refusals than tolerated, as a share of the priorities.
-constexpr double kRise = 0.1;
 /// Some of the most important are always let through.
 constexpr double kLeastLevel = 0.1;
 
@@ -23,21 +20,22 @@
     return std::clamp(level - static_cast<double>(place), 0.0, 1.0);
 }
 
-void AdaptiveThrottle::advance(TimePoint now, Service& service) {
-    const auto windows = (now - service.window_started) / kWindow;
-    if (windows < 1) {
+void AdaptiveThrottle::advance(TimePoint now, Service& service) const {
+    const auto windows = (now - service.window_started) / options_.window;
+    const bool too_few = service.ended > 0 && service.ended < options_.least_samples;
+    if (windows < 1 || (too_few && windows < kLongestInWindows)) {
         return;
     }
     const auto most = static_cast<double>(service.priorities.size());
     const double refused_share =
         service.ended == 0 ? 0.0 : static_cast<double>(service.refused) / service.ended;
     if (refused_share > kTolerated) {
-        service.level -= kFall * most * refused_share;
+        service.level -= options_.fall * most * refused_share;
     } else {
-        service.level += kRise * most;
+        service.level += options_.rise * most;
     }
     // Windows in which nothing ended count as windows without refusals.
-    service.level += kRise * most * static_cast<double>(windows - 1);
+    service.level += options_.rise * most * static_cast<double>(windows - 1);
     service.level = std::clamp(service.level, kLeastLevel, most);
     service.window_started = now;
     service.ended = 0;
--- a/src/admission/adaptive_throttle.hpp
+++ b/src/admission/adaptive_throttle.hpp
@@ -16,6 +16,14 @@
     unsigned priority = 0;  ///< 0 is the most important.
 };
 
+/// How fast the throttle follows what it sees.
+struct ThrottleOptions {
+    milliseconds window{100};    ///< A verdict is given once in this time.
+    unsigned least_samples = 1;  ///< A window with fewer results goes on, ten times its length at most.
+    double fall = 0.25;  ///< Of the level per window when all are refused, as a share of all priorities.
+    double rise = 0.1;  ///< Of the level per window without more refusals than tolerated, as a share of all.
+};
+
 /// Learns, for each service that refuses calls for overload, down to which priority new roots that reach it
 /// are worth letting through. The level of a service falls while more of those let through are refused there
 /// than is tolerated, and rises by a fixed step while not, so that it is gone a second after its cause. Which
@@ -23,6 +31,8 @@
 /// reach the same service are. Pure.
 class AdaptiveThrottle {
   public:
+    explicit AdaptiveThrottle(ThrottleOptions options = {}) : options_(options) {}
+
     /// Whether a new root of this row is refused. `random` is uniform in [0, 1).
     bool refuses(TimePoint now, const ThrottledRow& row, double random);
     /// Records how a root that was let through ended; `overloaded_service` is empty if it wasn't refused.
@@ -42,8 +52,9 @@
         double share_let_through(unsigned priority) const;
     };
 
-    static void advance(TimePoint now, Service& service);
+    void advance(TimePoint now, Service& service) const;
 
+    ThrottleOptions options_;
     std::map<std::string, Service> services_;
 };
 
--- a/src/hop/hop_header.hpp
+++ b/src/hop/hop_header.hpp
@@ -43,6 +43,8 @@
     unsigned queued = 0;
     unsigned limit = 0;
     unsigned latency_us = 0;
+    /// Set when the server failed and a call that it made had been refused for overload meanwhile.
+    std::string overloaded_service;
 };
 
 std::string encode(const HopRequest& request);
--- a/src/membership/peer_record.hpp
+++ b/src/membership/peer_record.hpp
@@ -17,12 +17,12 @@
 struct ServerRecord {
     std::string instance;  ///< Of this start of the server; every start has another one.
     std::string service;
-    unsigned slots = 0;      ///< Requests that it works on at the same time.
-    unsigned in_flight = 0;  ///< Requests that the gate has running there.
-    unsigned queued = 0;     ///< Requests waiting at the gate.
-    unsigned limit = 0;      ///< Learned concurrency limit.
-    unsigned latency_us = 0; ///< Moving average of its answers' time.
-    unsigned cold_ms = 0;    ///< How much longer it is slow from its start.
+    unsigned slots = 0;       ///< Requests that it works on at the same time.
+    unsigned in_flight = 0;   ///< Requests that the gate has running there.
+    unsigned queued = 0;      ///< Requests waiting at the gate.
+    unsigned limit = 0;       ///< Learned concurrency limit.
+    unsigned latency_us = 0;  ///< Moving average of its answers' time.
+    unsigned cold_ms = 0;     ///< How much longer it is slow from its start.
 
     bool operator==(const ServerRecord&) const = default;
 
@@ -42,12 +42,13 @@
     Endpoint gossip;             ///< Where records are sent to (UDP).
     bool leaving = false;        ///< A planned stop has begun; no new requests.
     std::uint64_t configuration_version = 0;
-    std::vector<ServerRecord> servers;  ///< Servers that take requests; at most a few.
+    std::vector<std::string> client_routes;  ///< Routes that the sender is sure clients call.
+    std::vector<ServerRecord> servers;       ///< Servers that take requests; at most a few.
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        serialize_all(archive, name, zone, boot_id, sequence, call, gossip, leaving,
-                      configuration_version, servers);
+        serialize_all(archive, name, zone, boot_id, sequence, call, gossip, leaving, configuration_version,
+                      client_routes, servers);
     }
 };
 
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -26,6 +26,20 @@
 /// Expected time of an answer while none was measured.
 constexpr milliseconds kUnmeasuredLatency{150};
 
+/// One daemon sees few requests of a route: verdicts are given on several.
+constexpr milliseconds kThrottleWindow{250};
+constexpr unsigned kThrottleSamples = 4;
+constexpr double kThrottleFall = 0.12;
+constexpr double kThrottleRise = 0.025;
+/// When a request that was refused early may come back, at the earliest and at the latest: callers that were
+/// refused together must not come back together.
+constexpr milliseconds kEarlyRefusalRetryAfter{250};
+constexpr milliseconds kEarlyRefusalSpread{500};
+
+bool is_overload(ErrorKind error) {
+    return error == ErrorKind::kOverloaded || error == ErrorKind::kQueueTimeout;
+}
+
 std::string host_of(const net::HttpRequest& request) {
     const auto host = request.fields.find("Host").value_or("");
     return std::string(host.substr(0, host.find(':')));
@@ -79,7 +93,8 @@
       gate_(gate),
       hops_(context, directory),
       selector_(context.settings.zone, [&context] { return context.random_unit(); }),
-      budget_(budget_terms(context.settings), TimePoint::clock::now()) {}
+      budget_(budget_terms(context.settings), TimePoint::clock::now()),
+      throttle_({kThrottleWindow, kThrottleSamples, kThrottleFall, kThrottleRise}) {}
 
 void CallIngress::apply_settings() {
     budget_.set_terms(budget_terms(context_.settings));
@@ -121,6 +136,14 @@
     call.service = choose_service(*route, call.received);
     const auto allowed = client.time_left ? std::min(*client.time_left, route->timeout) : route->timeout;
     call.deadline = call.received + std::max(allowed - kAnswerMargin, milliseconds(1));
+    context_.origins.on_request(call.received, call.route);
+    // A call that a server makes is never refused early: work has been done for it already.
+    if (context_.origins.is_called_by_clients(call.route) &&
+        throttle_.refuses(call.received, {call.route, call.terms.priority}, context_.random_unit())) {
+        const auto spread = static_cast<double>(kEarlyRefusalSpread.count()) * context_.random_unit();
+        return Failure{ErrorKind::kOverloaded,
+                       kEarlyRefusalRetryAfter + milliseconds(static_cast<long long>(spread))};
+    }
     return std::nullopt;
 }
 
@@ -218,6 +241,7 @@
         return fail(call, {ErrorKind::kCancelled}, true);
     }
     if (step == AttemptStep::kDeliver || (best && step == AttemptStep::kTimeUp)) {
+        note_overload(call, nullptr, &best->answer);
         return answer(call, std::move(*best->answer.response));
     }
     if (step == AttemptStep::kTimeUp) {
@@ -225,9 +249,23 @@
     } else if (step == AttemptStep::kFail) {
         failure.error = ErrorKind::kOutcomeUnknown;
     }
+    note_overload(call, &failure, nullptr);
     return fail(call, failure, plan.may_have_run());
 }
 
+void CallIngress::note_overload(const Call& call, const Failure* failure, const GateAnswer* answered) {
+    const auto now = TimePoint::clock::now();
+    const std::string below = answered == nullptr ? "" : answered->result.overloaded_service;
+    if (!below.empty()) {
+        context_.last_overload = {now, below};
+    } else if (failure != nullptr && is_overload(failure->error)) {
+        context_.last_overload = {now, call.service};
+    }
+    if (context_.origins.is_called_by_clients(call.route)) {
+        throttle_.on_result(now, {call.route, call.terms.priority}, below);
+    }
+}
+
 void CallIngress::launch(Call& call, const std::shared_ptr<AttemptBoard>& board, const KnownServer& server,
                          bool streamed) {
     const auto attempt = std::make_shared<Attempt>();
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "admission/adaptive_throttle.hpp"
 #include "membership/peer_directory.hpp"
 #include "net/fiber_signal.hpp"
 #include "retry/attempt_plan.hpp"
@@ -76,6 +77,8 @@
     void take_outcomes(Call& call, AttemptBoard& board, retry::AttemptPlan& plan, Failure& failure,
                        std::shared_ptr<Attempt>& best) const;
     retry::AttemptTerms terms_of(const Call& call, const net::HttpRequest& request, TimePoint now) const;
+    /// Tells the throttle and the gate of this machine's server how the request ended.
+    void note_overload(const Call& call, const Failure* failure, const GateAnswer* answered);
     net::HttpResponse answer(Call& call, net::HttpResponse response);
     net::HttpResponse fail(Call& call, const Failure& failure, bool may_have_run);
     net::HttpResponse error_response(const Failure& failure, const std::string& request_id) const;
@@ -89,6 +92,7 @@
     routing::WeightedSplit split_;
     routing::ServerSelector selector_;
     retry::WindowBudget budget_;
+    admission::AdaptiveThrottle throttle_;
 };
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -141,7 +141,9 @@
     }
     const auto server = server_for(*registered);
     const auto id = next_id_++;
-    ++in_flight_;
+    if (++in_flight_ == 1) {
+        context_.origins.on_server(arrived, true);
+    }
     auto refused = wait_for_admission(*server, call, id, deadline, cancel);
     const auto started = TimePoint::clock::now();
     GateAnswer answer;
@@ -154,10 +156,13 @@
             answer = exchange(*server, request, call, deadline, cancel);
         }
         finish(*server, id, started, answer);
+        mark_overload_below(started, answer);
     }
     fill_load(*server, answer.result);
     answer.result.instance = call.instance;
-    --in_flight_;
+    if (--in_flight_ == 0) {
+        context_.origins.on_server(TimePoint::clock::now(), false);
+    }
     log(request_id, call, answer, arrived, started - arrived);
     return answer;
 }
@@ -250,6 +255,15 @@
     }
 }
 
+void LocalGate::mark_overload_below(TimePoint started, GateAnswer& answer) const {
+    constexpr unsigned first_server_error = 500;
+    const bool failed = answer.response && answer.response->status >= first_server_error;
+    const auto& sign = context_.last_overload;
+    if (failed && sign.seen >= started) {
+        answer.result.overloaded_service = sign.service;
+    }
+}
+
 void LocalGate::fill_load(const Server& server, hop::HopResult& result) const {
     const auto load = server.gate.load();
     result.in_flight = load.in_flight;
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -64,6 +64,9 @@
     GateAnswer exchange(Server& server, net::HttpRequest& request, const hop::HopRequest& call,
                         TimePoint deadline, net::CancelSignal* cancel);
     void finish(Server& server, std::uint64_t id, TimePoint started, const GateAnswer& answer);
+    /// A server that failed while calls of its machine were refused for overload has most likely failed for
+    /// that: its own load says nothing, and the work done for the request is lost.
+    void mark_overload_below(TimePoint started, GateAnswer& answer) const;
     void fill_load(const Server& server, hop::HopResult& result) const;
     void log(const std::string& request_id, const hop::HopRequest& call, const GateAnswer& answer,
              TimePoint arrived, Duration waited) const;
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -52,6 +52,7 @@
     record.gossip = settings.gossip;
     record.leaving = context_.leaving;
     record.configuration_version = configuration_.version();
+    record.client_routes = context_.origins.own_verdicts();
     record.servers = gate_.records(TimePoint::clock::now());
     return record;
 }
@@ -83,6 +84,7 @@
         log_event(Event::kPeerFrameRefused, {{"bytes", std::to_string(bytes.size())}});
         return;
     }
+    context_.origins.on_peer_verdict(record->client_routes);
     const auto change = directory_.on_record(TimePoint::clock::now(), *record);
     if (change == PeerChange::kAppeared) {
         socket_.send(record->gossip, encode(own_record()));
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -6,8 +6,10 @@
 #include <random>
 #include <string>
 
+#include "admission/origin_estimator.hpp"
 #include "config/sidecar_settings.hpp"
 #include "observability/metrics.hpp"
+#include "protocol/time_types.hpp"
 #include "sidecar/wire_dialect.hpp"
 
 namespace boost::asio {
@@ -16,6 +18,12 @@
 
 namespace anisehold::sidecar {
 
+/// The last sign that a service refuses calls of this machine for overload.
+struct OverloadSign {
+    TimePoint seen;
+    std::string service;
+};
+
 /// Settings, identity and tools of this process.
 struct SidecarContext {
     SidecarContext(boost::asio::io_context& io_context, const WireDialect& wire_dialect,
@@ -33,6 +41,8 @@
     observability::Metrics metrics;
     std::mt19937_64 random;
     std::uint64_t boot_id = 0;
+    OverloadSign last_overload;
+    admission::OriginEstimator origins;
     bool stopping = false;  ///< A planned stop has begun; callers are asked to turn away.
     bool leaving = false;   ///< Peers are told to send nothing more.
 
--- a/tests/unit/hop/hop_header_test.cpp
+++ b/tests/unit/hop/hop_header_test.cpp
@@ -25,12 +25,14 @@
         sent.retry_after = milliseconds(40);
         sent.instance = "i-1";
         sent.in_flight = 3;
+        sent.overloaded_service = "stock";
         const auto received = decode_hop_result(encode(sent));
         REQUIRE(received);
         CHECK(received->outcome == outcome);
         CHECK(received->error == ErrorKind::kOverloaded);
         CHECK(received->retry_after == milliseconds(40));
         CHECK(received->in_flight == 3);
+        CHECK(received->overloaded_service == "stock");
     }
 }
 
