--- /dev/null
+++ b/lab/platform_server.cpp
@@ -0,0 +1,155 @@
+#include "lab/platform_server.hpp"
+
+#include <boost/fiber/operations.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "net/event_loop.hpp"
+
+namespace anisehold::lab {
+namespace {
+
+using nlohmann::json;
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kMisdirected = 421;
+constexpr unsigned kFailed = 500;
+constexpr unsigned kUnavailable = 503;
+constexpr milliseconds kPoll{5};
+constexpr milliseconds kBeatTimeout{1'000};
+constexpr milliseconds kLongestHang{30'000};
+constexpr milliseconds kDefaultDeadline{5'000};
+
+/// A body whose reading fails at once: the connection is cut instead of an answer's end.
+class CutBody final : public net::BodyReader {
+  public:
+    std::size_t read(char* /*data*/, std::size_t /*size*/, std::error_code& error) override {
+        error = std::make_error_code(std::errc::connection_reset);
+        return 0;
+    }
+};
+
+net::HttpResponse cut_answer() {
+    net::HttpResponse response;
+    response.body.length = 1'000'000;
+    response.body.rest = std::make_unique<CutBody>();
+    return response;
+}
+
+std::string text_of(const net::HttpRequest& request, std::string_view name) {
+    return std::string(request.fields.find(name).value_or(""));
+}
+
+TimePoint deadline_of(const net::HttpRequest& request) {
+    const auto text = text_of(request, "Deadline-Milliseconds");
+    long long left_ms = kDefaultDeadline.count();
+    std::from_chars(text.data(), text.data() + text.size(), left_ms);
+    return TimePoint::clock::now() + milliseconds(left_ms);
+}
+
+}  // namespace
+
+PlatformServer::PlatformServer(boost::asio::io_context& io, PlatformServerOptions options)
+    : options_(std::move(options)),
+      server_(
+          io, {},
+          {[this](net::HttpRequest& request, net::CancelSignal& cancel) { return handle(request, cancel); },
+           [](ErrorKind /*kind*/) { return net::make_response(kFailed, "text/plain", ""); }}),
+      control_(io, options_.control),
+      outbound_(io, options_.outbound) {}
+
+std::error_code PlatformServer::start() {
+    const auto error = server_.start(options_.listen);
+    if (!error) {
+        net::EventLoop::spawn([this] { beat_periodically(); });
+    }
+    return error;
+}
+
+bool PlatformServer::beat(bool draining) {
+    const json body{
+        {"address", options_.listen.text()},
+        {"information",
+         {{"service", options_.service},
+          {"version", "v1"},
+          {"zone", options_.zone},
+          {"slots", options_.slots}}},
+        {"status",
+         {{"state", draining ? "draining" : "ready"}, {"sequence", ++sequence_}, {"coldRemaining", "0ms"}}}};
+    auto request = net::make_request("PUT", "/-/instances/" + options_.instance, body.dump());
+    request.fields.set("Content-Type", "application/json");
+    net::ExchangeProgress progress;
+    std::error_code error;
+    const auto response =
+        control_.exchange(request, {TimePoint::clock::now() + kBeatTimeout}, progress, error);
+    return response && response->status == kOk;
+}
+
+void PlatformServer::beat_periodically() {
+    while (true) {
+        beat(draining_);
+        boost::this_fiber::sleep_for(options_.heartbeat_interval);
+    }
+}
+
+bool PlatformServer::drain() {
+    draining_ = true;
+    return beat(true);
+}
+
+bool PlatformServer::make_calls(const std::string& id, TimePoint deadline) {
+    for (const auto& call : options_.calls) {
+        auto request = net::make_request("GET", call.target);
+        request.fields.set("Host", call.host);
+        request.fields.set("Request-Id", id + "-" + options_.instance + "-" + std::to_string(++calls_made_));
+        const auto left = std::chrono::duration_cast<milliseconds>(deadline - TimePoint::clock::now());
+        request.fields.set("Deadline-Milliseconds", std::to_string(std::max(1LL, to_milliseconds(left))));
+        net::ExchangeProgress progress;
+        std::error_code error;
+        const auto response = outbound_.exchange(request, {deadline}, progress, error);
+        if (!response || response->status != kOk) {
+            return false;
+        }
+    }
+    return true;
+}
+
+net::HttpResponse PlatformServer::handle(net::HttpRequest& request, net::CancelSignal& cancel) {
+    ++arrivals_;
+    const auto id = text_of(request, "Request-Id");
+    const auto answer = [&](unsigned status, const std::string& body) {
+        auto response = net::make_response(status, "text/plain", body);
+        response.fields.set("Request-Id", faults.answers_another ? "another" : id);
+        return response;
+    };
+    if (text_of(request, "Expected-Instance") != options_.instance) {
+        return answer(kMisdirected, "");
+    }
+    if (faults.declines || running_ >= options_.slots) {
+        auto refusal = answer(kUnavailable, "");
+        refusal.fields.set("Not-Executed", "1");
+        return refusal;
+    }
+    ++running_;
+    most_running_ = std::max(most_running_, running_);
+    ++runs_[id];
+    callers_[id] = text_of(request, "Caller-Service");
+    const auto deadline = deadline_of(request);
+    boost::this_fiber::sleep_for(options_.work);
+    const auto hang_ends = TimePoint::clock::now() + kLongestHang;
+    while (faults.hangs && !cancel.cancelled() && TimePoint::clock::now() < hang_ends) {
+        boost::this_fiber::sleep_for(kPoll);
+    }
+    const bool calls_served = make_calls(id, deadline);
+    --running_;
+    if (faults.loses_answers) {
+        return cut_answer();
+    }
+    auto response = answer(calls_served ? kOk : kFailed, options_.service + " " + request.target);
+    if (!faults.forgets_signature) {
+        response.fields.set("Server-Signature", options_.instance + "." + id);
+    }
+    return response;
+}
+
+}  // namespace anisehold::lab
--- /dev/null
+++ b/lab/platform_server.hpp
@@ -0,0 +1,83 @@
+/// @file
+/// A stand-in for an application server on the platform: registers by heartbeat, runs requests in its slots,
+/// makes calls of its own, and fails in the ways that the platform's servers do.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/http_client.hpp"
+#include "net/http_server.hpp"
+#include "protocol/endpoint.hpp"
+#include "protocol/time_types.hpp"
+
+namespace anisehold::lab {
+
+/// A call that a server makes for each request that it runs.
+struct NestedCall {
+    std::string host;
+    std::string target;
+};
+
+struct PlatformServerOptions {
+    std::string instance;
+    std::string service;
+    std::string zone;
+    Endpoint listen;
+    Endpoint control;   ///< Where heartbeats go.
+    Endpoint outbound;  ///< Where its own calls go.
+    unsigned slots = 8;
+    milliseconds work{5};
+    milliseconds heartbeat_interval{200};
+    std::vector<NestedCall> calls;
+};
+
+/// What goes wrong at a server.
+struct PlatformServerFaults {
+    bool declines = false;           ///< Runs nothing and says so.
+    bool loses_answers = false;      ///< Runs requests and closes the connection.
+    bool forgets_signature = false;  ///< Answers without its signature.
+    bool answers_another = false;    ///< Answers with another request's id.
+    bool hangs = false;              ///< Takes requests and answers nothing.
+};
+
+/// Serves one server.
+class PlatformServer {
+  public:
+    PlatformServer(boost::asio::io_context& io, PlatformServerOptions options);
+    std::error_code start();
+
+    /// Says that it is draining; true once that is acknowledged.
+    bool drain();
+    /// Requests that ran, by id.
+    const std::map<std::string, unsigned>& runs() const { return runs_; }
+    /// The callers that were told, by id of the request.
+    const std::map<std::string, std::string>& callers() const { return callers_; }
+    unsigned most_running() const { return most_running_; }
+    std::size_t arrivals() const { return arrivals_; }
+
+    PlatformServerFaults faults;
+
+  private:
+    net::HttpResponse handle(net::HttpRequest& request, net::CancelSignal& cancel);
+    bool make_calls(const std::string& id, TimePoint deadline);
+    bool beat(bool draining);
+    void beat_periodically();
+
+    PlatformServerOptions options_;
+    net::HttpServer server_;
+    net::HttpClient control_;
+    net::HttpClient outbound_;
+    std::map<std::string, unsigned> runs_;
+    std::map<std::string, std::string> callers_;
+    unsigned running_ = 0;
+    unsigned most_running_ = 0;
+    std::size_t arrivals_ = 0;
+    std::uint64_t sequence_ = 0;
+    std::uint64_t calls_made_ = 0;
+    bool draining_ = false;
+};
+
+}  // namespace anisehold::lab
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -148,7 +148,7 @@
 }
 
 std::string CallIngress::choose_service(const routing::HostRoute& route, TimePoint now) {
-    const auto chosen = split_.next(route, context_.random_unit());
+    auto chosen = split_.next(route, context_.random_unit());
     if (!candidates(chosen, now).empty()) {
         return chosen;
     }
@@ -193,64 +193,79 @@
 
 net::HttpResponse CallIngress::run(Call& call, net::HttpRequest& request, net::CancelSignal& cancel) {
     budget_.on_request(call.received, call.service);
-    retry::AttemptPlan plan(terms_of(call, request, call.received));
-    const auto board = std::make_shared<AttemptBoard>();
-    const bool streamed = !request.body.whole();
-    board->request = streamed ? std::move(request) : copy_of(request);
-    const net::CancelSubscription subscription(&cancel, [board] { board->changed.give(); });
-    Failure failure{ErrorKind::kNoBackend, kDefaultRetryAfter};
-    std::shared_ptr<Attempt> best;
+    Flight flight(terms_of(call, request, call.received));
+    flight.streamed = !request.body.whole();
+    flight.board->request = flight.streamed ? std::move(request) : copy_of(request);
+    const net::CancelSubscription subscription(&cancel, [board = flight.board] { board->changed.give(); });
     AttemptStep step = AttemptStep::kWait;
     bool going_on = true;
     while (going_on) {
-        take_outcomes(call, *board, plan, failure, best);
+        take_outcomes(call, flight);
         const auto now = TimePoint::clock::now();
         const auto server = selector_.choose(now, candidates(call.service, now), call.tried);
-        step = plan.next(now, server.has_value());
-        if (cancel.cancelled()) {
-            going_on = false;
-        } else if (step == AttemptStep::kLaunch) {
-            launch(call, board, *server, streamed);
-            plan.on_launched(now);
-        } else if (step == AttemptStep::kLaunchRepeat) {
-            const auto members = directory_.known_count() + 1;
-            if (budget_.try_repeat(now, call.service, members, plan.repeat_reason())) {
+        step = flight.plan.next(now, server.has_value());
+        going_on = !cancel.cancelled() && advance(call, flight, step, server, now);
+    }
+    cancel_attempts(call, flight);
+    if (cancel.cancelled()) {
+        return fail(call, {ErrorKind::kCancelled}, true);
+    }
+    return conclude(call, flight, step);
+}
+
+bool CallIngress::advance(Call& call, Flight& flight, AttemptStep step,
+                          const std::optional<KnownServer>& server, TimePoint now) {
+    const auto send = [&] {
+        launch(call, flight, *server);
+        flight.plan.on_launched(now);
+    };
+    switch (step) {
+        case AttemptStep::kLaunch:
+            send();
+            return true;
+        case AttemptStep::kLaunchRepeat:
+            if (budget_.try_repeat(now, call.service, directory_.known_count() + 1,
+                                   flight.plan.repeat_reason())) {
                 context_.metrics.count_retry(call.service);
-                launch(call, board, *server, streamed);
-                plan.on_launched(now);
+                send();
             } else {
-                plan.on_repeat_refused();
+                flight.plan.on_repeat_refused();
             }
-        } else if (step == AttemptStep::kWait) {
-            board->changed.wait_until(plan.wait_until());
-        } else {
-            going_on = false;
-        }
+            return true;
+        case AttemptStep::kWait:
+            flight.board->changed.wait_until(flight.plan.wait_until());
+            return true;
+        default:
+            return false;
     }
-    for (const auto& attempt : board->attempts) {
+}
+
+void CallIngress::cancel_attempts(Call& call, Flight& flight) const {
+    for (const auto& attempt : flight.board->attempts) {
         if (!attempt->ended) {
             attempt->cancel.cancel();
         }
     }
-    while (streamed && plan.running() > 0) {
+    while (flight.streamed && flight.plan.running() > 0) {
         // The body is read off the client's connection, which must outlast the attempt.
-        board->changed.wait_until(TimePoint::clock::now() + kLeastHedge);
-        take_outcomes(call, *board, plan, failure, best);
-    }
-    if (cancel.cancelled()) {
-        return fail(call, {ErrorKind::kCancelled}, true);
+        flight.board->changed.wait_until(TimePoint::clock::now() + kLeastHedge);
+        take_outcomes(call, flight);
     }
-    if (step == AttemptStep::kDeliver || (best && step == AttemptStep::kTimeUp)) {
-        note_overload(call, nullptr, &best->answer);
-        return answer(call, std::move(*best->answer.response));
+}
+
+net::HttpResponse CallIngress::conclude(Call& call, Flight& flight, AttemptStep step) {
+    if (flight.best && (step == AttemptStep::kDeliver || step == AttemptStep::kTimeUp)) {
+        note_overload(call, nullptr, &flight.best->answer);
+        return answer(call, std::move(*flight.best->answer.response));
     }
     if (step == AttemptStep::kTimeUp) {
-        failure.error = plan.may_have_run() ? ErrorKind::kDeadlineExceeded : ErrorKind::kQueueTimeout;
+        flight.failure.error =
+            flight.plan.may_have_run() ? ErrorKind::kDeadlineExceeded : ErrorKind::kQueueTimeout;
     } else if (step == AttemptStep::kFail) {
-        failure.error = ErrorKind::kOutcomeUnknown;
+        flight.failure.error = ErrorKind::kOutcomeUnknown;
     }
-    note_overload(call, &failure, nullptr);
-    return fail(call, failure, plan.may_have_run());
+    note_overload(call, &flight.failure, nullptr);
+    return fail(call, flight.failure, flight.plan.may_have_run());
 }
 
 void CallIngress::note_overload(const Call& call, const Failure* failure, const GateAnswer* answered) {
@@ -266,8 +281,8 @@
     }
 }
 
-void CallIngress::launch(Call& call, const std::shared_ptr<AttemptBoard>& board, const KnownServer& server,
-                         bool streamed) {
+void CallIngress::launch(Call& call, Flight& flight, const KnownServer& server) {
+    const auto& board = flight.board;
     const auto attempt = std::make_shared<Attempt>();
     attempt->server = server;
     attempt->started = TimePoint::clock::now();
@@ -280,7 +295,7 @@
     hop_call.priority = call.terms.priority;
     hop_call.remaining = milliseconds(std::max(1LL, to_milliseconds(call.deadline - attempt->started)));
     hop_call.at_most_once = !may_repeat(call.terms.repeat);
-    net::EventLoop::spawn([this, board, attempt, hop_call, streamed] {
+    net::EventLoop::spawn([this, board, attempt, hop_call, streamed = flight.streamed] {
         auto request = streamed ? std::move(board->request) : copy_of(board->request);
         const bool own = attempt->server.peer == context_.settings.name;
         attempt->answer = own ? gate_.run(std::move(request), hop_call, &attempt->cancel)
@@ -292,23 +307,22 @@
     });
 }
 
-void CallIngress::take_outcomes(Call& call, AttemptBoard& board, retry::AttemptPlan& plan, Failure& failure,
-                                std::shared_ptr<Attempt>& best) const {
-    for (const auto& attempt : board.attempts) {
+void CallIngress::take_outcomes(Call& call, Flight& flight) const {
+    for (const auto& attempt : flight.board->attempts) {
         if (!attempt->ended || attempt->taken) {
             continue;
         }
         attempt->taken = true;
         const auto outcome = outcome_of(attempt->answer);
-        plan.on_outcome(outcome);
+        flight.plan.on_outcome(outcome);
         const auto& result = attempt->answer.result;
         const bool answered = attempt->answer.response.has_value();
-        if (outcome == AttemptOutcome::kAnswered || (answered && !best)) {
-            best = attempt;
+        if (outcome == AttemptOutcome::kAnswered || (answered && !flight.best)) {
+            flight.best = attempt;
         }
         if (!answered) {
-            failure.error = result.error;
-            failure.retry_after = result.retry_after;
+            flight.failure.error = result.error;
+            flight.failure.retry_after = result.retry_after;
         }
         call.servers += (call.servers.empty() ? "" : " ") + attempt->server.server.instance + ":" +
                         (answered ? std::to_string(attempt->answer.response->status)
@@ -328,13 +342,13 @@
 net::HttpResponse CallIngress::fail(Call& call, const Failure& failure, bool may_have_run) {
     auto given = failure;
     const auto& kind = answer_for(given.error);
-    if (may_have_run && kind.execution == Execution::kNotRun) {
+    const bool hides_a_run = may_have_run && kind.execution == Execution::kNotRun;
+    const bool fears_a_run =
+        !may_have_run && kind.execution == Execution::kMayHaveRun && given.error != ErrorKind::kCancelled;
+    if (hides_a_run) {
         // A refusal would promise that the request has not run.
         given.error = ErrorKind::kOutcomeUnknown;
-    } else if (!may_have_run && kind.execution == Execution::kMayHaveRun &&
-               given.error != ErrorKind::kCancelled) {
-        given.error = ErrorKind::kNoBackend;
-    } else if (given.error == ErrorKind::kConnectFailed) {
+    } else if (fears_a_run || given.error == ErrorKind::kConnectFailed) {
         given.error = ErrorKind::kNoBackend;
     }
     context_.metrics.count_error(call.route, given.error);
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -65,17 +65,32 @@
     /// How a request ended, when no server answered it.
     struct Failure {
         ErrorKind error = ErrorKind::kNoBackend;
-        milliseconds retry_after{0};
+        milliseconds retry_after{0};  ///< 0: nothing better is known than the default.
+    };
+
+    /// What happens to one request between its arrival and its answer.
+    struct Flight {
+        explicit Flight(const retry::AttemptTerms& terms) : plan(terms) {}
+
+        retry::AttemptPlan plan;
+        std::shared_ptr<AttemptBoard> board = std::make_shared<AttemptBoard>();
+        std::shared_ptr<Attempt> best;  ///< The good answer, or a server's failure for want of one.
+        Failure failure;                ///< The last one.
+        bool streamed = false;          ///< The body is read off the client's connection as it is sent on.
     };
 
     std::optional<Failure> prepare(const net::HttpRequest& request, Call& call);
     std::string choose_service(const routing::HostRoute& route, TimePoint now);
     std::vector<membership::KnownServer> candidates(const std::string& service, TimePoint now) const;
     net::HttpResponse run(Call& call, net::HttpRequest& request, net::CancelSignal& cancel);
-    void launch(Call& call, const std::shared_ptr<AttemptBoard>& board, const membership::KnownServer& server,
-                bool streamed);
-    void take_outcomes(Call& call, AttemptBoard& board, retry::AttemptPlan& plan, Failure& failure,
-                       std::shared_ptr<Attempt>& best) const;
+    /// Takes the step that the plan named; false if that was the last one.
+    bool advance(Call& call, Flight& flight, retry::AttemptStep step,
+                 const std::optional<membership::KnownServer>& server, TimePoint now);
+    void launch(Call& call, Flight& flight, const membership::KnownServer& server);
+    /// Feeds ended attempts to the plan.
+    void take_outcomes(Call& call, Flight& flight) const;
+    void cancel_attempts(Call& call, Flight& flight) const;
+    net::HttpResponse conclude(Call& call, Flight& flight, retry::AttemptStep step);
     retry::AttemptTerms terms_of(const Call& call, const net::HttpRequest& request, TimePoint now) const;
     /// Tells the throttle and the gate of this machine's server how the request ended.
     void note_overload(const Call& call, const Failure* failure, const GateAnswer* answered);
--- a/src/store/coordination_store.cpp
+++ b/src/store/coordination_store.cpp
@@ -5,9 +5,9 @@
 namespace anisehold::store {
 
 std::string_view call_outcome_name(CallOutcome outcome) {
-    static constexpr std::array<std::string_view, 6> kNames{"done",         "not-found", "conflict",
-                                                            "history-lost", "refused",   "unknown"};
-    return kNames.at(static_cast<std::size_t>(outcome));
+    static constexpr std::array<std::string_view, 6> names{"done",         "not-found", "conflict",
+                                                           "history-lost", "refused",   "unknown"};
+    return names.at(static_cast<std::size_t>(outcome));
 }
 
 }  // namespace anisehold::store
--- a/src/store/coordination_store.hpp
+++ b/src/store/coordination_store.hpp
@@ -47,7 +47,7 @@
 
 struct WatchReply {
     CallOutcome outcome = CallOutcome::kUnknown;
-    std::vector<StoreItem> changed;      ///< Written items, oldest first.
+    std::vector<StoreItem> changed;    ///< Written items, oldest first.
     std::uint64_t store_revision = 0;  ///< Where the next watch starts.
 };
 
--- a/src/store/etcd_store.hpp
+++ b/src/store/etcd_store.hpp
@@ -6,8 +6,8 @@
 #include <vector>
 
 #include "net/http_client.hpp"
-#include "store/key_value_store.hpp"
 #include "protocol/time_types.hpp"
+#include "store/key_value_store.hpp"
 
 namespace anisehold::store {
 
--- /dev/null
+++ b/tests/integration/sidecar_test.cpp
@@ -0,0 +1,250 @@
+// The platform path with real sidecar processes; the store, the servers and the clients are stand-ins.
+
+#include <catch2/catch.hpp>
+#include <set>
+
+#include "tests/support/sidecar_fleet.hpp"
+
+using namespace anisehold;
+using namespace anisehold::testing;
+
+namespace {
+
+std::uint16_t next_base_port() {
+    static std::uint16_t port = 26'000;
+    port = static_cast<std::uint16_t>(port + 100);
+    return port;
+}
+
+/// Two machines of "front", whose requests call "back" twice, and two of "back"; "pay" runs at most once.
+std::vector<SidecarMachinePlan> chain() {
+    const std::vector<lab::NestedCall> calls{{"back.example", "/back/1"}, {"back.example", "/back/2"}};
+    return {{"z1", "front", calls, 16, milliseconds(5)}, {"z2", "front", calls, 16, milliseconds(5)},
+            {"z1", "back", {}, 16, milliseconds(5)},     {"z2", "back", {}, 16, milliseconds(5)},
+            {"z1", "pay", {}, 16, milliseconds(5)},      {"z2", "pay", {}, 16, milliseconds(5)}};
+}
+
+std::string chain_configuration(unsigned version) {
+    return configuration_text(version, {"front", "back"}, {"pay"});
+}
+
+unsigned runs_of(SidecarFleet& fleet, const std::string& id) {
+    unsigned runs = 0;
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        const auto& counted = fleet.machine(index).server->runs();
+        const auto found = counted.find(id);
+        runs += found == counted.end() ? 0 : found->second;
+    }
+    return runs;
+}
+
+/// Sends `count` requests, in turn through all machines, and counts the answers by status.
+std::map<unsigned, unsigned> send_many(SidecarFleet& fleet, const ClientRequest& pattern, int count) {
+    std::map<unsigned, unsigned> statuses;
+    for (int index = 0; index < count; ++index) {
+        auto request = pattern;
+        request.id = pattern.id + "-" + std::to_string(index);
+        ++statuses[fleet.send(static_cast<std::size_t>(index) % fleet.size(), request).status];
+    }
+    return statuses;
+}
+
+}  // namespace
+
+TEST_CASE("a request goes down the chain and its answer comes back unchanged", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(1)));
+    const auto answer = fleet.send(0, {"GET", "front.example", "/front/a?b=c", "one"});
+    CHECK(answer.status == 200);
+    CHECK(answer.body == "front /front/a?b=c");
+    CHECK(answer.fields.find("Request-Id") == "one");
+    CHECK(answer.fields.find("Server-Signature"));
+    CHECK_FALSE(answer.fields.find("Anisehold-Hop-Result"));
+    CHECK(runs_of(fleet, "one") == 1);
+    CHECK(send_many(fleet, {"GET", "front.example", "/front/a", "many"}, 60)[200] == 60);
+    CHECK(fleet.send(0, {"GET", "front.example", "/nowhere/", "two"}).status == 404);
+    CHECK(fleet.send(0, {"GET", "front.example", "/front/", ""}).status == 400);
+    CHECK(fleet.metrics_of(0).find("anisehold_answers_total") != std::string::npos);
+    CHECK(fleet.eventually(
+        seconds(2), [&] { return fleet.log_of(0).find("\"request_id\":\"many-0\"") != std::string::npos; }));
+}
+
+TEST_CASE("servers are told where a request began", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(1)));
+    REQUIRE(fleet.send(4, {"GET", "back.example", "/back/", "from-pay"}).status == 200);
+    std::set<std::string> callers;
+    for (const std::size_t index : {2U, 3U}) {
+        const auto& told = fleet.machine(index).server->callers();
+        if (told.contains("from-pay")) {
+            callers.insert(told.at("from-pay"));
+        }
+    }
+    CHECK(callers == std::set<std::string>{"pay"});
+}
+
+TEST_CASE("an at-most-once request whose answer is lost runs once and is never promised away", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(1)));
+    for (const std::size_t index : {4U, 5U}) {
+        fleet.machine(index).server->faults.loses_answers = true;
+    }
+    for (int request = 0; request < 20; ++request) {
+        const auto id = "pay-" + std::to_string(request);
+        const auto answer = fleet.send(static_cast<std::size_t>(request) % fleet.size(),
+                                       {"POST", "pay.example", "/pay/", id});
+        CHECK(answer.status == 502);
+        CHECK(runs_of(fleet, id) == 1);
+    }
+}
+
+TEST_CASE("an at-most-once request that a server declined may run at the other one, once", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(1)));
+    fleet.machine(4).server->faults.declines = true;
+    fleet.pause(seconds(2));  // A new process has no share of the extra repeats in its first window.
+    unsigned served = 0;
+    for (int request = 0; request < 20; ++request) {
+        const auto id = "pay-" + std::to_string(request);
+        const auto answer = fleet.send(static_cast<std::size_t>(request) % fleet.size(),
+                                       {"POST", "pay.example", "/pay/", id});
+        CHECK((answer.status == 200 || answer.status == 503));
+        CHECK(runs_of(fleet, id) == (answer.status == 200 ? 1 : 0));
+        served += answer.status == 200 ? 1 : 0;
+    }
+    CHECK(served > 10);
+}
+
+TEST_CASE("spoiled answers are not passed on", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(1)));
+    fleet.pause(seconds(2));
+    fleet.machine(2).server->faults.forgets_signature = true;
+    for (const auto& [status, count] : send_many(fleet, {"GET", "back.example", "/back/", "unsigned"}, 20)) {
+        CHECK((status == 200 || status == 502));
+    }
+    fleet.machine(2).server->faults = {};
+    fleet.machine(2).server->faults.answers_another = true;
+    for (int request = 0; request < 20; ++request) {
+        const auto id = "mixed-" + std::to_string(request);
+        const auto answer = fleet.send(0, {"GET", "back.example", "/back/", id});
+        CHECK((answer.status == 200 || answer.status == 502));
+        CHECK(answer.fields.find("Request-Id") == id);
+    }
+}
+
+TEST_CASE("a server that answers nothing is passed by for what may be repeated", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(1)));
+    fleet.pause(seconds(2));
+    fleet.machine(3).server->faults.hangs = true;
+    auto statuses = send_many(fleet, {"GET", "back.example", "/back/", "hang", milliseconds(1'500)}, 20);
+    CHECK(statuses[200] >= 15);
+}
+
+TEST_CASE("a server that drains gets nothing after it was acknowledged", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(1)));
+    REQUIRE(fleet.machine(2).server->drain());
+    const auto before = fleet.machine(2).server->arrivals();
+    CHECK(send_many(fleet, {"GET", "back.example", "/back/", "drained"}, 40)[200] == 40);
+    CHECK(fleet.machine(2).server->arrivals() == before);
+}
+
+TEST_CASE("a new configuration is in force everywhere, and an older one never again", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(configuration_text(5, {"front", "back", "pay"}, {})));
+    fleet.configure(configuration_text(9, {"back", "front"}, {}));
+    const auto dropped = [&] {
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            if (fleet.send(index, {"GET", "pay.example", "/pay/", "dropped"}).status != 404) {
+                return false;
+            }
+        }
+        return true;
+    };
+    CHECK(fleet.eventually(seconds(2), dropped));
+    fleet.configure(configuration_text(7, {"front", "back", "pay"}, {}));
+    fleet.store().forget_history();
+    fleet.pause(milliseconds(500));
+    CHECK(dropped());
+    fleet.configure(configuration_text(12, {"front", "back", "pay"}, {}));
+    CHECK(fleet.eventually(seconds(3), [&] {
+        return fleet.send(0, {"GET", "pay.example", "/pay/", "again"}).status == 200;
+    }));
+}
+
+TEST_CASE("calls go on while the store is down, and a restarted sidecar learns all from its peers",
+          "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(3)));
+    fleet.store().faults.refuses = true;
+    fleet.kill(0);
+    CHECK(send_many(fleet, {"GET", "back.example", "/back/", "before"}, 1)[200] == 0);
+    fleet.start_sidecar(0);
+    CHECK(fleet.eventually(seconds(10), [&] { return fleet.is_ready(0); }));
+    CHECK(fleet.eventually(seconds(5), [&] {
+        return fleet.send(0, {"GET", "front.example", "/front/", "after"}).status == 200;
+    }));
+    // Log lines are written in groups, a moment later.
+    CHECK(fleet.eventually(seconds(2),
+                           [&] { return fleet.log_of(0).find("\"from\":\"peer\"") != std::string::npos; }));
+}
+
+TEST_CASE("every sidecar registers, and a calm fleet leaves the store alone", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(1)));
+    CHECK(fleet.store().keys_below("anisehold/members/") == fleet.size());
+    const auto calls = fleet.store().calls();
+    fleet.pause(seconds(3));
+    // A calm fleet leaves the store alone: no polling.
+    CHECK(fleet.store().calls() - calls <= 2);
+}
+
+TEST_CASE("a planned stop loses no request and ends in time", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(1)));
+    fleet.terminate(2);
+    CHECK(fleet.eventually(seconds(1), [&] { return !fleet.is_ready(2); }));
+    unsigned whole = 0;
+    for (int request = 0; request < 60; ++request) {
+        // Through the others: the machine that stops gets no new clients.
+        const std::size_t through = request % 2 == 0 ? 0 : 1;
+        const auto id = "stop-" + std::to_string(request);
+        whole += fleet.send(through, {"GET", "front.example", "/front/", id}).status == 200 ? 1 : 0;
+        fleet.pause(milliseconds(30));
+    }
+    CHECK(whole == 60);
+    CHECK(fleet.wait_for_exit(2, seconds(4)) == 0);
+}
+
+TEST_CASE("a full server is never given more than its slots", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), {{"z1", "back", {}, 2, milliseconds(100)}, {"z1", "other", {}}});
+    REQUIRE(fleet.start(configuration_text(1, {"back", "other"}, {})));
+    constexpr int clients = 12;
+    int ended = 0;
+    int served = 0;
+    for (int client = 0; client < clients; ++client) {
+        net::EventLoop::spawn([&, client] {
+            const auto answer = fleet.send(
+                static_cast<std::size_t>(client) % 2,
+                {"GET", "back.example", "/back/", "full-" + std::to_string(client), milliseconds(2'000)});
+            served += answer.status == 200 ? 1 : 0;
+            ++ended;
+        });
+    }
+    CHECK(fleet.eventually(seconds(5), [&] { return ended == clients; }));
+    CHECK(fleet.machine(0).server->most_running() <= 2);
+    CHECK(served == clients);
+}
+
+TEST_CASE("a sidecar without a configuration refuses and is not ready", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), {{"z1", "back", {}}});
+    REQUIRE(fleet.launch("{\"version\":\"broken\"}"));
+    CHECK(fleet.eventually(seconds(5), [&] {
+        return fleet.send(0, {"GET", "back.example", "/back/", "early"}).status == 503;
+    }));
+    CHECK_FALSE(fleet.is_ready(0));
+    CHECK(fleet.eventually(
+        seconds(2), [&] { return fleet.log_of(0).find("configuration-rejected") != std::string::npos; }));
+}
--- /dev/null
+++ b/tests/support/sidecar_fleet.cpp
@@ -0,0 +1,241 @@
+#include "tests/support/sidecar_fleet.hpp"
+
+#include <signal.h>
+
+#include <boost/fiber/operations.hpp>
+#include <boost/filesystem.hpp>
+#include <boost/process/args.hpp>
+#include <boost/process/io.hpp>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "tests/support/fleet.hpp"
+
+namespace anisehold::testing {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint16_t kPortsPerMachine = 10;
+constexpr milliseconds kStartTimeout{20'000};
+constexpr milliseconds kFetchTimeout{2'000};
+constexpr unsigned kOk = 200;
+
+Endpoint local(std::uint16_t port) {
+    return {"127.0.0.1", port};
+}
+
+}  // namespace
+
+std::string configuration_text(unsigned version, const std::vector<std::string>& safe_services,
+                               const std::vector<std::string>& unsafe_services, const std::string& timeout) {
+    json routes = json::object();
+    json services = json::object();
+    const auto add = [&](const std::string& service, const char* kind) {
+        routes["route-" + service] = {{"host", service + ".example"},
+                                      {"pathPrefix", "/" + service + "/"},
+                                      {"kind", kind},
+                                      {"timeout", timeout},
+                                      {"targetLatency", "500ms"},
+                                      {"priority", 1},
+                                      {"service", service},
+                                      {"retryAttempts", 2}};
+        services[service] = {{"healthCheckPath", "/health"}, {"maxConnections", 100}};
+    };
+    for (const auto& service : safe_services) {
+        add(service, "safe");
+    }
+    for (const auto& service : unsafe_services) {
+        add(service, "unsafe");
+    }
+    const json limits{{"maxHeaderBytes", 16384},
+                      {"maxBodyBytes", 1048576},
+                      {"headerTimeout", "1000ms"},
+                      {"idleTimeout", "5000ms"}};
+    return json{{"version", "r" + std::to_string(version)},
+                {"routes", routes},
+                {"services", services},
+                {"limits", limits}}
+        .dump();
+}
+
+SidecarFleet::SidecarFleet(std::uint16_t base_port, const std::vector<SidecarMachinePlan>& plans)
+    : store_endpoint_(local(base_port)) {
+    const auto folder = boost::filesystem::temp_directory_path() /
+                        boost::filesystem::unique_path("anisehold-sidecars-%%%%-%%%%");
+    boost::filesystem::create_directories(folder);
+    folder_ = folder.string();
+    auto& io = Fleet::loop().io();
+    store_ = std::make_unique<lab::PlatformStore>(io);
+    std::uint16_t first_port = base_port;
+    for (const auto& plan : plans) {
+        first_port = static_cast<std::uint16_t>(first_port + kPortsPerMachine);
+        auto machine = std::make_unique<SidecarMachine>();
+        machine->name = "machine-" + std::to_string(machines_.size());
+        machine->zone = plan.zone;
+        machine->service = plan.service;
+        machine->calls = local(first_port);
+        machine->readiness = local(static_cast<std::uint16_t>(first_port + 3));
+        machine->metrics = local(static_cast<std::uint16_t>(first_port + 5));
+        machine->settings_file = folder_ + "/" + machine->name + ".toml";
+        machine->log_file = folder_ + "/" + machine->name + ".log";
+        lab::PlatformServerOptions options;
+        options.instance = "i-" + std::to_string(machines_.size());
+        options.service = plan.service;
+        options.zone = plan.zone;
+        options.listen = local(static_cast<std::uint16_t>(first_port + 6));
+        options.control = local(static_cast<std::uint16_t>(first_port + 2));
+        options.outbound = machine->calls;
+        options.slots = plan.slots;
+        options.work = plan.work;
+        options.calls = plan.calls;
+        machine->server = std::make_unique<lab::PlatformServer>(io, options);
+        write_settings(*machine, first_port);
+        machines_.push_back(std::move(machine));
+    }
+}
+
+SidecarFleet::~SidecarFleet() {
+    for (const auto& machine : machines_) {
+        if (machine->child.running()) {
+            ::kill(machine->child.id(), SIGKILL);
+            machine->child.wait();
+        }
+    }
+    // Fibers of the stand-ins run on until the process ends; what they refer to must stay.
+    for (auto& machine : machines_) {
+        (void)machine->server.release();
+    }
+    (void)store_.release();
+}
+
+void SidecarFleet::write_settings(const SidecarMachine& machine, std::uint16_t first_port) const {
+    const auto at = [&](int offset) {
+        return "\"" + local(static_cast<std::uint16_t>(first_port + offset)).text() + "\"\n";
+    };
+    std::ofstream file(machine.settings_file);
+    file << "[sidecar]\nname = \"" << machine.name << "\"\nzone = \"" << machine.zone << "\"\nservice = \""
+         << machine.service << "\"\nstop_grace = \"3s\"\n"
+         << "[listen]\ncalls = " << at(0) << "hops = " << at(1) << "control = " << at(2)
+         << "readiness = " << at(3) << "gossip = " << at(4) << "metrics = " << at(5)
+         << "[store]\naddress = \"" << store_endpoint_.text() << "\"\n"
+         << "[servers]\nheartbeat_interval = \"200ms\"\n"
+         << "[repeats]\nratio = \"0.2\"\nextra = \"60\"\nwindow = \"2s\"\n";
+}
+
+void SidecarFleet::pause(Duration duration) {
+    boost::this_fiber::sleep_for(duration);
+}
+
+void SidecarFleet::start_sidecar(std::size_t index) {
+    auto& machine = *machines_.at(index);
+    namespace process = boost::process;
+    machine.child =
+        process::child(std::string(ANISEHOLD_BINARY_DIR) + "/anisehold",
+                       process::args(std::vector<std::string>{"sidecar", "--config", machine.settings_file}),
+                       process::std_out > machine.log_file, process::std_err > machine.log_file + ".err");
+}
+
+void SidecarFleet::configure(const std::string& configuration) {
+    store_->put("op/config", configuration);
+}
+
+bool SidecarFleet::launch(const std::string& configuration) {
+    if (store_->start(store_endpoint_)) {
+        return false;
+    }
+    for (std::size_t index = 0; index < machines_.size(); ++index) {
+        if (machines_[index]->server->start()) {
+            return false;
+        }
+        start_sidecar(index);
+    }
+    configure(configuration);
+    return true;
+}
+
+bool SidecarFleet::start(const std::string& configuration) {
+    return launch(configuration) && eventually(kStartTimeout, [this] {
+               for (std::size_t index = 0; index < machines_.size(); ++index) {
+                   if (!is_ready(index)) {
+                       return false;
+                   }
+               }
+               // Every sidecar reaches every service once the servers have registered and the peers know of
+               // them.
+               for (std::size_t index = 0; index < machines_.size(); ++index) {
+                   for (const auto& other : machines_) {
+                       const auto& service = other->service;
+                       const auto answer =
+                           send(index, {"GET", service + ".example", "/" + service + "/probe", "probe"});
+                       if (answer.status != kOk) {
+                           return false;
+                       }
+                   }
+               }
+               return true;
+           });
+}
+
+ClientAnswer SidecarFleet::send(std::size_t machine, const ClientRequest& client_request) {
+    net::HttpClient client(Fleet::loop().io(), machines_.at(machine)->calls);
+    auto request = net::make_request(client_request.method, client_request.target);
+    request.fields.set("Host", client_request.host);
+    request.fields.set("Request-Id", client_request.id);
+    request.fields.set("Deadline-Milliseconds", std::to_string(client_request.time_left.count()));
+    net::ExchangeProgress progress;
+    std::error_code error;
+    const auto deadline = TimePoint::clock::now() + client_request.time_left + kFetchTimeout;
+    auto response = client.exchange(request, {deadline}, progress, error);
+    ClientAnswer answer;
+    if (response) {
+        answer.status = response->status;
+        answer.fields = response->fields;
+        answer.body = net::read_whole(response->body, net::kLargestFetchedText, error).value_or("");
+    }
+    return answer;
+}
+
+bool SidecarFleet::is_ready(std::size_t machine) {
+    net::HttpClient client(Fleet::loop().io(), machines_.at(machine)->readiness);
+    auto request = net::make_request("GET", "/-/readiness");
+    net::ExchangeProgress progress;
+    std::error_code error;
+    const auto response =
+        client.exchange(request, {TimePoint::clock::now() + kFetchTimeout}, progress, error);
+    return response && response->status == kOk;
+}
+
+void SidecarFleet::kill(std::size_t machine) {
+    ::kill(machines_.at(machine)->child.id(), SIGKILL);
+    machines_.at(machine)->child.wait();
+}
+
+void SidecarFleet::terminate(std::size_t machine) {
+    ::kill(machines_.at(machine)->child.id(), SIGTERM);
+}
+
+std::optional<int> SidecarFleet::wait_for_exit(std::size_t index, Duration timeout) {
+    auto& child = machines_.at(index)->child;
+    if (!eventually(timeout, [&] { return !child.running(); })) {
+        return std::nullopt;
+    }
+    return child.exit_code();
+}
+
+std::string SidecarFleet::log_of(std::size_t machine) const {
+    std::ifstream file(machines_.at(machine)->log_file);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return std::move(text).str();
+}
+
+std::string SidecarFleet::metrics_of(std::size_t machine) {
+    net::HttpClient client(Fleet::loop().io(), machines_.at(machine)->metrics);
+    auto request = net::make_request("GET", "/metrics");
+    std::error_code error;
+    return net::fetch_text(client, request, TimePoint::clock::now() + kFetchTimeout, error).value_or("");
+}
+
+}  // namespace anisehold::testing
--- /dev/null
+++ b/tests/support/sidecar_fleet.hpp
@@ -0,0 +1,114 @@
+/// @file
+/// Sidecars as separate processes on loopback, with stand-ins for the platform's store, servers and clients
+/// in the test's own process.
+#pragma once
+
+#include <boost/process/child.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "lab/platform_server.hpp"
+#include "lab/platform_store.hpp"
+#include "net/event_loop.hpp"
+#include "net/http_client.hpp"
+
+namespace anisehold::testing {
+
+/// One machine: a sidecar and the server beside it.
+struct SidecarMachine {
+    std::string name;
+    std::string zone;
+    std::string service;
+    Endpoint calls;
+    Endpoint readiness;
+    Endpoint metrics;
+    std::string settings_file;
+    std::string log_file;
+    std::unique_ptr<lab::PlatformServer> server;
+    boost::process::child child;
+};
+
+/// How a server of the fleet is made.
+struct SidecarMachinePlan {
+    std::string zone;
+    std::string service;
+    std::vector<lab::NestedCall> calls;
+    unsigned slots = 8;
+    milliseconds work{5};
+};
+
+/// What a client got.
+struct ClientAnswer {
+    unsigned status = 0;  ///< 0: no answer.
+    std::string body;
+    net::HeaderFields fields;
+};
+
+/// A request of a client.
+struct ClientRequest {
+    std::string method = "GET";
+    std::string host;
+    std::string target;
+    std::string id;
+    milliseconds time_left{2'000};
+};
+
+/// The processes are ended by the destructor.
+class SidecarFleet {
+  public:
+    SidecarFleet(std::uint16_t base_port, const std::vector<SidecarMachinePlan>& plans);
+    ~SidecarFleet();
+    SidecarFleet(const SidecarFleet&) = delete;
+    SidecarFleet& operator=(const SidecarFleet&) = delete;
+
+    /// Starts the store, the servers and the sidecars, and puts the configuration into the store.
+    bool launch(const std::string& configuration);
+    /// The same, and waits until all sidecars are ready and reach every service.
+    bool start(const std::string& configuration);
+    lab::PlatformStore& store() { return *store_; }
+    SidecarMachine& machine(std::size_t index) { return *machines_.at(index); }
+    std::size_t size() const { return machines_.size(); }
+
+    ClientAnswer send(std::size_t machine, const ClientRequest& request);
+    bool is_ready(std::size_t machine);
+    /// Puts a configuration into the store.
+    void configure(const std::string& configuration);
+    void kill(std::size_t machine);
+    void terminate(std::size_t machine);
+    void start_sidecar(std::size_t machine);
+    /// Waits for the process to end; its exit status, or nothing if it hasn't ended in time.
+    std::optional<int> wait_for_exit(std::size_t machine, Duration timeout);
+    std::string log_of(std::size_t machine) const;
+    std::string metrics_of(std::size_t machine);
+
+    /// Polls until `condition` holds; false if it doesn't in time.
+    template <typename Condition>
+    bool eventually(Duration timeout, Condition condition) {
+        const auto deadline = TimePoint::clock::now() + timeout;
+        while (!condition()) {
+            if (TimePoint::clock::now() >= deadline) {
+                return false;
+            }
+            pause(milliseconds(20));
+        }
+        return true;
+    }
+    static void pause(Duration duration);
+
+  private:
+    void write_settings(const SidecarMachine& machine, std::uint16_t first_port) const;
+
+    Endpoint store_endpoint_;
+    std::string folder_;
+    std::unique_ptr<lab::PlatformStore> store_;
+    std::vector<std::unique_ptr<SidecarMachine>> machines_;
+};
+
+/// A configuration with one route for each service: host SERVICE.example, path /SERVICE/.
+std::string configuration_text(unsigned version, const std::vector<std::string>& safe_services,
+                               const std::vector<std::string>& unsafe_services,
+                               const std::string& timeout = "2000ms");
+
+}  // namespace anisehold::testing
