--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= cooperative
 JOBS ?= 8
 
-.PHONY: deps build test demo prove bench scale check clean
+.PHONY: deps build test demo demo-table prove bench scale check clean
 
 deps:
 	bash scripts/install-dependencies.sh
@@ -16,8 +16,12 @@
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure
 
-# A whole deployment on stand-ins: DEPLOYMENT=cooperative or brightwater.
+# The sidecar's whole path on stand-ins of the platform, with faults.
 demo: build
+	$(BUILD)/anisehold-sidecar_demo
+
+# A whole deployment of `anisehold serve` on stand-ins: DEPLOYMENT=cooperative or brightwater.
+demo-table: build
 	$(BUILD)/anisehold-demo $(DEPLOYMENT)
 
 # The proofs one by one; scripts/prove.sh --without MECHANISM shows that they can fail.
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -2,8 +2,8 @@
 // <utility> comes first: Boost 1.74's Asio needs std::exchange under C++20.
 #include <boost/asio/signal_set.hpp>
 #include <boost/fiber/fiber.hpp>
-#include <boost/fiber/fixedsize_stack.hpp>
 #include <boost/fiber/operations.hpp>
+#include <boost/fiber/pooled_fixedsize_stack.hpp>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -17,6 +17,8 @@
 
 /// Beast's parsers and a JSON parser run on fiber stacks; untouched pages cost no memory.
 constexpr std::size_t kStackBytes = 256 * 1024;
+/// Stacks that are asked of the system at a time.
+constexpr std::size_t kStacksPerBlock = 8;
 
 }  // namespace
 
@@ -26,9 +28,9 @@
 }
 
 void EventLoop::spawn(std::function<void()> body) {
-    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
-                         boost::fibers::fixedsize_stack(kStackBytes), std::move(body))
-        .detach();
+    // Most fibers live for one request: their stacks are used again. Never freed, like the loop itself.
+    static auto* stacks = new boost::fibers::pooled_fixedsize_stack(kStackBytes, kStacksPerBlock);
+    boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, *stacks, std::move(body)).detach();
 }
 
 void EventLoop::wait_for_stop_signal() {
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -167,8 +167,8 @@
                for (std::size_t index = 0; index < machines_.size(); ++index) {
                    for (const auto& other : machines_) {
                        const auto& service = other->service;
-                       const auto answer =
-                           send(index, {"GET", service + ".example", "/" + service + "/probe", "probe"});
+                       const auto answer = send(index, {"GET", service + ".example", "/" + service + "/probe",
+                                                        "probe-" + std::to_string(probes_++)});
                        if (answer.status != kOk) {
                            return false;
                        }
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -102,6 +102,7 @@
 
     Endpoint store_endpoint_;
     std::string folder_;
+    std::uint64_t probes_ = 0;  ///< Every request has an id of its own.
     std::unique_ptr<lab::PlatformStore> store_;
     std::vector<std::unique_ptr<SidecarMachine>> machines_;
 };
