Early refusal: a slow rise that grows, and short queues at the gates

Ruled out: the learned limit (at its ceiling throughout), too little time to come back (spread before).

--- a/src/admission/adaptive_throttle.cpp
+++ b/src/admission/adaptive_throttle.cpp
@@ -20,6 +20,14 @@
     return std::clamp(level - static_cast<double>(place), 0.0, 1.0);
 }
 
+double AdaptiveThrottle::rise_of(const Service& service) const {
+    if (options_.clean_windows_to_double == 0) {
+        return options_.rise;
+    }
+    const auto growth = static_cast<double>(service.clean_windows) / options_.clean_windows_to_double;
+    return options_.rise * (1.0 + growth);
+}
+
 void AdaptiveThrottle::advance(TimePoint now, Service& service) const {
     const auto windows = (now - service.window_started) / options_.window;
     const bool too_few = service.ended > 0 && service.ended < options_.least_samples;
@@ -29,13 +37,15 @@
     const auto most = static_cast<double>(service.priorities.size());
     const double refused_share =
         service.ended == 0 ? 0.0 : static_cast<double>(service.refused) / service.ended;
+    service.clean_windows = service.refused == 0 ? service.clean_windows + 1 : 0;
+    const double rise = rise_of(service);
     if (refused_share > kTolerated) {
         service.level -= options_.fall * most * refused_share;
     } else {
-        service.level += options_.rise * most;
+        service.level += rise * most;
     }
     // Windows in which nothing ended count as windows without refusals.
-    service.level += options_.rise * most * static_cast<double>(windows - 1);
+    service.level += rise * most * static_cast<double>(windows - 1);
     service.level = std::clamp(service.level, kLeastLevel, most);
     service.window_started = now;
     service.ended = 0;
--- a/src/admission/adaptive_throttle.hpp
+++ b/src/admission/adaptive_throttle.hpp
@@ -21,7 +21,10 @@
     milliseconds window{100};    ///< A verdict is given once in this time.
     unsigned least_samples = 1;  ///< A window with fewer results goes on, ten times its length at most.
     double fall = 0.25;  ///< Of the level per window when all are refused, as a share of all priorities.
-    double rise = 0.1;  ///< Of the level per window without more refusals than tolerated, as a share of all.
+    double rise = 0.1;   ///< Of the level per window without more refusals than tolerated, as a share of all.
+    /// The rise doubles after this many windows in a row without any refusal, and goes on growing; 0: never.
+    /// A slow rise keeps refusals few while the cause lasts, and a growing one ends soon after it.
+    unsigned clean_windows_to_double = 0;
 };
 
 /// Learns, for each service that refuses calls for overload, down to which priority new roots that reach it
@@ -48,11 +51,13 @@
         TimePoint window_started;
         unsigned ended = 0;
         unsigned refused = 0;
+        unsigned clean_windows = 0;  ///< In a row, without any refusal.
 
         double share_let_through(unsigned priority) const;
     };
 
     void advance(TimePoint now, Service& service) const;
+    double rise_of(const Service& service) const;
 
     ThrottleOptions options_;
     std::map<std::string, Service> services_;
--- a/src/admission/server_gate.cpp
+++ b/src/admission/server_gate.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 constexpr std::size_t kLeastQueueCapacity = 16;
-constexpr std::size_t kQueuePerLimit = 4;
 constexpr unsigned kLeastImportant = 9;
 /// Priorities from this one on leave the safety margin free.
 constexpr unsigned kMarginAppliesFrom = 5;
@@ -171,7 +170,8 @@
 }
 
 std::size_t ServerGate::capacity() const {
-    return std::max<std::size_t>(kLeastQueueCapacity, kQueuePerLimit * limit_->limit());
+    const auto by_limit = static_cast<std::size_t>(options_.queue_per_limit * limit_->limit());
+    return std::max(kLeastQueueCapacity, by_limit);
 }
 
 Duration ServerGate::expected_wait(std::size_t position) const {
--- a/src/admission/server_gate.hpp
+++ b/src/admission/server_gate.hpp
@@ -54,6 +54,7 @@
 struct GateOptions {
     QueueOrder order = QueueOrder::kOldestRootFirst;
     bool by_priority = true;     ///< Off only in the lab: first come, first served.
+    double queue_per_limit = 4;  ///< Most calls that wait, as a multiple of the limit; at least a few may.
     double safety_margin = 0.0;  ///< Share of the limit kept free of the least important priorities.
 };
 
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -30,7 +30,8 @@
 constexpr milliseconds kThrottleWindow{250};
 constexpr unsigned kThrottleSamples = 4;
 constexpr double kThrottleFall = 0.12;
-constexpr double kThrottleRise = 0.025;
+constexpr double kThrottleRise = 0.012;
+constexpr unsigned kThrottleCleanWindows = 4;
 /// When a request that was refused early may come back, at the earliest and at the latest: callers that were
 /// refused together must not come back together.
 constexpr milliseconds kEarlyRefusalRetryAfter{250};
@@ -94,7 +95,7 @@
       hops_(context, directory),
       selector_(context.settings.zone, [&context] { return context.random_unit(); }),
       budget_(budget_terms(context.settings), TimePoint::clock::now()),
-      throttle_({kThrottleWindow, kThrottleSamples, kThrottleFall, kThrottleRise}) {}
+      throttle_({kThrottleWindow, kThrottleSamples, kThrottleFall, kThrottleRise, kThrottleCleanWindows}) {}
 
 void CallIngress::apply_settings() {
     budget_.set_terms(budget_terms(context_.settings));
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -49,7 +49,14 @@
     struct Server {
         Server(std::unique_ptr<admission::ConcurrencyLimit> limit, boost::asio::io_context& io,
                const Endpoint& address, const net::HttpPoolLimits& pool)
-            : gate(std::move(limit), admission::GateOptions{}), client(io, address, pool) {}
+            : gate(std::move(limit), gate_options()), client(io, address, pool) {}
+
+        /// A request makes several calls one after the other: each wait must be short.
+        static admission::GateOptions gate_options() {
+            admission::GateOptions options;
+            options.queue_per_limit = 1.5;
+            return options;
+        }
 
         admission::ServerGate gate;
         net::HttpClient client;
