A request waits at gates for a quarter of its target latency at most

Calls of higher priority overtake it as long as the overload lasts, so the wait expected at its arrival says nothing. It is now refused in time and told when to come back.

--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -69,6 +69,7 @@
     append(text, "caller", std::string_view(request.caller));
     append(text, "priority", request.priority);
     append(text, "remaining_ms", static_cast<std::uint64_t>(request.remaining.count()));
+    append(text, "longest_wait_ms", static_cast<std::uint64_t>(request.longest_wait.count()));
     append(text, "once", request.at_most_once ? 1 : 0);
     return text;
 }
@@ -91,14 +92,17 @@
     const auto fields = split(text);
     HopRequest request;
     std::uint32_t remaining_ms = 0;
+    std::uint32_t longest_wait_ms = 0;
     unsigned once = 0;
-    const bool whole = read(fields, "instance", request.instance) &&
-                       read(fields, "caller", request.caller) && read(fields, "priority", request.priority) &&
-                       read(fields, "remaining_ms", remaining_ms) && read(fields, "once", once);
+    const bool whole = read(fields, "instance", request.instance) && read(fields, "caller", request.caller) &&
+                       read(fields, "priority", request.priority) &&
+                       read(fields, "remaining_ms", remaining_ms) &&
+                       read(fields, "longest_wait_ms", longest_wait_ms) && read(fields, "once", once);
     if (!whole) {
         return std::nullopt;
     }
     request.remaining = milliseconds(remaining_ms);
+    request.longest_wait = milliseconds(longest_wait_ms);
     request.at_most_once = once != 0;
     return request;
 }
--- a/src/hop/hop_header.hpp
+++ b/src/hop/hop_header.hpp
@@ -21,8 +21,9 @@
     std::string instance;  ///< The server that is meant.
     std::string caller;    ///< Service on the machine where the request began.
     unsigned priority = 0;
-    milliseconds remaining{0};  ///< Time left until the request is given up.
-    bool at_most_once = false;  ///< It must not run twice.
+    milliseconds remaining{0};     ///< Time left until the request is given up.
+    milliseconds longest_wait{0};  ///< Longest time it may wait at the gate.
+    bool at_most_once = false;     ///< It must not run twice.
 };
 
 /// What became of the request at the gate.
--- a/src/retry/attempt_plan.cpp
+++ b/src/retry/attempt_plan.cpp
@@ -31,7 +31,9 @@
     }
     const bool has_not_run = unknown_ == 0 && failed_answers_ == 0;
     if (reached_ == 0) {
-        return another_server && launched_ < kMostUnsent ? AttemptStep::kLaunch : AttemptStep::kRefuse;
+        const bool in_time = launched_ == 0 || now < terms_.refuse_unsent_at;
+        const bool goes_on = another_server && in_time && launched_ < kMostUnsent;
+        return goes_on ? AttemptStep::kLaunch : AttemptStep::kRefuse;
     }
     const bool may_go_on = has_not_run || terms_.may_repeat;
     if (may_go_on && time_to_repeat && repeat_allowed(another_server)) {
--- a/src/retry/attempt_plan.hpp
+++ b/src/retry/attempt_plan.hpp
@@ -12,6 +12,9 @@
     bool may_repeat = false;    ///< The request may run more than once.
     unsigned most_servers = 1;  ///< Most servers that the request may reach.
     TimePoint deadline;
+    /// A request that no server was reached with until then is refused: its caller is told when to come back,
+    /// which serves it better than a wait in one queue after the other.
+    TimePoint refuse_unsent_at = TimePoint::max();
     Duration hedge_after{};  ///< An attempt that takes longer is joined by another one.
 };
 
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -23,6 +23,9 @@
 /// An attempt that takes this many times the server's average is joined by another one.
 constexpr int kHedgeFactor = 3;
 constexpr milliseconds kLeastHedge{100};
+/// Part of its target latency for which a request may wait at gates.
+constexpr int kWaitPart = 4;
+constexpr milliseconds kLeastWait{10};
 /// Expected time of an answer while none was measured.
 constexpr milliseconds kUnmeasuredLatency{150};
 
@@ -179,6 +182,7 @@
     terms.may_repeat = may_repeat(call.terms.repeat) && request.body.whole();
     terms.most_servers = request.body.whole() ? call.terms.most_servers : 1;
     terms.deadline = call.deadline;
+    terms.refuse_unsent_at = call.received + call.terms.target_latency / kWaitPart;
     Duration latency{};
     unsigned measured = 0;
     for (const auto& server : candidates(call.service, now)) {
@@ -295,6 +299,8 @@
     hop_call.caller = context_.settings.service;
     hop_call.priority = call.terms.priority;
     hop_call.remaining = milliseconds(std::max(1LL, to_milliseconds(call.deadline - attempt->started)));
+    const auto wait_ends = call.received + call.terms.target_latency / kWaitPart;
+    hop_call.longest_wait = std::max(kLeastWait, milliseconds(to_milliseconds(wait_ends - attempt->started)));
     hop_call.at_most_once = !may_repeat(call.terms.repeat);
     net::EventLoop::spawn([this, board, attempt, hop_call, streamed = flight.streamed] {
         auto request = streamed ? std::move(board->request) : copy_of(board->request);
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -194,7 +194,7 @@
     {
         const net::CancelSubscription subscription(cancel, [waiter] { waiter->decided.set(); });
         if (cancel == nullptr || !cancel->cancelled()) {
-            waiter->decided.wait_until(decision.give_up_at);
+            waiter->decided.wait_until(std::min<TimePoint>(decision.give_up_at, now + call.longest_wait));
         }
     }
     server.waiters.erase(id);
--- a/tests/unit/hop/hop_header_test.cpp
+++ b/tests/unit/hop/hop_header_test.cpp
@@ -6,13 +6,14 @@
 using namespace anisehold::hop;
 
 TEST_CASE("a hop request survives its encoding") {
-    const HopRequest sent{"i-1", "orders", 2, milliseconds(1'250), true};
+    const HopRequest sent{"i-1", "orders", 2, milliseconds(1'250), milliseconds(250), true};
     const auto received = decode_hop_request(encode(sent));
     REQUIRE(received);
     CHECK(received->instance == "i-1");
     CHECK(received->caller == "orders");
     CHECK(received->priority == 2);
     CHECK(received->remaining == milliseconds(1'250));
+    CHECK(received->longest_wait == milliseconds(250));
     CHECK(received->at_most_once);
 }
 
@@ -38,8 +39,9 @@
 
 TEST_CASE("malformed hop headers are refused") {
     CHECK_FALSE(decode_hop_request(""));
-    CHECK_FALSE(decode_hop_request("instance=a;caller=b;priority=x;remaining_ms=1;once=0"));
-    CHECK_FALSE(decode_hop_request("instance=a;caller=b;priority=1;remaining_ms=-1;once=0"));
+    CHECK_FALSE(decode_hop_request("instance=a;caller=b;priority=x;remaining_ms=1;longest_wait_ms=1;once=0"));
+    CHECK_FALSE(
+        decode_hop_request("instance=a;caller=b;priority=1;remaining_ms=-1;longest_wait_ms=1;once=0"));
     CHECK_FALSE(decode_hop_result("outcome=answered"));
     auto text = encode(HopResult{});
     CHECK(decode_hop_result(text));
--- a/tests/unit/retry/attempt_plan_test.cpp
+++ b/tests/unit/retry/attempt_plan_test.cpp
@@ -11,7 +11,7 @@
 const TimePoint kDeadline = kStart + seconds(2);
 
 AttemptPlan plan(bool may_repeat, unsigned most_servers = 2) {
-    return AttemptPlan({may_repeat, most_servers, kDeadline, milliseconds(300)});
+    return AttemptPlan({may_repeat, most_servers, kDeadline, TimePoint::max(), milliseconds(300)});
 }
 
 }  // namespace
@@ -110,3 +110,13 @@
     failed.on_outcome(AttemptOutcome::kFailedAnswer);
     CHECK(failed.repeat_reason() == RepeatReason::kFailedAnswer);
 }
+
+TEST_CASE("a request that waited at gates for long is refused instead of waiting at the next") {
+    AttemptPlan request({true, 2, kDeadline, kStart + milliseconds(250), milliseconds(300)});
+    CHECK(request.next(kStart + milliseconds(300), true) == AttemptStep::kLaunch);
+    request.on_launched(kStart);
+    request.on_outcome(AttemptOutcome::kNotSent);
+    CHECK(request.next(kStart + milliseconds(249), true) == AttemptStep::kLaunch);
+    CHECK(request.next(kStart + milliseconds(250), true) == AttemptStep::kRefuse);
+    CHECK_FALSE(request.may_have_run());
+}
