A stop sees to the requests of its last moments

Change: callers get 2.6 s to turn away, which covers two questions for readiness and the way; the daemon waits until 150 ms have passed without a request, then accepts nothing, and waits for the end of what it has read.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -26,10 +26,15 @@
 /// A daemon without known peers counts as ready after this time: it may be alone, or the store down.
 constexpr seconds kAloneAfter{5};
 constexpr milliseconds kSettingsPeriod{1'000};
-/// How long new requests are still served after a stop began, until callers have turned away.
-constexpr milliseconds kTurnAwayTime{2'100};
-/// How long requests of peers that haven't heard of the leaving may still come.
-constexpr milliseconds kLeaveSpread{50};
+/// When peers are told to send nothing more, after a stop began.
+constexpr milliseconds kLeaveAfter{2'000};
+/// How much longer callers of this machine may take to turn away: the platform asks for readiness each
+/// second, twice, and a request may be under way by then.
+constexpr milliseconds kTurnAwayRest{600};
+/// Part of the grace time after which no connection is accepted, even if callers haven't turned away.
+constexpr int kAcceptPercent = 60;
+/// No request for that long: nobody comes any more.
+constexpr milliseconds kQuietTime{150};
 constexpr milliseconds kStopPoll{20};
 /// Part of the grace time that is kept for the end itself.
 constexpr milliseconds kStopMargin{400};
@@ -160,27 +165,38 @@
     parts_->calls.begin_closing();
     const auto began = TimePoint::clock::now();
     const auto grace_ends = began + context.settings.stop_grace - kStopMargin;
-    const auto busy = [this] {
-        return parts_->calls.requests_in_flight() > 0 || parts_->hops.requests_in_flight() > 0 ||
-               parts_->gate.in_flight() > 0;
-    };
     // The server beside goes on serving the fleet while this machine's callers turn away.
-    boost::this_fiber::sleep_for(std::min<Duration>(kTurnAwayTime, context.settings.stop_grace / 3));
+    boost::this_fiber::sleep_for(std::min<Duration>(kLeaveAfter, context.settings.stop_grace / 3));
     context.leaving = true;
     parts_->peers.announce();
     parts_->hops.begin_closing();
-    boost::this_fiber::sleep_for(kLeaveSpread);
-    while (busy() && TimePoint::clock::now() < grace_ends) {
-        boost::this_fiber::sleep_for(kStopPoll);
-    }
+    boost::this_fiber::sleep_for(std::min<Duration>(kTurnAwayRest, context.settings.stop_grace / 10));
+    wait_until_quiet(began + context.settings.stop_grace * kAcceptPercent / 100);
+    // A request may have been read since: no new one is now, and those that were are seen to their end.
     parts_->calls.stop_accepting();
     parts_->hops.stop_accepting();
     parts_->calls.close_idle();
     parts_->hops.close_idle();
+    wait_until_quiet(grace_ends);
     boost::this_fiber::sleep_for(kStopPoll);
     log_event(Event::kStopped, {{"in_flight", std::to_string(parts_->calls.requests_in_flight())}});
 }
 
+bool Sidecar::is_busy() const {
+    return parts_->calls.requests_in_flight() > 0 || parts_->hops.requests_in_flight() > 0 ||
+           parts_->gate.in_flight() > 0;
+}
+
+void Sidecar::wait_until_quiet(TimePoint latest) {
+    auto quiet_since = TimePoint::clock::now();
+    auto now = quiet_since;
+    while (now - quiet_since < kQuietTime && now < latest) {
+        boost::this_fiber::sleep_for(kStopPoll);
+        now = TimePoint::clock::now();
+        quiet_since = is_busy() ? now : quiet_since;
+    }
+}
+
 bool Sidecar::is_ready() const {
     const bool knows_peers = parts_->follower.has_listed() || parts_->directory.known_count() > 0 ||
                              TimePoint::clock::now() - parts_->started > kAloneAfter;
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -35,6 +35,9 @@
     net::HttpResponse handle_readiness(net::HttpRequest& request);
     net::HttpResponse handle_metrics(net::HttpRequest& request);
     bool is_ready() const;
+    bool is_busy() const;
+    /// Waits until no request was in progress for a while, or `latest` has come.
+    void wait_until_quiet(TimePoint latest);
     void watch_settings();
     void reload_settings();
 
--- a/tests/integration/sidecar_test.cpp
+++ b/tests/integration/sidecar_test.cpp
@@ -218,6 +218,33 @@
     CHECK(fleet.wait_for_exit(2, seconds(4)) == 0);
 }
 
+TEST_CASE("a request that comes in the last moments of a stop is answered, or never run", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), {{"z1", "back", {}, 64, milliseconds(60)}, {"z1", "other", {}}});
+    REQUIRE(fleet.start(configuration_text(1, {"back", "other"}, {})));
+    fleet.terminate(1);
+    constexpr int clients = 16;
+    int ended = 0;
+    unsigned answered = 0;
+    unsigned lost = 0;
+    for (int client = 0; client < clients; ++client) {
+        net::EventLoop::spawn([&, client] {
+            bool served = true;
+            for (int number = 0; served; ++number) {
+                const auto id = "last-" + std::to_string(client) + "-" + std::to_string(number);
+                served = fleet.send(1, {"GET", "back.example", "/back/", id}).status != 0;
+                answered += served ? 1 : 0;
+                lost += !served && runs_of(fleet, id) > 0 ? 1 : 0;
+                // Callers that turn away one after the other leave quiet moments.
+                fleet.pause(milliseconds(17 * (client + 1)));
+            }
+            ++ended;
+        });
+    }
+    CHECK(fleet.eventually(seconds(8), [&] { return ended == clients; }));
+    CHECK(answered > 50);
+    CHECK(lost == 0);
+}
+
 TEST_CASE("a full server is never given more than its slots", "[sidecar]") {
     SidecarFleet fleet(next_base_port(), {{"z1", "back", {}, 2, milliseconds(100)}, {"z1", "other", {}}});
     REQUIRE(fleet.start(configuration_text(1, {"back", "other"}, {})));
