--- a/tests/unit/admission/policy_test.cpp
+++ b/tests/unit/admission/policy_test.cpp
@@ -105,3 +105,21 @@
     }
     CHECK(throttle.refusal_share(bulk) == 0);
 }
+
+TEST_CASE("a slow rise of the throttle grows while nothing is refused") {
+    const ThrottledRow row{"row", 5};
+    const auto share_after_clean = [&](unsigned clean_windows_to_double) {
+        AdaptiveThrottle throttle({milliseconds(100), 1, 0.25, 0.01, clean_windows_to_double});
+        int ms = 0;
+        for (; ms < 2'000; ms += 10) {
+            throttle.on_result(at_ms(ms), row, "deep");
+        }
+        CHECK(throttle.refusal_share(row) > 0.8);
+        for (; ms < 5'000; ms += 10) {
+            throttle.on_result(at_ms(ms), row, "");
+        }
+        return throttle.refusal_share(row);
+    };
+    CHECK(share_after_clean(0) > 0.5);
+    CHECK(share_after_clean(4) == 0);
+}
