--- /dev/null
+++ b/tests/support/eventually.hpp
@@ -0,0 +1,25 @@
+/// @file
+/// Waiting for something to become true.
+#pragma once
+
+#include <boost/fiber/operations.hpp>
+
+#include "protocol/time_types.hpp"
+
+namespace anisehold::testing {
+
+/// Polls until `condition` holds, other fibers running meanwhile; false if it doesn't in time.
+template <typename Condition>
+bool poll_until(Duration timeout, Condition condition) {
+    constexpr milliseconds period{20};
+    const auto deadline = TimePoint::clock::now() + timeout;
+    while (!condition()) {
+        if (TimePoint::clock::now() >= deadline) {
+            return false;
+        }
+        boost::this_fiber::sleep_for(period);
+    }
+    return true;
+}
+
+}  // namespace anisehold::testing
