--- a/src/cli/table_commands.hpp
+++ b/src/cli/table_commands.hpp
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "net/event_loop.hpp"
-#include "store/table_store.hpp"
 #include "protocol/endpoint.hpp"
+#include "store/table_store.hpp"
 
 namespace anisehold::cli {
 
--- a/src/config/sidecar_settings.hpp
+++ b/src/config/sidecar_settings.hpp
@@ -14,7 +14,7 @@
 
 /// Checked settings of one sidecar.
 struct SidecarSettings {
-    std::string name;     ///< Unique in the fleet.
+    std::string name;  ///< Unique in the fleet.
     std::string zone;
     std::string service;  ///< Service of the server on this machine; told to servers as the caller.
     Endpoint calls;       ///< Where the machine's clients and server send requests.
--- a/src/daemon/admin_server.cpp
+++ b/src/daemon/admin_server.cpp
@@ -5,8 +5,8 @@
 #include "config/table.hpp"
 #include "daemon/table_page.hpp"
 #include "observability/events.hpp"
-#include "store/table_store.hpp"
 #include "protocol/message_digest.hpp"
+#include "store/table_store.hpp"
 
 namespace anisehold::daemon {
 namespace {
--- a/src/daemon/backend_watch.hpp
+++ b/src/daemon/backend_watch.hpp
@@ -7,8 +7,8 @@
 
 #include "daemon/daemon_context.hpp"
 #include "daemon/membership_service.hpp"
-#include "store/machine_list.hpp"
 #include "routing/backend_registry.hpp"
+#include "store/machine_list.hpp"
 
 namespace anisehold::daemon {
 
--- a/src/daemon/claim_service.cpp
+++ b/src/daemon/claim_service.cpp
@@ -376,8 +376,8 @@
     next.holders = holders;
     next.previous = current.holders;
     const auto text = claims::to_json_text(next);
-    const auto swap = documents_.store().compare_and_swap(store::kHolderViewKey, revision,
-                                                          {{store::kHolderViewKey, text}});
+    const auto swap =
+        documents_.store().compare_and_swap(store::kHolderViewKey, revision, {{store::kHolderViewKey, text}});
     if (swap.outcome == store::SwapOutcome::kDone) {
         log_event(Event::kHolderViewChanged,
                   {{"epoch", std::to_string(next.epoch)}, {"holders", std::to_string(holders.size())}});
--- a/src/daemon/document_service.hpp
+++ b/src/daemon/document_service.hpp
@@ -11,9 +11,9 @@
 #include "daemon/daemon_context.hpp"
 #include "daemon/membership_service.hpp"
 #include "daemon/peer_client.hpp"
-#include "store/etcd_store.hpp"
 #include "protocol/documents.hpp"
 #include "routing/route_table.hpp"
+#include "store/etcd_store.hpp"
 
 namespace anisehold::daemon {
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -93,7 +93,8 @@
         // The most recently used first: the least likely to have been closed.
         auto connection = std::move(idle.back());
         idle.pop_back();
-        const auto rest = std::min({longest_rest, connection->longest_rest, Duration(limits.idle_timeout_ms)});
+        const auto rest =
+            std::min({longest_rest, connection->longest_rest, Duration(limits.idle_timeout_ms)});
         const bool expired = now - connection->idle_since > rest;
         if (limits.reuse_unclean || (!expired && !is_stale(*connection))) {
             return connection;
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -21,8 +21,9 @@
     milliseconds connect_timeout_ms{1'000};
     milliseconds idle_timeout_ms{5'000};   ///< Idle connections older than this are closed, not reused.
     milliseconds body_timeout_ms{10'000};  ///< Longest pause inside a streamed answer.
-    milliseconds silence_timeout_ms{0};  ///< A peer that acknowledges nothing for that long is dead; 0: never.
-    bool reuse_unclean = false;            ///< Lab only: pools connections whatever became of the exchange.
+    milliseconds silence_timeout_ms{
+        0};                      ///< A peer that acknowledges nothing for that long is dead; 0: never.
+    bool reuse_unclean = false;  ///< Lab only: pools connections whatever became of the exchange.
 };
 
 /// How far an exchange got; decides what may be said about whether the call ran.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -78,7 +78,8 @@
     FiberEvent written;     ///< Set when the answer has left, or never will.
 };
 
-/// Waits for the end of an exchange, if there is one. Takes a share of it: its owners let go of it as it ends.
+/// Waits for the end of an exchange, if there is one. Takes a share of it: its owners let go of it as it
+/// ends.
 void wait_until_written(std::shared_ptr<PendingExchange> exchange) {
     if (exchange) {
         exchange->written.wait();
--- a/tests/unit/admission/origin_estimator_test.cpp
+++ b/tests/unit/admission/origin_estimator_test.cpp
@@ -1,8 +1,8 @@
+#include "admission/origin_estimator.hpp"
+
 #include <catch2/catch.hpp>
 #include <random>
 
-#include "admission/origin_estimator.hpp"
-
 using namespace anisehold;
 using namespace anisehold::admission;
 
