Proofs of bad input and of pipelined requests at the sidecar

Smuggling, oversize headers and bodies, cut bodies, malformed hops, heartbeats and datagrams: a clear answer or a closed connection, nothing runs, and the sidecar serves on.

--- a/tests/integration/sidecar_test.cpp
+++ b/tests/integration/sidecar_test.cpp
@@ -1,8 +1,10 @@
 // The platform path with real sidecar processes; the store, the servers and the clients are stand-ins.
 
 #include <catch2/catch.hpp>
+#include <future>
 #include <set>
 
+#include "tests/integration/raw_socket.hpp"
 #include "tests/support/sidecar_fleet.hpp"
 
 using namespace anisehold;
@@ -282,6 +284,66 @@
     CHECK(refused_and_run == 0);
 }
 
+TEST_CASE("bad input of clients, servers and peers gets a clear answer or a closed connection", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(1)));
+    const auto& calls = fleet.machine(0).calls;
+    const auto port_after = [&](int offset) {
+        return Endpoint{calls.ip, static_cast<std::uint16_t>(calls.port + offset)};
+    };
+    const std::string start = "POST /pay/ HTTP/1.1\r\nHost: pay.example\r\nRequest-Id: smuggle\r\n";
+    const std::string smuggled = "GET /pay/ HTTP/1.1\r\nHost: pay.example\r\nRequest-Id: inner\r\n\r\n";
+    CHECK(raw_exchange(calls, "NONSENSE\r\n\r\n").find("HTTP/1.1 400") == 0);
+    CHECK(raw_exchange(calls, start + "X: " + std::string(20'000, 'x') + "\r\n\r\n").find("HTTP/1.1 431") ==
+          0);
+    CHECK(raw_exchange(calls, start + "Content-Length: 2000000\r\n\r\n").find("HTTP/1.1 413") == 0);
+    CHECK(raw_exchange(calls,
+                       start + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + smuggled)
+              .find("HTTP/1.1 400") == 0);
+    CHECK(raw_exchange(calls, start + "Content-Length: 5\r\nContent-Length: 6\r\n\r\nabcde" + smuggled)
+              .find("HTTP/1.1 400") == 0);
+    CHECK(raw_exchange(calls, start + "Content-Length: 10\r\n\r\nabc", true).find("HTTP/1.1 2") ==
+          std::string::npos);
+    CHECK(runs_of(fleet, "smuggle") == 0);
+    CHECK(runs_of(fleet, "inner") == 0);
+
+    const auto hops = port_after(1);
+    CHECK(raw_exchange(hops, "GET /pay/ HTTP/1.1\r\nHost: h\r\n\r\n").find("HTTP/1.1 404") == 0);
+    CHECK(raw_exchange(hops, "GET /pay/ HTTP/1.1\r\nHost: h\r\nAnisehold-Hop: instance=;once=x\r\n\r\n")
+              .find("HTTP/1.1 400") == 0);
+    const auto control = port_after(2);
+    CHECK(raw_exchange(control, "PUT /-/instances/i-9 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}")
+              .find("HTTP/1.1 400") == 0);
+    CHECK(raw_exchange(control, "GET /elsewhere HTTP/1.1\r\nHost: h\r\n\r\n").find("HTTP/1.1 404") == 0);
+    send_datagram(port_after(4), "A" + std::string(2'000, '\xff'));
+    send_datagram(port_after(4), "");
+    CHECK(fleet.send(0, {"GET", "front.example", "/front/", "still-served"}).status == 200);
+}
+
+TEST_CASE("requests sent one behind the other are answered in their order", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(1)));
+    std::string bytes;
+    for (const auto* id : {"p1", "p2", "p3"}) {
+        // Of the three the first takes longest: it makes calls.
+        const std::string service = std::string(id) == "p1" ? "front" : "back";
+        bytes += "GET /" + service + "/" + id + " HTTP/1.1\r\nHost: " + service +
+                 ".example\r\nRequest-Id: " + id + "\r\nDeadline-Milliseconds: 2000\r\n\r\n";
+    }
+    auto exchange =
+        std::async(std::launch::async, [&] { return raw_exchange(fleet.machine(0).calls, bytes, true); });
+    REQUIRE(fleet.eventually(seconds(10), [&] {
+        return exchange.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+    }));
+    const auto answers = exchange.get();
+    const auto first = answers.find("front /front/p1");
+    const auto second = answers.find("back /back/p2");
+    const auto third = answers.find("back /back/p3");
+    REQUIRE(third != std::string::npos);
+    CHECK(first < second);
+    CHECK(second < third);
+}
+
 TEST_CASE("a sidecar without a configuration refuses and is not ready", "[sidecar]") {
     SidecarFleet fleet(next_base_port(), {{"z1", "back", {}}});
     REQUIRE(fleet.launch("{\"version\":\"broken\"}"));
