--- a/tests/integration/sidecar_test.cpp
+++ b/tests/integration/sidecar_test.cpp
@@ -323,13 +323,12 @@
 TEST_CASE("requests sent one behind the other are answered in their order", "[sidecar]") {
     SidecarFleet fleet(next_base_port(), chain());
     REQUIRE(fleet.start(chain_configuration(1)));
-    std::string bytes;
-    for (const auto* id : {"p1", "p2", "p3"}) {
-        // Of the three the first takes longest: it makes calls.
-        const std::string service = std::string(id) == "p1" ? "front" : "back";
-        bytes += "GET /" + service + "/" + id + " HTTP/1.1\r\nHost: " + service +
-                 ".example\r\nRequest-Id: " + id + "\r\nDeadline-Milliseconds: 2000\r\n\r\n";
-    }
+    const auto request = [](const std::string& service, const std::string& id) {
+        return "GET /" + service + "/" + id + " HTTP/1.1\r\nHost: " + service +
+               ".example\r\nRequest-Id: " + id + "\r\nDeadline-Milliseconds: 2000\r\n\r\n";
+    };
+    // Of the three the first takes longest: it makes calls.
+    const std::string bytes = request("front", "p1") + request("back", "p2") + request("back", "p3");
     auto exchange =
         std::async(std::launch::async, [&] { return raw_exchange(fleet.machine(0).calls, bytes, true); });
     REQUIRE(fleet.eventually(seconds(10), [&] {
