--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -22,6 +22,7 @@
 
 using observability::Event;
 using observability::log_event;
+using observability::log_unless_bound;
 
 /// After the announcement callers and peers get this time to go elsewhere before the listener may close.
 constexpr milliseconds kLameDuck{1'500};
@@ -98,24 +99,16 @@
 
 bool Daemon::start() {
     const auto& settings = parts_->context.settings;
-    const auto bound = [](std::error_code error, const Endpoint& endpoint, std::string_view purpose) {
-        if (error) {
-            log_event(Event::kStartFailed, {{"address", endpoint.text()},
-                                            {"purpose", std::string(purpose)},
-                                            {"reason", error.message()}});
-        }
-        return !error;
-    };
-    if (!bound(parts_->peer_service.start(), settings.daemon_peer, "peers, TCP") ||
-        !bound(parts_->membership.start(), settings.daemon_peer, "peers, UDP") ||
-        !bound(parts_->admin.start(), settings.daemon_admin, "admin")) {
+    if (!log_unless_bound(parts_->peer_service.start(), settings.daemon_peer, "peers, TCP") ||
+        !log_unless_bound(parts_->membership.start(), settings.daemon_peer, "peers, UDP") ||
+        !log_unless_bound(parts_->admin.start(), settings.daemon_admin, "admin")) {
         return false;
     }
     parts_->documents.start();
     parts_->claims.start();
     parts_->gates.start();
     parts_->watch.start();
-    if (!bound(parts_->server.start(settings.daemon_listen), settings.daemon_listen, "callers")) {
+    if (!log_unless_bound(parts_->server.start(settings.daemon_listen), settings.daemon_listen, "callers")) {
         return false;
     }
     for (const auto& name : settings.lab_without) {
--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -108,15 +108,4 @@
         peers_.begin(), peers_.end(), [&](const auto& entry) { return reachable(now, entry.second); }));
 }
 
-std::optional<PeerRecord> PeerDirectory::best_configuration(TimePoint now) const {
-    const PeerRecord* best = nullptr;
-    for (const auto& [name, peer] : peers_) {
-        const auto version = peer.record.configuration_version;
-        if (reachable(now, peer) && (best == nullptr || version > best->configuration_version)) {
-            best = &peer.record;
-        }
-    }
-    return best == nullptr ? std::nullopt : std::optional(*best);
-}
-
 }  // namespace anisehold::membership
--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -65,8 +64,6 @@
     /// Peers heard lately.
     std::size_t reachable_count(TimePoint now) const;
     std::size_t known_count() const { return peers_.size(); }
-    /// The highest configuration version told by a reachable peer, and where to get it.
-    std::optional<PeerRecord> best_configuration(TimePoint now) const;
 
   private:
     struct Peer {
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -266,6 +266,15 @@
     event_log().write(static_cast<unsigned>(event), entry.name, entry.level, fields);
 }
 
+bool log_unless_bound(std::error_code error, const Endpoint& address, std::string_view purpose) {
+    if (error) {
+        log_event(
+            Event::kStartFailed,
+            {{"address", address.text()}, {"purpose", std::string(purpose)}, {"reason", error.message()}});
+    }
+    return !error;
+}
+
 void log_answer(ErrorKind kind, std::initializer_list<EventField> fields) {
     const auto& answer = answer_for(kind);
     event_log().write(answer.event_number, answer.name, Level::kDebug, fields);
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "protocol/endpoint.hpp"
 #include "protocol/error_kind.hpp"
 
 namespace anisehold::observability {
@@ -86,6 +87,9 @@
 void stop_logging();
 
 void log_event(Event event, std::initializer_list<EventField> fields);
+/// Logs that an address could not be bound, if `error` says so; true if it was bound. `purpose` is for the
+/// log.
+bool log_unless_bound(std::error_code error, const Endpoint& address, std::string_view purpose);
 /// Logs the answer of this kind that a call was given (at level debug: there may be thousands a second).
 void log_answer(ErrorKind kind, std::initializer_list<EventField> fields);
 
--- a/src/retry/attempt_plan.hpp
+++ b/src/retry/attempt_plan.hpp
@@ -56,7 +56,6 @@
     RepeatReason repeat_reason() const;
 
     unsigned running() const { return running_; }
-    unsigned launched() const { return launched_; }
     /// Whether the request may have run.
     bool may_have_run() const { return unknown_ > 0 || failed_answers_ > 0 || running_ > 0; }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -15,6 +15,7 @@
 
 using observability::Event;
 using observability::log_event;
+using observability::log_unless_bound;
 using registration::RegistryChange;
 
 constexpr unsigned kOk = 200;
@@ -119,8 +120,7 @@
 
 Sidecar::Sidecar(net::EventLoop& loop, const WireDialect& dialect, store::CoordinationStore& store,
                  config::SidecarSettings settings, std::string settings_file)
-    : loop_(loop),
-      parts_(std::make_unique<Parts>(loop, dialect, store, std::move(settings), *this)),
+    : parts_(std::make_unique<Parts>(loop, dialect, store, std::move(settings), *this)),
       settings_file_(std::move(settings_file)),
       settings_text_(read_text(settings_file_)) {}
 
@@ -128,25 +128,17 @@
 
 bool Sidecar::start() {
     const auto& settings = parts_->context.settings;
-    const auto bound = [](std::error_code error, const Endpoint& endpoint, std::string_view purpose) {
-        if (error) {
-            log_event(Event::kStartFailed, {{"address", endpoint.text()},
-                                            {"purpose", std::string(purpose)},
-                                            {"reason", error.message()}});
-        }
-        return !error;
-    };
     parts_->configuration.set_listener([this](const routing::Configuration& configuration) {
         parts_->calls.set_limits(limits_for(configuration.clients));
         parts_->peers.announce();
     });
     const bool all_bound =
-        bound(parts_->hops.start(settings.hops), settings.hops, "hops") &&
-        bound(parts_->peers.start(), settings.gossip, "gossip") &&
-        bound(parts_->control.start(settings.control), settings.control, "control") &&
-        bound(parts_->metrics.start(settings.metrics), settings.metrics, "metrics") &&
-        bound(parts_->calls.start(settings.calls), settings.calls, "calls") &&
-        bound(parts_->readiness.start(settings.readiness), settings.readiness, "readiness");
+        log_unless_bound(parts_->hops.start(settings.hops), settings.hops, "hops") &&
+        log_unless_bound(parts_->peers.start(), settings.gossip, "gossip") &&
+        log_unless_bound(parts_->control.start(settings.control), settings.control, "control") &&
+        log_unless_bound(parts_->metrics.start(settings.metrics), settings.metrics, "metrics") &&
+        log_unless_bound(parts_->calls.start(settings.calls), settings.calls, "calls") &&
+        log_unless_bound(parts_->readiness.start(settings.readiness), settings.readiness, "readiness");
     if (!all_bound) {
         return false;
     }
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -41,7 +41,6 @@
     void watch_settings();
     void reload_settings();
 
-    net::EventLoop& loop_;
     std::unique_ptr<Parts> parts_;
     std::string settings_file_;
     std::string settings_text_;
