Sidecar: addresses told to peers may differ from those listened at

Settings advertise.hops and advertise.gossip; left out, nothing changes. The stand-in server can be observed and replaced at its address. Test: sidecar_settings_test.

--- a/lab/platform_server.cpp
+++ b/lab/platform_server.cpp
@@ -68,7 +68,7 @@
 
 bool PlatformServer::beat(bool draining) {
     const json body{
-        {"address", options_.listen.text()},
+        {"address", options_.registered.text()},
         {"information",
          {{"service", options_.service},
           {"version", "v1"},
@@ -97,11 +97,26 @@
     return beat(true);
 }
 
+void PlatformServer::say_left() {
+    auto request = net::make_request("DELETE", "/-/instances/" + options_.instance);
+    net::ExchangeProgress progress;
+    std::error_code error;
+    control_.exchange(request, {TimePoint::clock::now() + kBeatTimeout}, progress, error);
+}
+
+void PlatformServer::replace(const std::string& instance) {
+    say_left();
+    options_.instance = instance;
+    draining_ = false;
+    sequence_ = 0;
+}
+
 bool PlatformServer::make_calls(const std::string& id, TimePoint deadline) {
     for (const auto& call : options_.calls) {
         auto request = net::make_request("GET", call.target);
         request.fields.set("Host", call.host);
-        request.fields.set("Request-Id", id + "-" + options_.instance + "-" + std::to_string(++calls_made_));
+        request.fields.set("Request-Id",
+                           id + ":call-" + options_.instance + "-" + std::to_string(++calls_made_));
         const auto left = std::chrono::duration_cast<milliseconds>(deadline - TimePoint::clock::now());
         request.fields.set("Deadline-Milliseconds", std::to_string(std::max(1LL, to_milliseconds(left))));
         net::ExchangeProgress progress;
@@ -122,10 +137,16 @@
         response.fields.set("Request-Id", faults.answers_another ? "another" : id);
         return response;
     };
-    if (text_of(request, "Expected-Instance") != options_.instance) {
+    const bool misdirected = text_of(request, "Expected-Instance") != options_.instance;
+    const bool declined = faults.declines || running_ >= options_.slots;
+    if (observer_) {
+        observer_({text_of(request, "Expected-Instance"), options_.service, id, request.target,
+                   !misdirected && !declined});
+    }
+    if (misdirected) {
         return answer(kMisdirected, "");
     }
-    if (faults.declines || running_ >= options_.slots) {
+    if (declined) {
         auto refusal = answer(kUnavailable, "");
         refusal.fields.set("Not-Executed", "1");
         return refusal;
--- a/lab/platform_server.hpp
+++ b/lab/platform_server.hpp
@@ -3,6 +3,7 @@
 /// makes calls of its own, and fails in the ways that the platform's servers do.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -21,13 +22,23 @@
     std::string target;
 };
 
+/// A request that came to a server.
+struct ServerArrival {
+    std::string instance;  ///< The one that the sender expects.
+    std::string service;
+    std::string id;
+    std::string target;
+    bool runs = false;  ///< Otherwise the server declined it and said so.
+};
+
 struct PlatformServerOptions {
     std::string instance;
     std::string service;
     std::string zone;
     Endpoint listen;
-    Endpoint control;   ///< Where heartbeats go.
-    Endpoint outbound;  ///< Where its own calls go.
+    Endpoint registered;  ///< What its heartbeats name: `listen`, or a forwarder before it.
+    Endpoint control;     ///< Where heartbeats go.
+    Endpoint outbound;    ///< Where its own calls go.
     unsigned slots = 8;
     milliseconds work{5};
     milliseconds heartbeat_interval{200};
@@ -51,6 +62,12 @@
 
     /// Says that it is draining; true once that is acknowledged.
     bool drain();
+    /// Goes over to another instance at the same address, as if a new server had been given it: the old one
+    /// says that it left first.
+    void replace(const std::string& instance);
+    const std::string& instance() const { return options_.instance; }
+    /// The observer is told of each request, before it is run.
+    void observe(std::function<void(const ServerArrival&)> observer) { observer_ = std::move(observer); }
     /// Requests that ran, by id.
     const std::map<std::string, unsigned>& runs() const { return runs_; }
     /// The callers that were told, by id of the request.
@@ -64,9 +81,11 @@
     net::HttpResponse handle(net::HttpRequest& request, net::CancelSignal& cancel);
     bool make_calls(const std::string& id, TimePoint deadline);
     bool beat(bool draining);
+    void say_left();
     void beat_periodically();
 
     PlatformServerOptions options_;
+    std::function<void(const ServerArrival&)> observer_;
     net::HttpServer server_;
     net::HttpClient control_;
     net::HttpClient outbound_;
--- a/src/config/sidecar_settings.cpp
+++ b/src/config/sidecar_settings.cpp
@@ -33,6 +33,12 @@
         }
     }
 
+    void endpoint_if_given(std::string_view name, Endpoint& value) {
+        if (!find(name).empty()) {
+            endpoint(name, value);
+        }
+    }
+
     void duration(std::string_view name, milliseconds& value) {
         const auto found = find(name);
         if (found.empty()) {
@@ -92,6 +98,10 @@
     reader.endpoint("listen.readiness", settings.readiness);
     reader.endpoint("listen.gossip", settings.gossip);
     reader.endpoint("listen.metrics", settings.metrics);
+    settings.advertised_hops = settings.hops;
+    settings.advertised_gossip = settings.gossip;
+    reader.endpoint_if_given("advertise.hops", settings.advertised_hops);
+    reader.endpoint_if_given("advertise.gossip", settings.advertised_gossip);
     reader.endpoint("store.address", settings.store);
     reader.duration("servers.heartbeat_interval", settings.heartbeat_interval);
     reader.duration("sidecar.stop_grace", settings.stop_grace);
--- a/src/config/sidecar_settings.hpp
+++ b/src/config/sidecar_settings.hpp
@@ -16,13 +16,15 @@
 struct SidecarSettings {
     std::string name;  ///< Unique in the fleet.
     std::string zone;
-    std::string service;  ///< Service of the server on this machine; told to servers as the caller.
-    Endpoint calls;       ///< Where the machine's clients and server send requests.
-    Endpoint hops;        ///< Where other daemons send requests for this machine's server.
-    Endpoint control;     ///< Where the server registers.
-    Endpoint readiness;   ///< Where the platform asks for readiness.
-    Endpoint gossip;      ///< Where peers' records come in (UDP).
-    Endpoint metrics;     ///< Where metrics are served.
+    std::string service;       ///< Service of the server on this machine; told to servers as the caller.
+    Endpoint calls;            ///< Where the machine's clients and server send requests.
+    Endpoint hops;             ///< Where other daemons send requests for this machine's server.
+    Endpoint control;          ///< Where the server registers.
+    Endpoint readiness;        ///< Where the platform asks for readiness.
+    Endpoint gossip;           ///< Where peers' records come in (UDP).
+    Endpoint metrics;          ///< Where metrics are served.
+    Endpoint advertised_hops;  ///< What peers are told in place of `hops`, where a forwarder stands between.
+    Endpoint advertised_gossip;  ///< The same for `gossip`.
     Endpoint store;
     milliseconds heartbeat_interval{1'500};
     milliseconds stop_grace{6'000};
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -48,8 +48,8 @@
     record.zone = settings.zone;
     record.boot_id = context_.boot_id;
     record.sequence = ++sequence_;
-    record.call = settings.hops;
-    record.gossip = settings.gossip;
+    record.call = settings.advertised_hops;
+    record.gossip = settings.advertised_gossip;
     record.leaving = context_.leaving;
     record.configuration_version = configuration_.version();
     record.client_routes = context_.origins.own_verdicts();
--- a/src/sidecar/store_follower.cpp
+++ b/src/sidecar/store_follower.cpp
@@ -92,8 +92,8 @@
         return false;
     }
     const auto& settings = context_.settings;
-    const auto written =
-        store_.write(kMemberPrefix + settings.name, settings.gossip.text(), opened.lease, call_deadline());
+    const auto written = store_.write(kMemberPrefix + settings.name, settings.advertised_gossip.text(),
+                                      opened.lease, call_deadline());
     if (!note(written.outcome, "register") || written.outcome != CallOutcome::kDone) {
         return false;
     }
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -17,7 +17,7 @@
 
 using nlohmann::json;
 
-constexpr std::uint16_t kPortsPerMachine = 10;
+constexpr std::uint16_t kPortsPerMachine = 12;
 constexpr milliseconds kStartTimeout{20'000};
 constexpr milliseconds kFetchTimeout{2'000};
 constexpr unsigned kOk = 200;
@@ -80,11 +80,15 @@
         machine->metrics = local(static_cast<std::uint16_t>(first_port + 5));
         machine->settings_file = folder_ + "/" + machine->name + ".toml";
         machine->log_file = folder_ + "/" + machine->name + ".log";
+        machine->linked = plan.linked;
+        const auto at = [&](int offset) { return local(static_cast<std::uint16_t>(first_port + offset)); };
+        machine->links = {at(7), at(8), at(6), at(9), at(1), at(10), at(4)};
         lab::PlatformServerOptions options;
         options.instance = "i-" + std::to_string(machines_.size());
         options.service = plan.service;
         options.zone = plan.zone;
         options.listen = local(static_cast<std::uint16_t>(first_port + 6));
+        options.registered = plan.linked ? machine->links.server_link : options.listen;
         options.control = local(static_cast<std::uint16_t>(first_port + 2));
         options.outbound = machine->calls;
         options.slots = plan.slots;
@@ -119,9 +123,13 @@
          << machine.service << "\"\nstop_grace = \"3s\"\n"
          << "[listen]\ncalls = " << at(0) << "hops = " << at(1) << "control = " << at(2)
          << "readiness = " << at(3) << "gossip = " << at(4) << "metrics = " << at(5)
-         << "[store]\naddress = \"" << store_endpoint_.text() << "\"\n"
+         << "[store]\naddress = \"" << (machine.linked ? machine.links.store_link : store_endpoint_).text()
+         << "\"\n"
          << "[servers]\nheartbeat_interval = \"200ms\"\n"
          << "[repeats]\nratio = \"0.2\"\nextra = \"60\"\nwindow = \"2s\"\n";
+    if (machine.linked) {
+        file << "[advertise]\nhops = " << at(9) << "gossip = " << at(10);
+    }
 }
 
 void SidecarFleet::pause(Duration duration) {
@@ -216,6 +224,18 @@
     ::kill(machines_.at(machine)->child.id(), SIGTERM);
 }
 
+void SidecarFleet::freeze(std::size_t machine) {
+    ::kill(machines_.at(machine)->child.id(), SIGSTOP);
+}
+
+void SidecarFleet::thaw(std::size_t machine) {
+    ::kill(machines_.at(machine)->child.id(), SIGCONT);
+}
+
+bool SidecarFleet::is_running(std::size_t machine) {
+    return machines_.at(machine)->child.running();
+}
+
 std::optional<int> SidecarFleet::wait_for_exit(std::size_t index, Duration timeout) {
     auto& child = machines_.at(index)->child;
     if (!eventually(timeout, [&] { return !child.running(); })) {
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -17,11 +17,25 @@
 
 namespace anisehold::testing {
 
+/// Where the links of a linked machine are expected: connections to and from it go to `*_link`, and whoever
+/// serves that address passes them on.
+struct MachineLinks {
+    Endpoint store_link;   ///< The daemon's way to the store.
+    Endpoint server_link;  ///< The daemon's way to its server.
+    Endpoint server;
+    Endpoint hops_link;  ///< The peers' way to the daemon.
+    Endpoint hops;
+    Endpoint gossip_link;  ///< The same for datagrams.
+    Endpoint gossip;
+};
+
 /// One machine: a sidecar and the server beside it.
 struct SidecarMachine {
     std::string name;
     std::string zone;
     std::string service;
+    bool linked = false;
+    MachineLinks links;
     Endpoint calls;
     Endpoint readiness;
     Endpoint metrics;
@@ -38,6 +52,7 @@
     std::vector<lab::NestedCall> calls;
     unsigned slots = 8;
     milliseconds work{5};
+    bool linked = false;  ///< All links of the machine run through addresses that the test serves itself.
 };
 
 /// What a client got.
@@ -69,6 +84,9 @@
     /// The same, and waits until all sidecars are ready and reach every service.
     bool start(const std::string& configuration);
     lab::PlatformStore& store() { return *store_; }
+    const Endpoint& store_endpoint() const { return store_endpoint_; }
+    /// Where settings and logs lie.
+    const std::string& folder() const { return folder_; }
     SidecarMachine& machine(std::size_t index) { return *machines_.at(index); }
     std::size_t size() const { return machines_.size(); }
 
@@ -78,6 +96,10 @@
     void configure(const std::string& configuration);
     void kill(std::size_t machine);
     void terminate(std::size_t machine);
+    /// Stops the process where it stands, and lets it go on.
+    void freeze(std::size_t machine);
+    void thaw(std::size_t machine);
+    bool is_running(std::size_t machine);
     void start_sidecar(std::size_t machine);
     /// Waits for the process to end; its exit status, or nothing if it hasn't ended in time.
     std::optional<int> wait_for_exit(std::size_t machine, Duration timeout);
--- a/tests/unit/config/sidecar_settings_test.cpp
+++ b/tests/unit/config/sidecar_settings_test.cpp
@@ -63,3 +63,17 @@
     text.replace(text.find("\"0.25\""), 6, "\"lots\"");
     CHECK(load_sidecar_settings("f.toml", text).errors.size() == 2);
 }
+
+TEST_CASE("peers are told the advertised addresses, or else those listened at") {
+    const auto plain = load_sidecar_settings("f.toml", kGood);
+    CHECK(plain.settings.advertised_hops == plain.settings.hops);
+    CHECK(plain.settings.advertised_gossip == plain.settings.gossip);
+    const auto forwarded =
+        load_sidecar_settings("f.toml", kGood + "[advertise]\nhops = \"127.0.0.1:2002\"\n");
+    REQUIRE(forwarded.errors.empty());
+    CHECK(forwarded.settings.advertised_hops.port == 2002);
+    CHECK(forwarded.settings.advertised_gossip == plain.settings.gossip);
+    const auto wrong = load_sidecar_settings("f.toml", kGood + "[advertise]\ngossip = \"here\"\n");
+    REQUIRE(wrong.errors.size() == 1);
+    CHECK(wrong.errors.front().place == "f.toml advertise.gossip");
+}
