--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= cooperative
 JOBS ?= 8
 
-.PHONY: deps build test demo demo-table prove bench scale check clean
+.PHONY: deps build test demo demo-table prove bench scale soak soak-seeds check clean
 
 deps:
 	bash scripts/install-dependencies.sh
@@ -36,6 +36,14 @@
 scale: build
 	$(BUILD)/anisehold-scale
 
+# Fresh random faults against real processes for SOAK_SECONDS; then the seeds that ever failed.
+SOAK_SECONDS ?= 120
+soak: build
+	$(BUILD)/anisehold-soak --seconds $(SOAK_SECONDS)
+
+soak-seeds: build
+	$(BUILD)/anisehold-soak --seeds soak/seeds.txt
+
 check: deps
 	cmake -S . -B $(BUILD) -G Ninja > /dev/null
 	bash scripts/check-style.sh $(BUILD)
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,145 @@
+/** `anisehold-soak`: random faults against real processes, checked against what callers and servers see. */
+
+#include <CLI/CLI.hpp>
+#include <boost/process/args.hpp>
+#include <boost/process/child.hpp>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include "net/event_loop.hpp"
+#include "soak/round.hpp"
+#include "tests/support/fleet.hpp"
+
+namespace anisehold::soak
+{
+namespace
+{
+
+constexpr int promisesHeld = 0;
+constexpr int promisesBroken = 1;
+constexpr int notStarted = 3;
+
+/** Runs one round in this process and prints what it showed. */
+int playRound (std::uint64_t seed)
+{
+    RoundOptions options;
+    options.seed = seed;
+    const auto result = runRound (options);
+
+    if (! result.started)
+    {
+        std::cout << "seed " << seed << ": the fleet did not start; logs in " << result.logFolder << "\n";
+        return notStarted;
+    }
+
+    std::cout << "seed " << seed << ": " << result.plan.size() << " faults, " << result.numServed << " of "
+              << result.numSent << " requests served, after the faults " << result.servedAfterFaults
+              << (result.broken.empty() ? ", no promise broken" : ", BROKEN") << "\n";
+
+    if (result.broken.empty())
+        return promisesHeld;
+
+    for (const auto& it : result.plan)
+        std::cout << "  fault: " << describe (it) << "\n";
+
+    for (const auto& it : result.broken)
+        std::cout << "  broken: " << nameOf (it.promise) << ": " << it.detail << "\n";
+
+    std::cout << "  logs: " << result.logFolder << "\n";
+    return promisesBroken;
+}
+
+/** Each round has a process of its own, so that nothing of one reaches the next. */
+int playInChild (const std::string& program, std::uint64_t seed)
+{
+    namespace process = boost::process;
+    process::child child (program, process::args ({ "--round", std::to_string (seed) }));
+    child.wait();
+    return child.exit_code();
+}
+
+/** Seeds of a file: the first word of each line; `#` begins a comment. */
+std::vector<std::uint64_t> readSeeds (const std::string& fileName)
+{
+    std::vector<std::uint64_t> seeds;
+    std::ifstream file (fileName);
+
+    for (std::string line; std::getline (file, line);)
+    {
+        std::istringstream words (line);
+        std::uint64_t seed = 0;
+
+        if (line.starts_with ("#") || ! (words >> seed))
+            continue;
+
+        seeds.push_back (seed);
+    }
+
+    return seeds;
+}
+
+int report (std::size_t numRounds, std::size_t numBroken)
+{
+    std::cout << numRounds << " rounds, " << numBroken << " with a broken promise\n";
+    return numBroken == 0 ? promisesHeld : promisesBroken;
+}
+
+int playSeeds (const std::string& program, const std::vector<std::uint64_t>& seeds)
+{
+    std::size_t numBroken = 0;
+
+    for (const auto seed : seeds)
+        numBroken += playInChild (program, seed) == promisesHeld ? 0 : 1;
+
+    return report (seeds.size(), numBroken);
+}
+
+int playFresh (const std::string& program, seconds duration)
+{
+    std::random_device random;
+    const auto ends = TimePoint::clock::now() + duration;
+    std::size_t numRounds = 0;
+    std::size_t numBroken = 0;
+
+    while (TimePoint::clock::now() < ends)
+    {
+        ++numRounds;
+        numBroken += playInChild (program, random()) == promisesHeld ? 0 : 1;
+    }
+
+    return report (numRounds, numBroken);
+}
+
+} // namespace
+
+int run (int argc, char** argv)
+{
+    CLI::App app{ "Random faults against real processes on loopback" };
+    std::uint64_t round = 0;
+    long long duration = 120;
+    std::string seedFile;
+    auto* roundOption = app.add_option ("--round", round, "Plays this seed only, in this process");
+    auto* fileOption =
+        app.add_option ("--seeds", seedFile, "Plays the seeds of a file")->check (CLI::ExistingFile);
+    app.add_option ("--seconds", duration, "Plays fresh seeds for this long")->check (CLI::PositiveNumber);
+    CLI11_PARSE (app, argc, argv);
+
+    if (*roundOption)
+        return playRound (round);
+
+    if (*fileOption)
+        return playSeeds (argv[0], readSeeds (seedFile));
+
+    return playFresh (argv[0], seconds (duration));
+}
+
+} // namespace anisehold::soak
+
+int main (int argc, char** argv)
+{
+    const int status = anisehold::soak::run (argc, argv);
+    std::cout.flush();
+    anisehold::net::exit_process (status);
+}
--- /dev/null
+++ b/tests/unit/soak/promises_test.cpp
@@ -0,0 +1,161 @@
+#include "soak/promises.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace anisehold;
+using namespace anisehold::soak;
+
+namespace
+{
+
+const RequestId payment{ "p1" };
+const RequestId lookup{ "l1" };
+const InstanceId one{ "i-1" };
+const InstanceId other{ "i-2" };
+
+/** A checker that knows one request of each kind. */
+PromiseChecker checkerWithRequests()
+{
+    PromiseChecker checker (milliseconds (500));
+    checker.onSent ({ payment, "pay", "/pay/1", false, 2 });
+    checker.onSent ({ lookup, "back", "/back/1", true, 2 });
+    return checker;
+}
+
+Arrival arrivalOf (const RequestId& id, const InstanceId& at, bool runs = true)
+{
+    const bool pays = id == payment;
+    return { id, at, pays ? "pay" : "back", pays ? "/pay/1" : "/back/1", runs, TimePoint (seconds (10)) };
+}
+
+ReceivedAnswer successOf (const RequestId& id)
+{
+    return { id, 200, id.value, "signed", id == payment ? "pay /pay/1" : "back /back/1" };
+}
+
+void checkOnly (const PromiseChecker& checker, Promise promise)
+{
+    REQUIRE (checker.broken().size() == 1);
+    CHECK (checker.broken().front().promise == promise);
+}
+
+} // namespace
+
+TEST_CASE ("a sound run breaks nothing", "[soak]")
+{
+    auto checker = checkerWithRequests();
+    checker.onArrival (arrivalOf (payment, one));
+    checker.onAnswer (successOf (payment));
+    checker.onArrival (arrivalOf (lookup, one));
+    checker.onArrival (arrivalOf (lookup, other));
+    checker.onAnswer (successOf (lookup));
+    checker.finish();
+    CHECK (checker.broken().empty());
+    CHECK (checker.numServed() == 2);
+}
+
+TEST_CASE ("a payment that runs twice is seen", "[soak]")
+{
+    auto checker = checkerWithRequests();
+    checker.onArrival (arrivalOf (payment, one));
+    checker.onArrival (arrivalOf (payment, other));
+    checkOnly (checker, Promise::runsOnce);
+}
+
+TEST_CASE ("a payment may go to another server after one that declined it", "[soak]")
+{
+    auto checker = checkerWithRequests();
+    checker.onArrival (arrivalOf (payment, one, false));
+    checker.onArrival (arrivalOf (payment, other));
+    checker.finish();
+    CHECK (checker.broken().empty());
+}
+
+TEST_CASE ("a refused payment that runs is seen, whichever comes first", "[soak]")
+{
+    const unsigned status = GENERATE (408U, 421U, 429U, 503U);
+    const bool runsFirst = GENERATE (true, false);
+    auto checker = checkerWithRequests();
+
+    if (runsFirst)
+        checker.onArrival (arrivalOf (payment, one));
+
+    checker.onAnswer ({ payment, status, "p1", "", "" });
+
+    if (! runsFirst)
+        checker.onArrival (arrivalOf (payment, one));
+
+    checker.finish();
+    checkOnly (checker, Promise::refusedNeverRuns);
+}
+
+TEST_CASE ("an answer without a promise may have run", "[soak]")
+{
+    auto checker = checkerWithRequests();
+    checker.onArrival (arrivalOf (payment, one));
+    checker.onAnswer ({ payment, 502, "p1", "", "" });
+    checker.finish();
+    CHECK (checker.broken().empty());
+}
+
+TEST_CASE ("a success that isn't the server's own answer is seen", "[soak]")
+{
+    auto answer = successOf (lookup);
+    const int part = GENERATE (0, 1, 2);
+
+    if (part == 0)
+        answer.echoedId = "another";
+    else if (part == 1)
+        answer.signature.clear();
+    else
+        answer.body = "back /back/";
+
+    auto checker = checkerWithRequests();
+    checker.onAnswer (answer);
+    checkOnly (checker, Promise::answerIsOwn);
+}
+
+TEST_CASE ("requests that nobody sent, or that were changed, are seen", "[soak]")
+{
+    auto checker = checkerWithRequests();
+    checker.onArrival (arrivalOf (RequestId ("smuggled"), one));
+    checkOnly (checker, Promise::nothingUnasked);
+
+    auto second = checkerWithRequests();
+    auto changed = arrivalOf (lookup, one);
+    changed.target = "/back/2";
+    second.onArrival (changed);
+    checkOnly (second, Promise::nothingUnasked);
+}
+
+TEST_CASE ("a run at another service is seen", "[soak]")
+{
+    auto checker = checkerWithRequests();
+    auto wrong = arrivalOf (lookup, one);
+    wrong.service = "pay";
+    checker.onArrival (wrong);
+    checkOnly (checker, Promise::rightService);
+}
+
+TEST_CASE ("more servers than the route allows are seen once", "[soak]")
+{
+    auto checker = checkerWithRequests();
+
+    for (int n = 0; n < 4; ++n)
+        checker.onArrival (arrivalOf (lookup, one));
+
+    checkOnly (checker, Promise::boundedServers);
+}
+
+TEST_CASE ("an arrival long after the acknowledged leave is seen", "[soak]")
+{
+    auto checker = checkerWithRequests();
+    checker.onLeaveAcknowledged (one, TimePoint (milliseconds (9'600)));
+    checker.onArrival (arrivalOf (lookup, one));
+    CHECK (checker.broken().empty());
+
+    auto late = checkerWithRequests();
+    late.onLeaveAcknowledged (one, TimePoint (milliseconds (9'400)));
+    late.onArrival (arrivalOf (lookup, one));
+    checkOnly (late, Promise::drainedIsLeft);
+}
