Choice of a server: plain state and free functions, in the new style

Cause: new house rules; the choice is worked on next. routing/server_selector becomes selection/server_selection. One change of behaviour: two servers of the own zone and two of the others are looked at in place of two of all, so that the zone's factor can work.

--- /dev/null
+++ b/src/selection/server_selection.cpp
@@ -0,0 +1,133 @@
+#include "selection/server_selection.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace anisehold::selection
+{
+namespace
+{
+
+using membership::KnownServer;
+
+/** Taken for a server of which no answer was measured yet. */
+constexpr double unknownLatencyUs = 100'000;
+/** Another zone costs this much more: its bytes are dear and its way is longer. */
+constexpr double otherZoneFactor = 1.3;
+constexpr double coldFactor = 2.0;
+/** A server that fails always costs this many times more. */
+constexpr double failureWeight = 30.0;
+/** Weight of the newest result in the moving share of failures. */
+constexpr double failureSample = 0.4;
+/** Failures fade to half in this time without a new result. */
+constexpr double failureHalfLifeS = 2.0;
+/** A share below this is forgotten. */
+constexpr double negligibleShare = 0.01;
+/** How steeply the cost rises as the server fills. */
+constexpr double loadWeight = 3.0;
+/** Servers that are looked at in the own zone, and in the others. */
+constexpr std::size_t numLookedAt = 2;
+
+using Candidates = std::vector<const KnownServer*>;
+
+double failureShare (const SelectionState& state, TimePoint now, const std::string& instance)
+{
+    const auto it = state.failures.find (instance);
+
+    if (it == state.failures.end())
+        return 0;
+
+    const std::chrono::duration<double> age = now - it->second.updated;
+    return it->second.share * std::exp2 (-age.count() / failureHalfLifeS);
+}
+
+/** Moves up to `numLookedAt` random candidates to the front and drops the rest. */
+void drawSome (Candidates& candidates, const UnitRandom& random)
+{
+    const auto n = std::min (candidates.size(), numLookedAt);
+
+    for (std::size_t i = 0; i < n; ++i)
+    {
+        const auto rest = candidates.size() - i;
+        const auto drawn = static_cast<std::size_t> (random() * static_cast<double> (rest));
+        std::swap (candidates[i], candidates[i + std::min (drawn, rest - 1)]);
+    }
+
+    candidates.resize (n);
+}
+
+} // namespace
+
+void noteSent (SelectionState& state, const std::string& instance)
+{
+    ++state.underWay[instance];
+}
+
+void noteEnded (SelectionState& state, TimePoint now, const std::string& instance, bool failed)
+{
+    const auto own = state.underWay.find (instance);
+
+    if (own != state.underWay.end() && --own->second == 0)
+        state.underWay.erase (own);
+
+    const double before = failureShare (state, now, instance);
+    const double share = before + failureSample * ((failed ? 1.0 : 0.0) - before);
+
+    if (share < negligibleShare)
+        state.failures.erase (instance);
+    else
+        state.failures[instance] = { share, now };
+}
+
+double expectedCost (const SelectionState& state, TimePoint now, const KnownServer& known)
+{
+    const auto& server = known.server;
+    const auto own = state.underWay.find (server.instance);
+    const unsigned underWay = own == state.underWay.end() ? 0 : own->second;
+    const double busy = std::max (server.in_flight + server.queued, underWay);
+    const double limit = std::max (1U, server.limit);
+    const double fill = (busy + 1.0) / limit;
+    const double latency = server.latency_us == 0 ? unknownLatencyUs : server.latency_us;
+    double cost = latency * (1.0 + loadWeight * fill * fill);
+    cost *= 1.0 + failureWeight * failureShare (state, now, server.instance);
+
+    if (known.zone != state.ownZone)
+        cost *= otherZoneFactor;
+
+    if (milliseconds (server.cold_ms) > known.age)
+        cost *= coldFactor;
+
+    return cost;
+}
+
+std::optional<KnownServer> chooseServer (const SelectionState& state, TimePoint now,
+                                         const std::vector<KnownServer>& servers,
+                                         const std::vector<std::string>& tried, const UnitRandom& random)
+{
+    Candidates near;
+    Candidates far;
+
+    for (const auto& it : servers)
+    {
+        if (std::find (tried.begin(), tried.end(), it.server.instance) != tried.end())
+            continue;
+
+        (it.zone == state.ownZone ? near : far).push_back (&it);
+    }
+
+    drawSome (near, random);
+    drawSome (far, random);
+    near.insert (near.end(), far.begin(), far.end());
+
+    const auto best =
+        std::min_element (near.begin(), near.end(),
+                          [&] (const KnownServer* a, const KnownServer* b)
+                          { return expectedCost (state, now, *a) < expectedCost (state, now, *b); });
+
+    if (best == near.end())
+        return std::nullopt;
+
+    return **best;
+}
+
+} // namespace anisehold::selection
--- /dev/null
+++ b/src/selection/server_selection.hpp
@@ -0,0 +1,56 @@
+/** The choice of a server by what is known of its load, speed, zone and recent failures.
+
+    Plain state and free functions over it. Pure.
+*/
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "membership/peer_directory.hpp"
+#include "protocol/time_types.hpp"
+
+namespace anisehold::selection
+{
+
+/** Returns a number in [0, 1). */
+using UnitRandom = std::function<double()>;
+
+/** A moving share of failures, as of `updated`. */
+struct FailureShare
+{
+    double share = 0;
+    TimePoint updated;
+};
+
+/** What one daemon has seen of servers itself, by instance. */
+struct SelectionState
+{
+    std::string ownZone;
+    std::map<std::string, unsigned> underWay; /**< Requests that this daemon has sent and not seen end. */
+    std::map<std::string, FailureShare> failures;
+};
+
+/** Records that a request goes to the server. */
+void noteSent (SelectionState&, const std::string& instance);
+
+/** Records its end. `failed`: the server gave no whole answer, or none in time. */
+void noteEnded (SelectionState&, TimePoint now, const std::string& instance, bool failed);
+
+/** Expected cost of a request there, in microseconds of the caller's time; lower is better. */
+double expectedCost (const SelectionState&, TimePoint now, const membership::KnownServer&);
+
+/** A server out of `servers` that isn't in `tried`; nothing if there is none.
+
+    Two random ones of the own zone and two of the others are looked at, and the cheapest is taken. So the own
+    zone serves its requests while it has room, and a fleet that chooses at the same time spreads.
+*/
+std::optional<membership::KnownServer> chooseServer (const SelectionState&, TimePoint now,
+                                                     const std::vector<membership::KnownServer>& servers,
+                                                     const std::vector<std::string>& tried,
+                                                     const UnitRandom&);
+
+} // namespace anisehold::selection
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -96,7 +96,7 @@
       directory_(directory),
       gate_(gate),
       hops_(context, directory),
-      selector_(context.settings.zone, [&context] { return context.random_unit(); }),
+      selection_{context.settings.zone, {}, {}},
       budget_(budget_terms(context.settings), TimePoint::clock::now()),
       throttle_({kThrottleWindow, kThrottleSamples, kThrottleFall, kThrottleRise, kThrottleCleanWindows}) {}
 
@@ -207,7 +207,8 @@
     while (going_on) {
         take_outcomes(call, flight);
         const auto now = TimePoint::clock::now();
-        const auto server = selector_.choose(now, candidates(call.service, now), call.tried);
+        const auto server = selection::chooseServer(selection_, now, candidates(call.service, now),
+                                                    call.tried, [this] { return context_.random_unit(); });
         step = flight.plan.next(now, server.has_value());
         going_on = !cancel.cancelled() && advance(call, flight, step, server, now);
     }
@@ -293,7 +294,7 @@
     attempt->started = TimePoint::clock::now();
     board->attempts.push_back(attempt);
     call.tried.push_back(server.server.instance);
-    selector_.on_sent(server.server.instance);
+    selection::noteSent(selection_, server.server.instance);
     hop::HopRequest hop_call;
     hop_call.instance = server.server.instance;
     hop_call.caller = context_.settings.service;
@@ -309,7 +310,7 @@
                               : hops_.run(attempt->server, std::move(request), hop_call, &attempt->cancel);
         attempt->ended = true;
         const bool failed = !attempt->cancel.cancelled() && is_server_failure(outcome_of(attempt->answer));
-        selector_.on_ended(TimePoint::clock::now(), attempt->server.server.instance, failed);
+        selection::noteEnded(selection_, TimePoint::clock::now(), attempt->server.server.instance, failed);
         board->changed.give();
     });
 }
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -12,8 +12,8 @@
 #include "net/fiber_signal.hpp"
 #include "retry/attempt_plan.hpp"
 #include "retry/window_budget.hpp"
-#include "routing/server_selector.hpp"
 #include "routing/weighted_split.hpp"
+#include "selection/server_selection.hpp"
 #include "sidecar/configuration_holder.hpp"
 #include "sidecar/hop_client.hpp"
 #include "sidecar/local_gate.hpp"
@@ -105,7 +105,7 @@
     LocalGate& gate_;
     HopClient hops_;
     routing::WeightedSplit split_;
-    routing::ServerSelector selector_;
+    selection::SelectionState selection_;
     retry::WindowBudget budget_;
     admission::AdaptiveThrottle throttle_;
 };
--- /dev/null
+++ b/tests/unit/selection/server_selection_test.cpp
@@ -0,0 +1,96 @@
+#include "selection/server_selection.hpp"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace anisehold;
+using namespace anisehold::selection;
+using membership::KnownServer;
+
+namespace
+{
+
+KnownServer server (const std::string& instance, const std::string& zone, unsigned inFlight,
+                    unsigned latencyUs = 100'000)
+{
+    KnownServer known;
+    known.server.instance = instance;
+    known.server.limit = 10;
+    known.server.in_flight = inFlight;
+    known.server.latency_us = latencyUs;
+    known.zone = zone;
+    return known;
+}
+
+struct Fixture
+{
+    std::mt19937 generator{ 11 };
+    UnitRandom random = [this] { return std::uniform_real_distribution<double> (0.0, 1.0) (generator); };
+    SelectionState state{ "here", {}, {} };
+    TimePoint now{};
+
+    std::optional<KnownServer> choose (const std::vector<KnownServer>& servers,
+                                       const std::vector<std::string>& tried = {}) const
+    {
+        return chooseServer (state, now, servers, tried, random);
+    }
+
+    double cost (const KnownServer& known) const { return expectedCost (state, now, known); }
+};
+
+} // namespace
+
+TEST_CASE ("a server that was tried is not chosen again", "[selection]")
+{
+    const Fixture fixture;
+    const std::vector<KnownServer> servers{ server ("a", "here", 0), server ("b", "here", 9) };
+    CHECK (fixture.choose (servers, { "a" })->server.instance == "b");
+    CHECK_FALSE (fixture.choose (servers, { "a", "b" }));
+    CHECK_FALSE (fixture.choose ({}));
+}
+
+TEST_CASE ("of two servers the less loaded one is chosen", "[selection]")
+{
+    const Fixture fixture;
+    const std::vector<KnownServer> servers{ server ("busy", "here", 9), server ("free", "here", 0) };
+
+    for (int n = 0; n < 50; ++n)
+        CHECK (fixture.choose (servers)->server.instance == "free");
+}
+
+TEST_CASE ("own zone, speed, warmth and own requests under way count", "[selection]")
+{
+    Fixture fixture;
+    const auto plain = server ("a", "here", 1);
+    CHECK (fixture.cost (plain) < fixture.cost (server ("b", "there", 1)));
+    CHECK (fixture.cost (plain) < fixture.cost (server ("b", "here", 1, 200'000)));
+    auto cold = server ("b", "here", 1);
+    cold.server.cold_ms = 1'000;
+    CHECK (fixture.cost (plain) < fixture.cost (cold));
+    cold.age = seconds (2);
+    CHECK (fixture.cost (plain) == Approx (fixture.cost (cold)));
+    const double before = fixture.cost (plain);
+
+    for (int n = 0; n < 5; ++n)
+        noteSent (fixture.state, "a");
+
+    CHECK (fixture.cost (plain) > before);
+}
+
+TEST_CASE ("failures make a server dear, and fade", "[selection]")
+{
+    Fixture fixture;
+    const auto known = server ("a", "here", 0);
+    const double before = fixture.cost (known);
+    noteSent (fixture.state, "a");
+    noteEnded (fixture.state, fixture.now, "a", true);
+    CHECK (fixture.cost (known) > 5 * before);
+    CHECK (expectedCost (fixture.state, fixture.now + seconds (60), known) == Approx (before));
+}
+
+TEST_CASE ("a server that fails always is still chosen when it is the only one", "[selection]")
+{
+    Fixture fixture;
+    noteEnded (fixture.state, fixture.now, "a", true);
+    CHECK (fixture.choose ({ server ("a", "here", 0) }));
+}
