Limit of root requests: accounts for the age of what it sees

Cause: the limit still swung (4 s up, 4 s down): it moved by what an earlier level had brought about. What is measured is now taken as the work of the mean of the last two levels, and the level goes 0.6 of the way to the one that would give the wanted use. Ruled out: smaller steps alone (the fall gets too slow).

--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -15,13 +15,11 @@
 constexpr double refusalWeight = 2.0;
 /** Share of a limited service's places that should be taken. */
 constexpr double wantedUse = 0.9;
-/** How much of the way to the wanted use one period goes: what it sees is a period old. */
-constexpr double followGain = 0.4;
-/** The same while calls are refused: work is being wasted meanwhile. */
-constexpr double urgentGain = 0.6;
-/** Bounds of one period's change, as factors. */
-constexpr double mostFall = 0.6;
-constexpr double mostRise = 1.25;
+/** How much of the way to the level that seems right one period goes. */
+constexpr double followGain = 0.6;
+/** Bounds of the level that seems right, as factors of the one that was seen at work. */
+constexpr double mostFall = 0.5;
+constexpr double mostRise = 1.5;
 /** Some requests are always let in: they notice when room comes back. */
 constexpr double leastLevel = 0.05;
 /** A lower use is taken for this. */
@@ -93,12 +91,17 @@
 
     // Only refusals bring a limit about; a few calls of a small fleet are no verdict.
     if (service.level >= 1 && (isClean || ! isEnough))
+    {
+        service.levelBefore = service.level;
         return;
+    }
 
+    // What was measured is the work of the levels of the last two periods: reports and means are that old.
+    const double atWork = (service.level + service.levelBefore) / 2;
     const double load = std::max (use, leastUse) * (1.0 + refusalWeight * refusedPart);
-    const double factor =
-        std::clamp (std::pow (wantedUse / load, isClean ? followGain : urgentGain), mostFall, mostRise);
-    service.level = std::clamp (service.level * factor, leastLevel, 1.0);
+    const double right = atWork * std::clamp (wantedUse / load, mostFall, mostRise);
+    service.levelBefore = service.level;
+    service.level = std::clamp (service.level + followGain * (right - service.level), leastLevel, 1.0);
 }
 
 double fadedVolume (const RowVolume& row, TimePoint now)
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -45,6 +45,7 @@
     std::uint32_t ended = 0; /**< Of this daemon's calls, since its start. */
     std::uint32_t refused = 0;
     double level = 1;          /**< Share of the volume of its rows that is let in. */
+    double levelBefore = 1;    /**< As of the period before. */
     unsigned cleanPeriods = 0; /**< In a row, without refusals. */
     std::set<std::string> rows;
     std::map<std::string, ReportedCounts> reports; /**< By daemon, this one included. */
--- a/tests/unit/overload/root_limit_test.cpp
+++ b/tests/unit/overload/root_limit_test.cpp
@@ -185,6 +185,11 @@
     playPeriod (0, 1.0);
     CHECK (level == 1);
     playPeriod (20, 1.0);
+    CHECK (level < 1);
+
+    for (int n = 0; n < 10; ++n)
+        playPeriod (0, 0.9);
+
     const double limited = level;
     CHECK (limited < 1);
     playPeriod (0, 0.9);
