Servers that fail or forget connections: their gates tell all daemons, and rest is bounded by what was lost

A server's gate sees all its requests: its share of failures goes into its record and each answer, and makes it dear to all callers. A request that was given up counts as a sample of the server's latency, so that a hanging server doesn't look fast. A kept connection that breaks as soon as it is used bounds the rest of others; a repeatable request is sent again on a fresh one at once, since the server hasn't seen it.

--- /dev/null
+++ b/src/connection/rest_limit.hpp
@@ -0,0 +1,53 @@
+/** How long a kept connection to a server may rest before it isn't used again.
+
+    A server may forget idle connections sooner than it says, or without a word; whatever is sent on one then
+   is lost, and a request that may run once only can't be sent again. The limit is learned from such losses
+   and grows back while none come. Pure.
+*/
+#pragma once
+
+#include <algorithm>
+
+#include "protocol/time_types.hpp"
+
+namespace anisehold::connection
+{
+
+/** What was learned of one server. */
+struct RestLimit
+{
+    Duration longest = Duration::max(); /**< As of `changed`; no limit at first. */
+    TimePoint changed;
+};
+
+/** No limit is learned below this: a pause between two requests isn't rest. */
+inline constexpr milliseconds leastRest{ 20 };
+/** Part of the rest after which a connection was lost that is still taken for safe. */
+inline constexpr int safePart = 4;
+/** Time without a loss in which the limit doubles. */
+inline constexpr seconds restDoubling{ 5 };
+/** Doublings after which there is no limit any more. */
+inline constexpr int mostDoublings = 8;
+
+/** How long a connection may have rested now. */
+inline Duration longestRest (const RestLimit& limit, TimePoint now)
+{
+    if (limit.longest == Duration::max())
+        return limit.longest;
+
+    const auto doublings = (now - limit.changed) / restDoubling;
+
+    if (doublings >= mostDoublings)
+        return Duration::max();
+
+    return limit.longest * (1LL << doublings);
+}
+
+/** A connection that had rested for `rested` was lost when it was used again. */
+inline void noteLost (RestLimit& limit, TimePoint now, Duration rested)
+{
+    limit.longest = std::max<Duration> (std::min (longestRest (limit, now), rested / safePart), leastRest);
+    limit.changed = now;
+}
+
+} // namespace anisehold::connection
--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -84,6 +84,7 @@
     append(text, "queued", result.queued);
     append(text, "limit", result.limit);
     append(text, "latency_us", result.latency_us);
+    append(text, "failed_percent", result.failed_percent);
     append(text, "overloaded", std::string_view(result.overloaded_service));
     return text;
 }
@@ -118,6 +119,7 @@
                        read(fields, "instance", result.instance) &&
                        read(fields, "in_flight", result.in_flight) && read(fields, "queued", result.queued) &&
                        read(fields, "limit", result.limit) && read(fields, "latency_us", result.latency_us) &&
+                       read(fields, "failed_percent", result.failed_percent) &&
                        read(fields, "overloaded", result.overloaded_service);
     const auto kind = error_kind_from_name(error);
     if (!whole || !kind) {
--- a/src/hop/hop_header.hpp
+++ b/src/hop/hop_header.hpp
@@ -44,6 +44,7 @@
     unsigned queued = 0;
     unsigned limit = 0;
     unsigned latency_us = 0;
+    unsigned failed_percent = 0;  ///< Share of the server's latest requests that it failed.
     /// Set when the server failed and a call that it made had been refused for overload meanwhile.
     std::string overloaded_service;
 };
--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -68,6 +68,7 @@
             known.queued = server.queued;
             known.limit = server.limit;
             known.latency_us = server.latency_us;
+            known.failed_percent = server.failed_percent;
         }
     }
 }
--- a/src/membership/peer_record.hpp
+++ b/src/membership/peer_record.hpp
@@ -18,20 +18,21 @@
 struct ServerRecord {
     std::string instance;  ///< Of this start of the server; every start has another one.
     std::string service;
-    unsigned slots = 0;         ///< Requests that it works on at the same time.
-    unsigned in_flight = 0;     ///< Requests that the gate has running there.
-    unsigned queued = 0;        ///< Requests waiting at the gate.
-    unsigned limit = 0;         ///< Learned concurrency limit.
-    unsigned latency_us = 0;    ///< Moving average of its answers' time.
-    unsigned cold_ms = 0;       ///< How much longer it is slow from its start.
-    unsigned busy_percent = 0;  ///< Mean of `in_flight` over the last second or so, as a share of `limit`.
+    unsigned slots = 0;           ///< Requests that it works on at the same time.
+    unsigned in_flight = 0;       ///< Requests that the gate has running there.
+    unsigned queued = 0;          ///< Requests waiting at the gate.
+    unsigned limit = 0;           ///< Learned concurrency limit.
+    unsigned latency_us = 0;      ///< Moving average of its answers' time.
+    unsigned cold_ms = 0;         ///< How much longer it is slow from its start.
+    unsigned failed_percent = 0;  ///< Share of its latest requests that it failed.
+    unsigned busy_percent = 0;    ///< Mean of `in_flight` over the last second or so, as a share of `limit`.
 
     bool operator==(const ServerRecord&) const = default;
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
         serialize_all(archive, instance, service, slots, in_flight, queued, limit, latency_us, cold_ms,
-                      busy_percent);
+                      failed_percent, busy_percent);
     }
 };
 
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -243,6 +243,9 @@
                                                      std::error_code& error) {
     auto connection = state_->take_idle(TimePoint::clock::now(), options.longest_rest);
     progress.connection_reused = connection != nullptr;
+    if (connection) {
+        progress.rested = TimePoint::clock::now() - connection->idle_since;
+    }
     if (!connection) {
         connection = state_->connect(options.deadline, error);
     }
@@ -278,6 +281,7 @@
                    http::async_read_header(lease->stream, lease->buffer, *parser, std::move(handler));
                }).error;
     HttpResponse response;
+    progress.answer_started = !io_error;
     if (!io_error) {
         response.status = parser->get().result_int();
         response.fields = copy_end_to_end_fields(parser->get());
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -31,6 +31,8 @@
     bool connected = false;
     bool request_started = false;  ///< At least one byte may have been sent.
     bool connection_reused = false;
+    bool answer_started = false;  ///< The answer's header came.
+    Duration rested{};            ///< How long the connection had been idle, if it was reused.
 };
 
 /// One exchange's bounds.
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -90,6 +90,9 @@
     EventEntry{Event::kRootLimitMoved, Level::kInfo, "root-limit-moved",
                "The share of requests that are let in for a service changed, by the fleet's counts of "
                "refused calls."},
+    EventEntry{
+        Event::kConnectionForgotten, Level::kInfo, "connection-forgotten",
+        "A kept connection broke as soon as it was used again; others may rest less long from now on."},
     EventEntry{Event::kMechanismOff, Level::kWarn, "mechanism-off", "The lab switched a mechanism off."},
 };
 
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -50,6 +50,7 @@
     kIngressCall = 1601,
     kGateCall = 1602,
     kRootLimitMoved = 1603,
+    kConnectionForgotten = 1604,
     kMechanismOff = 1901,
 };
 
--- /dev/null
+++ b/src/selection/failure_share.hpp
@@ -0,0 +1,36 @@
+/** A share of failures that follows the latest results and fades without any. Pure. */
+#pragma once
+
+#include <cmath>
+
+#include "protocol/time_types.hpp"
+
+namespace anisehold::selection
+{
+
+/** The share, from 0 to 1, as of `updated`. */
+struct FailureShare
+{
+    double share = 0;
+    TimePoint updated;
+};
+
+/** Failures fade to half in this time without a new result. */
+inline constexpr double failureHalfLifeS = 2.0;
+
+/** The share as of `now`. */
+inline double shareOf (const FailureShare& failures, TimePoint now)
+{
+    const std::chrono::duration<double> age = now - failures.updated;
+    return failures.share * std::exp2 (-age.count() / failureHalfLifeS);
+}
+
+/** Takes in one result; `weight`, from 0 to 1, says how much it counts. */
+inline void noteResult (FailureShare& failures, TimePoint now, bool failed, double weight)
+{
+    const double before = shareOf (failures, now);
+    failures.share = before + weight * ((failed ? 1.0 : 0.0) - before);
+    failures.updated = now;
+}
+
+} // namespace anisehold::selection
--- a/src/selection/server_selection.cpp
+++ b/src/selection/server_selection.cpp
@@ -19,8 +19,9 @@
 constexpr double failureWeight = 30.0;
 /** Weight of the newest result in the moving share of failures. */
 constexpr double failureSample = 0.4;
-/** Failures fade to half in this time without a new result. */
-constexpr double failureHalfLifeS = 2.0;
+/** A server's own gate sees all of its requests; a share below this is ordinary. */
+constexpr double ordinaryShare = 0.1;
+constexpr double shareOfPercent = 0.01;
 /** A share below this is forgotten. */
 constexpr double negligibleShare = 0.01;
 /** How steeply the cost rises as the server fills. */
@@ -30,15 +31,12 @@
 
 using Candidates = std::vector<const KnownServer*>;
 
-double failureShare (const SelectionState& state, TimePoint now, const std::string& instance)
+/** What this daemon saw itself, or what the server's gate tells, whichever is worse. */
+double failureShare (const SelectionState& state, TimePoint now, const membership::ServerRecord& server)
 {
-    const auto it = state.failures.find (instance);
-
-    if (it == state.failures.end())
-        return 0;
-
-    const std::chrono::duration<double> age = now - it->second.updated;
-    return it->second.share * std::exp2 (-age.count() / failureHalfLifeS);
+    const auto it = state.failures.find (server.instance);
+    const double seen = it == state.failures.end() ? 0 : shareOf (it->second, now);
+    return std::max (seen, shareOfPercent * server.failed_percent - ordinaryShare);
 }
 
 /** Moves up to `numLookedAt` random candidates to the front and drops the rest. */
@@ -70,13 +68,11 @@
     if (own != state.underWay.end() && --own->second == 0)
         state.underWay.erase (own);
 
-    const double before = failureShare (state, now, instance);
-    const double share = before + failureSample * ((failed ? 1.0 : 0.0) - before);
+    auto& failures = state.failures[instance];
+    noteResult (failures, now, failed, failureSample);
 
-    if (share < negligibleShare)
+    if (failures.share < negligibleShare)
         state.failures.erase (instance);
-    else
-        state.failures[instance] = { share, now };
 }
 
 double expectedCost (const SelectionState& state, TimePoint now, const KnownServer& known)
@@ -89,7 +85,7 @@
     const double fill = (busy + 1.0) / limit;
     const double latency = server.latency_us == 0 ? unknownLatencyUs : server.latency_us;
     double cost = latency * (1.0 + loadWeight * fill * fill * fill);
-    cost *= 1.0 + failureWeight * failureShare (state, now, server.instance);
+    cost *= 1.0 + failureWeight * std::max (failureShare (state, now, server), 0.0);
 
     if (known.zone != state.ownZone)
         cost *= otherZoneFactor;
--- a/src/selection/server_selection.hpp
+++ b/src/selection/server_selection.hpp
@@ -12,6 +12,7 @@
 
 #include "membership/peer_directory.hpp"
 #include "protocol/time_types.hpp"
+#include "selection/failure_share.hpp"
 
 namespace anisehold::selection
 {
@@ -19,13 +20,6 @@
 /** Returns a number in [0, 1). */
 using UnitRandom = std::function<double()>;
 
-/** A moving share of failures, as of `updated`. */
-struct FailureShare
-{
-    double share = 0;
-    TimePoint updated;
-};
-
 /** What one daemon has seen of servers itself, by instance. */
 struct SelectionState
 {
--- a/src/sidecar/hop_client.cpp
+++ b/src/sidecar/hop_client.cpp
@@ -38,6 +38,7 @@
     server.queued = result.queued;
     server.limit = result.limit;
     server.latency_us = result.latency_us;
+    server.failed_percent = result.failed_percent;
     return server;
 }
 
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -19,6 +19,10 @@
 /// Weight of a new sample in the average latency, as a divisor.
 constexpr int kLatencyDivisor = 8;
 constexpr double kPercent = 100;
+/// Weight of a new result in the share of failures.
+constexpr double kFailureSample = 0.1;
+/// A kept connection that breaks sooner than that after a request was sent had been forgotten by the server.
+constexpr milliseconds kInstantLoss{20};
 /// A non-repeatable request isn't sent on a connection that rested longer: the server may be closing it.
 constexpr milliseconds kFreshRest{2'000};
 /// How much longer than the request's own time an answer is waited for, so that the server's own one wins.
@@ -113,6 +117,7 @@
             record.queued = load.queued;
             record.limit = load.limit;
             record.latency_us = load.latency_us;
+            record.failed_percent = load.failed_percent;
             const double busy = overload::meanOf(found->second->use, now) / std::max(1U, load.limit);
             record.busy_percent = static_cast<unsigned>(std::lround(busy * kPercent));
         }
@@ -160,8 +165,8 @@
         } else {
             answer = exchange(*server, request, call, deadline, cancel);
         }
-        finish(*server, id, started, answer);
         mark_overload_below(started, answer);
+        finish(*server, id, started, answer, cancel != nullptr && cancel->cancelled());
     }
     fill_load(*server, answer.result);
     answer.result.instance = call.instance;
@@ -218,12 +223,20 @@
     context_.dialect.write_server_call(request, {call.instance, call.caller, time_left});
     net::ExchangeOptions options{deadline + kAnswerSlack, cancel};
     options.expected_echo = context_.dialect.echoed_field(request_id);
+    options.longest_rest = connection::longestRest(server.rest, now);
     if (call.at_most_once) {
-        options.longest_rest = kFreshRest;
+        options.longest_rest = std::min<Duration>(options.longest_rest, kFreshRest);
     }
     net::ExchangeProgress progress;
-    std::error_code error;
-    auto response = server.client.exchange(request, options, progress, error);
+    auto response = send_once(server, request, options, progress);
+    const bool lost_at_rest = !response && progress.connection_reused && !progress.answer_started &&
+                              TimePoint::clock::now() - now < kInstantLoss;
+    if (lost_at_rest && !call.at_most_once && request.body.whole()) {
+        // The server had forgotten the connection: it has not seen the request.
+        options.longest_rest = Duration::zero();
+        progress = {};
+        response = send_once(server, request, options, progress);
+    }
     if (!response) {
         if (!progress.request_started) {
             return refusal(HopOutcome::kNotSent, ErrorKind::kConnectFailed, Duration::zero());
@@ -243,14 +256,51 @@
     return answer;
 }
 
-void LocalGate::finish(Server& server, std::uint64_t id, TimePoint started, const GateAnswer& answer) {
+std::optional<net::HttpResponse> LocalGate::send_once(Server& server, net::HttpRequest& request,
+                                                      const net::ExchangeOptions& options,
+                                                      net::ExchangeProgress& progress) const {
+    std::error_code error;
+    const auto sent = TimePoint::clock::now();
+    auto response = server.client.exchange(request, options, progress, error);
     const auto now = TimePoint::clock::now();
-    if (answer.result.outcome == HopOutcome::kAnswered) {
-        const auto taken = now - started;
+    const bool cancelled = options.cancel != nullptr && options.cancel->cancelled();
+    if (!response && !cancelled && progress.connection_reused && !progress.answer_started &&
+        now - sent < kInstantLoss) {
+        connection::noteLost(server.rest, now, progress.rested);
+        log_event(Event::kConnectionForgotten,
+                  {{"server", server.client.server().text()},
+                   {"rested_ms", std::to_string(to_milliseconds(progress.rested))},
+                   {"error", error.message()},
+                   {"longest_rest_ms",
+                    std::to_string(to_milliseconds(connection::longestRest(server.rest, now)))}});
+    }
+    return response;
+}
+
+void LocalGate::observe(Server& server, TimePoint started, TimePoint now, const GateAnswer& answer,
+                        bool cancelled) {
+    constexpr unsigned first_server_error = 500;
+    const auto taken = now - started;
+    const bool answered = answer.result.outcome == HopOutcome::kAnswered;
+    const bool slow = taken > server.latency;
+    // A request that was given up says that the server takes at least that long.
+    if (answered || (cancelled && slow)) {
         server.latency = server.latency == Duration::zero()
                              ? taken
                              : server.latency + (taken - server.latency) / kLatencyDivisor;
     }
+    if (cancelled || answer.result.outcome == HopOutcome::kNotSent ||
+        !answer.result.overloaded_service.empty()) {
+        return;
+    }
+    const bool failed = !answered || answer.response->status >= first_server_error;
+    selection::noteResult(server.failures, now, failed, kFailureSample);
+}
+
+void LocalGate::finish(Server& server, std::uint64_t id, TimePoint started, const GateAnswer& answer,
+                       bool cancelled) {
+    const auto now = TimePoint::clock::now();
+    observe(server, started, now, answer, cancelled);
     for (const auto admitted : server.gate.finish(now, id, sample_of(answer), Duration::zero())) {
         const auto found = server.waiters.find(admitted);
         if (found != server.waiters.end()) {
@@ -275,6 +325,8 @@
     result.in_flight = load.in_flight;
     result.queued = load.queued;
     result.limit = load.limit;
+    result.failed_percent =
+        static_cast<unsigned>(kPercent * selection::shareOf(server.failures, TimePoint::clock::now()));
     result.latency_us =
         static_cast<unsigned>(std::chrono::duration_cast<std::chrono::microseconds>(server.latency).count());
 }
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -10,12 +10,14 @@
 #include <vector>
 
 #include "admission/server_gate.hpp"
+#include "connection/rest_limit.hpp"
 #include "hop/hop_header.hpp"
 #include "membership/peer_record.hpp"
 #include "net/fiber_event.hpp"
 #include "net/http_client.hpp"
 #include "overload/use_meter.hpp"
 #include "registration/server_registry.hpp"
+#include "selection/failure_share.hpp"
 #include "sidecar/sidecar_context.hpp"
 
 namespace anisehold::sidecar {
@@ -66,6 +68,8 @@
         net::HttpClient client;
         std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
         Duration latency{};  ///< Moving average of answers.
+        selection::FailureShare failures;
+        connection::RestLimit rest;  ///< Of kept connections.
     };
 
     std::shared_ptr<Server> server_for(const registration::RegisteredServer& registered);
@@ -74,7 +78,15 @@
                                                  net::CancelSignal* cancel);
     GateAnswer exchange(Server& server, net::HttpRequest& request, const hop::HopRequest& call,
                         TimePoint deadline, net::CancelSignal* cancel);
-    void finish(Server& server, std::uint64_t id, TimePoint started, const GateAnswer& answer);
+    /// Sends the request once. A kept connection that is lost before any answer teaches the limit of rest.
+    std::optional<net::HttpResponse> send_once(Server& server, net::HttpRequest& request,
+                                               const net::ExchangeOptions& options,
+                                               net::ExchangeProgress& progress) const;
+    /// Takes in what the end of a request tells of the server.
+    static void observe(Server& server, TimePoint started, TimePoint now, const GateAnswer& answer,
+                        bool cancelled);
+    void finish(Server& server, std::uint64_t id, TimePoint started, const GateAnswer& answer,
+                bool cancelled);
     /// A server that failed while calls of its machine were refused for overload has most likely failed for
     /// that: its own load says nothing, and the work done for the request is lost.
     void mark_overload_below(TimePoint started, GateAnswer& answer) const;
--- a/tests/unit/selection/server_selection_test.cpp
+++ b/tests/unit/selection/server_selection_test.cpp
@@ -94,3 +94,26 @@
     noteEnded (fixture.state, fixture.now, "a", true);
     CHECK (fixture.choose ({ server ("a", "here", 0) }));
 }
+
+TEST_CASE ("a server whose own gate tells of failures is dear to all, an ordinary share isn't counted",
+           "[selection]")
+{
+    const Fixture fixture;
+    const auto sound = server ("a", "here", 1);
+    auto ordinary = server ("a", "here", 1);
+    ordinary.server.failed_percent = 8;
+    CHECK (fixture.cost (ordinary) == Approx (fixture.cost (sound)));
+    auto failing = server ("a", "here", 1);
+    failing.server.failed_percent = 45;
+    CHECK (fixture.cost (failing) > 5 * fixture.cost (sound));
+    // So dear that another zone is better.
+    CHECK (fixture.choose ({ failing, server ("b", "there", 1) })->server.instance == "b");
+}
+
+TEST_CASE ("the own zone serves while it has room, and another one beyond that", "[selection]")
+{
+    const Fixture fixture;
+    const auto far = server ("far", "there", 3);
+    CHECK (fixture.choose ({ server ("near", "here", 5), far })->server.instance == "near");
+    CHECK (fixture.choose ({ server ("near", "here", 9), far })->server.instance == "far");
+}
