Membership: silence is judged by the period of records, and so are the counts of overload

Cause: above a hundred peers records come less than once a second, up to every 5.5 s at 550, but a peer counted as silent after 3.5 s whatever the period: at 300 one lost datagram was silence, at 550 every peer always. Now 3.5 periods, 3.5 s at least.

--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -5,6 +5,11 @@
 namespace anisehold::membership {
 namespace {
 
+constexpr seconds kLeastPeriod{1};
+constexpr double kMostRecordsPerSecond = 100;
+/// Periods without a record after which a peer counts as silent: single datagrams get lost.
+constexpr double kSilentPeriods = 3.5;
+
 bool same_servers(const PeerRecord& left, const PeerRecord& right) {
     const auto same_instance = [](const ServerRecord& one, const ServerRecord& other) {
         return one.instance == other.instance && one.service == other.service;
@@ -16,8 +21,18 @@
 
 }  // namespace
 
+Duration record_period(std::size_t peers) {
+    const std::chrono::duration<double> by_fleet(static_cast<double>(peers) / kMostRecordsPerSecond);
+    return std::max<Duration>(kLeastPeriod, std::chrono::duration_cast<Duration>(by_fleet));
+}
+
+Duration PeerDirectory::silent_after() const {
+    const auto by_period = kSilentPeriods * std::chrono::duration<double>(record_period(peers_.size()));
+    return std::max<Duration>(times_.silent_after, std::chrono::duration_cast<Duration>(by_period));
+}
+
 bool PeerDirectory::reachable(TimePoint now, const Peer& peer) const {
-    return peer.was_heard && !peer.unreachable && now - peer.heard < times_.silent_after;
+    return peer.was_heard && !peer.unreachable && now - peer.heard < silent_after();
 }
 
 PeerChange PeerDirectory::on_record(TimePoint now, const PeerRecord& record) {
--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -13,10 +13,14 @@
 
 /// How long a peer may be silent before it counts as unreachable, and as gone.
 struct PeerTimes {
-    milliseconds silent_after{3'500};
+    milliseconds silent_after{3'500};  ///< At least; in a large fleet it grows with the period of records.
     milliseconds forgotten_after{600'000};
 };
 
+/// How often a daemon tells each of `peers` others about itself: once a second, and more slowly in a large
+/// fleet, so that no daemon sends more than a hundred records a second.
+Duration record_period(std::size_t peers);
+
 /// A server that requests can be sent to, with the age of what is known of it.
 struct KnownServer {
     ServerRecord server;
@@ -77,6 +81,7 @@
     };
 
     bool reachable(TimePoint now, const Peer& peer) const;
+    Duration silent_after() const;
 
     std::string own_name_;
     PeerTimes times_;
--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -28,8 +28,8 @@
 constexpr std::uint32_t leastEnded = 20;
 /** Periods without refusals after which a service's rows are forgotten. */
 constexpr unsigned forgetAfterPeriods = 60;
-/** Reports that are older don't count. */
-constexpr milliseconds reportLifetime{ 2'500 };
+/** Reports that are older than this many periods don't count. */
+constexpr double reportPeriods = 2.5;
 /** A row's volume counts half after this time. */
 constexpr double volumeHalfLifeS = 3.0;
 
@@ -42,14 +42,15 @@
     std::size_t daemons = 0;
 };
 
-FleetCounts sumReports (const ServiceState& service, TimePoint now)
+FleetCounts sumReports (const ServiceState& service, TimePoint now, Duration period)
 {
     FleetCounts sum;
     double levels = 0;
 
     for (const auto& [daemon, it] : service.reports)
     {
-        if (now - it.reported > reportLifetime)
+        if (std::chrono::duration<double> (now - it.reported) >
+            reportPeriods * std::chrono::duration<double> (period))
             continue;
 
         sum.ended += it.ended - it.endedBefore;
@@ -179,7 +180,7 @@
     for (auto& [name, service] : state.services)
     {
         takeReport (service, now, state.ownName, { name, service.ended, service.refused, service.level, {} });
-        const auto fleet = sumReports (service, now);
+        const auto fleet = sumReports (service, now, state.period);
         const double before = service.level;
         const auto found = uses.find (name);
         const double use = found == uses.end() ? 0 : found->second;
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -63,6 +63,7 @@
 struct RootLimitState
 {
     std::string ownName;
+    Duration period = seconds (1); /**< Between two reports of a daemon. */
     std::map<std::string, ServiceState> services;
     std::map<std::string, RowVolume> rows;
 };
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -14,9 +14,6 @@
 using observability::Event;
 using observability::log_event;
 
-constexpr milliseconds kLeastPeriod{1'000};
-/// Most records that a daemon sends a second on average; a larger fleet is told more slowly.
-constexpr double kMostRecordsPerSecond = 100;
 /// The store's watch usually brings a new configuration; a peer is asked when it hasn't after this time.
 constexpr milliseconds kFetchPause{150};
 constexpr milliseconds kFetchTimeout{1'000};
@@ -68,9 +65,8 @@
 
 void PeerExchange::announce_periodically() {
     while (true) {
-        const double by_fleet_s = static_cast<double>(directory_.known_count()) / kMostRecordsPerSecond;
-        const auto by_fleet = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(by_fleet_s));
-        const auto period = std::max<Duration>(kLeastPeriod, by_fleet);
+        const auto period = membership::record_period(directory_.known_count());
+        context_.root_limit.period = period;
         boost::this_fiber::sleep_for(
             std::chrono::duration_cast<Duration>(period * (0.9 + 0.2 * context_.random_unit())));
         const auto now = TimePoint::clock::now();
--- a/tests/unit/membership/peer_directory_test.cpp
+++ b/tests/unit/membership/peer_directory_test.cpp
@@ -121,3 +121,20 @@
         CHECK_FALSE(decode_peer_record(std::string_view(bytes).substr(0, length)));
     }
 }
+
+TEST_CASE("a large fleet tells more slowly, and silence is judged by that") {
+    CHECK(record_period(16) == seconds(1));
+    CHECK(record_period(300) == seconds(3));
+    PeerDirectory directory("self", {});
+    const TimePoint now{seconds(100)};
+    for (int index = 0; index < 300; ++index) {
+        PeerRecord record;
+        record.name = "peer-" + std::to_string(index);
+        record.boot_id = 1;
+        record.sequence = 1;
+        directory.on_record(now, record);
+    }
+    // One lost datagram is no silence.
+    CHECK(directory.reachable_count(now + seconds(7)) == 300);
+    CHECK(directory.reachable_count(now + seconds(12)) == 0);
+}
--- a/tests/unit/overload/root_limit_test.cpp
+++ b/tests/unit/overload/root_limit_test.cpp
@@ -312,3 +312,14 @@
     CHECK (whole.first == 80);
     CHECK (whole.second == 80);
 }
+
+TEST_CASE ("in a large fleet reports count for as long as its slower period asks", "[overload]")
+{
+    const auto now = TimePoint (seconds (10));
+    auto state = daemonWithRows (now);
+    state.period = seconds (3);
+    notePeerReport (state, now + seconds (1), "peer", { { "deep", 1'000, 0, 1, {} } });
+    notePeerReport (state, now + seconds (4), "peer", { { "deep", 2'000, 500, 1, {} } });
+    endPeriod (state, now + seconds (9), { { "deep", 1.0 } });
+    CHECK (state.services["deep"].level < 1);
+}
