Overload: faster reports under pressure, unreachable servers passed over, rises bounded by time

Daemons now report every 0.4 s while a service lacks room (1 s before, and more in a large fleet), the limit falls all the way at once and rises by at most half in a second. After three failed attempts to connect a gate lets through one attempt in 0.3 s, its failures count in what it tells, and places of a failing server are no room.

--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -5,7 +5,8 @@
 namespace anisehold::membership {
 namespace {
 
-constexpr seconds kLeastPeriod{1};
+constexpr milliseconds kCalmPeriod{1'000};
+constexpr milliseconds kPressurePeriod{400};
 constexpr double kMostRecordsPerSecond = 100;
 /// Periods without a record after which a peer counts as silent: single datagrams get lost.
 constexpr double kSilentPeriods = 3.5;
@@ -21,9 +22,10 @@
 
 }  // namespace
 
-Duration record_period(std::size_t peers) {
+Duration record_period(std::size_t peers, bool under_pressure) {
     const std::chrono::duration<double> by_fleet(static_cast<double>(peers) / kMostRecordsPerSecond);
-    return std::max<Duration>(kLeastPeriod, std::chrono::duration_cast<Duration>(by_fleet));
+    const Duration least = under_pressure ? kPressurePeriod : kCalmPeriod;
+    return std::max<Duration>(least, std::chrono::duration_cast<Duration>(by_fleet));
 }
 
 Duration PeerDirectory::silent_after() const {
--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -17,9 +17,9 @@
     milliseconds forgotten_after{600'000};
 };
 
-/// How often a daemon tells each of `peers` others about itself: once a second, and more slowly in a large
-/// fleet, so that no daemon sends more than a hundred records a second.
-Duration record_period(std::size_t peers);
+/// How often a daemon tells each of `peers` others about itself: once a second, faster while services lack
+/// room, and more slowly in a large fleet, so that no daemon sends more than a hundred records a second.
+Duration record_period(std::size_t peers, bool under_pressure = false);
 
 /// A server that requests can be sent to, with the age of what is known of it.
 struct KnownServer {
--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -15,13 +15,18 @@
 constexpr double refusalWeight = 2.0;
 /** Share of a limited service's places that should be taken. */
 constexpr double wantedUse = 0.9;
-/** How much of the way to the level that seems right one period goes. */
-constexpr double followGain = 0.6;
-/** Bounds of the level that seems right, as factors of the one that was seen at work. */
-constexpr double mostFall = 0.5;
-constexpr double mostRise = 1.5;
+/** How much of the way up to the level that seems right one period goes; it falls all the way at once, since
+   work is wasted meanwhile. */
+constexpr double riseGain = 0.5;
+/** Bounds of the level that seems right, as factors of the one that was seen at work; the second for a
+ * second. */
+constexpr double mostFall = 0.4;
+constexpr double mostRisePerS = 0.5;
 /** Some requests are always let in: they notice when room comes back. */
 constexpr double leastLevel = 0.05;
+/** What is taken for a period at least and at most. */
+constexpr double shortestPeriodS = 0.1;
+constexpr double longestPeriodS = 3.0;
 /** A lower use is taken for this. */
 constexpr double leastUse = 0.05;
 /** A verdict needs this many ended calls. */
@@ -78,7 +83,7 @@
     counts.reported = now;
 }
 
-void moveLevel (ServiceState& service, const FleetCounts& fleet, double use)
+void moveLevel (ServiceState& service, const FleetCounts& fleet, double use, double periodS)
 {
     // The daemons' levels are drawn together, so that a restarted one takes over its peers'.
     service.level = std::min (fleet.meanLevel, 1.0);
@@ -93,16 +98,17 @@
     // Only refusals bring a limit about; a few calls of a small fleet are no verdict.
     if (service.level >= 1 && (isClean || ! isEnough))
     {
-        service.levelBefore = service.level;
+        service.levelAtWork = service.level;
         return;
     }
 
-    // What was measured is the work of the levels of the last two periods: reports and means are that old.
-    const double atWork = (service.level + service.levelBefore) / 2;
+    // What was measured is the work of the levels of the last periods: reports and means are that old.
+    service.levelAtWork = (service.levelAtWork + service.level) / 2;
     const double load = std::max (use, leastUse) * (1.0 + refusalWeight * refusedPart);
-    const double right = atWork * std::clamp (wantedUse / load, mostFall, mostRise);
-    service.levelBefore = service.level;
-    service.level = std::clamp (service.level + followGain * (right - service.level), leastLevel, 1.0);
+    const double right =
+        service.levelAtWork * std::clamp (wantedUse / load, mostFall, 1.0 + mostRisePerS * periodS);
+    const double gain = right < service.level ? 1.0 : riseGain;
+    service.level = std::clamp (service.level + gain * (right - service.level), leastLevel, 1.0);
 }
 
 double fadedVolume (const RowVolume& row, TimePoint now)
@@ -176,6 +182,9 @@
 std::vector<LevelMove> endPeriod (RootLimitState& state, TimePoint now, const ServiceUse& uses)
 {
     std::vector<LevelMove> moves;
+    const std::chrono::duration<double> passed = now - state.periodEnded;
+    const double periodS = std::clamp (passed.count(), shortestPeriodS, longestPeriodS);
+    state.periodEnded = now;
 
     for (auto& [name, service] : state.services)
     {
@@ -184,7 +193,7 @@
         const double before = service.level;
         const auto found = uses.find (name);
         const double use = found == uses.end() ? 0 : found->second;
-        moveLevel (service, fleet, use);
+        moveLevel (service, fleet, use, periodS);
 
         if (service.level == before)
             continue;
@@ -196,6 +205,12 @@
     return moves;
 }
 
+bool isUnderPressure (const RootLimitState& state)
+{
+    return std::any_of (state.services.begin(), state.services.end(),
+                        [] (const auto& it) { return it.second.level < 1 || it.second.isRefusing; });
+}
+
 std::vector<ServicePressure> ownReport (const RootLimitState& state)
 {
     std::vector<ServicePressure> reports;
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -45,7 +45,8 @@
     std::uint32_t ended = 0; /**< Of this daemon's calls, since its start. */
     std::uint32_t refused = 0;
     double level = 1;          /**< Share of the volume of its rows that is let in. */
-    double levelBefore = 1;    /**< As of the period before. */
+    double levelAtWork = 1;    /**< Moving mean: what is measured now was let in by it. */
+    bool isRefusing = false;   /**< Calls were refused in the last period. */
     unsigned cleanPeriods = 0; /**< In a row, without refusals. */
     std::set<std::string> rows;
     std::map<std::string, ReportedCounts> reports; /**< By daemon, this one included. */
@@ -63,7 +64,8 @@
 struct RootLimitState
 {
     std::string ownName;
-    Duration period = seconds (1); /**< Between two reports of a daemon. */
+    Duration period = seconds (1); /**< Between two reports of a daemon in calm times. */
+    TimePoint periodEnded;         /**< The last one. */
     std::map<std::string, ServiceState> services;
     std::map<std::string, RowVolume> rows;
 };
@@ -99,6 +101,9 @@
 /** Ends a period, once between two reports of this daemon: moves the levels by the fleet's counts. */
 std::vector<LevelMove> endPeriod (RootLimitState&, TimePoint now, const ServiceUse&);
 
+/** Whether a level isn't whole, or calls were refused lately: reports should come more often then. */
+bool isUnderPressure (const RootLimitState&);
+
 /** What this daemon reports: services that some route is known to be refused by, or whose level isn't whole.
  */
 std::vector<ServicePressure> ownReport (const RootLimitState&);
--- a/src/overload/use_meter.hpp
+++ b/src/overload/use_meter.hpp
@@ -17,7 +17,7 @@
 };
 
 /** Time after which a past value counts half. */
-inline constexpr double useHalfLifeS = 0.5;
+inline constexpr double useHalfLifeS = 0.25;
 
 /** The mean as of `now`. */
 inline double meanOf (const UseMeter& meter, TimePoint now)
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -153,7 +153,12 @@
     if (++in_flight_ == 1) {
         context_.origins.on_server(arrived, true);
     }
-    auto refused = wait_for_admission(*server, call, id, deadline, cancel);
+    std::optional<GateAnswer> refused;
+    if (connection::takeTry(server->reach, arrived)) {
+        refused = wait_for_admission(*server, call, id, deadline, cancel);
+    } else {
+        refused = refusal(HopOutcome::kNotSent, ErrorKind::kConnectFailed, Duration::zero());
+    }
     const auto started = TimePoint::clock::now();
     server->note_use(started);
     GateAnswer answer;
@@ -264,6 +269,11 @@
     auto response = server.client.exchange(request, options, progress, error);
     const auto now = TimePoint::clock::now();
     const bool cancelled = options.cancel != nullptr && options.cancel->cancelled();
+    if (progress.connected) {
+        connection::noteConnected(server.reach);
+    } else if (!cancelled && error != std::errc::too_many_files_open) {
+        connection::noteConnectFailed(server.reach, now);
+    }
     if (!response && !cancelled && progress.connection_reused && !progress.answer_started &&
         now - sent < kInstantLoss) {
         connection::noteLost(server.rest, now, progress.rested);
@@ -289,8 +299,9 @@
                              ? taken
                              : server.latency + (taken - server.latency) / kLatencyDivisor;
     }
-    if (cancelled || answer.result.outcome == HopOutcome::kNotSent ||
-        !answer.result.overloaded_service.empty()) {
+    const bool connect_failed = answer.result.error == ErrorKind::kConnectFailed;
+    const bool held_back = answer.result.outcome == HopOutcome::kNotSent && !connect_failed;
+    if (cancelled || held_back || !answer.result.overloaded_service.empty()) {
         return;
     }
     const bool failed = !answered || answer.response->status >= first_server_error;
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "admission/server_gate.hpp"
+#include "connection/reach.hpp"
 #include "connection/rest_limit.hpp"
 #include "hop/hop_header.hpp"
 #include "membership/peer_record.hpp"
@@ -70,6 +71,7 @@
         Duration latency{};  ///< Moving average of answers.
         selection::FailureShare failures;
         connection::RestLimit rest;  ///< Of kept connections.
+        connection::Reach reach;
     };
 
     std::shared_ptr<Server> server_for(const registration::RegisteredServer& registered);
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -65,7 +65,8 @@
 
 void PeerExchange::announce_periodically() {
     while (true) {
-        const auto period = membership::record_period(directory_.known_count());
+        const auto period = membership::record_period(directory_.known_count(),
+                                                      overload::isUnderPressure(context_.root_limit));
         context_.root_limit.period = period;
         boost::this_fiber::sleep_for(
             std::chrono::duration_cast<Duration>(period * (0.9 + 0.2 * context_.random_unit())));
@@ -81,8 +82,10 @@
     std::map<std::string, double> taken;
     std::map<std::string, double> places;
     const auto add = [&](const membership::ServerRecord& server) {
-        taken[server.service] += kShareOfPercent * server.busy_percent * server.limit;
-        places[server.service] += server.limit;
+        // Places of a server that fails give no room.
+        const double sound = kShareOfPercent * (100.0 - std::min(server.failed_percent, 100U));
+        taken[server.service] += sound * kShareOfPercent * server.busy_percent * server.limit;
+        places[server.service] += sound * server.limit;
     };
     for (const auto& known : directory_.servers(now)) {
         add(known);
--- a/tests/unit/membership/peer_directory_test.cpp
+++ b/tests/unit/membership/peer_directory_test.cpp
@@ -124,7 +124,9 @@
 
 TEST_CASE("a large fleet tells more slowly, and silence is judged by that") {
     CHECK(record_period(16) == seconds(1));
+    CHECK(record_period(16, true) < seconds(1));
     CHECK(record_period(300) == seconds(3));
+    CHECK(record_period(300, true) == seconds(3));
     PeerDirectory directory("self", {});
     const TimePoint now{seconds(100)};
     for (int index = 0; index < 300; ++index) {
--- a/tests/unit/overload/use_meter_test.cpp
+++ b/tests/unit/overload/use_meter_test.cpp
@@ -11,7 +11,7 @@
     UseMeter meter;
     noteValue (meter, start, 8);
     CHECK (meanOf (meter, start) == Approx (0));
-    CHECK (meanOf (meter, start + milliseconds (500)) == Approx (4));
+    CHECK (meanOf (meter, start + milliseconds (250)) == Approx (4));
     CHECK (meanOf (meter, start + seconds (20)) == Approx (8));
 }
 
