explain: the story of a request from log files

Cause: on-call engineers have only logs; until now `explain` asked running daemons of the older kind. It reads the logs of any number of processes, or standard input, and prints the request's lines in order of time, with the limit that refused it early, the calls that failed on its server's machine meanwhile, and changes of its servers before.

--- a/soak/round.hpp
+++ b/soak/round.hpp
@@ -16,7 +16,7 @@
 {
     std::uint64_t seed = 1;
     std::uint16_t basePort = 28'000;
-    std::size_t numFaults = 10;
+    std::size_t numFaults = 16;
     milliseconds faultsEnd{ 10'000 };
 };
 
--- a/src/cli/status_commands.cpp
+++ b/src/cli/status_commands.cpp
@@ -1,10 +1,12 @@
 #include "cli/status_commands.hpp"
 
 #include <algorithm>
+#include <fstream>
 #include <iostream>
 #include <vector>
 
 #include "cli/admin_client.hpp"
+#include "explain/request_trace.hpp"
 
 namespace anisehold::cli {
 namespace {
@@ -88,12 +90,43 @@
 
 void ExplainCommand::add_to(CLI::App& app) {
     command_ = app.add_subcommand("explain", "Print what was decided about a request");
-    command_->add_option("--daemon", daemon_, "Admin address of a daemon, IP:PORT")->required();
+    auto* daemon = command_->add_option("--daemon", daemon_, "Admin address of a daemon, IP:PORT");
+    command_->add_option("--log", log_files_, "Log files of any number of processes; - for standard input")
+        ->excludes(daemon);
     command_->add_option("request", request_id_, "Request id, as in the Anisehold-Request-Id header")
         ->required();
 }
 
+int ExplainCommand::explain_logs() const {
+    std::vector<explain::LogLine> lines;
+    for (const auto& file_name : log_files_) {
+        std::ifstream file;
+        if (file_name != "-") {
+            file.open(file_name);
+            if (!file) {
+                std::cerr << file_name << ": can't be read\n";
+                return kUsage;
+            }
+        }
+        explain::readRelevantLines(file_name == "-" ? std::cin : file, request_id_, lines);
+    }
+    const auto story = explain::describe(explain::traceRequest(lines, request_id_));
+    if (story.empty()) {
+        std::cout << "no line of the logs names this request\n";
+        return kFailed;
+    }
+    std::cout << story;
+    return kDone;
+}
+
 int ExplainCommand::run(net::EventLoop& loop) {
+    if (!log_files_.empty()) {
+        return explain_logs();
+    }
+    if (daemon_.empty()) {
+        std::cerr << "explain: --daemon or --log is needed\n";
+        return kUsage;
+    }
     int status = kDone;
     const auto fleet = fetch_fleet(loop, daemon_, status);
     if (!fleet) {
--- a/src/cli/status_commands.hpp
+++ b/src/cli/status_commands.hpp
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 #include <string>
+#include <vector>
 
 #include "net/event_loop.hpp"
 
@@ -21,7 +22,8 @@
     std::string daemon_;
 };
 
-/// Prints what all members decided about one request, in order of time.
+/// Prints what all members decided about one request, in order of time: as running daemons remember it, or
+/// from log files.
 class ExplainCommand {
   public:
     void add_to(CLI::App& app);
@@ -29,8 +31,11 @@
     int run(net::EventLoop& loop);
 
   private:
+    int explain_logs() const;
+
     CLI::App* command_ = nullptr;
     std::string daemon_;
+    std::vector<std::string> log_files_;
     std::string request_id_;
 };
 
