--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 DEPLOYMENT ?= cooperative
 JOBS ?= 8
 
-.PHONY: deps build test demo demo-table prove bench scale soak soak-seeds check clean
+.PHONY: deps build test demo demo-table prove bench soak soak-seeds check clean
 
 deps:
 	bash scripts/install-dependencies.sh
@@ -32,10 +32,6 @@
 bench: build
 	$(BUILD)/anisehold-bench
 
-# Hollow members beside real daemons, up to 550.
-scale: build
-	$(BUILD)/anisehold-scale
-
 # Fresh random faults against real processes for SOAK_SECONDS; then the seeds that ever failed.
 SOAK_SECONDS ?= 120
 soak: build
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -10,7 +10,6 @@
 
 #include "lab/backend.hpp"
 #include "lab/deployment.hpp"
-#include "lab/hollow.hpp"
 #include "lab/load.hpp"
 #include "lab/machines.hpp"
 #include "lab/proxy.hpp"
@@ -176,21 +175,6 @@
     net::exit_process(kDone);
 }
 
-int run_hollow(net::EventLoop& loop, HollowOptions hollow_options, const std::vector<std::string>& seeds,
-               const std::string& control_text) {
-    Endpoint control;
-    if (!read_endpoints("--seed", seeds, hollow_options.seeds) ||
-        !read_endpoint("--control", control_text, control)) {
-        return kUsage;
-    }
-    HollowFleet fleet(loop.io(), std::move(hollow_options));
-    if (!started(fleet.start(control), control_text)) {
-        return kFailed;
-    }
-    loop.wait_for_stop_signal();
-    net::exit_process(kDone);
-}
-
 /// Replays a trace and compares with the stated outcomes; prints each kind's.
 int run_replay(const CommonOptions& options, const std::string& trace_file, const std::string& stated_file,
                const std::vector<std::string>& without) {
@@ -282,17 +266,6 @@
     auto* table = app.add_subcommand("table", "Print a deployment's table as CSV");
     table->add_option("--deployment", options.deployment_file, "Deployment file")->required();
 
-    auto* hollow = app.add_subcommand("hollow", "The control planes of many members");
-    HollowOptions hollow_options;
-    std::vector<std::string> seeds;
-    hollow->add_option("--first", hollow_options.first, "Number of the first member");
-    hollow->add_option("--members", hollow_options.members, "How many members");
-    hollow->add_option("--base-port", hollow_options.base_port, "Peer port of member 0");
-    hollow->add_option("--seed", seeds, "IP:PORT of a seed")->required();
-    hollow->add_option("--mesh-key", hollow_options.mesh_key, "The fleet's key")->required();
-    hollow->add_option("--watched", hollow_options.watched, "Member whose death is timed");
-    hollow->add_option("--control", control, "IP:PORT of the control endpoint")->required();
-
     auto* replay = app.add_subcommand("replay", "Replay a trace in virtual time against stated outcomes");
     std::string trace_file;
     std::string stated_file;
@@ -318,8 +291,6 @@
     } else if (backend->parsed()) {
         backend_options.cold_ms = milliseconds(cold_ms);
         status = run_backend(loop, options, backend_options);
-    } else if (hollow->parsed()) {
-        status = run_hollow(loop, hollow_options, seeds, control);
     } else if (load->parsed()) {
         load_options.duration_ms = milliseconds(duration_ms);
         load_options.client_timeout_ms = milliseconds(timeout_ms);
