A silent or fast-failing server is left, an untried one is tried; processes with spoiled links tested

Cause, found by new process tests: a machine that can be heard but not reached got half of its zone's requests for as long as it lasted (30 of 60 served), since an attempt that was given up spoke for nobody; and a server that reset every connection stayed the choice (86 of 100 served), since its few milliseconds times the failures' weight were still less than the guess for a server that nobody had measured. Now an attempt given up after a long silence counts as a failure, failures cost in terms of the service's mean latency, that mean is taken for unmeasured servers, and answers that say that the server failed are no sample of its latency. After: all five tests hold (57 of 60 and 97 of 100 at least). Stand-in store: throttles.

--- a/lab/platform_store.cpp
+++ b/lab/platform_store.cpp
@@ -16,6 +16,7 @@
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kGone = 410;
 constexpr unsigned kConditionFailed = 412;
+constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kUnavailable = 503;
 constexpr milliseconds kPoll{5};
 constexpr milliseconds kForever{3'600'000};
@@ -147,6 +148,9 @@
     if (faults.refuses) {
         return answer(kUnavailable);
     }
+    if (faults.throttles) {
+        return answer(kTooManyRequests);
+    }
     const auto body = json::parse(request.body.prefix, nullptr, false);
     const auto path = request.target.substr(0, request.target.find('?'));
     auto response = dispatch(request.method, path, parameters_of(request.target), body, cancel);
--- a/lab/platform_store.hpp
+++ b/lab/platform_store.hpp
@@ -19,6 +19,7 @@
 /// What goes wrong at the store.
 struct PlatformStoreFaults {
     bool refuses = false;        ///< Every call gets 503; nothing is done.
+    bool throttles = false;      ///< Every call gets 429; nothing is done.
     bool loses_answers = false;  ///< Writes are done and not answered.
     bool is_silent = false;      ///< Calls are taken and never answered.
     milliseconds delay{0};       ///< Before every answer.
--- a/src/selection/server_selection.cpp
+++ b/src/selection/server_selection.cpp
@@ -10,12 +10,12 @@
 
 using membership::KnownServer;
 
-/** Taken for a server of which no answer was measured yet. */
-constexpr double unknownLatencyUs = 100'000;
+/** Taken for the mean latency if no server was measured. */
+constexpr double guessedLatencyUs = 100'000;
 /** Another zone costs this much more: its bytes are dear and its way is longer. */
 constexpr double otherZoneFactor = 2.5;
 constexpr double coldFactor = 2.0;
-/** A server that fails always costs this many times more. */
+/** A failure costs this many times the mean latency. */
 constexpr double failureWeight = 30.0;
 /** Weight of the newest result in the moving share of failures. */
 constexpr double failureSample = 0.4;
@@ -61,6 +61,11 @@
     ++state.underWay[instance];
 }
 
+bool speaksAgainstServer (const AttemptEnd& end)
+{
+    return end.wasGivenUp ? end.taken >= end.slowAfter : end.serverFailed;
+}
+
 void noteEnded (SelectionState& state, TimePoint now, const std::string& instance, bool failed)
 {
     const auto own = state.underWay.find (instance);
@@ -75,7 +80,24 @@
         state.failures.erase (instance);
 }
 
-double expectedCost (const SelectionState& state, TimePoint now, const KnownServer& known)
+double meanLatencyUs (const std::vector<KnownServer>& servers)
+{
+    double sum = 0;
+    double n = 0;
+
+    for (const auto& it : servers)
+    {
+        if (it.server.latency_us == 0)
+            continue;
+
+        sum += it.server.latency_us;
+        ++n;
+    }
+
+    return n > 0 ? sum / n : guessedLatencyUs;
+}
+
+double expectedCost (const SelectionState& state, TimePoint now, const KnownServer& known, double meanUs)
 {
     const auto& server = known.server;
     const auto own = state.underWay.find (server.instance);
@@ -83,9 +105,9 @@
     const double busy = std::max (server.in_flight + server.queued, underWay);
     const double limit = std::max (1U, server.limit);
     const double fill = (busy + 1.0) / limit;
-    const double latency = server.latency_us == 0 ? unknownLatencyUs : server.latency_us;
+    const double latency = server.latency_us == 0 ? meanUs : server.latency_us;
     double cost = latency * (1.0 + loadWeight * fill * fill * fill);
-    cost *= 1.0 + failureWeight * std::max (failureShare (state, now, server), 0.0);
+    cost += failureWeight * meanUs * std::max (failureShare (state, now, server), 0.0);
 
     if (known.zone != state.ownZone)
         cost *= otherZoneFactor;
@@ -111,14 +133,15 @@
         (it.zone == state.ownZone ? near : far).push_back (&it);
     }
 
+    const double meanUs = meanLatencyUs (servers);
     drawSome (near, random);
     drawSome (far, random);
     near.insert (near.end(), far.begin(), far.end());
 
-    const auto best =
-        std::min_element (near.begin(), near.end(),
-                          [&] (const KnownServer* a, const KnownServer* b)
-                          { return expectedCost (state, now, *a) < expectedCost (state, now, *b); });
+    const auto best = std::min_element (
+        near.begin(), near.end(),
+        [&] (const KnownServer* a, const KnownServer* b)
+        { return expectedCost (state, now, *a, meanUs) < expectedCost (state, now, *b, meanUs); });
 
     if (best == near.end())
         return std::nullopt;
--- a/src/selection/server_selection.hpp
+++ b/src/selection/server_selection.hpp
@@ -31,11 +31,29 @@
 /** Records that a request goes to the server. */
 void noteSent (SelectionState&, const std::string& instance);
 
+/** How the sending of a request to a server ended. */
+struct AttemptEnd
+{
+    bool wasGivenUp = false;   /**< By this daemon: its time was up, or another server had answered. */
+    bool serverFailed = false; /**< No whole answer came, or the server declined. */
+    Duration taken{};
+    Duration slowAfter{}; /**< Time after which a silent server is slow for such a request. */
+};
+
+/** Whether the end speaks against the server. One that was given up after a long silence does: a machine that
+   can't be reached, but can be heard, would get requests for ever. */
+bool speaksAgainstServer (const AttemptEnd&);
+
 /** Records its end. `failed`: the server gave no whole answer, or none in time. */
 void noteEnded (SelectionState&, TimePoint now, const std::string& instance, bool failed);
 
-/** Expected cost of a request there, in microseconds of the caller's time; lower is better. */
-double expectedCost (const SelectionState&, TimePoint now, const membership::KnownServer&);
+/** Mean latency of the servers that were measured, in microseconds; a plain guess if none was. */
+double meanLatencyUs (const std::vector<membership::KnownServer>&);
+
+/** Expected cost of a request there, in microseconds of the caller's time; lower is better. `meanUs`, of all
+   servers of the service, is the scale of a failure, and is taken for a server of which no answer was
+   measured. A server that fails fast must not look cheap, nor one that nobody has tried dear. */
+double expectedCost (const SelectionState&, TimePoint now, const membership::KnownServer&, double meanUs);
 
 /** A server out of `servers` that isn't in `tried`; nothing if there is none.
 
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -304,14 +304,19 @@
     const auto wait_ends = call.received + call.terms.target_latency / kWaitPart;
     hop_call.longest_wait = std::max(kLeastWait, milliseconds(to_milliseconds(wait_ends - attempt->started)));
     hop_call.at_most_once = !may_repeat(call.terms.repeat);
-    net::EventLoop::spawn([this, board, attempt, hop_call, streamed = flight.streamed] {
+    net::EventLoop::spawn([this, board, attempt, hop_call, streamed = flight.streamed,
+                           slow_after = flight.slow_after] {
         auto request = streamed ? std::move(board->request) : copy_of(board->request);
         const bool own = attempt->server.peer == context_.settings.name;
         attempt->answer = own ? gate_.run(std::move(request), hop_call, &attempt->cancel)
                               : hops_.run(attempt->server, std::move(request), hop_call, &attempt->cancel);
         attempt->ended = true;
-        const bool failed = !attempt->cancel.cancelled() && is_server_failure(outcome_of(attempt->answer));
-        selection::noteEnded(selection_, TimePoint::clock::now(), attempt->server.server.instance, failed);
+        const auto now = TimePoint::clock::now();
+        const selection::AttemptEnd end{attempt->cancel.cancelled(),
+                                        is_server_failure(outcome_of(attempt->answer)),
+                                        now - attempt->started, slow_after};
+        selection::noteEnded(selection_, now, attempt->server.server.instance,
+                             selection::speaksAgainstServer(end));
         board->changed.give();
     });
 }
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -69,9 +69,10 @@
 
     /// What happens to one request between its arrival and its answer.
     struct Flight {
-        explicit Flight(const retry::AttemptTerms& terms) : plan(terms) {}
+        explicit Flight(const retry::AttemptTerms& terms) : plan(terms), slow_after(terms.hedge_after) {}
 
         retry::AttemptPlan plan;
+        Duration slow_after;  ///< Time after which a silent server is slow for this request.
         std::shared_ptr<AttemptBoard> board = std::make_shared<AttemptBoard>();
         std::shared_ptr<Attempt> best;  ///< The good answer, or a server's failure for want of one.
         Failure failure;                ///< The last one.
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -293,8 +293,9 @@
     const auto taken = now - started;
     const bool answered = answer.result.outcome == HopOutcome::kAnswered;
     const bool slow = taken > server.latency;
-    // A request that was given up says that the server takes at least that long.
-    if (answered || (cancelled && slow)) {
+    const bool whole = answered && answer.response->status < first_server_error;
+    // A failure may come faster than any work; a request that was given up took at least that long.
+    if (whole || (cancelled && slow)) {
         server.latency = server.latency == Duration::zero()
                              ? taken
                              : server.latency + (taken - server.latency) / kLatencyDivisor;
@@ -304,8 +305,7 @@
     if (cancelled || held_back || !answer.result.overloaded_service.empty()) {
         return;
     }
-    const bool failed = !answered || answer.response->status >= first_server_error;
-    selection::noteResult(server.failures, now, failed, kFailureSample);
+    selection::noteResult(server.failures, now, !whole, kFailureSample);
 }
 
 void LocalGate::finish(Server& server, std::uint64_t id, TimePoint started, const GateAnswer& answer,
--- /dev/null
+++ b/tests/process/links_test.cpp
@@ -0,0 +1,141 @@
+/** Sidecars as processes whose links run through forwarders that the test spoils. */
+
+#include <catch2/catch.hpp>
+#include <memory>
+
+#include "soak/link.hpp"
+#include "tests/support/fleet.hpp"
+#include "tests/support/sidecar_fleet.hpp"
+
+using namespace anisehold;
+using namespace anisehold::testing;
+
+namespace
+{
+
+constexpr unsigned statusOk = 200;
+constexpr milliseconds settleTime{ 5'000 };
+
+/** A fleet of four: two of "front", two of "back"; the links of machine 3 are forwarders. */
+struct LinkedFleet
+{
+    explicit LinkedFleet (std::uint16_t basePort)
+        : fleet (basePort, { { "z1", "front", {}, 16, milliseconds (5) },
+                             { "z2", "front", {}, 16, milliseconds (5) },
+                             { "z1", "back", {}, 16, milliseconds (5) },
+                             { "z2", "back", {}, 16, milliseconds (5), true } })
+    {
+        auto& io = Fleet::loop().io();
+        const auto& at = fleet.machine (3).links;
+        store = std::make_unique<soak::StreamLink> (io, fleet.store_endpoint());
+        hops = std::make_unique<soak::StreamLink> (io, at.hops);
+        gossip = std::make_unique<soak::DatagramLink> (io, at.gossip);
+        server = std::make_unique<soak::StreamLink> (io, at.server);
+        REQUIRE_FALSE (store->start (at.store_link));
+        REQUIRE_FALSE (hops->start (at.hops_link));
+        REQUIRE_FALSE (gossip->start (at.gossip_link));
+        REQUIRE_FALSE (server->start (at.server_link));
+        REQUIRE (fleet.start (configuration_text (1, { "front", "back" }, {})));
+    }
+
+    /** How many of `n` requests for "back" are served; they are sent at machine 1, in the zone of machine 3.
+     */
+    int serveMany (const std::string& name, int n)
+    {
+        int served = 0;
+
+        for (int i = 0; i < n; ++i)
+        {
+            const auto got = fleet.send (1, { "GET", "back.example", "/back/x", name + std::to_string (i) });
+            served += got.status == statusOk ? 1 : 0;
+        }
+
+        return served;
+    }
+
+    SidecarFleet fleet;
+    std::unique_ptr<soak::StreamLink> store;
+    std::unique_ptr<soak::StreamLink> hops;
+    std::unique_ptr<soak::StreamLink> server;
+    std::unique_ptr<soak::DatagramLink> gossip;
+};
+
+} // namespace
+
+TEST_CASE ("requests pass over a machine whose links are silent, and come back to it", "[links]")
+{
+    LinkedFleet linked (29'000);
+    soak::LinkBehaviour silent;
+    silent.toTargetSilent = true;
+    silent.toCallerSilent = true;
+    linked.hops->setBehaviour (silent);
+    linked.gossip->setBehaviour (silent);
+    // A few of the first may wait for an answer that doesn't come; they are repeated at the other server.
+    CHECK (linked.serveMany ("silent-", 60) >= 57);
+    linked.hops->setBehaviour ({});
+    linked.gossip->setBehaviour ({});
+    auto& server = *linked.fleet.machine (3).server;
+    const auto before = server.arrivals();
+    CHECK (linked.fleet.eventually (settleTime,
+                                    [&]
+                                    {
+                                        linked.serveMany ("back-", 10);
+                                        return server.arrivals() > before;
+                                    }));
+}
+
+TEST_CASE ("a server that resets every connection costs no request", "[links]")
+{
+    LinkedFleet linked (29'100);
+    soak::LinkBehaviour resetting;
+    resetting.resets = true;
+    linked.server->setBehaviour (resetting);
+    CHECK (linked.serveMany ("reset-", 100) >= 97);
+    linked.server->setBehaviour ({});
+    CHECK (linked.serveMany ("after-", 50) == 50);
+}
+
+TEST_CASE ("a machine cut off from the store serves on, and takes a new configuration from its peers",
+           "[links]")
+{
+    LinkedFleet linked (29'200);
+    soak::LinkBehaviour resetting;
+    resetting.resets = true;
+    linked.store->setBehaviour (resetting);
+    linked.fleet.configure (configuration_text (2, { "front" }, { "back" }));
+    CHECK (linked.fleet.eventually (settleTime,
+                                    [&]
+                                    {
+                                        const auto log = linked.fleet.log_of (3);
+                                        return log.find ("\"name\":\"configuration-in-force\"") !=
+                                                   std::string::npos &&
+                                               log.find ("\"version\":\"2\"") != std::string::npos;
+                                    }));
+    CHECK (linked.serveMany ("cut-", 30) == 30);
+}
+
+TEST_CASE ("a store that throttles everybody holds up nothing, and a daemon started meanwhile comes in",
+           "[links]")
+{
+    LinkedFleet linked (29'300);
+    linked.fleet.store().faults.throttles = true;
+    linked.fleet.kill (2);
+    linked.fleet.start_sidecar (2);
+    CHECK (linked.serveMany ("throttled-", 40) >= 38);
+    CHECK (linked.fleet.eventually (settleTime, [&] { return linked.fleet.is_ready (2); }));
+    linked.fleet.store().faults.throttles = false;
+    CHECK (linked.serveMany ("after-", 40) == 40);
+}
+
+TEST_CASE ("daemons whose leases ended register again", "[links]")
+{
+    LinkedFleet linked (29'400);
+    auto& store = linked.fleet.store();
+    const std::string prefix = "anisehold/members/";
+    REQUIRE (store.keys_below (prefix) == linked.fleet.size());
+    store.end_leases();
+    REQUIRE (store.keys_below (prefix) == 0);
+    CHECK (linked.serveMany ("leaseless-", 20) == 20);
+    CHECK (linked.fleet.eventually (seconds (30),
+                                    [&] { return store.keys_below (prefix) == linked.fleet.size(); }));
+}
--- a/tests/unit/selection/server_selection_test.cpp
+++ b/tests/unit/selection/server_selection_test.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr double usualUs = 100'000;
+
 KnownServer server (const std::string& instance, const std::string& zone, unsigned inFlight,
                     unsigned latencyUs = 100'000)
 {
@@ -35,7 +37,7 @@
         return chooseServer (state, now, servers, tried, random);
     }
 
-    double cost (const KnownServer& known) const { return expectedCost (state, now, known); }
+    double cost (const KnownServer& known) const { return expectedCost (state, now, known, usualUs); }
 };
 
 } // namespace
@@ -85,7 +87,7 @@
     noteSent (fixture.state, "a");
     noteEnded (fixture.state, fixture.now, "a", true);
     CHECK (fixture.cost (known) > 5 * before);
-    CHECK (expectedCost (fixture.state, fixture.now + seconds (60), known) == Approx (before));
+    CHECK (expectedCost (fixture.state, fixture.now + seconds (60), known, usualUs) == Approx (before));
 }
 
 TEST_CASE ("a server that fails always is still chosen when it is the only one", "[selection]")
@@ -117,3 +119,25 @@
     CHECK (fixture.choose ({ server ("near", "here", 5), far })->server.instance == "near");
     CHECK (fixture.choose ({ server ("near", "here", 9), far })->server.instance == "far");
 }
+
+TEST_CASE ("a server that was given up after a long silence has failed, one that was not awaited hasn't",
+           "[selection]")
+{
+    const milliseconds slowAfter (100);
+    CHECK (speaksAgainstServer ({ true, true, milliseconds (2'000), slowAfter }));
+    CHECK_FALSE (speaksAgainstServer ({ true, true, milliseconds (40), slowAfter }));
+    CHECK (speaksAgainstServer ({ false, true, milliseconds (1), slowAfter }));
+    CHECK_FALSE (speaksAgainstServer ({ false, false, milliseconds (2'000), slowAfter }));
+}
+
+TEST_CASE ("a server that fails fast doesn't look cheap, and one that nobody has tried not dear",
+           "[selection]")
+{
+    Fixture fixture;
+    auto fastFailing = server ("a", "here", 0, 5'000);
+    fastFailing.server.failed_percent = 100;
+    const auto slow = server ("b", "here", 3, 160'000);
+    const auto untried = server ("c", "there", 0, 0);
+    CHECK (fixture.choose ({ fastFailing, slow })->server.instance == "b");
+    CHECK (fixture.choose ({ fastFailing, untried })->server.instance == "c");
+}
