--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -233,15 +233,9 @@
         options.longest_rest = std::min<Duration>(options.longest_rest, kFreshRest);
     }
     net::ExchangeProgress progress;
+    // A connection that breaks at once may still have brought the request to the server: whether it is sent
+    // again is the ingress's choice, which counts repeats.
     auto response = send_once(server, request, options, progress);
-    const bool lost_at_rest = !response && progress.connection_reused && !progress.answer_started &&
-                              TimePoint::clock::now() - now < kInstantLoss;
-    if (lost_at_rest && !call.at_most_once && request.body.whole()) {
-        // The server had forgotten the connection: it has not seen the request.
-        options.longest_rest = Duration::zero();
-        progress = {};
-        response = send_once(server, request, options, progress);
-    }
     if (!response) {
         if (!progress.request_started) {
             return refusal(HopOutcome::kNotSent, ErrorKind::kConnectFailed, Duration::zero());
--- a/tests/process/links_test.cpp
+++ b/tests/process/links_test.cpp
@@ -139,3 +139,19 @@
     CHECK (linked.fleet.eventually (seconds (30),
                                     [&] { return store.keys_below (prefix) == linked.fleet.size(); }));
 }
+
+TEST_CASE ("a server that runs requests and closes gets each of them once", "[links]")
+{
+    LinkedFleet linked (29'500);
+    // Connections are kept from here on, so that one that closes looks as if it had been forgotten.
+    CHECK (linked.serveMany ("before-", 20) == 20);
+    auto& server = *linked.fleet.machine (3).server;
+    server.faults.loses_answers = true;
+    linked.serveMany ("lost-", 60);
+
+    for (const auto& [id, runs] : server.runs())
+    {
+        INFO (id);
+        CHECK (runs == 1);
+    }
+}
