--- /dev/null
+++ b/soak/fault_injector.cpp
@@ -0,0 +1,220 @@
+#include "soak/fault_injector.hpp"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+#include "net/event_loop.hpp"
+#include "tests/support/fleet.hpp"
+
+namespace anisehold::soak
+{
+namespace
+{
+
+using testing::Fleet;
+
+constexpr milliseconds linkDelay{ 120 };
+constexpr double lostShare = 0.5;
+/** Links that reset do so again after this time. */
+constexpr milliseconds resetPeriod{ 100 };
+
+bool strikesProcess (FaultKind kind)
+{
+    return kind <= FaultKind::processPaused;
+}
+
+bool strikesLinks (FaultKind kind)
+{
+    return kind >= FaultKind::linksDelayed && kind <= FaultKind::storeLinkReset;
+}
+
+bool strikesServer (FaultKind kind)
+{
+    return kind >= FaultKind::serverDeclines && kind <= FaultKind::serverReplaced;
+}
+
+} // namespace
+
+FaultInjector::FaultInjector (testing::SidecarFleet& fleetToUse, PromiseChecker& checkerToUse,
+                              const InjectorOptions& optionsToUse)
+    : fleet (fleetToUse),
+      checker (checkerToUse),
+      options (optionsToUse)
+{
+}
+
+bool FaultInjector::startLinks()
+{
+    auto& io = Fleet::loop().io();
+
+    for (std::size_t n = 0; n < fleet.size(); ++n)
+    {
+        const auto& at = fleet.machine (n).links;
+        auto& set = links.emplace_back();
+        set.store = std::make_unique<StreamLink> (io, fleet.store_endpoint());
+        set.server = std::make_unique<StreamLink> (io, at.server);
+        set.hops = std::make_unique<StreamLink> (io, at.hops);
+        set.gossip = std::make_unique<DatagramLink> (io, at.gossip);
+
+        if (set.store->start (at.store_link) || set.server->start (at.server_link) ||
+            set.hops->start (at.hops_link) || set.gossip->start (at.gossip_link))
+            return false;
+    }
+
+    return true;
+}
+
+void FaultInjector::start (const std::vector<Fault>& plan)
+{
+    loadStarted = TimePoint::clock::now();
+
+    for (const auto& fault : plan)
+        net::EventLoop::spawn ([this, fault] { strike (fault); });
+}
+
+/** Brings one fault about and takes it back. */
+void FaultInjector::strike (const Fault& fault)
+{
+    boost::this_fiber::sleep_until (loadStarted + fault.at);
+    const auto machine = fault.machine.value;
+    const auto ends = loadStarted + fault.at + fault.lasts;
+    struckUntil[machine] = std::max (struckUntil[machine], ends + options.aftermath);
+
+    if (strikesProcess (fault.kind))
+        strikeProcess (fault.kind, machine, ends);
+    else if (strikesLinks (fault.kind))
+        strikeLinks (fault.kind, machine, ends);
+    else if (strikesServer (fault.kind))
+        strikeServer (fault.kind, machine, ends);
+    else
+        strikeStore (fault.kind, ends);
+}
+
+bool FaultInjector::isStruck (std::size_t machine) const
+{
+    const auto it = struckUntil.find (machine);
+    return it != struckUntil.end() && TimePoint::clock::now() < it->second;
+}
+
+void FaultInjector::strikeProcess (FaultKind kind, std::size_t machine, TimePoint ends)
+{
+    if (kind == FaultKind::processPaused)
+    {
+        fleet.freeze (machine);
+        boost::this_fiber::sleep_until (ends);
+        fleet.thaw (machine);
+        return;
+    }
+
+    if (kind == FaultKind::processKilled)
+        fleet.kill (machine);
+    else
+        fleet.terminate (machine);
+
+    boost::this_fiber::sleep_until (ends);
+
+    if (! fleet.wait_for_exit (machine, seconds (5)))
+    {
+        checker.report (Promise::staysAlive, "machine-" + std::to_string (machine) + " did not stop");
+        fleet.kill (machine);
+    }
+
+    fleet.start_sidecar (machine);
+}
+
+void FaultInjector::strikeLinks (FaultKind kind, std::size_t machine, TimePoint ends)
+{
+    auto& set = links[machine];
+    LinkBehaviour spoiled;
+    spoiled.delay = kind == FaultKind::linksDelayed ? linkDelay : milliseconds (0);
+    spoiled.resets = kind == FaultKind::linksReset || kind == FaultKind::storeLinkReset;
+    spoiled.toTargetSilent = kind == FaultKind::linksSilent || kind == FaultKind::inboundSilent ||
+                             kind == FaultKind::storeLinkSilent;
+    spoiled.toCallerSilent = kind == FaultKind::linksSilent || kind == FaultKind::answersSilent ||
+                             kind == FaultKind::storeLinkSilent;
+    spoiled.datagramsLost = kind == FaultKind::datagramsLost ? lostShare : 0;
+    const bool onlyStore = kind == FaultKind::storeLinkSilent || kind == FaultKind::storeLinkReset;
+    const bool onlyPeers = kind == FaultKind::inboundSilent || kind == FaultKind::answersSilent;
+
+    const auto apply = [&] (const LinkBehaviour& behaviour)
+    {
+        if (! onlyPeers)
+            set.store->setBehaviour (behaviour);
+
+        if (onlyStore)
+            return;
+
+        set.hops->setBehaviour (behaviour);
+
+        if (kind != FaultKind::answersSilent)
+            set.gossip->setBehaviour (behaviour);
+    };
+
+    do
+    {
+        apply (spoiled);
+        boost::this_fiber::sleep_until (
+            spoiled.resets ? std::min<TimePoint> (ends, TimePoint::clock::now() + resetPeriod) : ends);
+    } while (TimePoint::clock::now() < ends);
+
+    apply ({});
+}
+
+void FaultInjector::strikeServer (FaultKind kind, std::size_t machine, TimePoint ends)
+{
+    if (kind == FaultKind::serverReplaced)
+    {
+        replaceServer (machine, ends);
+        return;
+    }
+
+    auto& faults = fleet.machine (machine).server->faults;
+    auto& flag = kind == FaultKind::serverDeclines       ? faults.declines
+                 : kind == FaultKind::serverLosesAnswers ? faults.loses_answers
+                 : kind == FaultKind::serverUnsigned     ? faults.forgets_signature
+                 : kind == FaultKind::serverConfused     ? faults.answers_another
+                                                         : faults.hangs;
+    flag = true;
+    boost::this_fiber::sleep_until (ends);
+    flag = false;
+}
+
+void FaultInjector::replaceServer (std::size_t machine, TimePoint ends)
+{
+    auto& server = *fleet.machine (machine).server;
+    const auto before = server.instance();
+
+    if (server.drain())
+        checker.onLeaveAcknowledged (InstanceId (before), TimePoint::clock::now());
+
+    boost::this_fiber::sleep_until (
+        std::max<TimePoint> (ends, TimePoint::clock::now() + 2 * options.drainTimeout));
+    server.replace ("i-" + std::to_string (machine) + "-" + std::to_string (++replacements));
+}
+
+void FaultInjector::strikeStore (FaultKind kind, TimePoint ends)
+{
+    auto& store = fleet.store();
+
+    if (kind == FaultKind::storeForgets)
+        store.forget_history();
+    else if (kind == FaultKind::leasesEnd)
+        store.end_leases();
+    else if (kind == FaultKind::configurationChanged)
+        fleet.configure (options.configuration (++version));
+
+    auto& flag = kind == FaultKind::storeLosesAnswers ? store.faults.loses_answers
+                 : kind == FaultKind::storeSilent     ? store.faults.is_silent
+                                                      : store.faults.refuses;
+    const bool lasts = kind == FaultKind::storeRefuses || kind == FaultKind::storeLosesAnswers ||
+                       kind == FaultKind::storeSilent;
+
+    if (! lasts)
+        return;
+
+    flag = true;
+    boost::this_fiber::sleep_until (ends);
+    flag = false;
+}
+
+} // namespace anisehold::soak
--- /dev/null
+++ b/soak/fault_injector.hpp
@@ -0,0 +1,69 @@
+/** Brings the faults of a plan about, from outside the processes, and takes them back. */
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "soak/link.hpp"
+#include "soak/plan.hpp"
+#include "soak/promises.hpp"
+#include "tests/support/sidecar_fleet.hpp"
+
+namespace anisehold::soak
+{
+
+/** What the injector needs to know of its round. */
+struct InjectorOptions
+{
+    Duration drainTimeout{}; /**< A replaced server serves on for twice that. */
+    Duration aftermath{};    /**< A machine counts as struck for this long after its fault. */
+    std::string (*configuration) (unsigned version) = nullptr;
+};
+
+/** The links of one machine. */
+struct MachineLinkSet
+{
+    std::unique_ptr<StreamLink> store;
+    std::unique_ptr<StreamLink> server;
+    std::unique_ptr<StreamLink> hops;
+    std::unique_ptr<DatagramLink> gossip;
+};
+
+/** Owns the links of a fleet's machines. Reports acknowledged leaves, and stops that never end, to the
+ * checker. */
+class FaultInjector
+{
+public:
+    FaultInjector (testing::SidecarFleet&, PromiseChecker&, const InjectorOptions&);
+
+    /** Starts the links; before the fleet. */
+    bool startLinks();
+
+    /** Starts the plan on fibers of its own. */
+    void start (const std::vector<Fault>& plan);
+
+    /** Whether a fault of the machine lasts, or has ended just now. */
+    bool isStruck (std::size_t machine) const;
+
+private:
+    void strike (const Fault&);
+    void strikeProcess (FaultKind, std::size_t machine, TimePoint ends);
+    void strikeLinks (FaultKind, std::size_t machine, TimePoint ends);
+    void strikeServer (FaultKind, std::size_t machine, TimePoint ends);
+    void replaceServer (std::size_t machine, TimePoint ends);
+    void strikeStore (FaultKind, TimePoint ends);
+
+    testing::SidecarFleet& fleet;
+    PromiseChecker& checker;
+    InjectorOptions options;
+    std::vector<MachineLinkSet> links;
+    std::map<std::size_t, TimePoint> struckUntil;
+    TimePoint loadStarted;
+    unsigned version = 1;
+    std::size_t replacements = 0;
+};
+
+} // namespace anisehold::soak
