--- a/tests/unit/explain/request_trace_test.cpp
+++ b/tests/unit/explain/request_trace_test.cpp
@@ -24,6 +24,7 @@
 std::vector<Relevance> relevancesOf (const std::vector<TraceStep>& steps)
 {
     std::vector<Relevance> all;
+    all.reserve (steps.size());
 
     for (const auto& it : steps)
         all.push_back (it.relevance);
