--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -18,11 +18,6 @@
 /** Links that reset do so again after this time. */
 constexpr milliseconds resetPeriod{ 100 };
 
-bool strikesProcess (FaultKind kind)
-{
-    return kind <= FaultKind::processPaused;
-}
-
 bool strikesLinks (FaultKind kind)
 {
     return kind >= FaultKind::linksDelayed && kind <= FaultKind::storeLinkReset;
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -34,12 +34,6 @@
     return least + milliseconds (static_cast<long long> (drawBelow (random, span)));
 }
 
-bool strikesProcess (FaultKind kind)
-{
-    return kind == FaultKind::processKilled || kind == FaultKind::processStopped ||
-           kind == FaultKind::processPaused;
-}
-
 /** Whether both act on the same thing, so that the end of one would end the other too. */
 bool sharesTarget (const Fault& a, const Fault& b)
 {
@@ -61,6 +55,12 @@
     return faultNames.at (static_cast<std::size_t> (kind));
 }
 
+bool strikesProcess (FaultKind kind)
+{
+    return kind == FaultKind::processKilled || kind == FaultKind::processStopped ||
+           kind == FaultKind::processPaused;
+}
+
 std::vector<Fault> drawPlan (std::uint64_t seed, const PlanShape& shape)
 {
     std::mt19937_64 random (seed);
--- a/soak/plan.hpp
+++ b/soak/plan.hpp
@@ -53,6 +53,9 @@
 /** The kind's name in reports. */
 std::string_view nameOf (FaultKind);
 
+/** Whether the fault acts on a machine's process. */
+bool strikesProcess (FaultKind);
+
 /** One fault: `kind` strikes `machine` (where it has one) at `at` and is taken back after `lasts`. */
 struct Fault
 {
