--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -11,14 +11,8 @@
 /// Periods without a record after which a peer counts as silent: single datagrams get lost.
 constexpr double kSilentPeriods = 3.5;
 
-bool same_servers(const PeerRecord& left, const PeerRecord& right) {
-    const auto same_instance = [](const ServerRecord& one, const ServerRecord& other) {
-        return one.instance == other.instance && one.service == other.service;
-    };
-    return left.leaving == right.leaving &&
-           std::equal(left.servers.begin(), left.servers.end(), right.servers.begin(), right.servers.end(),
-                      same_instance);
-}
+/// How long a view is used: a peer that has just fallen silent stays in it for as long.
+constexpr milliseconds kViewLifetime{100};
 
 }  // namespace
 
@@ -37,7 +31,11 @@
     return peer.was_heard && !peer.unreachable && now - peer.heard < silent_after();
 }
 
-PeerChange PeerDirectory::on_record(TimePoint now, const PeerRecord& record) {
+bool PeerDirectory::takes_requests(TimePoint now, const Peer& peer) const {
+    return reachable(now, peer) && !peer.record.leaving;
+}
+
+PeerChange PeerDirectory::on_record(TimePoint now, PeerRecord record) {
     if (record.name == own_name_ || record.name.empty()) {
         return PeerChange::kNone;
     }
@@ -49,13 +47,36 @@
     PeerChange change = PeerChange::kRefreshed;
     if (!same_boot || !reachable(now, peer)) {
         change = PeerChange::kAppeared;
-    } else if (!same_servers(peer.record, record)) {
+    } else if (!has_same_servers(peer, record)) {
         change = PeerChange::kServers;
     }
-    peer = Peer{record, now, now, true, false};
+    if (change != PeerChange::kRefreshed) {
+        views_.clear();
+        peer.servers.clear();
+        peer.servers.resize(record.servers.size());
+    }
+    for (std::size_t index = 0; index < record.servers.size(); ++index) {
+        peer.servers[index] = {
+            std::move(record.servers[index]), record.name, record.zone, record.call, record.boot_id, now};
+    }
+    record.servers.clear();
+    peer.record = std::move(record);
+    peer.heard = now;
+    peer.learned = now;
+    peer.was_heard = true;
+    peer.unreachable = false;
     return change;
 }
 
+bool PeerDirectory::has_same_servers(const Peer& peer, const PeerRecord& record) {
+    const auto same_instance = [](const KnownServer& known, const ServerRecord& server) {
+        return known.server.instance == server.instance && known.server.service == server.service;
+    };
+    return peer.record.leaving == record.leaving &&
+           std::equal(peer.servers.begin(), peer.servers.end(), record.servers.begin(), record.servers.end(),
+                      same_instance);
+}
+
 void PeerDirectory::on_address(TimePoint now, const PeerAddress& address) {
     if (address.name == own_name_ || peers_.contains(address.name)) {
         return;
@@ -71,6 +92,7 @@
     const auto found = peers_.find(name);
     if (found != peers_.end() && found->second.record.boot_id == boot_id) {
         found->second.unreachable = true;
+        views_.clear();
     }
 }
 
@@ -79,48 +101,55 @@
     if (found == peers_.end()) {
         return;
     }
-    for (auto& known : found->second.record.servers) {
-        if (known.instance == server.instance) {
-            known.in_flight = server.in_flight;
-            known.queued = server.queued;
-            known.limit = server.limit;
-            known.latency_us = server.latency_us;
-            known.failed_percent = server.failed_percent;
+    for (auto& known : found->second.servers) {
+        if (known.server.instance == server.instance) {
+            known.server.in_flight = server.in_flight;
+            known.server.queued = server.queued;
+            known.server.limit = server.limit;
+            known.server.latency_us = server.latency_us;
+            known.server.failed_percent = server.failed_percent;
         }
     }
 }
 
 void PeerDirectory::expire(TimePoint now) {
-    std::erase_if(peers_, [&](const auto& entry) {
+    const auto forgotten = std::erase_if(peers_, [&](const auto& entry) {
         const auto& peer = entry.second;
         return now - (peer.was_heard ? peer.heard : peer.learned) > times_.forgotten_after;
     });
+    if (forgotten > 0) {
+        views_.clear();
+    }
 }
 
-std::vector<KnownServer> PeerDirectory::servers_of(TimePoint now, const std::string& service) const {
-    std::vector<KnownServer> servers;
-    for (const auto& [name, peer] : peers_) {
-        if (!reachable(now, peer) || peer.record.leaving) {
-            continue;
-        }
-        for (const auto& server : peer.record.servers) {
-            if (server.service == service) {
-                servers.push_back({server, name, peer.record.zone, peer.record.call, peer.record.boot_id,
-                                   now - peer.heard});
-            }
-        }
+const ServiceView& PeerDirectory::servers_of(TimePoint now, const std::string& service) const {
+    auto& cached = views_[service];
+    const bool is_new = cached.made == TimePoint{};
+    if (is_new || now - cached.made >= kViewLifetime) {
+        cached = {make_view(now, service), now};
     }
-    return servers;
+    return cached.view;
 }
 
-std::vector<ServerRecord> PeerDirectory::servers(TimePoint now) const {
-    std::vector<ServerRecord> servers;
+ServiceView PeerDirectory::make_view(TimePoint now, const std::string& service) const {
+    ServiceView view;
+    double latencies = 0;
+    double measured = 0;
     for (const auto& [name, peer] : peers_) {
-        if (reachable(now, peer) && !peer.record.leaving) {
-            servers.insert(servers.end(), peer.record.servers.begin(), peer.record.servers.end());
+        if (!takes_requests(now, peer)) {
+            continue;
+        }
+        for (const auto& known : peer.servers) {
+            if (known.server.service != service) {
+                continue;
+            }
+            (known.zone == own_zone_ ? view.near : view.far).push_back(&known);
+            latencies += known.server.latency_us;
+            measured += known.server.latency_us > 0 ? 1 : 0;
         }
     }
-    return servers;
+    view.mean_latency_us = measured > 0 ? latencies / measured : 0;
+    return view;
 }
 
 std::vector<PeerAddress> PeerDirectory::addresses() const {
@@ -136,4 +165,20 @@
         peers_.begin(), peers_.end(), [&](const auto& entry) { return reachable(now, entry.second); }));
 }
 
+std::vector<std::string> PeerDirectory::reachable_names(TimePoint now, const std::string& zone) const {
+    std::vector<std::string> names;
+    for (const auto& [name, peer] : peers_) {
+        if (peer.record.zone == zone && takes_requests(now, peer)) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+bool PeerDirectory::any_watches(TimePoint now) const {
+    return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+        return entry.second.record.watches_store && reachable(now, entry.second);
+    });
+}
+
 }  // namespace anisehold::membership
--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -28,7 +28,17 @@
     std::string zone;
     Endpoint call;
     std::uint64_t boot_id = 0;
-    Duration age{};  ///< Since the record came.
+    TimePoint heard;  ///< When its daemon's record came.
+};
+
+/// The servers of one service that requests can be sent to. The pointers hold until the directory changes, so
+/// a view isn't kept while its fiber waits.
+struct ServiceView {
+    std::vector<const KnownServer*> near;  ///< In the own zone.
+    std::vector<const KnownServer*> far;   ///< In the others.
+    double mean_latency_us = 0;            ///< Of those that were measured; 0 if none was.
+
+    bool empty() const { return near.empty() && far.empty(); }
 };
 
 /// What a record changed.
@@ -48,10 +58,11 @@
 /// Keeps the latest record of each peer. Pure.
 class PeerDirectory {
   public:
-    PeerDirectory(std::string own_name, PeerTimes times) : own_name_(std::move(own_name)), times_(times) {}
+    PeerDirectory(std::string own_name, std::string own_zone, PeerTimes times)
+        : own_name_(std::move(own_name)), own_zone_(std::move(own_zone)), times_(times) {}
 
     /// A record came from its own daemon.
-    PeerChange on_record(TimePoint now, const PeerRecord& record);
+    PeerChange on_record(TimePoint now, PeerRecord record);
     /// An address was read from the store; nothing is known of its daemon's state.
     void on_address(TimePoint now, const PeerAddress& address);
     /// A connection to the peer failed: it counts as unreachable until it is heard again.
@@ -61,31 +72,58 @@
     /// Forgets peers that were silent for long.
     void expire(TimePoint now);
 
-    /// Servers of `service` beside reachable peers that aren't leaving.
-    std::vector<KnownServer> servers_of(TimePoint now, const std::string& service) const;
-    /// All servers beside reachable peers that aren't leaving.
-    std::vector<ServerRecord> servers(TimePoint now) const;
+    /// Servers of `service` beside reachable peers that aren't leaving. Made anew after a change and every
+    /// tenth of a second, so that the cost of a choice doesn't grow with the fleet.
+    const ServiceView& servers_of(TimePoint now, const std::string& service) const;
+    /// Calls `visit(record)` for each server beside a reachable peer that isn't leaving.
+    template <typename Visit>
+    void for_each_server(TimePoint now, Visit visit) const {
+        for (const auto& [name, peer] : peers_) {
+            if (!takes_requests(now, peer)) {
+                continue;
+            }
+            for (const auto& known : peer.servers) {
+                visit(known.server);
+            }
+        }
+    }
     /// Where records go: all known peers, silent ones too, so that one that restarts is found.
     std::vector<PeerAddress> addresses() const;
     /// Peers heard lately.
     std::size_t reachable_count(TimePoint now) const;
     std::size_t known_count() const { return peers_.size(); }
+    bool knows(const std::string& name) const { return peers_.contains(name); }
+    /// Names of the reachable peers of a zone that aren't leaving.
+    std::vector<std::string> reachable_names(TimePoint now, const std::string& zone) const;
+    /// Whether a reachable peer has a working watch of the store.
+    bool any_watches(TimePoint now) const;
 
   private:
     struct Peer {
-        PeerRecord record;
+        PeerRecord record;  ///< Without its servers, which are kept as they are handed out.
+        std::vector<KnownServer> servers;
         TimePoint heard;
         TimePoint learned;
         bool was_heard = false;
         bool unreachable = false;
     };
 
+    struct CachedView {
+        ServiceView view;
+        TimePoint made;
+    };
+
     bool reachable(TimePoint now, const Peer& peer) const;
+    bool takes_requests(TimePoint now, const Peer& peer) const;
+    static bool has_same_servers(const Peer& peer, const PeerRecord& record);
     Duration silent_after() const;
+    ServiceView make_view(TimePoint now, const std::string& service) const;
 
     std::string own_name_;
+    std::string own_zone_;
     PeerTimes times_;
     std::map<std::string, Peer> peers_;
+    mutable std::map<std::string, CachedView> views_;  ///< By service; emptied by every change of servers.
 };
 
 }  // namespace anisehold::membership
--- a/src/membership/peer_record.cpp
+++ b/src/membership/peer_record.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /// First byte of every datagram; another one means another layout.
-constexpr char kLayout = 'A';
+constexpr char kLayout = 'B';
 
 }  // namespace
 
--- a/src/membership/peer_record.hpp
+++ b/src/membership/peer_record.hpp
@@ -46,14 +46,15 @@
     Endpoint gossip;             ///< Where records are sent to (UDP).
     bool leaving = false;        ///< A planned stop has begun; no new requests.
     std::uint64_t configuration_version = 0;
-    std::vector<std::string> client_routes;            ///< Routes that the sender is sure clients call.
-    std::vector<ServerRecord> servers;                 ///< Servers that take requests; at most a few.
+    bool watches_store = false;              ///< The sender has a working watch of the configuration.
+    std::vector<std::string> client_routes;  ///< Routes that the sender is sure clients call.
+    std::vector<ServerRecord> servers;       ///< Servers that take requests; at most a few.
     std::vector<overload::ServicePressure> pressures;  ///< Services that lack room; empty in calm times.
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
         serialize_all(archive, name, zone, boot_id, sequence, call, gossip, leaving, configuration_version,
-                      client_routes, servers, pressures);
+                      watches_store, client_routes, servers, pressures);
     }
 };
 
--- a/src/net/beast_support.hpp
+++ b/src/net/beast_support.hpp
@@ -9,8 +9,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include "net/await_io.hpp"
 #include "net/http_types.hpp"
+#include "net/timed_stream.hpp"
 #include "protocol/time_types.hpp"
 
 namespace anisehold::net {
@@ -43,21 +43,31 @@
     return fields;
 }
 
+/// Room for a message as most are: its header and body come with one system call.
+inline constexpr std::size_t kReadBytes = 8 * 1024;
+
+/// Reads a header.
+template <typename Parser>
+boost::system::error_code read_header(TimedStream& stream, beast::flat_buffer& buffer, Parser& parser) {
+    buffer.reserve(kReadBytes);
+    return stream.complete_read([&](auto& ec) { http::read_header(stream.socket(), buffer, parser, ec); });
+}
+
 /// Reads body bytes into `data` through a parser over `buffer_body`. Returns the count; 0 without an
 /// error at the end of the message.
 template <typename Parser>
-std::size_t read_body_bytes(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, char* data,
+std::size_t read_body_bytes(TimedStream& stream, beast::flat_buffer& buffer, Parser& parser, char* data,
                             std::size_t size, boost::system::error_code& error) {
     std::size_t filled = 0;
     while (filled == 0 && !parser.is_done()) {
         parser.get().body().data = data;
         parser.get().body().size = size;
-        const auto result = await_io(
-            [&](auto handler) { http::async_read_some(stream, buffer, parser, std::move(handler)); });
+        const auto read_error =
+            stream.complete_read([&](auto& ec) { http::read_some(stream.socket(), buffer, parser, ec); });
         filled = size - parser.get().body().size;
-        const bool failed = result.error && result.error != http::error::need_buffer;
+        const bool failed = read_error && read_error != http::error::need_buffer;
         if (failed) {
-            error = result.error;
+            error = read_error;
             return filled;
         }
     }
@@ -66,8 +76,8 @@
 
 /// Fills `prefix` with up to `limit` bytes of body; stops early at the end of the message.
 template <typename Parser>
-void read_body_prefix(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser,
-                      std::string& prefix, std::size_t limit, boost::system::error_code& error) {
+void read_body_prefix(TimedStream& stream, beast::flat_buffer& buffer, Parser& parser, std::string& prefix,
+                      std::size_t limit, boost::system::error_code& error) {
     std::array<char, kStreamChunkBytes> chunk;
     while (!parser.is_done() && prefix.size() < limit && !error) {
         const auto room = std::min(chunk.size(), limit - prefix.size());
@@ -79,9 +89,8 @@
 /// Writes a message whose head is in `message`, with `body`. For streamed bodies each pause is bounded by
 /// `pause_ms`. On an error of the body's source, `source_error` is set and the message is left cut.
 template <bool IsRequest>
-void write_message(beast::tcp_stream& stream, http::message<IsRequest, http::buffer_body>& message,
-                   Body& body, Duration pause, boost::system::error_code& error,
-                   std::error_code& source_error) {
+void write_message(TimedStream& stream, http::message<IsRequest, http::buffer_body>& message, Body& body,
+                   Duration pause, boost::system::error_code& error, std::error_code& source_error) {
     if (body.rest && !body.length) {
         message.chunked(true);
     } else {
@@ -93,8 +102,7 @@
     message.body().more = !body.whole();
     http::serializer<IsRequest, http::buffer_body> serializer(message);
     const auto write_rest = [&] {
-        error =
-            await_io([&](auto handler) { http::async_write(stream, serializer, std::move(handler)); }).error;
+        error = stream.complete_write([&](auto& ec) { http::write(stream.socket(), serializer, ec); });
         if (error == http::error::need_buffer) {
             error = {};
         }
@@ -112,7 +120,7 @@
         message.body().size = count;
         message.body().more = more;
         if (pause != Duration::zero()) {
-            stream.expires_after(pause);
+            stream.writes_expire_after(pause);
         }
         write_rest();
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -20,7 +20,7 @@
 struct Connection {
     explicit Connection(boost::asio::io_context& io) : stream(io) {}
 
-    beast::tcp_stream stream;
+    TimedStream stream;
     beast::flat_buffer buffer;
     TimePoint idle_since;
     Duration longest_rest = Duration::max();  ///< As the server announced it.
@@ -44,21 +44,25 @@
     return std::chrono::duration_cast<Duration>(seconds(rest_s) * kRestMargin);
 }
 
-/// Makes the system give up a connection whose peer has fallen silent.
-void detect_silence(Tcp::socket& socket, milliseconds timeout) {
-    if (timeout == milliseconds::zero()) {
+/// Makes the system give up a connection whose peer has fallen silent: after bytes that aren't acknowledged,
+/// and, if asked for, also while nothing is sent.
+void detect_silence(Tcp::socket& socket, const HttpPoolLimits& limits) {
+    if (limits.silence_timeout_ms == milliseconds::zero()) {
+        return;
+    }
+    const int timeout_ms = static_cast<int>(limits.silence_timeout_ms.count());
+    const int descriptor = socket.native_handle();
+    ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+    if (!limits.probes_idle_connections) {
         return;
     }
     constexpr int probe_interval_s = 1;
     constexpr int probes = 2;
     const int on = 1;
-    const int timeout_ms = static_cast<int>(timeout.count());
-    const int descriptor = socket.native_handle();
     ::setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &probe_interval_s, sizeof probe_interval_s);
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &probe_interval_s, sizeof probe_interval_s);
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
-    ::setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
 }
 
 /// Whether an idle connection has been closed, or holds bytes that nobody asked for.
@@ -113,25 +117,29 @@
     auto connection = std::make_unique<Connection>(io);
     const auto address = boost::asio::ip::make_address(server.ip);
     const auto connect_deadline = std::min(deadline, TimePoint::clock::now() + limits.connect_timeout_ms);
-    connection->stream.expires_at(connect_deadline);
-    const auto result = await_io([&](auto handler) {
-        connection->stream.async_connect(Tcp::endpoint(address, server.port), std::move(handler));
-    });
-    if (result.error) {
-        error = result.error;
+    connection->stream.writes_expire_at(connect_deadline);
+    const auto connect_error = connection->stream.connect(Tcp::endpoint(address, server.port));
+    if (connect_error) {
+        error = connect_error;
         discard(std::move(connection));
         return nullptr;
     }
     boost::system::error_code ignored;
     connection->stream.socket().set_option(Tcp::no_delay(true), ignored);
-    detect_silence(connection->stream.socket(), limits.silence_timeout_ms);
+    detect_silence(connection->stream.socket(), limits);
     return connection;
 }
 
 void HttpClient::State::give_back(std::unique_ptr<Connection> connection) {
+    if (connection->stream.is_aborted()) {
+        discard(std::move(connection));
+        return;
+    }
     const auto now = TimePoint::clock::now();
     connection->idle_since = now;
-    connection->stream.expires_never();
+    if (connection->buffer.size() == 0) {
+        connection->buffer.shrink_to_fit();
+    }
     idle.push_back(std::move(connection));
     while (now - idle.front()->idle_since > limits.idle_timeout_ms) {
         auto expired = std::move(idle.front());
@@ -188,7 +196,7 @@
         if (parser_->is_done()) {
             return 0;
         }
-        lease_->stream.expires_after(pause_);
+        lease_->stream.reads_expire_after(pause_);
         boost::system::error_code read_error;
         const auto count = read_body_bytes(lease_->stream, lease_->buffer, *parser_, data, size, read_error);
         error = read_error;
@@ -258,8 +266,9 @@
         error = make_error_code(ErrorKind::kCancelled);
         return std::nullopt;
     }
-    CancelSubscription subscription(options.cancel, [&stream = lease->stream] { stream.cancel(); });
-    lease->stream.expires_at(options.deadline);
+    CancelSubscription subscription(options.cancel, [&stream = lease->stream] { stream.abort(); });
+    lease->stream.reads_expire_at(options.deadline);
+    lease->stream.writes_expire_at(options.deadline);
 
     auto message = request_head(request, state_->server);
     boost::system::error_code io_error;
@@ -277,9 +286,7 @@
     if (request.method == "HEAD") {
         parser->skip(true);
     }
-    io_error = await_io([&](auto handler) {
-                   http::async_read_header(lease->stream, lease->buffer, *parser, std::move(handler));
-               }).error;
+    io_error = read_header(lease->stream, lease->buffer, *parser);
     HttpResponse response;
     progress.answer_started = !io_error;
     if (!io_error) {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -22,7 +22,10 @@
     milliseconds idle_timeout_ms{5'000};   ///< Idle connections older than this are closed, not reused.
     milliseconds body_timeout_ms{10'000};  ///< Longest pause inside a streamed answer.
     milliseconds silence_timeout_ms{
-        0};                      ///< A peer that acknowledges nothing for that long is dead; 0: never.
+        0};  ///< A peer that acknowledges nothing for that long is dead; 0: never.
+    /// Whether that is noticed while nothing is sent, by a probe a second. For a few connections on which
+    /// answers are waited for long: each probe is a packet, and a fleet has many connections at rest.
+    bool probes_idle_connections = false;
     bool reuse_unclean = false;  ///< Lab only: pools connections whatever became of the exchange.
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -48,12 +48,11 @@
 /// Reads the unbuffered rest of a request body.
 class RequestBodyReader final : public BodyReader {
   public:
-    RequestBodyReader(beast::tcp_stream& stream, beast::flat_buffer& buffer, RequestParser& parser,
-                      Duration pause)
+    RequestBodyReader(TimedStream& stream, beast::flat_buffer& buffer, RequestParser& parser, Duration pause)
         : stream_(stream), buffer_(buffer), parser_(parser), pause_(pause) {}
 
     std::size_t read(char* data, std::size_t size, std::error_code& error) override {
-        stream_.expires_after(pause_);
+        stream_.reads_expire_after(pause_);
         boost::system::error_code read_error;
         const auto count = read_body_bytes(stream_, buffer_, parser_, data, size, read_error);
         error = read_error;
@@ -61,7 +60,7 @@
     }
 
   private:
-    beast::tcp_stream& stream_;
+    TimedStream& stream_;
     beast::flat_buffer& buffer_;
     RequestParser& parser_;
     Duration pause_;
@@ -105,7 +104,7 @@
         }
     }
 
-    beast::tcp_stream stream;
+    TimedStream stream;
     beast::flat_buffer buffer;
     std::deque<std::shared_ptr<PendingExchange>> open_exchanges;
     std::shared_ptr<PendingExchange> last;  ///< The latest exchange, while its answer isn't written.
@@ -129,7 +128,7 @@
     void finish(Connection& connection, const std::shared_ptr<PendingExchange>& exchange);
     void discard_until_closed(Connection& connection);
     void reject(Connection& connection, ErrorKind kind);
-    bool write_response(beast::tcp_stream& stream, HttpResponse& response, unsigned version, bool keep_alive);
+    bool write_response(TimedStream& stream, HttpResponse& response, unsigned version, bool keep_alive);
 
     Tcp::acceptor acceptor;
     HttpServerLimits limits;
@@ -194,11 +193,11 @@
         return true;
     }
     connection.waiting_for_request = true;
-    auto& socket = connection.stream.socket();
-    const auto result =
-        await_io([&](auto handler) { socket.async_wait(Tcp::socket::wait_read, std::move(handler)); });
+    connection.buffer.shrink_to_fit();
+    connection.stream.reads_expire_never();
+    const auto error = connection.stream.wait_readable();
     connection.waiting_for_request = false;
-    return !result.error && !connection.answers_closed;
+    return !error && !connection.answers_closed;
 }
 
 bool HttpServer::State::read_request(const std::shared_ptr<Connection>& connection) {
@@ -207,10 +206,8 @@
     RequestParser parser;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
     parser.body_limit(limits.body_bytes);
-    stream.expires_after(limits.header_timeout_ms);
-    auto error = await_io([&](auto handler) {
-                     http::async_read_header(stream, buffer, parser, std::move(handler));
-                 }).error;
+    stream.reads_expire_after(limits.header_timeout_ms);
+    auto error = read_header(stream, buffer, parser);
     auto exchange = std::make_shared<PendingExchange>();
     auto& request = exchange->request;
     if (!error) {
@@ -220,10 +217,10 @@
         if (parser.content_length()) {
             request.body.length = *parser.content_length();
         }
-        stream.expires_after(limits.body_timeout_ms);
+        stream.reads_expire_after(limits.body_timeout_ms);
         if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
             http::response<http::empty_body> go_on(http::status::continue_, parser.get().version());
-            await_io([&](auto handler) { http::async_write(stream, go_on, std::move(handler)); });
+            stream.complete_write([&](auto& ec) { http::write(stream.socket(), go_on, ec); });
         }
         read_body_prefix(stream, buffer, parser, request.body.prefix, kBufferedBodyBytes, error);
     }
@@ -237,7 +234,6 @@
         }
         return false;
     }
-    stream.expires_never();
     exchange->keep_alive = parser.keep_alive();
     exchange->version = parser.get().version();
     exchange->previous = connection->last;
@@ -303,15 +299,14 @@
         if (lingering) {
             boost::system::error_code ignored;
             connection.stream.socket().shutdown(Tcp::socket::shutdown_send, ignored);
-            connection.stream.expires_after(kLingerTime);
+            connection.stream.reads_expire_after(kLingerTime);
         } else {
-            connection.stream.expires_never();
+            connection.stream.reads_expire_never();
         }
-        const auto result = await_io([&](auto handler) {
-            connection.stream.async_read_some(boost::asio::buffer(scratch), std::move(handler));
-        });
+        const auto error = connection.stream.complete_read(
+            [&](auto& ec) { connection.stream.socket().read_some(boost::asio::buffer(scratch), ec); });
         const bool answers_just_closed = !lingering && connection.answers_closed;
-        if (result.error && !answers_just_closed) {
+        if (error && !answers_just_closed) {
             connection.cancel_all();
         }
     }
@@ -319,15 +314,14 @@
 
 void HttpServer::State::reject(Connection& connection, ErrorKind kind) {
     wait_until_written(connection.last);
-    // A timed-out stream is closed by Beast; the write then fails, which is all that can be done.
+    // A sender that was too slow may still read the answer.
     auto response = handlers.reject(kind);
-    connection.stream.expires_after(limits.body_timeout_ms);
     constexpr unsigned http_11 = 11;
     write_response(connection.stream, response, http_11, false);
     connection.answers_closed = true;
 }
 
-bool HttpServer::State::write_response(beast::tcp_stream& stream, HttpResponse& response, unsigned version,
+bool HttpServer::State::write_response(TimedStream& stream, HttpResponse& response, unsigned version,
                                        bool keep_alive) {
     http::response<http::buffer_body> message;
     message.version(static_cast<int>(version));
@@ -338,7 +332,7 @@
     message.keep_alive(keep_alive);
     boost::system::error_code error;
     std::error_code source_error;
-    stream.expires_after(limits.body_timeout_ms);
+    stream.writes_expire_after(limits.body_timeout_ms);
     write_message(stream, message, response.body, limits.body_timeout_ms, error, source_error);
     return !error && !source_error;
 }
--- /dev/null
+++ b/src/net/timed_stream.hpp
@@ -0,0 +1,110 @@
+/// @file
+/// A TCP connection whose waits end at a deadline. Included only inside net/.
+#pragma once
+
+#include <utility>
+// <utility> comes first: Boost 1.74's Asio needs std::exchange under C++20.
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/error.hpp>
+
+#include "net/await_io.hpp"
+#include "protocol/time_types.hpp"
+
+namespace anisehold::net {
+
+/// A non-blocking socket for one fiber that reads and one that writes. Operations are tried at once and wait
+/// for the socket only if they would block, so that an exchange costs few system calls.
+class TimedStream {
+  public:
+    using Socket = boost::asio::ip::tcp::socket;
+
+    explicit TimedStream(boost::asio::io_context& io) : socket_(io) {}
+    /// Takes over an accepted connection.
+    explicit TimedStream(Socket socket) : socket_(std::move(socket)) { be_non_blocking(); }
+
+    Socket& socket() { return socket_; }
+
+    /// Waits that begin from now on end at that time with `beast::error::timeout`.
+    void reads_expire_at(TimePoint deadline) { read_deadline_ = deadline; }
+    void reads_expire_after(Duration time) { read_deadline_ = TimePoint::clock::now() + time; }
+    void reads_expire_never() { read_deadline_ = TimePoint::max(); }
+    void writes_expire_at(TimePoint deadline) { write_deadline_ = deadline; }
+    void writes_expire_after(Duration time) { write_deadline_ = TimePoint::clock::now() + time; }
+
+    /// Ends the waits that go on now.
+    void cancel() {
+        boost::system::error_code ignored;
+        socket_.cancel(ignored);
+    }
+    /// Ends the waits that go on now and all later ones: the connection can't be used any more.
+    void abort() {
+        aborted_ = true;
+        cancel();
+    }
+    bool is_aborted() const { return aborted_; }
+
+    /// Connects; the socket is non-blocking afterwards.
+    boost::system::error_code connect(const boost::asio::ip::tcp::endpoint& endpoint) {
+        const auto error = await(write_deadline_,
+                                 [&](auto handler) { socket_.async_connect(endpoint, std::move(handler)); });
+        if (!error) {
+            be_non_blocking();
+        }
+        return error;
+    }
+
+    boost::system::error_code wait_readable() { return wait(Socket::wait_read); }
+
+    /// Calls `attempt(error)`, a non-blocking operation, until it no longer would block; waits in between.
+    template <typename Attempt>
+    boost::system::error_code complete_read(Attempt attempt) {
+        return complete(Socket::wait_read, attempt);
+    }
+    template <typename Attempt>
+    boost::system::error_code complete_write(Attempt attempt) {
+        return complete(Socket::wait_write, attempt);
+    }
+
+  private:
+    void be_non_blocking() {
+        boost::system::error_code ignored;
+        socket_.non_blocking(true, ignored);
+    }
+
+    template <typename Start>
+    boost::system::error_code await(TimePoint deadline, Start start) {
+        if (aborted_) {
+            return boost::asio::error::operation_aborted;
+        }
+        const auto result = await_io_until(deadline, start, [this] { cancel(); });
+        if (result.timed_out && result.error) {
+            return boost::beast::error::timeout;
+        }
+        return result.error;
+    }
+
+    boost::system::error_code wait(Socket::wait_type readiness) {
+        const auto deadline = readiness == Socket::wait_read ? read_deadline_ : write_deadline_;
+        return await(deadline, [&](auto handler) { socket_.async_wait(readiness, std::move(handler)); });
+    }
+
+    template <typename Attempt>
+    boost::system::error_code complete(Socket::wait_type readiness, Attempt attempt) {
+        boost::system::error_code error;
+        attempt(error);
+        while (error == boost::asio::error::would_block) {
+            error = wait(readiness);
+            if (!error) {
+                attempt(error);
+            }
+        }
+        return error;
+    }
+
+    Socket socket_;
+    TimePoint read_deadline_ = TimePoint::max();
+    TimePoint write_deadline_ = TimePoint::max();
+    bool aborted_ = false;
+};
+
+}  // namespace anisehold::net
--- a/src/selection/server_selection.cpp
+++ b/src/selection/server_selection.cpp
@@ -1,7 +1,7 @@
 #include "selection/server_selection.hpp"
 
 #include <algorithm>
-#include <cmath>
+#include <limits>
 
 namespace anisehold::selection
 {
@@ -39,19 +39,49 @@
     return std::max (seen, shareOfPercent * server.failed_percent - ordinaryShare);
 }
 
-/** Moves up to `numLookedAt` random candidates to the front and drops the rest. */
-void drawSome (Candidates& candidates, const UnitRandom& random)
+/** Adds up to `numLookedAt` random candidates to `drawn`. */
+void drawSome (const Candidates& candidates, const UnitRandom& random, Candidates& drawn)
 {
-    const auto n = std::min (candidates.size(), numLookedAt);
+    const auto size = candidates.size();
 
-    for (std::size_t i = 0; i < n; ++i)
+    if (size <= numLookedAt)
     {
-        const auto rest = candidates.size() - i;
-        const auto drawn = static_cast<std::size_t> (random() * static_cast<double> (rest));
-        std::swap (candidates[i], candidates[i + std::min (drawn, rest - 1)]);
+        drawn.insert (drawn.end(), candidates.begin(), candidates.end());
+        return;
     }
 
-    candidates.resize (n);
+    const auto draw = [&] (std::size_t n)
+    { return std::min (static_cast<std::size_t> (random() * static_cast<double> (n)), n - 1); };
+    const auto first = draw (size);
+    const auto second = draw (size - 1);
+    drawn.push_back (candidates[first]);
+    drawn.push_back (candidates[second < first ? second : second + 1]);
+}
+
+/** Those of the candidates that weren't tried. */
+Candidates untried (const Candidates& candidates, const std::vector<std::string>& tried)
+{
+    Candidates rest;
+
+    for (const auto* it : candidates)
+    {
+        if (std::find (tried.begin(), tried.end(), it->server.instance) != tried.end())
+            continue;
+
+        rest.push_back (it);
+    }
+
+    return rest;
+}
+
+/** The same without a copy for the usual case, in which nothing was tried. */
+void drawUntried (const Candidates& candidates, const std::vector<std::string>& tried,
+                  const UnitRandom& random, Candidates& drawn)
+{
+    if (tried.empty())
+        drawSome (candidates, random, drawn);
+    else
+        drawSome (untried (candidates, tried), random, drawn);
 }
 
 } // namespace
@@ -80,23 +110,6 @@
         state.failures.erase (instance);
 }
 
-double meanLatencyUs (const std::vector<KnownServer>& servers)
-{
-    double sum = 0;
-    double n = 0;
-
-    for (const auto& it : servers)
-    {
-        if (it.server.latency_us == 0)
-            continue;
-
-        sum += it.server.latency_us;
-        ++n;
-    }
-
-    return n > 0 ? sum / n : guessedLatencyUs;
-}
-
 double expectedCost (const SelectionState& state, TimePoint now, const KnownServer& known, double meanUs)
 {
     const auto& server = known.server;
@@ -112,41 +125,37 @@
     if (known.zone != state.ownZone)
         cost *= otherZoneFactor;
 
-    if (milliseconds (server.cold_ms) > known.age)
+    if (milliseconds (server.cold_ms) > now - known.heard)
         cost *= coldFactor;
 
     return cost;
 }
 
-std::optional<KnownServer> chooseServer (const SelectionState& state, TimePoint now,
-                                         const std::vector<KnownServer>& servers,
-                                         const std::vector<std::string>& tried, const UnitRandom& random)
+const KnownServer* chooseServer (const SelectionState& state, TimePoint now,
+                                 const membership::ServiceView& view, const std::vector<std::string>& tried,
+                                 const UnitRandom& random)
 {
-    Candidates near;
-    Candidates far;
+    Candidates drawn;
+    drawn.reserve (2 * numLookedAt);
+    drawUntried (view.near, tried, random, drawn);
+    drawUntried (view.far, tried, random, drawn);
+
+    const double meanUs = view.mean_latency_us > 0 ? view.mean_latency_us : guessedLatencyUs;
+    const KnownServer* best = nullptr;
+    double least = std::numeric_limits<double>::max();
 
-    for (const auto& it : servers)
+    for (const auto* it : drawn)
     {
-        if (std::find (tried.begin(), tried.end(), it.server.instance) != tried.end())
+        const double cost = expectedCost (state, now, *it, meanUs);
+
+        if (best != nullptr && cost >= least)
             continue;
 
-        (it.zone == state.ownZone ? near : far).push_back (&it);
+        best = it;
+        least = cost;
     }
 
-    const double meanUs = meanLatencyUs (servers);
-    drawSome (near, random);
-    drawSome (far, random);
-    near.insert (near.end(), far.begin(), far.end());
-
-    const auto best = std::min_element (
-        near.begin(), near.end(),
-        [&] (const KnownServer* a, const KnownServer* b)
-        { return expectedCost (state, now, *a, meanUs) < expectedCost (state, now, *b, meanUs); });
-
-    if (best == near.end())
-        return std::nullopt;
-
-    return **best;
+    return best;
 }
 
 } // namespace anisehold::selection
--- a/src/selection/server_selection.hpp
+++ b/src/selection/server_selection.hpp
@@ -5,9 +5,8 @@
 #pragma once
 
 #include <functional>
-#include <map>
-#include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "membership/peer_directory.hpp"
@@ -24,8 +23,9 @@
 struct SelectionState
 {
     std::string ownZone;
-    std::map<std::string, unsigned> underWay; /**< Requests that this daemon has sent and not seen end. */
-    std::map<std::string, FailureShare> failures;
+    std::unordered_map<std::string, unsigned>
+        underWay; /**< Requests that this daemon has sent and not seen end. */
+    std::unordered_map<std::string, FailureShare> failures;
 };
 
 /** Records that a request goes to the server. */
@@ -47,22 +47,18 @@
 /** Records its end. `failed`: the server gave no whole answer, or none in time. */
 void noteEnded (SelectionState&, TimePoint now, const std::string& instance, bool failed);
 
-/** Mean latency of the servers that were measured, in microseconds; a plain guess if none was. */
-double meanLatencyUs (const std::vector<membership::KnownServer>&);
-
 /** Expected cost of a request there, in microseconds of the caller's time; lower is better. `meanUs`, of all
    servers of the service, is the scale of a failure, and is taken for a server of which no answer was
    measured. A server that fails fast must not look cheap, nor one that nobody has tried dear. */
 double expectedCost (const SelectionState&, TimePoint now, const membership::KnownServer&, double meanUs);
 
-/** A server out of `servers` that isn't in `tried`; nothing if there is none.
+/** A server of the view that isn't in `tried`; null if there is none.
 
     Two random ones of the own zone and two of the others are looked at, and the cheapest is taken. So the own
     zone serves its requests while it has room, and a fleet that chooses at the same time spreads.
 */
-std::optional<membership::KnownServer> chooseServer (const SelectionState&, TimePoint now,
-                                                     const std::vector<membership::KnownServer>& servers,
-                                                     const std::vector<std::string>& tried,
-                                                     const UnitRandom&);
+const membership::KnownServer* chooseServer (const SelectionState&, TimePoint now,
+                                             const membership::ServiceView&,
+                                             const std::vector<std::string>& tried, const UnitRandom&);
 
 } // namespace anisehold::selection
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -162,34 +162,31 @@
     return chosen;
 }
 
-std::vector<KnownServer> CallIngress::candidates(const std::string& service, TimePoint now) const {
-    auto servers = directory_.servers_of(now, service);
-    for (const auto& own : gate_.records(now)) {
+membership::ServiceView CallIngress::candidates(const std::string& service, TimePoint now) {
+    auto view = directory_.servers_of(now, service);
+    own_servers_.clear();
+    for (auto& own : gate_.records(now)) {
         if (own.service == service) {
-            servers.push_back({own, context_.settings.name, context_.settings.zone, context_.settings.hops,
-                               context_.boot_id, Duration::zero()});
+            own_servers_.push_back({std::move(own), context_.settings.name, context_.settings.zone,
+                                    context_.settings.hops, context_.boot_id, now});
         }
     }
-    return servers;
+    for (const auto& own : own_servers_) {
+        view.near.push_back(&own);
+    }
+    return view;
 }
 
-retry::AttemptTerms CallIngress::terms_of(const Call& call, const net::HttpRequest& request,
-                                          TimePoint now) const {
+retry::AttemptTerms CallIngress::terms_of(const Call& call, const net::HttpRequest& request, TimePoint now) {
     retry::AttemptTerms terms;
     // A body that is streamed can be sent once only.
     terms.may_repeat = may_repeat(call.terms.repeat) && request.body.whole();
     terms.most_servers = request.body.whole() ? call.terms.most_servers : 1;
     terms.deadline = call.deadline;
     terms.refuse_unsent_at = call.received + call.terms.target_latency / kWaitPart;
-    Duration latency{};
-    unsigned measured = 0;
-    for (const auto& server : candidates(call.service, now)) {
-        if (server.server.latency_us > 0) {
-            latency += std::chrono::microseconds(server.server.latency_us);
-            ++measured;
-        }
-    }
-    const Duration average = measured == 0 ? Duration(kUnmeasuredLatency) : latency / measured;
+    const std::chrono::duration<double, std::micro> measured(candidates(call.service, now).mean_latency_us);
+    const auto average =
+        measured.count() > 0 ? std::chrono::duration_cast<Duration>(measured) : Duration(kUnmeasuredLatency);
     terms.hedge_after = std::max<Duration>(kLeastHedge, kHedgeFactor * average);
     return terms;
 }
@@ -205,9 +202,10 @@
     while (going_on) {
         take_outcomes(call, flight);
         const auto now = TimePoint::clock::now();
-        const auto server = selection::chooseServer(selection_, now, candidates(call.service, now),
-                                                    call.tried, [this] { return context_.random_unit(); });
-        step = flight.plan.next(now, server.has_value());
+        const auto view = candidates(call.service, now);
+        const auto* server = selection::chooseServer(selection_, now, view, call.tried,
+                                                     [this] { return context_.random_unit(); });
+        step = flight.plan.next(now, server != nullptr);
         going_on = !cancel.cancelled() && advance(call, flight, step, server, now);
     }
     cancel_attempts(call, flight);
@@ -217,8 +215,8 @@
     return conclude(call, flight, step);
 }
 
-bool CallIngress::advance(Call& call, Flight& flight, AttemptStep step,
-                          const std::optional<KnownServer>& server, TimePoint now) {
+bool CallIngress::advance(Call& call, Flight& flight, AttemptStep step, const KnownServer* server,
+                          TimePoint now) {
     const auto send = [&] {
         launch(call, flight, *server);
         flight.plan.on_launched(now);
@@ -343,7 +341,7 @@
                                   : std::string(hop::outcome_name(result.outcome)) + "/" +
                                         std::string(answer_for(result.error).name)) +
                         ":" + std::to_string(to_milliseconds(TimePoint::clock::now() - attempt->started)) +
-                        "ms:age" + std::to_string(to_milliseconds(attempt->server.age));
+                        "ms:age" + std::to_string(to_milliseconds(attempt->started - attempt->server.heard));
     }
 }
 
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -83,17 +83,18 @@
     /// Whether the request would meet a service without room.
     bool is_refused_early(const Call& call);
     std::string choose_service(const routing::HostRoute& route, TimePoint now);
-    std::vector<membership::KnownServer> candidates(const std::string& service, TimePoint now) const;
+    /// Servers beside peers, and the one beside this daemon. Holds until the next call.
+    membership::ServiceView candidates(const std::string& service, TimePoint now);
     net::HttpResponse run(Call& call, net::HttpRequest& request, net::CancelSignal& cancel);
     /// Takes the step that the plan named; false if that was the last one.
-    bool advance(Call& call, Flight& flight, retry::AttemptStep step,
-                 const std::optional<membership::KnownServer>& server, TimePoint now);
+    bool advance(Call& call, Flight& flight, retry::AttemptStep step, const membership::KnownServer* server,
+                 TimePoint now);
     void launch(Call& call, Flight& flight, const membership::KnownServer& server);
     /// Feeds ended attempts to the plan.
     void take_outcomes(Call& call, Flight& flight) const;
     void cancel_attempts(Call& call, Flight& flight) const;
     net::HttpResponse conclude(Call& call, Flight& flight, retry::AttemptStep step);
-    retry::AttemptTerms terms_of(const Call& call, const net::HttpRequest& request, TimePoint now) const;
+    retry::AttemptTerms terms_of(const Call& call, const net::HttpRequest& request, TimePoint now);
     /// Tells the limit of root requests and the gate of this machine's server how the request ended.
     void note_overload(const Call& call, const Failure* failure, const GateAnswer* answered);
     net::HttpResponse answer(Call& call, net::HttpResponse response);
@@ -109,6 +110,7 @@
     routing::WeightedSplit split_;
     selection::SelectionState selection_;
     retry::WindowBudget budget_;
+    std::vector<membership::KnownServer> own_servers_;  ///< What the last candidates point to.
 };
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/configuration_holder.cpp
+++ b/src/sidecar/configuration_holder.cpp
@@ -26,7 +26,7 @@
     current_ = std::make_shared<const routing::Configuration>(std::move(*reading.configuration));
     text_ = text;
     if (listener_) {
-        listener_(*current_);
+        listener_(*current_, source);
     }
     return true;
 }
--- a/src/sidecar/configuration_holder.hpp
+++ b/src/sidecar/configuration_holder.hpp
@@ -17,7 +17,7 @@
 /// Holds the configuration and its text, which peers may ask for.
 class ConfigurationHolder {
   public:
-    using Listener = std::function<void(const routing::Configuration&)>;
+    using Listener = std::function<void(const routing::Configuration&, ConfigurationSource)>;
 
     explicit ConfigurationHolder(SidecarContext& context) : context_(context) {}
 
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -14,9 +14,14 @@
 using observability::Event;
 using observability::log_event;
 
-/// The store's watch usually brings a new configuration; a peer is asked when it hasn't after this time.
-constexpr milliseconds kFetchPause{150};
+/// A watcher's own watch usually brings a new configuration; a peer is asked when it hasn't after this time.
+constexpr milliseconds kWatcherFetchPause{150};
+/// The other daemons spread their calls to the watchers over this time.
+constexpr milliseconds kFetchSpread{100};
 constexpr milliseconds kFetchTimeout{1'000};
+/// A known peer that appears within this time after an announcement has that record. When a whole fleet
+/// starts, most answers would be such repetitions.
+constexpr milliseconds kAnswerPause{500};
 constexpr double kShareOfPercent = 0.01;
 
 }  // namespace
@@ -50,6 +55,7 @@
     record.gossip = settings.advertised_gossip;
     record.leaving = context_.leaving;
     record.configuration_version = configuration_.version();
+    record.watches_store = context_.watches_store;
     record.client_routes = context_.origins.own_verdicts();
     record.pressures = overload::ownReport(context_.root_limit);
     record.servers = gate_.records(TimePoint::clock::now());
@@ -58,6 +64,7 @@
 
 void PeerExchange::announce() {
     const auto bytes = encode(own_record());
+    announced_ = TimePoint::clock::now();
     for (const auto& peer : directory_.addresses()) {
         socket_.send(peer.gossip, bytes);
     }
@@ -87,9 +94,7 @@
         taken[server.service] += sound * kShareOfPercent * server.busy_percent * server.limit;
         places[server.service] += sound * server.limit;
     };
-    for (const auto& known : directory_.servers(now)) {
-        add(known);
-    }
+    directory_.for_each_server(now, add);
     for (const auto& own : gate_.records(now)) {
         add(own);
     }
@@ -113,18 +118,19 @@
 }
 
 void PeerExchange::receive(std::string_view bytes) {
-    const auto record = membership::decode_peer_record(bytes);
+    auto record = membership::decode_peer_record(bytes);
     if (!record) {
         log_event(Event::kPeerFrameRefused, {{"bytes", std::to_string(bytes.size())}});
         return;
     }
     context_.origins.on_peer_verdict(record->client_routes);
     const auto now = TimePoint::clock::now();
+    const bool was_told = directory_.knows(record->name) && now - announced_ < kAnswerPause;
     const auto change = directory_.on_record(now, *record);
     if (change != PeerChange::kNone) {
         overload::notePeerReport(context_.root_limit, now, record->name, record->pressures);
     }
-    if (change == PeerChange::kAppeared) {
+    if (change == PeerChange::kAppeared && !was_told) {
         socket_.send(record->gossip, encode(own_record()));
     }
     if (change == PeerChange::kAppeared || change == PeerChange::kServers) {
@@ -145,7 +151,9 @@
 
 void PeerExchange::fetch_configuration(const Endpoint& peer, std::uint64_t version) {
     if (configuration_.version() != 0) {
-        boost::this_fiber::sleep_for(kFetchPause);
+        const std::chrono::duration<double> spread = kFetchSpread * context_.random_unit();
+        boost::this_fiber::sleep_for(context_.watches_store ? Duration(kWatcherFetchPause)
+                                                            : std::chrono::duration_cast<Duration>(spread));
     }
     if (configuration_.version() < version) {
         net::HttpClient client(context_.io, peer);
--- a/src/sidecar/peer_exchange.hpp
+++ b/src/sidecar/peer_exchange.hpp
@@ -41,6 +41,7 @@
     net::UdpSocket socket_;
     std::uint64_t sequence_ = 0;
     std::uint64_t fetching_version_ = 0;
+    TimePoint announced_;  ///< When this daemon's record last went to all known peers.
 };
 
 /// Path at the hop listener under which a daemon gives its configuration to peers.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -75,7 +75,7 @@
     Parts(net::EventLoop& loop, const WireDialect& dialect, store::CoordinationStore& store,
           config::SidecarSettings settings, Sidecar& owner)
         : context(loop.io(), dialect, std::move(settings)),
-          directory(context.settings.name, membership::PeerTimes{}),
+          directory(context.settings.name, context.settings.zone, membership::PeerTimes{}),
           configuration(context),
           gate(context),
           peers(context, directory, gate, configuration),
@@ -128,10 +128,14 @@
 
 bool Sidecar::start() {
     const auto& settings = parts_->context.settings;
-    parts_->configuration.set_listener([this](const routing::Configuration& configuration) {
-        parts_->calls.set_limits(limits_for(configuration.clients));
-        parts_->peers.announce();
-    });
+    parts_->configuration.set_listener(
+        [this](const routing::Configuration& configuration, ConfigurationSource source) {
+            parts_->calls.set_limits(limits_for(configuration.clients));
+            // Watchers tell all; if everyone did, each version would cost the square of the fleet.
+            if (source == ConfigurationSource::kStore) {
+                parts_->peers.announce();
+            }
+        });
     const bool all_bound =
         log_unless_bound(parts_->hops.start(settings.hops), settings.hops, "hops") &&
         log_unless_bound(parts_->peers.start(), settings.gossip, "gossip") &&
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -46,8 +46,9 @@
     OverloadSign last_overload;
     admission::OriginEstimator origins;
     overload::RootLimitState root_limit;
-    bool stopping = false;  ///< A planned stop has begun; callers are asked to turn away.
-    bool leaving = false;   ///< Peers are told to send nothing more.
+    bool stopping = false;       ///< A planned stop has begun; callers are asked to turn away.
+    bool leaving = false;        ///< Peers are told to send nothing more.
+    bool watches_store = false;  ///< This daemon has a working watch of the configuration.
 
   private:
     static std::uint64_t seed() {
--- a/src/sidecar/store_follower.cpp
+++ b/src/sidecar/store_follower.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
+#include <iterator>
 
 #include "net/event_loop.hpp"
 #include "observability/events.hpp"
@@ -9,17 +10,24 @@
 namespace anisehold::sidecar {
 namespace {
 
+using discovery::registrationPeriod;
+using discovery::WatchRole;
 using observability::Event;
 using observability::log_event;
 using store::CallOutcome;
+using store::Freshness;
 
 constexpr const char* kMemberPrefix = "anisehold/members/";
 constexpr milliseconds kCallTimeout{1'500};
+/// Each watch is a priced call. A store that falls silent under it is noticed by the connection's probes.
 constexpr milliseconds kLongestWatch{25'000};
-constexpr milliseconds kLeaseLifetime{60'000};
-constexpr milliseconds kRenewPeriod{20'000};
+/// Peers answer the first record of a new process within this time: before, it can't rank its zone.
+constexpr milliseconds kSettleTime{300};
+/// How often a daemon that doesn't watch reviews that.
+constexpr milliseconds kReviewPeriod{500};
 constexpr milliseconds kFirstPause{100};
-constexpr milliseconds kLongestPause{1'500};
+/// With its jitter this puts a registration back within two seconds of the store's return.
+constexpr milliseconds kLongestPause{1'200};
 
 TimePoint call_deadline() {
     return TimePoint::clock::now() + kCallTimeout;
@@ -29,6 +37,7 @@
 
 void StoreFollower::start(PeersFound peers_found) {
     peers_found_ = std::move(peers_found);
+    net::EventLoop::spawn([this] { take_first_configuration(); });
     net::EventLoop::spawn([this] { follow_configuration(); });
     net::EventLoop::spawn([this] { keep_registered(); });
 }
@@ -50,8 +59,8 @@
     boost::this_fiber::sleep_for(jittered);
 }
 
-std::uint64_t StoreFollower::read_configuration() {
-    const auto reply = store_.read(context_.dialect.configuration_key(), call_deadline());
+std::uint64_t StoreFollower::read_configuration(Freshness freshness) {
+    const auto reply = store_.read(context_.dialect.configuration_key(), freshness, call_deadline());
     if (!note(reply.outcome, "read configuration")) {
         return 0;
     }
@@ -61,90 +70,164 @@
     return reply.store_revision;
 }
 
+void StoreFollower::take_first_configuration() {
+    // An old version is enough to begin with: the watchers' records tell of a newer one at once. Where the
+    // store has none yet, they tell of the first.
+    unsigned failures = 0;
+    while (configuration_.version() == 0 && read_configuration(Freshness::kMayBeStale) == 0) {
+        pause(failures++);
+    }
+}
+
+std::uint64_t StoreFollower::watch_configuration(std::uint64_t watch_from) {
+    const auto reply = store_.watch(context_.dialect.configuration_key(), watch_from, kLongestWatch);
+    note(reply.outcome, "watch configuration");
+    for (const auto& item : reply.changed) {
+        if (item.key == context_.dialect.configuration_key()) {
+            configuration_.offer(item.value, ConfigurationSource::kStore);
+        }
+    }
+    // After a cut watch, or lost history, what was missed is read whole.
+    return reply.outcome == CallOutcome::kDone ? reply.store_revision : 0;
+}
+
+std::uint64_t StoreFollower::follow_once(std::uint64_t watch_from) {
+    return watch_from == 0 ? read_configuration(Freshness::kLatest) : watch_configuration(watch_from);
+}
+
+WatchRole StoreFollower::review_role() {
+    const auto now = TimePoint::clock::now();
+    discovery::WatchView view;
+    view.ownName = context_.settings.name;
+    view.zonePeers = directory_.reachable_names(now, context_.settings.zone);
+    view.knownPeers = directory_.known_count();
+    view.peerWatches = directory_.any_watches(now);
+    const auto before = watch_.role;
+    const auto role = discovery::reviewRole(watch_, now, view, [this] { return context_.random_unit(); });
+    if (role != before) {
+        log_event(Event::kWatchRoleChanged, {{"role", std::string(discovery::roleName(role))},
+                                             {"before", std::string(discovery::roleName(before))},
+                                             {"zone_peers", std::to_string(view.zonePeers.size())},
+                                             {"peer_watches", view.peerWatches ? "yes" : "no"}});
+    }
+    return role;
+}
+
 void StoreFollower::follow_configuration() {
+    while (!has_listed_) {
+        boost::this_fiber::sleep_for(kReviewPeriod);
+    }
+    boost::this_fiber::sleep_for(kSettleTime);
     std::uint64_t watch_from = 0;
     unsigned failures = 0;
     while (true) {
-        if (watch_from == 0) {
-            watch_from = read_configuration();
-        } else {
-            const auto reply = store_.watch(context_.dialect.configuration_key(), watch_from, kLongestWatch);
-            note(reply.outcome, "watch configuration");
-            for (const auto& item : reply.changed) {
-                if (item.key == context_.dialect.configuration_key()) {
-                    configuration_.offer(item.value, ConfigurationSource::kStore);
-                }
-            }
-            // A cut watch, or lost history: what was missed is read whole.
-            watch_from = reply.outcome == CallOutcome::kDone ? reply.store_revision : 0;
+        if (review_role() == WatchRole::none) {
+            watch_from = 0;
+            context_.watches_store = false;
+            boost::this_fiber::sleep_for(kReviewPeriod);
+            continue;
         }
+        watch_from = follow_once(watch_from);
+        context_.watches_store = watch_from != 0;
         if (watch_from != 0) {
             failures = 0;
-        } else {
-            pause(failures++);
+            continue;
         }
+        if (watch_.role == WatchRole::standIn) {
+            discovery::noteFailedTry(watch_, TimePoint::clock::now());
+        }
+        pause(failures++);
     }
 }
 
+std::string StoreFollower::own_key() const {
+    return kMemberPrefix + context_.settings.name;
+}
+
 bool StoreFollower::register_self() {
-    const auto opened = store_.open_lease(kLeaseLifetime, call_deadline());
-    if (!note(opened.outcome, "open lease") || opened.outcome != CallOutcome::kDone) {
-        return false;
-    }
-    const auto& settings = context_.settings;
-    const auto written = store_.write(kMemberPrefix + settings.name, settings.advertised_gossip.text(),
-                                      opened.lease, call_deadline());
-    if (!note(written.outcome, "register") || written.outcome != CallOutcome::kDone) {
-        return false;
-    }
-    lease_ = opened.lease;
-    return true;
+    const auto written = store_.write(own_key(), context_.settings.advertised_gossip.text(), call_deadline());
+    return note(written.outcome, "register") && written.outcome == CallOutcome::kDone;
 }
 
-bool StoreFollower::list_peers() {
-    std::string after;
+std::optional<std::vector<store::StoreItem>> StoreFollower::list_members(Freshness freshness) {
+    std::vector<store::StoreItem> members;
     bool more = true;
     while (more) {
-        const auto page = store_.list(kMemberPrefix, after, call_deadline());
+        const auto after = members.empty() ? std::string() : members.back().key;
+        auto page = store_.list(kMemberPrefix, after, freshness, call_deadline());
         if (!note(page.outcome, "list peers") || page.outcome != CallOutcome::kDone) {
-            return false;
-        }
-        const auto now = TimePoint::clock::now();
-        for (const auto& item : page.items) {
-            const auto gossip = parse_endpoint(item.value);
-            if (gossip) {
-                directory_.on_address(now, {item.key.substr(std::string(kMemberPrefix).size()), *gossip});
-            }
-            after = item.key;
+            return std::nullopt;
         }
         more = page.more && !page.items.empty();
+        std::move(page.items.begin(), page.items.end(), std::back_inserter(members));
+    }
+    return members;
+}
+
+bool StoreFollower::take_members(const std::vector<store::StoreItem>& members) {
+    const auto now = TimePoint::clock::now();
+    bool own_listed = false;
+    std::vector<discovery::Registration> listing;
+    for (const auto& item : members) {
+        listing.push_back({item.key, item.revision});
+        own_listed =
+            own_listed || (item.key == own_key() && item.value == context_.settings.advertised_gossip.text());
+        const auto gossip = parse_endpoint(item.value);
+        if (gossip) {
+            directory_.on_address(now, {item.key.substr(std::string(kMemberPrefix).size()), *gossip});
+        }
     }
     has_listed_ = true;
     peers_found_();
-    return true;
+    remove_abandoned(listing);
+    return own_listed;
+}
+
+void StoreFollower::remove_abandoned(const std::vector<discovery::Registration>& listing) {
+    const auto abandoned = discovery::takeListing(ages_, TimePoint::clock::now(), listing);
+    // One daemon's removal is enough, and the revision guards a registration that was written meanwhile.
+    if (watch_.role != WatchRole::appointed) {
+        return;
+    }
+    for (const auto& registration : abandoned) {
+        const auto removed = store_.remove(registration.key, registration.revision, call_deadline());
+        log_event(
+            Event::kRegistrationAbandoned,
+            {{"key", registration.key}, {"outcome", std::string(store::call_outcome_name(removed.outcome))}});
+    }
 }
 
 void StoreFollower::keep_registered() {
     unsigned failures = 0;
+    auto step = RegistrationStep::kLook;
     while (!context_.stopping) {
-        // Registering comes first: of two daemons that start together, the later reader sees the other.
-        if (lease_ == 0 && !register_self()) {
-            pause(failures++);
-            continue;
-        }
-        if (!has_listed_ && !list_peers()) {
+        const auto next = registration_step(step);
+        if (!next) {
             pause(failures++);
             continue;
         }
         failures = 0;
-        boost::this_fiber::sleep_for(kRenewPeriod);
-        const auto renewed = store_.renew_lease(lease_, call_deadline());
-        note(renewed.outcome, "renew lease");
-        if (renewed.outcome == CallOutcome::kNotFound) {
-            log_event(Event::kRegistrationLost, {{"lease", std::to_string(lease_)}});
-            lease_ = 0;
+        step = *next;
+        if (step == RegistrationStep::kRest) {
+            const std::chrono::duration<double> spread =
+                registrationPeriod * (0.9 + 0.2 * context_.random_unit());
+            boost::this_fiber::sleep_for(std::chrono::duration_cast<Duration>(spread));
+            step = RegistrationStep::kWrite;
         }
     }
 }
 
+std::optional<StoreFollower::RegistrationStep> StoreFollower::registration_step(RegistrationStep step) {
+    if (step == RegistrationStep::kWrite) {
+        return register_self() ? std::optional(RegistrationStep::kList) : std::nullopt;
+    }
+    const bool looking = step == RegistrationStep::kLook;
+    const auto members = list_members(looking ? Freshness::kMayBeStale : Freshness::kLatest);
+    if (!members) {
+        return std::nullopt;
+    }
+    const bool own_listed = take_members(*members);
+    return looking && !own_listed ? RegistrationStep::kWrite : RegistrationStep::kRest;
+}
+
 }  // namespace anisehold::sidecar
--- a/src/sidecar/store_follower.hpp
+++ b/src/sidecar/store_follower.hpp
@@ -1,10 +1,14 @@
 /// @file
-/// What the sidecar does with the store: registers itself, finds its peers, follows the configuration.
+/// What the sidecar does with the store: registers itself, finds its peers, watches the configuration.
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
+#include <vector>
 
+#include "discovery/registration_ages.hpp"
+#include "discovery/watch_role.hpp"
 #include "membership/peer_directory.hpp"
 #include "sidecar/configuration_holder.hpp"
 #include "sidecar/sidecar_context.hpp"
@@ -12,7 +16,8 @@
 
 namespace anisehold::sidecar {
 
-/// Two fibers: one follows the configuration, one keeps the registration.
+/// Two fibers: one keeps the registration, one watches the configuration while this daemon has that role
+/// (discovery/watch_role.hpp).
 class StoreFollower {
   public:
     using PeersFound = std::function<void()>;
@@ -27,12 +32,29 @@
     bool has_listed() const { return has_listed_; }
 
   private:
+    /// Reads the configuration once at the start, so that a restarted fleet serves at once.
+    void take_first_configuration();
     void follow_configuration();
-    /// Reads the configuration whole; the revision to watch from, or 0 if the store gave no answer.
-    std::uint64_t read_configuration();
+    /// Reviews whether this daemon watches, and logs a change.
+    discovery::WatchRole review_role();
+    /// One read or watch. Returns the revision to watch from, or 0 if the store gave no answer.
+    std::uint64_t follow_once(std::uint64_t watch_from);
+    std::uint64_t read_configuration(store::Freshness freshness);
+    std::uint64_t watch_configuration(std::uint64_t watch_from);
+    /// A daemon that finds its registration from before needs no write: whoever registered since has listed
+    /// it. Otherwise it writes before it lists, so that of two that start together the later reader sees the
+    /// other.
+    enum class RegistrationStep { kLook, kWrite, kList, kRest };
     void keep_registered();
+    /// Takes one step; the next one, or nothing if the store didn't serve it.
+    std::optional<RegistrationStep> registration_step(RegistrationStep step);
     bool register_self();
-    bool list_peers();
+    std::string own_key() const;
+    std::optional<std::vector<store::StoreItem>> list_members(store::Freshness freshness);
+    /// Makes the members known; whether this daemon's own registration is among them.
+    bool take_members(const std::vector<store::StoreItem>& members);
+    /// Removes registrations of machines that are gone for good.
+    void remove_abandoned(const std::vector<discovery::Registration>& listing);
     /// Logs a change between reachable and not, and returns whether the call was served.
     bool note(store::CallOutcome outcome, const char* purpose);
     void pause(unsigned failures);
@@ -42,7 +64,8 @@
     ConfigurationHolder& configuration_;
     membership::PeerDirectory& directory_;
     PeersFound peers_found_;
-    std::uint64_t lease_ = 0;
+    discovery::WatchState watch_;
+    discovery::RegistrationAges ages_;
     bool has_listed_ = false;
     bool reachable_ = true;
 };
--- a/src/store/coordination_store.hpp
+++ b/src/store/coordination_store.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// A store that daemons coordinate through: revisions, conditions, leases and watches. An implementation
+/// A store that daemons coordinate through: revisions, conditions and watches. An implementation
 /// makes calls and translates; it holds no retry and no decision.
 #pragma once
 
@@ -15,7 +15,7 @@
 /// What is known after a call.
 enum class CallOutcome {
     kDone,
-    kNotFound,     ///< No such key or lease.
+    kNotFound,     ///< No such key.
     kConflict,     ///< A condition doesn't hold; nothing was written.
     kHistoryLost,  ///< The revision that a watch was to start from is no longer kept.
     kRefused,      ///< The store refused to act; nothing was done.
@@ -56,10 +56,10 @@
     std::uint64_t revision = 0;
 };
 
-struct LeaseReply {
-    CallOutcome outcome = CallOutcome::kUnknown;
-    std::uint64_t lease = 0;
-    milliseconds lifetime{0};
+/// How fresh the answer to a read must be.
+enum class Freshness {
+    kLatest,      ///< All that was acknowledged before the call is seen.
+    kMayBeStale,  ///< May be seconds old; costs a tenth and isn't counted towards the store's rate.
 };
 
 /// The store behind its published protocol. Every call blocks its fiber until `deadline` at the latest.
@@ -67,16 +67,16 @@
   public:
     virtual ~CoordinationStore() = default;
 
-    virtual ReadReply read(const std::string& key, TimePoint deadline) = 0;
+    virtual ReadReply read(const std::string& key, Freshness freshness, TimePoint deadline) = 0;
     /// Items whose keys begin with `prefix`, from the one after `after`.
-    virtual ListReply list(const std::string& prefix, const std::string& after, TimePoint deadline) = 0;
+    virtual ListReply list(const std::string& prefix, const std::string& after, Freshness freshness,
+                           TimePoint deadline) = 0;
     /// Changes below `prefix` after a revision; comes back without any once `wait` is over.
     virtual WatchReply watch(const std::string& prefix, std::uint64_t after_revision, milliseconds wait) = 0;
-    /// Writes one key bound to a lease (0: none).
-    virtual WriteReply write(const std::string& key, const std::string& value, std::uint64_t lease,
-                             TimePoint deadline) = 0;
-    virtual LeaseReply open_lease(milliseconds lifetime, TimePoint deadline) = 0;
-    virtual LeaseReply renew_lease(std::uint64_t lease, TimePoint deadline) = 0;
+    /// Writes one key, whatever its revision.
+    virtual WriteReply write(const std::string& key, const std::string& value, TimePoint deadline) = 0;
+    /// Removes one key if `revision` is still its latest change; a conflict otherwise.
+    virtual WriteReply remove(const std::string& key, std::uint64_t revision, TimePoint deadline) = 0;
 };
 
 }  // namespace anisehold::store
--- a/tests/integration/sidecar_test.cpp
+++ b/tests/integration/sidecar_test.cpp
@@ -202,12 +202,56 @@
     SidecarFleet fleet(next_base_port(), chain());
     REQUIRE(fleet.start(chain_configuration(1)));
     CHECK(fleet.store().keys_below("anisehold/members/") == fleet.size());
+    // Watchers are appointed a moment after the start.
+    fleet.pause(seconds(2));
     const auto calls = fleet.store().calls();
     fleet.pause(seconds(3));
     // A calm fleet leaves the store alone: no polling.
     CHECK(fleet.store().calls() - calls <= 2);
 }
 
+TEST_CASE("a new configuration reaches a zone by two watchers", "[sidecar]") {
+    const std::vector<SidecarMachinePlan> one_zone(8, {"z1", "back", {}, 16, milliseconds(5)});
+    SidecarFleet fleet(next_base_port(), one_zone);
+    REQUIRE(fleet.start(configuration_text(1, {"back"}, {})));
+    fleet.pause(seconds(2));
+    const auto calls = fleet.store().calls();
+    fleet.configure(configuration_text(2, {"back"}, {}));
+    const auto knows = [&](std::size_t machine) {
+        return fleet.log_of(machine).find("\"version\":\"2\"") != std::string::npos;
+    };
+    CHECK(fleet.eventually(seconds(3), [&] {
+        bool all = true;
+        for (std::size_t machine = 0; machine < fleet.size(); ++machine) {
+            all = all && knows(machine);
+        }
+        return all;
+    }));
+    // One watch of each watcher ended and was opened again.
+    CHECK(fleet.store().calls() - calls <= 4);
+}
+
+TEST_CASE("when both watchers of a zone are lost, another daemon watches in their stead", "[sidecar]") {
+    const std::vector<SidecarMachinePlan> one_zone(5, {"z1", "back", {}, 16, milliseconds(5)});
+    SidecarFleet fleet(next_base_port(), one_zone);
+    REQUIRE(fleet.start(configuration_text(1, {"back"}, {})));
+    fleet.pause(seconds(2));
+    unsigned lost = 0;
+    std::size_t left = 0;
+    for (std::size_t machine = 0; machine < fleet.size(); ++machine) {
+        const bool watches = fleet.log_of(machine).find("\"role\":\"appointed\"") != std::string::npos;
+        lost += watches ? 1 : 0;
+        left = watches ? left : machine;
+        if (watches) {
+            fleet.kill(machine);
+        }
+    }
+    REQUIRE(lost == 2);
+    fleet.configure(configuration_text(2, {"back"}, {}));
+    CHECK(fleet.eventually(
+        seconds(9), [&] { return fleet.log_of(left).find("\"version\":\"2\"") != std::string::npos; }));
+}
+
 TEST_CASE("a planned stop loses no request and ends in time", "[sidecar]") {
     SidecarFleet fleet(next_base_port(), chain());
     REQUIRE(fleet.start(chain_configuration(1)));
--- /dev/null
+++ b/tests/unit/discovery/watch_role_test.cpp
@@ -0,0 +1,158 @@
+#include "discovery/watch_role.hpp"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace anisehold;
+using namespace anisehold::discovery;
+
+namespace
+{
+
+const TimePoint start = TimePoint() + seconds (100);
+
+double half()
+{
+    return 0.5;
+}
+
+std::vector<std::string> members (std::size_t n)
+{
+    std::vector<std::string> names;
+
+    for (std::size_t i = 0; i < n; ++i)
+        names.push_back ("daemon-" + std::to_string (i));
+
+    return names;
+}
+
+std::vector<std::string> without (std::vector<std::string> names, const std::string& name)
+{
+    std::erase (names, name);
+    return names;
+}
+
+std::set<std::string> appointedOf (const std::vector<std::string>& names)
+{
+    std::set<std::string> appointed;
+
+    for (const auto& it : names)
+        if (isAppointed (it, without (names, it)))
+            appointed.insert (it);
+
+    return appointed;
+}
+
+/** Of a zone of 50 in a fleet of 300; not one of its watchers. */
+WatchView ordinaryView()
+{
+    const auto names = members (50);
+    const auto appointed = appointedOf (names);
+    WatchView view;
+
+    for (const auto& it : names)
+        if (! appointed.contains (it))
+            view.ownName = it;
+
+    view.zonePeers = without (names, view.ownName);
+    view.knownPeers = 300;
+    return view;
+}
+
+} // namespace
+
+TEST_CASE ("a zone appoints two watchers, whatever its size")
+{
+    for (const std::size_t n : { 2U, 3U, 50U, 400U })
+        CHECK (appointedOf (members (n)).size() == watchersPerZone);
+
+    CHECK (appointedOf (members (1)).size() == 1);
+}
+
+TEST_CASE ("members that come and go move at most the places they took")
+{
+    auto names = members (50);
+    const auto before = appointedOf (names);
+    const auto lost = *before.begin();
+    const auto after = appointedOf (without (names, lost));
+    CHECK (after.size() == watchersPerZone);
+    CHECK (after.contains (*before.rbegin()));
+    CHECK_FALSE (after.contains (lost));
+
+    names = without (names, "daemon-7");
+    if (! before.contains ("daemon-7"))
+        CHECK (appointedOf (names) == before);
+}
+
+TEST_CASE ("both sides of a partition have watchers")
+{
+    const auto names = members (50);
+    const std::vector<std::string> left (names.begin(), names.begin() + 10);
+    const std::vector<std::string> right (names.begin() + 10, names.end());
+    CHECK (appointedOf (left).size() == watchersPerZone);
+    CHECK (appointedOf (right).size() == watchersPerZone);
+}
+
+TEST_CASE ("a daemon that hears of a working watch stays away from the store")
+{
+    WatchState state;
+    auto view = ordinaryView();
+    view.peerWatches = true;
+
+    for (int i = 0; i < 60; ++i)
+        CHECK (reviewRole (state, start + seconds (i), view, half) == WatchRole::none);
+}
+
+TEST_CASE ("without a working watch a daemon stands in after its own time")
+{
+    WatchState state;
+    const auto view = ordinaryView();
+    CHECK (reviewRole (state, start, view, half) == WatchRole::none);
+    CHECK (reviewRole (state, start + milliseconds (6'900), view, half) == WatchRole::none);
+    CHECK (reviewRole (state, start + milliseconds (7'100), view, half) == WatchRole::standIn);
+    // It goes on while it is the only one.
+    CHECK (reviewRole (state, start + seconds (20), view, half) == WatchRole::standIn);
+
+    auto relieved = view;
+    relieved.peerWatches = true;
+    CHECK (reviewRole (state, start + seconds (21), relieved, half) == WatchRole::none);
+}
+
+TEST_CASE ("a stand-in that the store turns away waits again")
+{
+    WatchState state;
+    const auto view = ordinaryView();
+    reviewRole (state, start, view, half);
+    REQUIRE (reviewRole (state, start + seconds (8), view, half) == WatchRole::standIn);
+    noteFailedTry (state, start + seconds (8));
+    CHECK (reviewRole (state, start + seconds (8), view, half) == WatchRole::none);
+    CHECK (reviewRole (state, start + seconds (12), view, half) == WatchRole::none);
+    CHECK (reviewRole (state, start + seconds (16), view, half) == WatchRole::standIn);
+}
+
+TEST_CASE ("a fleet whose watchers are all lost finds a stand-in soon and without a rush")
+{
+    for (const std::size_t n : { 14U, 300U, 2'400U })
+    {
+        std::size_t trying = 0;
+        TimePoint first = TimePoint::max();
+
+        for (std::size_t i = 0; i < n; ++i)
+        {
+            WatchState state;
+            auto view = ordinaryView();
+            view.knownPeers = n;
+            const double drawn = static_cast<double> (i) / static_cast<double> (n);
+            auto now = start;
+
+            while (reviewRole (state, now, view, [drawn] { return drawn; }) != WatchRole::standIn)
+                now += milliseconds (10);
+
+            first = std::min (first, now);
+            trying += now <= start + milliseconds (3'000) ? 1 : 0;
+        }
+
+        CHECK (first <= start + milliseconds (2'100));
+        CHECK (trying <= std::max<std::size_t> (26, n / 8));
+    }
+}
