Records: peers of other zones are told five times less often in calm times

Change: at most 20 records a second go to the own zone and 20 to the others; silence is judged by each peer's period; while services lack room all are told at the old rate, since the limit of root requests needs the fleet's counts. A working watch counts only of the own zone's peers, whose silence is noticed soon.

--- a/src/discovery/watch_role.hpp
+++ b/src/discovery/watch_role.hpp
@@ -1,10 +1,10 @@
 /** Which daemons watch the store for new configurations.
 
     A call to the store is dear and its rate is shared by the fleet, so a few daemons of each zone watch, and
-    the others get a new configuration from those. The watchers are appointed without a message: every daemon
-    ranks the reachable members of its own zone by rendezvous hash. A daemon that hears of no working watch
-    anywhere watches in their stead, after a time drawn at random, so that a fleet whose watchers are all
-    killed or turned away finds another one without calling all at once. Pure.
+    the others, of all zones, get a new configuration from those. The watchers are appointed without a
+   message: every daemon ranks the reachable members of its own zone by rendezvous hash. A daemon that hears
+   of no working watch in its zone watches in their stead, after a time drawn at random, so that a fleet whose
+   watchers are all killed or turned away finds another one without calling all at once. Pure.
 */
 #pragma once
 
@@ -26,7 +26,7 @@
 {
     none,      /**< Configurations come from peers. */
     appointed, /**< One of its zone's watchers. */
-    standIn    /**< No peer has a working watch. */
+    standIn    /**< No peer of the zone has a working watch. */
 };
 
 /** Stable lower-case name, for logs. */
@@ -38,7 +38,7 @@
     std::string ownName;
     std::vector<std::string> zonePeers; /**< Reachable members of the own zone, without itself. */
     std::size_t knownPeers = 0;         /**< Of all zones. */
-    bool peerWatches = false;           /**< A reachable peer of any zone has a working watch. */
+    bool peerWatches = false;           /**< A reachable peer of the own zone has a working watch. */
 };
 
 /** What one daemon remembers between two reviews of its role. */
--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -7,7 +7,13 @@
 
 constexpr milliseconds kCalmPeriod{1'000};
 constexpr milliseconds kPressurePeriod{400};
-constexpr double kMostRecordsPerSecond = 100;
+/// Records that one daemon sends, and so receives, in a second. At a hundred, a fleet of 295 spent a third of
+/// its processor time on them (trial of circoli-mesh-large quiet-1 until 3 s: 0.0093 cores, 0.0060 at a
+/// tenth).
+constexpr double kMostNearPerSecond = 20;
+constexpr double kMostFarPerSecond = 20;
+/// The same while services lack room.
+constexpr double kMostUnderPressure = 100;
 /// Periods without a record after which a peer counts as silent: single datagrams get lost.
 constexpr double kSilentPeriods = 3.5;
 
@@ -16,19 +22,39 @@
 
 }  // namespace
 
-Duration record_period(std::size_t peers, bool under_pressure) {
-    const std::chrono::duration<double> by_fleet(static_cast<double>(peers) / kMostRecordsPerSecond);
-    const Duration least = under_pressure ? kPressurePeriod : kCalmPeriod;
-    return std::max<Duration>(least, std::chrono::duration_cast<Duration>(by_fleet));
+RecordPeriods record_periods(const PeerCounts& peers, bool under_pressure) {
+    const auto at_rate = [](std::size_t count, double per_second, Duration least) {
+        const std::chrono::duration<double> period(static_cast<double>(count) / per_second);
+        return std::max<Duration>(least, std::chrono::duration_cast<Duration>(period));
+    };
+    if (under_pressure) {
+        const auto period = at_rate(peers.near + peers.far, kMostUnderPressure, kPressurePeriod);
+        return {period, period};
+    }
+    const auto near = at_rate(peers.near, kMostNearPerSecond, kCalmPeriod);
+    return {near, at_rate(peers.far, kMostFarPerSecond, near)};
 }
 
-Duration PeerDirectory::silent_after() const {
-    const auto by_period = kSilentPeriods * std::chrono::duration<double>(record_period(peers_.size()));
-    return std::max<Duration>(times_.silent_after, std::chrono::duration_cast<Duration>(by_period));
+Duration PeerDirectory::silent_after(const Peer& peer) const {
+    const std::chrono::duration<double> period(is_near(peer) ? periods_.near : periods_.far);
+    return std::max<Duration>(times_.silent_after,
+                              std::chrono::duration_cast<Duration>(kSilentPeriods * period));
+}
+
+PeerCounts PeerDirectory::counts() const {
+    PeerCounts counts;
+    for (const auto& [name, peer] : peers_) {
+        ++(is_near(peer) ? counts.near : counts.far);
+    }
+    return counts;
+}
+
+void PeerDirectory::count_peers() {
+    periods_ = record_periods(counts());
 }
 
 bool PeerDirectory::reachable(TimePoint now, const Peer& peer) const {
-    return peer.was_heard && !peer.unreachable && now - peer.heard < silent_after();
+    return peer.was_heard && !peer.unreachable && now - peer.heard < silent_after(peer);
 }
 
 bool PeerDirectory::takes_requests(TimePoint now, const Peer& peer) const {
@@ -65,6 +91,9 @@
     peer.learned = now;
     peer.was_heard = true;
     peer.unreachable = false;
+    if (change == PeerChange::kAppeared) {
+        count_peers();
+    }
     return change;
 }
 
@@ -86,6 +115,7 @@
     peer.record.gossip = address.gossip;
     peer.learned = now;
     peers_.emplace(address.name, std::move(peer));
+    count_peers();
 }
 
 void PeerDirectory::on_unreachable(const std::string& name, std::uint64_t boot_id) {
@@ -119,6 +149,7 @@
     });
     if (forgotten > 0) {
         views_.clear();
+        count_peers();
     }
 }
 
@@ -165,19 +196,30 @@
         peers_.begin(), peers_.end(), [&](const auto& entry) { return reachable(now, entry.second); }));
 }
 
-std::vector<std::string> PeerDirectory::reachable_names(TimePoint now, const std::string& zone) const {
+std::vector<PeerAddress> PeerDirectory::near_addresses() const {
+    std::vector<PeerAddress> addresses;
+    for (const auto& [name, peer] : peers_) {
+        if (is_near(peer)) {
+            addresses.push_back({name, peer.record.gossip});
+        }
+    }
+    return addresses;
+}
+
+std::vector<std::string> PeerDirectory::near_names(TimePoint now) const {
     std::vector<std::string> names;
     for (const auto& [name, peer] : peers_) {
-        if (peer.record.zone == zone && takes_requests(now, peer)) {
+        if (is_near(peer) && takes_requests(now, peer)) {
             names.push_back(name);
         }
     }
     return names;
 }
 
-bool PeerDirectory::any_watches(TimePoint now) const {
+bool PeerDirectory::any_near_watches(TimePoint now) const {
     return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
-        return entry.second.record.watches_store && reachable(now, entry.second);
+        const auto& peer = entry.second;
+        return peer.record.watches_store && is_near(peer) && reachable(now, peer);
     });
 }
 
--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -17,9 +17,22 @@
     milliseconds forgotten_after{600'000};
 };
 
-/// How often a daemon tells each of `peers` others about itself: once a second, faster while services lack
-/// room, and more slowly in a large fleet, so that no daemon sends more than a hundred records a second.
-Duration record_period(std::size_t peers, bool under_pressure = false);
+/// Peers that are sent records, by where they are.
+struct PeerCounts {
+    std::size_t near = 0;  ///< Of the own zone.
+    std::size_t far = 0;   ///< Of other zones, or not heard yet.
+};
+
+/// How often a daemon tells its peers about itself.
+struct RecordPeriods {
+    Duration near{};  ///< Peers of the own zone, which are sent most requests.
+    Duration far{};   ///< The others.
+};
+
+/// Once a second to each, and more slowly in a large fleet, so that no daemon sends more than forty records a
+/// second. While services lack room all are told at the same period, which is shorter: the limit of root
+/// requests rests on the counts of the whole fleet.
+RecordPeriods record_periods(const PeerCounts& peers, bool under_pressure = false);
 
 /// A server that requests can be sent to, with the age of what is known of it.
 struct KnownServer {
@@ -89,14 +102,18 @@
     }
     /// Where records go: all known peers, silent ones too, so that one that restarts is found.
     std::vector<PeerAddress> addresses() const;
+    /// The same for the peers of the own zone alone.
+    std::vector<PeerAddress> near_addresses() const;
+    PeerCounts counts() const;
     /// Peers heard lately.
     std::size_t reachable_count(TimePoint now) const;
     std::size_t known_count() const { return peers_.size(); }
     bool knows(const std::string& name) const { return peers_.contains(name); }
-    /// Names of the reachable peers of a zone that aren't leaving.
-    std::vector<std::string> reachable_names(TimePoint now, const std::string& zone) const;
-    /// Whether a reachable peer has a working watch of the store.
-    bool any_watches(TimePoint now) const;
+    /// Names of the reachable peers of the own zone that aren't leaving.
+    std::vector<std::string> near_names(TimePoint now) const;
+    /// Whether a reachable peer of the own zone has a working watch of the store. Those of other zones aren't
+    /// counted: their silence is noticed late.
+    bool any_near_watches(TimePoint now) const;
 
   private:
     struct Peer {
@@ -116,13 +133,17 @@
     bool reachable(TimePoint now, const Peer& peer) const;
     bool takes_requests(TimePoint now, const Peer& peer) const;
     static bool has_same_servers(const Peer& peer, const PeerRecord& record);
-    Duration silent_after() const;
+    bool is_near(const Peer& peer) const { return peer.was_heard && peer.record.zone == own_zone_; }
+    Duration silent_after(const Peer& peer) const;
+    /// Brings `periods_` up to date after a change of the peers.
+    void count_peers();
     ServiceView make_view(TimePoint now, const std::string& service) const;
 
     std::string own_name_;
     std::string own_zone_;
     PeerTimes times_;
     std::map<std::string, Peer> peers_;
+    RecordPeriods periods_ = record_periods({});       ///< Of calm times, by which silence is judged.
     mutable std::map<std::string, CachedView> views_;  ///< By service; emptied by every change of servers.
 };
 
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -63,25 +63,34 @@
 }
 
 void PeerExchange::announce() {
-    const auto bytes = encode(own_record());
     announced_ = TimePoint::clock::now();
-    for (const auto& peer : directory_.addresses()) {
+    send_record_to(directory_.addresses());
+}
+
+void PeerExchange::send_record_to(const std::vector<membership::PeerAddress>& peers) {
+    const auto bytes = encode(own_record());
+    for (const auto& peer : peers) {
         socket_.send(peer.gossip, bytes);
     }
 }
 
 void PeerExchange::announce_periodically() {
     while (true) {
-        const auto period = membership::record_period(directory_.known_count(),
-                                                      overload::isUnderPressure(context_.root_limit));
-        context_.root_limit.period = period;
+        const auto periods =
+            membership::record_periods(directory_.counts(), overload::isUnderPressure(context_.root_limit));
+        context_.root_limit.period = periods.near;
         boost::this_fiber::sleep_for(
-            std::chrono::duration_cast<Duration>(period * (0.9 + 0.2 * context_.random_unit())));
+            std::chrono::duration_cast<Duration>(periods.near * (0.9 + 0.2 * context_.random_unit())));
         const auto now = TimePoint::clock::now();
         gate_.expire(now);
         directory_.expire(now);
         end_limit_period(now);
-        announce();
+        // Half a near period early rather than half late.
+        if (now - announced_ + periods.near / 2 >= periods.far) {
+            announce();
+        } else {
+            send_record_to(directory_.near_addresses());
+        }
     }
 }
 
--- a/src/sidecar/peer_exchange.hpp
+++ b/src/sidecar/peer_exchange.hpp
@@ -13,7 +13,7 @@
 
 namespace anisehold::sidecar {
 
-/// Sends this daemon's record to every known peer, in turn and at once when something changes.
+/// Sends this daemon's record to every known peer periodically, and at once when something changes.
 class PeerExchange {
   public:
     PeerExchange(SidecarContext& context, membership::PeerDirectory& directory, LocalGate& gate,
@@ -29,6 +29,7 @@
     /// Moves the limits of root requests, and logs what moved.
     void end_limit_period(TimePoint now);
     void announce_periodically();
+    void send_record_to(const std::vector<membership::PeerAddress>& peers);
     void receive(std::string_view bytes);
     membership::PeerRecord own_record();
     /// Gets the configuration from a peer that has a higher version.
--- a/src/sidecar/store_follower.cpp
+++ b/src/sidecar/store_follower.cpp
@@ -99,9 +99,9 @@
     const auto now = TimePoint::clock::now();
     discovery::WatchView view;
     view.ownName = context_.settings.name;
-    view.zonePeers = directory_.reachable_names(now, context_.settings.zone);
+    view.zonePeers = directory_.near_names(now);
     view.knownPeers = directory_.known_count();
-    view.peerWatches = directory_.any_watches(now);
+    view.peerWatches = directory_.any_near_watches(now);
     const auto before = watch_.role;
     const auto role = discovery::reviewRole(watch_, now, view, [this] { return context_.random_unit(); });
     if (role != before) {
