Choice of a server: a few usual servers by rendezvous hash, and the one beside the daemon

Cause: a daemon's requests went to all 47 servers of its zone and to 248 others, two at random each time; most hops of the first seconds opened a connection, and connections rested for seconds in between. Change: each daemon draws from six usual servers of its zone and three of others, ranked by rendezvous hash, and always looks at the server beside it, which needs no network.

--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "routing/rendezvous.hpp"
+
 namespace anisehold::membership {
 namespace {
 
@@ -17,9 +19,23 @@
 /// Periods without a record after which a peer counts as silent: single datagrams get lost.
 constexpr double kSilentPeriods = 3.5;
 
+/// Usual servers of a service: enough that the least loaded of two of them has room, few enough that each is
+/// used every few hundred milliseconds. Subsets by rendezvous hash spread evenly over the servers.
+constexpr std::size_t kUsualNear = 6;
+constexpr std::size_t kUsualFar = 3;
 /// How long a view is used: a peer that has just fallen silent stays in it for as long.
 constexpr milliseconds kViewLifetime{100};
 
+/// Puts the `most` servers of the highest affinity first; returns how many that are.
+std::size_t bring_usual_to_front(std::vector<const KnownServer*>& servers, std::size_t most) {
+    const auto count = std::min(most, servers.size());
+    const auto usual_end = servers.begin() + static_cast<std::ptrdiff_t>(count);
+    std::partial_sort(
+        servers.begin(), usual_end, servers.end(),
+        [](const KnownServer* left, const KnownServer* right) { return left->affinity > right->affinity; });
+    return count;
+}
+
 }  // namespace
 
 RecordPeriods record_periods(const PeerCounts& peers, bool under_pressure) {
@@ -82,8 +98,16 @@
         peer.servers.resize(record.servers.size());
     }
     for (std::size_t index = 0; index < record.servers.size(); ++index) {
-        peer.servers[index] = {
-            std::move(record.servers[index]), record.name, record.zone, record.call, record.boot_id, now};
+        const auto affinity = change == PeerChange::kRefreshed
+                                  ? peer.servers[index].affinity
+                                  : routing::rendezvous_score(record.servers[index].instance, own_name_);
+        peer.servers[index] = {std::move(record.servers[index]),
+                               record.name,
+                               record.zone,
+                               record.call,
+                               record.boot_id,
+                               now,
+                               affinity};
     }
     record.servers.clear();
     peer.record = std::move(record);
@@ -180,6 +204,8 @@
         }
     }
     view.mean_latency_us = measured > 0 ? latencies / measured : 0;
+    view.usual_near = bring_usual_to_front(view.near, kUsualNear);
+    view.usual_far = bring_usual_to_front(view.far, kUsualFar);
     return view;
 }
 
--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -42,13 +42,21 @@
     Endpoint call;
     std::uint64_t boot_id = 0;
     TimePoint heard;  ///< When its daemon's record came.
+    std::uint64_t affinity =
+        0;  ///< Rank of the server for this daemon: the same at every look, random among daemons.
 };
 
 /// The servers of one service that requests can be sent to. The pointers hold until the directory changes, so
 /// a view isn't kept while its fiber waits.
+///
+/// The usual servers come first: a few of each list, by affinity, so that connections to them stay warm and
+/// their number doesn't grow with the fleet.
 struct ServiceView {
     std::vector<const KnownServer*> near;  ///< In the own zone.
     std::vector<const KnownServer*> far;   ///< In the others.
+    std::size_t usual_near = 0;            ///< How many of `near` are usual.
+    std::size_t usual_far = 0;             ///< The same of `far`.
+    const KnownServer* own = nullptr;      ///< The one beside this daemon; also in `near`.
     double mean_latency_us = 0;            ///< Of those that were measured; 0 if none was.
 
     bool empty() const { return near.empty() && far.empty(); }
--- a/src/selection/server_selection.cpp
+++ b/src/selection/server_selection.cpp
@@ -9,6 +9,7 @@
 {
 
 using membership::KnownServer;
+using membership::ServiceView;
 
 /** Taken for the mean latency if no server was measured. */
 constexpr double guessedLatencyUs = 100'000;
@@ -26,6 +27,13 @@
 constexpr double negligibleShare = 0.01;
 /** How steeply the cost rises as the server fills. */
 constexpr double loadWeight = 6.0;
+/** A usual server that is fuller than that, or fails more often, is compared with others: before it queues,
+   and from the first failure that this daemon sees on. */
+constexpr double fullShare = 0.75;
+constexpr double doubtfulFailures = 0.1;
+/** How often a few of all servers are drawn while the cheapest is doubtful: where a quarter of them fail, one
+   in ten thousand requests finds only such. */
+constexpr int numFurtherLooks = 3;
 /** Servers that are looked at in the own zone, and in the others. */
 constexpr std::size_t numLookedAt = 2;
 
@@ -39,14 +47,13 @@
     return std::max (seen, shareOfPercent * server.failed_percent - ordinaryShare);
 }
 
-/** Adds up to `numLookedAt` random candidates to `drawn`. */
-void drawSome (const Candidates& candidates, const UnitRandom& random, Candidates& drawn)
+/** Adds up to `numLookedAt` random ones of the first `size` candidates to `drawn`. */
+void drawSome (const Candidates& candidates, std::size_t size, const UnitRandom& random, Candidates& drawn)
 {
-    const auto size = candidates.size();
-
     if (size <= numLookedAt)
     {
-        drawn.insert (drawn.end(), candidates.begin(), candidates.end());
+        drawn.insert (drawn.end(), candidates.begin(),
+                      candidates.begin() + static_cast<std::ptrdiff_t> (size));
         return;
     }
 
@@ -58,14 +65,18 @@
     drawn.push_back (candidates[second < first ? second : second + 1]);
 }
 
-/** Those of the candidates that weren't tried. */
+bool wasTried (const KnownServer& known, const std::vector<std::string>& tried)
+{
+    return std::find (tried.begin(), tried.end(), known.server.instance) != tried.end();
+}
+
 Candidates untried (const Candidates& candidates, const std::vector<std::string>& tried)
 {
     Candidates rest;
 
     for (const auto* it : candidates)
     {
-        if (std::find (tried.begin(), tried.end(), it->server.instance) != tried.end())
+        if (wasTried (*it, tried))
             continue;
 
         rest.push_back (it);
@@ -74,14 +85,57 @@
     return rest;
 }
 
-/** The same without a copy for the usual case, in which nothing was tried. */
-void drawUntried (const Candidates& candidates, const std::vector<std::string>& tried,
-                  const UnitRandom& random, Candidates& drawn)
+/** A few of the usual servers, and the one beside this daemon: no other is nearer. */
+Candidates drawUsual (const ServiceView& view, const UnitRandom& random)
+{
+    Candidates drawn;
+    drawn.reserve (2 * numLookedAt + 1);
+
+    if (view.own != nullptr)
+        drawn.push_back (view.own);
+
+    drawSome (view.near, view.usual_near, random, drawn);
+    drawSome (view.far, view.usual_far, random, drawn);
+    return drawn;
+}
+
+/** A few of all servers that weren't tried. */
+Candidates drawAny (const ServiceView& view, const std::vector<std::string>& tried, const UnitRandom& random)
 {
+    Candidates drawn;
+
     if (tried.empty())
-        drawSome (candidates, random, drawn);
-    else
-        drawSome (untried (candidates, tried), random, drawn);
+    {
+        drawSome (view.near, view.near.size(), random, drawn);
+        drawSome (view.far, view.far.size(), random, drawn);
+        return drawn;
+    }
+
+    const auto near = untried (view.near, tried);
+    const auto far = untried (view.far, tried);
+    drawSome (near, near.size(), random, drawn);
+    drawSome (far, far.size(), random, drawn);
+    return drawn;
+}
+
+double fillOf (const SelectionState& state, const membership::ServerRecord& server)
+{
+    const auto own = state.underWay.find (server.instance);
+    const unsigned underWay = own == state.underWay.end() ? 0 : own->second;
+    const double busy = std::max (server.in_flight + server.queued, underWay);
+    return (busy + 1.0) / std::max (1U, server.limit);
+}
+
+/** Whether a server is so full, or fails so often, that others are looked for; or lies in another zone,
+   though the own one may have others with room. */
+bool isDoubtful (const SelectionState& state, TimePoint now, const ServiceView& view,
+                 const KnownServer& known)
+{
+    if (known.zone != state.ownZone && view.near.size() > view.usual_near)
+        return true;
+
+    return fillOf (state, known.server) >= fullShare ||
+           failureShare (state, now, known.server) >= doubtfulFailures;
 }
 
 } // namespace
@@ -113,11 +167,7 @@
 double expectedCost (const SelectionState& state, TimePoint now, const KnownServer& known, double meanUs)
 {
     const auto& server = known.server;
-    const auto own = state.underWay.find (server.instance);
-    const unsigned underWay = own == state.underWay.end() ? 0 : own->second;
-    const double busy = std::max (server.in_flight + server.queued, underWay);
-    const double limit = std::max (1U, server.limit);
-    const double fill = (busy + 1.0) / limit;
+    const double fill = fillOf (state, server);
     const double latency = server.latency_us == 0 ? meanUs : server.latency_us;
     double cost = latency * (1.0 + loadWeight * fill * fill * fill);
     cost += failureWeight * meanUs * std::max (failureShare (state, now, server), 0.0);
@@ -131,29 +181,31 @@
     return cost;
 }
 
-const KnownServer* chooseServer (const SelectionState& state, TimePoint now,
-                                 const membership::ServiceView& view, const std::vector<std::string>& tried,
-                                 const UnitRandom& random)
+const KnownServer* chooseServer (const SelectionState& state, TimePoint now, const ServiceView& view,
+                                 const std::vector<std::string>& tried, const UnitRandom& random)
 {
-    Candidates drawn;
-    drawn.reserve (2 * numLookedAt);
-    drawUntried (view.near, tried, random, drawn);
-    drawUntried (view.far, tried, random, drawn);
-
     const double meanUs = view.mean_latency_us > 0 ? view.mean_latency_us : guessedLatencyUs;
     const KnownServer* best = nullptr;
     double least = std::numeric_limits<double>::max();
-
-    for (const auto* it : drawn)
+    const auto takeCheapest = [&] (const Candidates& drawn)
     {
-        const double cost = expectedCost (state, now, *it, meanUs);
+        for (const auto* it : drawn)
+        {
+            const double cost = expectedCost (state, now, *it, meanUs);
 
-        if (best != nullptr && cost >= least)
-            continue;
+            if (best != nullptr && cost >= least)
+                continue;
 
-        best = it;
-        least = cost;
-    }
+            best = it;
+            least = cost;
+        }
+    };
+
+    if (tried.empty())
+        takeCheapest (drawUsual (view, random));
+
+    for (int n = 0; n < numFurtherLooks && (best == nullptr || isDoubtful (state, now, view, *best)); ++n)
+        takeCheapest (drawAny (view, tried, random));
 
     return best;
 }
--- a/src/selection/server_selection.hpp
+++ b/src/selection/server_selection.hpp
@@ -54,8 +54,10 @@
 
 /** A server of the view that isn't in `tried`; null if there is none.
 
-    Two random ones of the own zone and two of the others are looked at, and the cheapest is taken. So the own
-    zone serves its requests while it has room, and a fleet that chooses at the same time spreads.
+    Two random ones of the own zone's usual servers, two of the others' and the one beside this daemon are
+    looked at, and the cheapest is taken. So the own zone serves its requests while it has room, a fleet that
+    chooses at the same time spreads, and connections stay few and warm. If the cheapest is nearly full or
+    fails, or the request was sent before, the same number of all servers is looked at too.
 */
 const membership::KnownServer* chooseServer (const SelectionState&, TimePoint now,
                                              const membership::ServiceView&,
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -173,6 +173,7 @@
     }
     for (const auto& own : own_servers_) {
         view.near.push_back(&own);
+        view.own = &own;
     }
     return view;
 }
--- a/tests/unit/selection/server_selection_test.cpp
+++ b/tests/unit/selection/server_selection_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <random>
+#include <set>
 
 using namespace anisehold;
 using namespace anisehold::selection;
@@ -45,6 +46,8 @@
             (it.zone == state.ownZone ? view.near : view.far).push_back (&it);
 
         view.mean_latency_us = usualUs;
+        view.usual_near = std::min<std::size_t> (view.near.size(), 6);
+        view.usual_far = std::min<std::size_t> (view.far.size(), 3);
         return view;
     }
 
@@ -152,3 +155,61 @@
     CHECK (fixture.choose ({ fastFailing, slow })->server.instance == "b");
     CHECK (fixture.choose ({ fastFailing, untried })->server.instance == "c");
 }
+
+TEST_CASE ("of many servers the usual ones are chosen while they have room", "[selection]")
+{
+    Fixture fixture;
+    std::vector<KnownServer> servers;
+
+    for (int i = 0; i < 141; ++i)
+        servers.push_back (server ("s" + std::to_string (i), i < 24 ? "here" : "there", 3));
+
+    const auto countChosen = [&]
+    {
+        std::set<std::string> chosen;
+
+        for (int n = 0; n < 2'000; ++n)
+            chosen.insert (fixture.choose (servers)->server.instance);
+
+        return chosen.size();
+    };
+
+    CHECK (countChosen() <= 6);
+
+    for (int i = 0; i < 6; ++i)
+        servers[static_cast<std::size_t> (i)].server.in_flight = 9;
+
+    // The usual ones are nearly full: all of the zone are looked at.
+    CHECK (countChosen() >= 18);
+}
+
+TEST_CASE ("a usual server that fails is left for any other that doesn't", "[selection]")
+{
+    Fixture fixture;
+    std::vector<KnownServer> servers;
+
+    for (int i = 0; i < 24; ++i)
+        servers.push_back (server ("s" + std::to_string (i), "here", 3));
+
+    for (int i = 0; i < 6; ++i)
+        servers[static_cast<std::size_t> (i)].server.failed_percent = 60;
+
+    for (int n = 0; n < 200; ++n)
+        CHECK (fixture.choose (servers)->server.failed_percent == 0);
+}
+
+TEST_CASE ("the server beside the daemon is always looked at", "[selection]")
+{
+    const Fixture fixture;
+    std::vector<KnownServer> servers;
+
+    for (int i = 0; i < 24; ++i)
+        servers.push_back (server ("s" + std::to_string (i), "here", 5));
+
+    servers.back().server.in_flight = 0;
+    auto view = fixture.viewOf (servers);
+    view.own = &servers.back();
+
+    for (int n = 0; n < 100; ++n)
+        CHECK (chooseServer (fixture.state, fixture.now, view, {}, fixture.random) == view.own);
+}
