Registrations that the store loses without a word are written again by the zone's watchers

Cause: without leases no call of a daemon shows that its registration is gone; the store may take keys away at once. Change: each watcher lists the members once a second (longer in a large fleet) by reads that may be stale, a tenth of a call each, and writes what two listings in a row lack of the members that it hears in its zone. Test: a stand-in store drops all registrations; they are back within 2.5 s.

--- a/lab/platform_store.cpp
+++ b/lab/platform_store.cpp
@@ -87,6 +87,18 @@
     expire_leases();
 }
 
+void PlatformStore::lose_below(const std::string& prefix) {
+    std::vector<std::string> lost;
+    for (const auto& [key, item] : items_) {
+        if (key.rfind(prefix, 0) == 0) {
+            lost.push_back(key);
+        }
+    }
+    for (const auto& key : lost) {
+        remove(key);
+    }
+}
+
 std::size_t PlatformStore::keys_below(const std::string& prefix) const {
     std::size_t count = 0;
     for (const auto& [key, item] : items_) {
@@ -138,6 +150,7 @@
 
 net::HttpResponse PlatformStore::handle(net::HttpRequest& request, net::CancelSignal& cancel) {
     ++calls_;
+    stale_reads_ += parameter(parameters_of(request.target), "stale") == "1" ? 1 : 0;
     expire_leases();
     if (faults.delay > milliseconds(0)) {
         boost::this_fiber::sleep_for(faults.delay);
--- a/lab/platform_store.hpp
+++ b/lab/platform_store.hpp
@@ -35,10 +35,14 @@
     std::uint64_t put(const std::string& key, const std::string& value);
     /// Drops all history, so that waiting and later watches from before get 410.
     void forget_history();
+    /// Takes keys away; no call shows it.
+    void lose_below(const std::string& prefix);
     /// Ends all leases, and their keys with them.
     void end_leases();
     std::size_t keys_below(const std::string& prefix) const;
     std::uint64_t calls() const { return calls_; }
+    /// Of these, reads that may be stale, which cost a tenth.
+    std::uint64_t stale_reads() const { return stale_reads_; }
 
     PlatformStoreFaults faults;
 
@@ -84,6 +88,7 @@
     std::uint64_t revision_ = 1;
     std::uint64_t next_lease_ = 1;
     std::uint64_t calls_ = 0;
+    std::uint64_t stale_reads_ = 0;
 };
 
 }  // namespace anisehold::lab
--- /dev/null
+++ b/src/discovery/missing_registrations.hpp
@@ -0,0 +1,53 @@
+/** Which registrations of living daemons are missing from the store.
+
+    The store may lose registrations without any call of their owners showing it. The watchers of a zone
+   compare its members that they hear with a listing, and write what is missing in their owners' place. A
+   listing may be some seconds old, so only what two listings in a row lack is missing. Pure.
+*/
+#pragma once
+
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "protocol/time_types.hpp"
+
+namespace anisehold::discovery
+{
+
+/** Time between two listings of a small fleet: two of them fit into the two seconds after the store's return.
+ */
+inline constexpr milliseconds listingPeriod{ 1'000 };
+/** More of it for each member: a listing of a large fleet has more bytes. At 295 members 1.6 s in all. */
+inline constexpr milliseconds listingPeriodPerMember{ 2 };
+
+/** What the last listing lacked. */
+struct MissingRegistrations
+{
+    std::set<std::string> lacked;
+};
+
+/** Takes in a listing; returns those of `expected` that this one and the last one lack. */
+inline std::vector<std::string> takeListing (MissingRegistrations& state, const std::set<std::string>& listed,
+                                             const std::vector<std::string>& expected)
+{
+    std::set<std::string> lacked;
+    std::vector<std::string> missing;
+
+    for (const auto& it : expected)
+    {
+        if (listed.contains (it))
+            continue;
+
+        lacked.insert (it);
+
+        if (state.lacked.contains (it))
+            missing.push_back (it);
+    }
+
+    state.lacked = std::move (lacked);
+    return missing;
+}
+
+} // namespace anisehold::discovery
--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -232,14 +232,14 @@
     return addresses;
 }
 
-std::vector<std::string> PeerDirectory::near_names(TimePoint now) const {
-    std::vector<std::string> names;
+std::vector<PeerAddress> PeerDirectory::near_reachable(TimePoint now) const {
+    std::vector<PeerAddress> addresses;
     for (const auto& [name, peer] : peers_) {
         if (is_near(peer) && takes_requests(now, peer)) {
-            names.push_back(name);
+            addresses.push_back({name, peer.record.gossip});
         }
     }
-    return names;
+    return addresses;
 }
 
 bool PeerDirectory::any_near_watches(TimePoint now) const {
--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -117,8 +117,8 @@
     std::size_t reachable_count(TimePoint now) const;
     std::size_t known_count() const { return peers_.size(); }
     bool knows(const std::string& name) const { return peers_.contains(name); }
-    /// Names of the reachable peers of the own zone that aren't leaving.
-    std::vector<std::string> near_names(TimePoint now) const;
+    /// The reachable peers of the own zone that aren't leaving.
+    std::vector<PeerAddress> near_reachable(TimePoint now) const;
     /// Whether a reachable peer of the own zone has a working watch of the store. Those of other zones aren't
     /// counted: their silence is noticed late.
     bool any_near_watches(TimePoint now) const;
--- a/src/net/beast_support.hpp
+++ b/src/net/beast_support.hpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/fiber/operations.hpp>
 
 #include "net/http_types.hpp"
 #include "net/timed_stream.hpp"
@@ -123,6 +124,8 @@
             stream.writes_expire_after(pause);
         }
         write_rest();
+        // Both sockets may stay ready for long: the other fibers get their turn.
+        boost::this_fiber::yield();
     }
 }
 
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -58,6 +58,8 @@
                "Nobody has written a registration for long: its machine is gone, and it was removed."},
     EventEntry{Event::kWatchRoleChanged, Level::kInfo, "watch-role-changed",
                "Whether this daemon watches the store for configurations changed."},
+    EventEntry{Event::kRegistrationsRestored, Level::kWarn, "registrations-restored",
+               "The store had lost registrations of daemons that are heard; a watcher wrote them again."},
     EventEntry{Event::kHolderViewInForce, Level::kInfo, "holder-view-in-force",
                "This daemon uses a new claim holder view."},
     EventEntry{Event::kHolderViewChanged, Level::kInfo, "holder-view-changed",
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -33,6 +33,7 @@
     kConfigurationRejected = 1108,
     kRegistrationAbandoned = 1109,
     kWatchRoleChanged = 1110,
+    kRegistrationsRestored = 1111,
     kHolderViewInForce = 1201,
     kHolderViewChanged = 1202,
     kClaimsServing = 1203,
--- a/src/sidecar/store_follower.cpp
+++ b/src/sidecar/store_follower.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
 #include <iterator>
+#include <map>
+#include <set>
 
 #include "net/event_loop.hpp"
 #include "observability/events.hpp"
@@ -40,6 +42,7 @@
     net::EventLoop::spawn([this] { take_first_configuration(); });
     net::EventLoop::spawn([this] { follow_configuration(); });
     net::EventLoop::spawn([this] { keep_registered(); });
+    net::EventLoop::spawn([this] { keep_zone_registered(); });
 }
 
 bool StoreFollower::note(CallOutcome outcome, const char* purpose) {
@@ -99,7 +102,9 @@
     const auto now = TimePoint::clock::now();
     discovery::WatchView view;
     view.ownName = context_.settings.name;
-    view.zonePeers = directory_.near_names(now);
+    for (auto& peer : directory_.near_reachable(now)) {
+        view.zonePeers.push_back(std::move(peer.name));
+    }
     view.knownPeers = directory_.known_count();
     view.peerWatches = directory_.any_near_watches(now);
     const auto before = watch_.role;
@@ -140,12 +145,56 @@
     }
 }
 
+void StoreFollower::keep_zone_registered() {
+    while (!context_.stopping) {
+        const auto members = static_cast<long long>(directory_.known_count());
+        boost::this_fiber::sleep_for(discovery::listingPeriod + members * discovery::listingPeriodPerMember);
+        if (watch_.role == WatchRole::appointed && context_.watches_store) {
+            restore_missing();
+        }
+    }
+}
+
+void StoreFollower::restore_missing() {
+    const auto members = list_members(Freshness::kMayBeStale);
+    if (!members) {
+        return;
+    }
+    std::set<std::string> listed;
+    for (const auto& item : *members) {
+        listed.insert(item.key);
+    }
+    std::map<std::string, std::string> addresses{{own_key(), context_.settings.advertised_gossip.text()}};
+    for (const auto& peer : directory_.near_reachable(TimePoint::clock::now())) {
+        addresses[kMemberPrefix + peer.name] = peer.gossip.text();
+    }
+    std::vector<std::string> expected;
+    for (const auto& [key, address] : addresses) {
+        expected.push_back(key);
+    }
+    std::vector<store::StoreItem> missing;
+    for (const auto& key : discovery::takeListing(missing_, listed, expected)) {
+        missing.push_back({key, addresses[key]});
+    }
+    // What doesn't fit is still missing at the next listing.
+    missing.resize(std::min(missing.size(), store::kMostWritten));
+    if (missing.empty()) {
+        return;
+    }
+    const auto written = store_.write(missing, call_deadline());
+    log_event(Event::kRegistrationsRestored,
+              {{"count", std::to_string(missing.size())},
+               {"first", missing.front().key},
+               {"outcome", std::string(store::call_outcome_name(written.outcome))}});
+}
+
 std::string StoreFollower::own_key() const {
     return kMemberPrefix + context_.settings.name;
 }
 
 bool StoreFollower::register_self() {
-    const auto written = store_.write(own_key(), context_.settings.advertised_gossip.text(), call_deadline());
+    const auto written =
+        store_.write({{own_key(), context_.settings.advertised_gossip.text()}}, call_deadline());
     return note(written.outcome, "register") && written.outcome == CallOutcome::kDone;
 }
 
--- a/src/sidecar/store_follower.hpp
+++ b/src/sidecar/store_follower.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "discovery/missing_registrations.hpp"
 #include "discovery/registration_ages.hpp"
 #include "discovery/watch_role.hpp"
 #include "membership/peer_directory.hpp"
@@ -16,8 +17,8 @@
 
 namespace anisehold::sidecar {
 
-/// Two fibers: one keeps the registration, one watches the configuration while this daemon has that role
-/// (discovery/watch_role.hpp).
+/// Its fibers keep the registration, and, while this daemon is one of its zone's watchers
+/// (discovery/watch_role.hpp), watch the configuration and keep the zone's registrations.
 class StoreFollower {
   public:
     using PeersFound = std::function<void()>;
@@ -48,6 +49,9 @@
     void keep_registered();
     /// Takes one step; the next one, or nothing if the store didn't serve it.
     std::optional<RegistrationStep> registration_step(RegistrationStep step);
+    /// While this daemon watches, brings back what the store has lost of its zone's registrations.
+    void keep_zone_registered();
+    void restore_missing();
     bool register_self();
     std::string own_key() const;
     std::optional<std::vector<store::StoreItem>> list_members(store::Freshness freshness);
@@ -66,6 +70,7 @@
     PeersFound peers_found_;
     discovery::WatchState watch_;
     discovery::RegistrationAges ages_;
+    discovery::MissingRegistrations missing_;
     bool has_listed_ = false;
     bool reachable_ = true;
 };
--- a/src/store/coordination_store.hpp
+++ b/src/store/coordination_store.hpp
@@ -29,9 +29,12 @@
 struct StoreItem {
     std::string key;
     std::string value;
-    std::uint64_t revision = 0;
+    std::uint64_t revision = 0;  ///< Not used when it is to be written.
 };
 
+/// Most items of one write.
+inline constexpr std::size_t kMostWritten = 32;
+
 struct ReadReply {
     CallOutcome outcome = CallOutcome::kUnknown;
     StoreItem item;
@@ -73,8 +76,8 @@
                            TimePoint deadline) = 0;
     /// Changes below `prefix` after a revision; comes back without any once `wait` is over.
     virtual WatchReply watch(const std::string& prefix, std::uint64_t after_revision, milliseconds wait) = 0;
-    /// Writes one key, whatever its revision.
-    virtual WriteReply write(const std::string& key, const std::string& value, TimePoint deadline) = 0;
+    /// Writes keys and values, all or none, whatever the revisions; at most `kMostWritten` of them.
+    virtual WriteReply write(const std::vector<StoreItem>& items, TimePoint deadline) = 0;
     /// Removes one key if `revision` is still its latest change; a conflict otherwise.
     virtual WriteReply remove(const std::string& key, std::uint64_t revision, TimePoint deadline) = 0;
 };
--- a/tests/process/links_test.cpp
+++ b/tests/process/links_test.cpp
@@ -138,6 +138,21 @@
     CHECK (linked.serveMany ("leaseless-", 20) == 20);
 }
 
+TEST_CASE ("registrations that the store loses without a word are written again", "[links]")
+{
+    LinkedFleet linked (29'700);
+    auto& store = linked.fleet.store();
+    const std::string prefix = "anisehold/members/";
+    REQUIRE (store.keys_below (prefix) == linked.fleet.size());
+    // The watchers are appointed by then.
+    linked.fleet.pause (seconds (2));
+    store.lose_below (prefix);
+    REQUIRE (store.keys_below (prefix) == 0);
+    CHECK (linked.fleet.eventually (milliseconds (2'500),
+                                    [&] { return store.keys_below (prefix) == linked.fleet.size(); }));
+    CHECK (linked.serveMany ("restored-", 20) == 20);
+}
+
 TEST_CASE ("daemons that start while the store is away are registered two seconds after its return",
            "[links]")
 {
