--- a/src/sidecar/store_follower.cpp
+++ b/src/sidecar/store_follower.cpp
@@ -29,7 +29,9 @@
 constexpr milliseconds kReviewPeriod{500};
 constexpr milliseconds kFirstPause{100};
 /// With its jitter this puts a registration back within two seconds of the store's return.
-constexpr milliseconds kLongestPause{1'200};
+constexpr milliseconds kLongestRegistrationPause{1'200};
+/// A watch can wait longer: another zone's watcher is served sooner, or the store serves nobody.
+constexpr milliseconds kLongestWatchPause{3'000};
 
 TimePoint call_deadline() {
     return TimePoint::clock::now() + kCallTimeout;
@@ -55,9 +57,9 @@
     return served;
 }
 
-void StoreFollower::pause(unsigned failures) {
-    constexpr unsigned most_doublings = 4;
-    const auto longest = std::min(kLongestPause, kFirstPause * (1U << std::min(failures, most_doublings)));
+void StoreFollower::pause(unsigned failures, milliseconds at_most) {
+    constexpr unsigned most_doublings = 5;
+    const auto longest = std::min(at_most, kFirstPause * (1U << std::min(failures, most_doublings)));
     const auto jittered = std::chrono::duration_cast<Duration>(longest * (0.5 + context_.random_unit()));
     boost::this_fiber::sleep_for(jittered);
 }
@@ -78,7 +80,7 @@
     // store has none yet, they tell of the first.
     unsigned failures = 0;
     while (configuration_.version() == 0 && read_configuration(Freshness::kMayBeStale) == 0) {
-        pause(failures++);
+        pause(failures++, kLongestRegistrationPause);
     }
 }
 
@@ -141,7 +143,7 @@
         if (watch_.role == WatchRole::standIn) {
             discovery::noteFailedTry(watch_, TimePoint::clock::now());
         }
-        pause(failures++);
+        pause(failures++, kLongestWatchPause);
     }
 }
 
@@ -252,7 +254,7 @@
     while (!context_.stopping) {
         const auto next = registration_step(step);
         if (!next) {
-            pause(failures++);
+            pause(failures++, kLongestRegistrationPause);
             continue;
         }
         failures = 0;
--- a/src/sidecar/store_follower.hpp
+++ b/src/sidecar/store_follower.hpp
@@ -61,7 +61,7 @@
     void remove_abandoned(const std::vector<discovery::Registration>& listing);
     /// Logs a change between reachable and not, and returns whether the call was served.
     bool note(store::CallOutcome outcome, const char* purpose);
-    void pause(unsigned failures);
+    void pause(unsigned failures, milliseconds at_most);
 
     SidecarContext& context_;
     store::CoordinationStore& store_;
--- a/tests/days/play.sh
+++ b/tests/days/play.sh
@@ -2,7 +2,8 @@
 # Plays days of our own on a site of the users' bench: each kind of trouble twice in a day, and each together with the
 # store down, a configuration change, leaving servers and, at the end, a loss of power everywhere. Prints a table.
 #
-# usage: tests/days/play.sh BENCH SITE [PATTERN]      (run in the repository; JOBS, default 3, days at a time)
+# usage: tests/days/play.sh BENCH SITE [PATTERN]      (run in the repository; JOBS, default 3, days at a time;
+# PLAY_OPTIONS=--small plays a large site's small twin)
 set -euo pipefail
 bench=$1
 site=$2
@@ -43,7 +44,7 @@
     local name report
     name=$(basename "$1" .toml)
     report="$1.report"
-    if ! "$bench" run "$site" "$1" --report "$report" --why "day of our own: $name" > "$1.out" 2>&1; then
+    if ! "$bench" run "$site" "$1" ${PLAY_OPTIONS:-} --report "$report" --why "day of our own: $name" > "$1.out" 2>&1; then
         if [ ! -s "$report" ]; then
             printf '%-34s not played: %s\n' "$name" "$(tail -n 1 "$1.out")"
             return
@@ -55,4 +56,5 @@
 }
 export -f play
 export bench site
+export PLAY_OPTIONS=${PLAY_OPTIONS:-}
 find "$folder" -name '*.toml' | sort | xargs -P "$jobs" -I{} bash -c 'play {}' | sort
