--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -17,7 +17,8 @@
 using RequestParser = http::request_parser<http::buffer_body>;
 
 constexpr milliseconds kAcceptPause{10};
-constexpr milliseconds kRestCheckPeriod{1'000};
+/// Each look is a wake-up of an idle process; a connection may rest that much longer than its limit.
+constexpr milliseconds kRestCheckPeriod{3'000};
 /// How long bytes that belong to no request are read off a connection after its last answer.
 constexpr milliseconds kLingerTime{1'000};
 /// Most requests of one connection that are answered at the same time.
