--- a/tests/days/play.sh
+++ b/tests/days/play.sh
@@ -18,6 +18,8 @@
 write_day() { # NAME SEED FAULTS PLAN CLOSING
     printf 'name = "%s"\nslot = "trouble"\nseed = %s\none = 1.0\nzero = 0.0\ngoal = { floor = 0.3 }\n' "$1" "$2"
     [ -z "$5" ] || printf 'closing = %s\n' "$5"
+    # A large site's standard days name about this divisor for their small twins.
+    [ "${PLAY_OPTIONS:-}" != --small ] || printf 'small = { shrink = 21.0 }\n'
     printf 'plan = [\n%s]\nfaults = [\n%s]\n' "$4" "$3"
 }
 
