--- a/src/sidecar/store_follower.cpp
+++ b/src/sidecar/store_follower.cpp
@@ -171,6 +171,7 @@
         addresses[kMemberPrefix + peer.name] = peer.gossip.text();
     }
     std::vector<std::string> expected;
+    expected.reserve(addresses.size());
     for (const auto& [key, address] : addresses) {
         expected.push_back(key);
     }
--- a/tests/unit/membership/peer_directory_test.cpp
+++ b/tests/unit/membership/peer_directory_test.cpp
@@ -191,23 +191,23 @@
 }
 
 TEST_CASE("the usual servers of a fleet's daemons spread evenly over all servers") {
-    constexpr int kDaemons = 50;
-    constexpr int kServers = 24;
+    constexpr int daemons = 50;
+    constexpr int servers = 24;
     std::map<std::string, int> users;
-    for (int daemon = 0; daemon < kDaemons; ++daemon) {
+    for (int daemon = 0; daemon < daemons; ++daemon) {
         PeerDirectory peers("daemon-" + std::to_string(daemon), "z1", {});
-        for (int server = 0; server < kServers; ++server) {
+        for (int server = 0; server < servers; ++server) {
             peers.on_record(kStart, record("peer-" + std::to_string(server), 1, 1));
         }
         const auto& view = peers.servers_of(kStart, "orders");
-        REQUIRE(view.near.size() == kServers);
+        REQUIRE(view.near.size() == servers);
         REQUIRE(view.usual_near == 6);
         for (std::size_t index = 0; index < view.usual_near; ++index) {
             ++users[view.near[index]->peer];
         }
     }
     // 12.5 on average; nobody is left without, and nobody has more than twice that.
-    CHECK(users.size() == kServers);
+    CHECK(users.size() == servers);
     for (const auto& [name, count] : users) {
         CHECK(count >= 4);
         CHECK(count <= 25);
--- a/tests/unit/selection/server_selection_test.cpp
+++ b/tests/unit/selection/server_selection_test.cpp
@@ -25,6 +25,16 @@
     return known;
 }
 
+std::vector<KnownServer> manyServers (std::size_t n, const std::string& zone, unsigned inFlight)
+{
+    std::vector<KnownServer> servers (n);
+
+    for (std::size_t i = 0; i < n; ++i)
+        servers[i] = server (zone + std::to_string (i), zone, inFlight);
+
+    return servers;
+}
+
 struct Fixture
 {
     std::mt19937 generator{ 11 };
@@ -159,10 +169,9 @@
 TEST_CASE ("of many servers the usual ones are chosen while they have room", "[selection]")
 {
     Fixture fixture;
-    std::vector<KnownServer> servers;
-
-    for (int i = 0; i < 141; ++i)
-        servers.push_back (server ("s" + std::to_string (i), i < 24 ? "here" : "there", 3));
+    auto servers = manyServers (24, "here", 3);
+    const auto others = manyServers (117, "there", 3);
+    servers.insert (servers.end(), others.begin(), others.end());
 
     const auto countChosen = [&]
     {
@@ -186,10 +195,7 @@
 TEST_CASE ("a usual server that fails is left for any other that doesn't", "[selection]")
 {
     Fixture fixture;
-    std::vector<KnownServer> servers;
-
-    for (int i = 0; i < 24; ++i)
-        servers.push_back (server ("s" + std::to_string (i), "here", 3));
+    auto servers = manyServers (24, "here", 3);
 
     for (int i = 0; i < 6; ++i)
         servers[static_cast<std::size_t> (i)].server.failed_percent = 60;
@@ -201,10 +207,7 @@
 TEST_CASE ("the server beside the daemon is always looked at", "[selection]")
 {
     const Fixture fixture;
-    std::vector<KnownServer> servers;
-
-    for (int i = 0; i < 24; ++i)
-        servers.push_back (server ("s" + std::to_string (i), "here", 5));
+    auto servers = manyServers (24, "here", 5);
 
     servers.back().server.in_flight = 0;
     auto view = fixture.viewOf (servers);
