--- a/src/discovery/missing_registrations.hpp
+++ b/src/discovery/missing_registrations.hpp
@@ -6,7 +6,6 @@
 */
 #pragma once
 
-#include <algorithm>
 #include <set>
 #include <string>
 #include <vector>
--- a/tests/process/links_test.cpp
+++ b/tests/process/links_test.cpp
@@ -15,6 +15,8 @@
 
 constexpr unsigned statusOk = 200;
 constexpr milliseconds settleTime{ 5'000 };
+/** Below it the store holds one registration per daemon. */
+constexpr const char* memberPrefix = "anisehold/members/";
 
 /** A fleet of four: two of "front", two of "back"; the links of machine 3 are forwarders. */
 struct LinkedFleet
@@ -131,10 +133,9 @@
 {
     LinkedFleet linked (29'400);
     auto& store = linked.fleet.store();
-    const std::string prefix = "anisehold/members/";
-    REQUIRE (store.keys_below (prefix) == linked.fleet.size());
+    REQUIRE (store.keys_below (memberPrefix) == linked.fleet.size());
     store.end_leases();
-    CHECK (store.keys_below (prefix) == linked.fleet.size());
+    CHECK (store.keys_below (memberPrefix) == linked.fleet.size());
     CHECK (linked.serveMany ("leaseless-", 20) == 20);
 }
 
@@ -142,14 +143,13 @@
 {
     LinkedFleet linked (29'700);
     auto& store = linked.fleet.store();
-    const std::string prefix = "anisehold/members/";
-    REQUIRE (store.keys_below (prefix) == linked.fleet.size());
+    REQUIRE (store.keys_below (memberPrefix) == linked.fleet.size());
     // The watchers are appointed by then.
     linked.fleet.pause (seconds (2));
-    store.lose_below (prefix);
-    REQUIRE (store.keys_below (prefix) == 0);
+    store.lose_below (memberPrefix);
+    REQUIRE (store.keys_below (memberPrefix) == 0);
     CHECK (linked.fleet.eventually (milliseconds (2'500),
-                                    [&] { return store.keys_below (prefix) == linked.fleet.size(); }));
+                                    [&] { return store.keys_below (memberPrefix) == linked.fleet.size(); }));
     CHECK (linked.serveMany ("restored-", 20) == 20);
 }
 
@@ -160,11 +160,11 @@
     fleet.store().faults.refuses = true;
     fleet.launch (configuration_text (1, { "front" }, { "back" }));
     fleet.pause (seconds (4));
-    REQUIRE (fleet.store().keys_below ("anisehold/members/") == 0);
+    REQUIRE (fleet.store().keys_below (memberPrefix) == 0);
     fleet.store().faults.refuses = false;
     // A pause of 1.8 s at most before the look, the write and the list.
-    CHECK (fleet.eventually (milliseconds (2'300), [&]
-                             { return fleet.store().keys_below ("anisehold/members/") == fleet.size(); }));
+    CHECK (fleet.eventually (milliseconds (2'300),
+                             [&] { return fleet.store().keys_below (memberPrefix) == fleet.size(); }));
     CHECK (fleet.eventually (seconds (3), [&] { return fleet.is_ready (0) && fleet.is_ready (2); }));
 }
 
