HTTP client: an exchange that is given up resets its connection

A hop that was cancelled closed its connection in order. What a cut link still held back stayed in the system's send buffer and came to the peer half a second and more later, followed by the end of the connection; the gate had sent the request to its server before it read that end. Ruled out: a close that isn't read while the request waits in the gate's queue (cancels the wait at once), an admission that doesn't look at the cancel (run_exchange looks at it after connecting, before the first byte). Change: the lease of a connection resets it unless the answer was read whole. Asio's destructor takes the option of lingering back, so the socket is closed by the stream itself. The link of the soak loses what it held back when its sender resets, as real links do.

--- a/soak/link.cpp
+++ b/soak/link.cpp
@@ -59,6 +59,15 @@
     Tcp::socket target;
 };
 
+/** Whether the sender of what was read last has reset its connection since: a broken link loses what it held
+   back then. */
+bool wasReset (Tcp::socket& socket)
+{
+    char byte = 0;
+    const auto got = ::recv (socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && errno == ECONNRESET;
+}
+
 enum class Direction
 {
     toTarget,
@@ -142,10 +151,12 @@
                 net::await_io ([&] (auto handler)
                                { from.async_read_some (boost::asio::buffer (buf), std::move (handler)); });
 
+            const bool wasHeldBack = isSilent (behaviour, direction);
+
             while (isSilent (behaviour, direction) && from.is_open())
                 boost::this_fiber::sleep_for (silentPoll);
 
-            if (got.error)
+            if (got.error || (wasHeldBack && from.is_open() && wasReset (from)))
                 break;
 
             if (behaviour.delay > milliseconds (0))
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -155,7 +155,9 @@
 
 namespace {
 
-/// Holds a connection for one exchange; returns it to the pool only when told that it is clean.
+/// Holds a connection for one exchange; returns it to the pool only when told that it is clean. An exchange
+/// that is given up resets its connection: a request that a broken link still holds back must not come to the
+/// peer later, when nobody waits for its answer.
 template <typename Pool>
 class ConnectionLease {
   public:
@@ -166,6 +168,9 @@
             pool_->give_back(std::move(connection_));
         }
         if (connection_) {
+            if (!whole_) {
+                connection_->stream.reset();
+            }
             pool_->discard(std::move(connection_));
         }
     }
@@ -174,8 +179,10 @@
 
     Connection& operator*() { return *connection_; }
     Connection* operator->() { return connection_.get(); }
-    void finish_clean() {
-        if (connection_) {
+    /// The answer has been read to its end.
+    void finish(bool reusable) {
+        whole_ = true;
+        if (connection_ && reusable) {
             pool_->give_back(std::move(connection_));
         }
     }
@@ -183,6 +190,7 @@
   private:
     std::shared_ptr<Pool> pool_;
     std::unique_ptr<Connection> connection_;
+    bool whole_ = false;
 };
 
 /// Reads the unbuffered rest of an answer and then returns the connection.
@@ -200,8 +208,8 @@
         boost::system::error_code read_error;
         const auto count = read_body_bytes(lease_->stream, lease_->buffer, *parser_, data, size, read_error);
         error = read_error;
-        if (!read_error && parser_->is_done() && parser_->keep_alive()) {
-            lease_.finish_clean();
+        if (!read_error && parser_->is_done()) {
+            lease_.finish(parser_->keep_alive());
         }
         return count;
     }
@@ -308,9 +316,7 @@
     }
     if (parser->is_done()) {
         response.body.length = response.body.prefix.size();
-        if (parser->keep_alive()) {
-            lease.finish_clean();
-        }
+        lease.finish(parser->keep_alive());
         return response;
     }
     if (parser->content_length()) {
--- a/src/net/timed_stream.hpp
+++ b/src/net/timed_stream.hpp
@@ -42,6 +42,13 @@
         cancel();
     }
     bool is_aborted() const { return aborted_; }
+    /// Ends the connection with a reset: what was written and hasn't reached the peer yet never will. (Asio's
+    /// destructor takes the option back, so the socket is closed here.)
+    void reset() {
+        boost::system::error_code ignored;
+        socket_.set_option(Socket::linger(true, 0), ignored);
+        socket_.close(ignored);
+    }
 
     /// Connects; the socket is non-blocking afterwards.
     boost::system::error_code connect(const boost::asio::ip::tcp::endpoint& endpoint) {
--- a/tests/process/links_test.cpp
+++ b/tests/process/links_test.cpp
@@ -1,7 +1,9 @@
 /** Sidecars as processes whose links run through forwarders that the test spoils. */
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <memory>
+#include <set>
 
 #include "soak/link.hpp"
 #include "tests/support/fleet.hpp"
@@ -86,6 +88,33 @@
                                     }));
 }
 
+TEST_CASE ("a request that was given up while its link held it back never comes to a server", "[links]")
+{
+    LinkedFleet linked (29'800);
+    std::set<std::string> arrived;
+    linked.fleet.machine (3).server->observe ([&] (const lab::ServerArrival& it) { arrived.insert (it.id); });
+    soak::LinkBehaviour silent;
+    silent.toTargetSilent = true;
+    linked.hops->setBehaviour (silent);
+
+    constexpr int numSent = 20;
+    int served = 0;
+
+    for (int i = 0; i < numSent; ++i)
+    {
+        const auto id = "held-" + std::to_string (i);
+        const auto got = linked.fleet.send (1, { "GET", "back.example", "/back/x", id, milliseconds (60) });
+        served += got.status == statusOk ? 1 : 0;
+    }
+
+    CHECK (served < numSent);
+
+    linked.hops->setBehaviour ({});
+    linked.fleet.pause (milliseconds (500));
+    const auto isHeld = [] (const std::string& id) { return id.starts_with ("held-"); };
+    CHECK (std::none_of (arrived.begin(), arrived.end(), isHeld));
+}
+
 TEST_CASE ("a server that resets every connection costs no request", "[links]")
 {
     LinkedFleet linked (29'100);
