A daemon that starts asks the server beside it, waits for servers to be heard of, and is told by those before it

Servers send a heartbeat each 1.5 s, so each daemon knew no server of its own for 0.75 s in the mean. And a daemon that started a moment later than its peers had announced themselves was taken for told: it waited a second for their records. Change: the settings may name the server's address (`servers.address`, from the machine's settings); at the first configuration the daemon asks it for its health once, and a server that is well and names itself takes requests until its heartbeat is overdue by one interval. Requests for which no server is known wait for one during the first three seconds, at most as long as they may wait at gates. Records tell how long their sender has listened. Weighed: the server's record in the store (a write more at each start of a server, and a leave that must be written before it is acknowledged).

--- a/lab/platform_server.cpp
+++ b/lab/platform_server.cpp
@@ -15,6 +15,7 @@
 constexpr unsigned kMisdirected = 421;
 constexpr unsigned kFailed = 500;
 constexpr unsigned kUnavailable = 503;
+constexpr const char* kHealthPath = "/health";
 constexpr milliseconds kPoll{5};
 constexpr milliseconds kBeatTimeout{1'000};
 constexpr milliseconds kLongestHang{30'000};
@@ -129,7 +130,17 @@
     return true;
 }
 
+net::HttpResponse PlatformServer::answer_health() const {
+    auto response = net::make_response(draining_ ? kUnavailable : kOk, "text/plain", "");
+    response.fields.set("Instance-Id", options_.instance);
+    response.fields.set("Server-Load", std::to_string(running_) + ",0," + std::to_string(options_.slots));
+    return response;
+}
+
 net::HttpResponse PlatformServer::handle(net::HttpRequest& request, net::CancelSignal& cancel) {
+    if (request.target == kHealthPath) {
+        return answer_health();
+    }
     ++arrivals_;
     const auto id = text_of(request, "Request-Id");
     const auto answer = [&](unsigned status, const std::string& body) {
--- a/lab/platform_server.hpp
+++ b/lab/platform_server.hpp
@@ -79,6 +79,7 @@
 
   private:
     net::HttpResponse handle(net::HttpRequest& request, net::CancelSignal& cancel);
+    net::HttpResponse answer_health() const;
     bool make_calls(const std::string& id, TimePoint deadline);
     bool beat(bool draining);
     void say_left();
--- a/src/config/sidecar_settings.cpp
+++ b/src/config/sidecar_settings.cpp
@@ -103,6 +103,7 @@
     reader.endpoint_if_given("advertise.hops", settings.advertised_hops);
     reader.endpoint_if_given("advertise.gossip", settings.advertised_gossip);
     reader.endpoint("store.address", settings.store);
+    reader.endpoint_if_given("servers.address", settings.server);
     reader.duration("servers.heartbeat_interval", settings.heartbeat_interval);
     reader.duration("sidecar.stop_grace", settings.stop_grace);
     reader.number("repeats.ratio", settings.repeat_ratio);
--- a/src/config/sidecar_settings.hpp
+++ b/src/config/sidecar_settings.hpp
@@ -26,6 +26,7 @@
     Endpoint advertised_hops;  ///< What peers are told in place of `hops`, where a forwarder stands between.
     Endpoint advertised_gossip;  ///< The same for `gossip`.
     Endpoint store;
+    Endpoint server;  ///< The server beside; port 0 if it isn't known before its first heartbeat.
     milliseconds heartbeat_interval{1'500};
     milliseconds stop_grace{6'000};
     double repeat_ratio = 0.2;
--- a/src/membership/peer_record.hpp
+++ b/src/membership/peer_record.hpp
@@ -40,11 +40,12 @@
 struct PeerRecord {
     std::string name;
     std::string zone;
-    std::uint64_t boot_id = 0;   ///< Random at each start: tells a restarted process from its predecessor.
-    std::uint64_t sequence = 0;  ///< Rises with each record of one boot.
-    Endpoint call;               ///< Where peers send requests for the server (TCP).
-    Endpoint gossip;             ///< Where records are sent to (UDP).
-    bool leaving = false;        ///< A planned stop has begun; no new requests.
+    std::uint64_t boot_id = 0;    ///< Random at each start: tells a restarted process from its predecessor.
+    std::uint64_t sequence = 0;   ///< Rises with each record of one boot.
+    std::uint32_t uptime_ms = 0;  ///< Since the sender's socket for records was opened.
+    Endpoint call;                ///< Where peers send requests for the server (TCP).
+    Endpoint gossip;              ///< Where records are sent to (UDP).
+    bool leaving = false;         ///< A planned stop has begun; no new requests.
     std::uint64_t configuration_version = 0;
     bool watches_store = false;              ///< The sender has a working watch of the configuration.
     std::vector<std::string> client_routes;  ///< Routes that the sender is sure clients call.
@@ -53,8 +54,8 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        serialize_all(archive, name, zone, boot_id, sequence, call, gossip, leaving, configuration_version,
-                      watches_store, client_routes, servers, pressures);
+        serialize_all(archive, name, zone, boot_id, sequence, uptime_ms, call, gossip, leaving,
+                      configuration_version, watches_store, client_routes, servers, pressures);
     }
 };
 
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -87,6 +87,8 @@
     EventEntry{Event::kServerSilent, Level::kWarn, "server-silent",
                "The server beside this daemon sent no heartbeat for long; it gets no new work."},
     EventEntry{Event::kHeartbeatRefused, Level::kWarn, "heartbeat-refused", "A heartbeat was malformed."},
+    EventEntry{Event::kServerFound, Level::kInfo, "server-found",
+               "The server beside this daemon said that it is well, before its first heartbeat came."},
     EventEntry{Event::kContextRefused, Level::kWarn, "context-refused",
                "A call brought a context that is forged, malformed or of an ended call."},
     EventEntry{Event::kIngressCall, Level::kInfo, "ingress-call",
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -48,6 +48,7 @@
     kServerRegistered = 1405,
     kServerSilent = 1406,
     kHeartbeatRefused = 1407,
+    kServerFound = 1408,
     kContextRefused = 1501,
     kIngressCall = 1601,
     kGateCall = 1602,
--- a/src/registration/server_registry.cpp
+++ b/src/registration/server_registry.cpp
@@ -1,5 +1,7 @@
 #include "registration/server_registry.hpp"
 
+#include <algorithm>
+
 namespace anisehold::registration {
 namespace {
 
@@ -14,7 +16,7 @@
     }
     const auto found = servers_.find(heartbeat.instance);
     const bool known = found != servers_.end();
-    if (known && heartbeat.sequence <= found->second.heartbeat.sequence) {
+    if (known && !found->second.is_found && heartbeat.sequence <= found->second.heartbeat.sequence) {
         return RegistryChange::kNone;
     }
     if (!known) {
@@ -41,16 +43,28 @@
     return same ? RegistryChange::kRefreshed : RegistryChange::kChanged;
 }
 
+RegistryChange ServerRegistry::on_found(TimePoint now, const Heartbeat& found) {
+    const bool address_taken = std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
+        return entry.second.heartbeat.address == found.address;
+    });
+    if (address_taken || left_.contains(found.instance) || servers_.contains(found.instance)) {
+        return RegistryChange::kNone;
+    }
+    servers_[found.instance] = {found, now, now, true};
+    return RegistryChange::kAppeared;
+}
+
 RegistryChange ServerRegistry::on_leave(TimePoint now, const std::string& instance) {
     left_[instance] = now;
     return servers_.erase(instance) > 0 ? RegistryChange::kLeft : RegistryChange::kNone;
 }
 
-std::vector<std::string> ServerRegistry::expire(TimePoint now, Duration silence) {
+std::vector<std::string> ServerRegistry::expire(TimePoint now, Duration silence, Duration found_silence) {
     std::erase_if(left_, [&](const auto& entry) { return now - entry.second > kLeftRemembered; });
     std::vector<std::string> silent;
     std::erase_if(servers_, [&](const auto& entry) {
-        const bool expired = now - entry.second.heard > silence;
+        const auto& server = entry.second;
+        const bool expired = now - server.heard > (server.is_found ? found_silence : silence);
         if (expired) {
             silent.push_back(entry.first);
         }
--- a/src/registration/server_registry.hpp
+++ b/src/registration/server_registry.hpp
@@ -39,16 +39,20 @@
     Heartbeat heartbeat;
     TimePoint heard;
     TimePoint cold_until;
+    bool is_found = false;  ///< It was asked for its health; its own heartbeat is awaited.
 };
 
 /// Keeps the newest state of each server. Draining and leaving are final for an instance. Pure.
 class ServerRegistry {
   public:
     RegistryChange on_heartbeat(TimePoint now, const Heartbeat& heartbeat);
+    /// A server that said it was well when it was asked. Changes nothing if anything is known of the
+    /// instance, or of its address.
+    RegistryChange on_found(TimePoint now, const Heartbeat& found);
     RegistryChange on_leave(TimePoint now, const std::string& instance);
-    /// Forgets servers that fell silent for `silence`, and what was remembered of those that left long ago.
-    /// Returns the instances that fell silent.
-    std::vector<std::string> expire(TimePoint now, Duration silence);
+    /// Forgets servers that fell silent for `silence`, found ones without a heartbeat after `found_silence`,
+    /// and what was remembered of those that left long ago. Returns the instances that fell silent.
+    std::vector<std::string> expire(TimePoint now, Duration silence, Duration found_silence);
 
     /// The server, if it takes new requests.
     const RegisteredServer* find_ready(const std::string& instance) const;
--- a/src/retry/attempt_plan.cpp
+++ b/src/retry/attempt_plan.cpp
@@ -7,6 +7,8 @@
 
 /// Most refusals before any server was reached that one request collects.
 constexpr unsigned kMostUnsent = 12;
+/// How often servers are looked for while none is known.
+constexpr milliseconds kServerPoll{10};
 /// A repeat isn't worth starting with less time left.
 constexpr milliseconds kLeastTimeToRepeat{20};
 
@@ -30,6 +32,9 @@
         return hedge ? AttemptStep::kLaunchRepeat : AttemptStep::kWait;
     }
     const bool has_not_run = unknown_ == 0 && failed_answers_ == 0;
+    if (waits_for_server(now, another_server)) {
+        return AttemptStep::kWait;
+    }
     if (reached_ == 0) {
         const bool in_time = launched_ == 0 || now < terms_.refuse_unsent_at;
         const bool goes_on = another_server && in_time && launched_ < kMostUnsent;
@@ -45,7 +50,15 @@
     return has_not_run ? AttemptStep::kRefuse : AttemptStep::kFail;
 }
 
-TimePoint AttemptPlan::wait_until() const {
+bool AttemptPlan::waits_for_server(TimePoint now, bool another_server) const {
+    return launched_ == 0 && !another_server &&
+           now < std::min(terms_.servers_known_at, terms_.refuse_unsent_at);
+}
+
+TimePoint AttemptPlan::wait_until(TimePoint now) const {
+    if (running_ == 0) {
+        return std::min<TimePoint>(terms_.deadline, now + kServerPoll);
+    }
     const bool may_hedge = terms_.may_repeat && !repeat_refused_ && reached_ + running_ < terms_.most_servers;
     return may_hedge ? std::min(terms_.deadline, last_launch_ + terms_.hedge_after) : terms_.deadline;
 }
--- a/src/retry/attempt_plan.hpp
+++ b/src/retry/attempt_plan.hpp
@@ -16,6 +16,8 @@
     /// which serves it better than a wait in one queue after the other.
     TimePoint refuse_unsent_at = TimePoint::max();
     Duration hedge_after{};  ///< An attempt that takes longer is joined by another one.
+    /// Until then servers may come to be known, and a request for which there is none waits.
+    TimePoint servers_known_at = TimePoint::min();
 };
 
 /// How one attempt ended.
@@ -45,7 +47,7 @@
     /// The next step. `another_server`: some server hasn't been tried that could be.
     AttemptStep next(TimePoint now, bool another_server) const;
     /// When to ask again if nothing happens before, after `kWait`.
-    TimePoint wait_until() const;
+    TimePoint wait_until(TimePoint now) const;
 
     void on_launched(TimePoint now);
     /// No repeat was to be had; none is asked for until an attempt has ended.
@@ -61,6 +63,7 @@
 
   private:
     bool repeat_allowed(bool another_server) const;
+    bool waits_for_server(TimePoint now, bool another_server) const;
 
     AttemptTerms terms_;
     unsigned launched_ = 0;
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -29,6 +29,10 @@
 /// Expected time of an answer while none was measured.
 constexpr milliseconds kUnmeasuredLatency{150};
 
+/// A daemon that was started has heard of its peers' servers by then: their records come at least once a
+/// second, and a server that can't be asked for its health sends a heartbeat within some 1.5 s.
+constexpr milliseconds kServersKnownAfter{3'000};
+
 /// When a request that was refused early may come back, at the earliest and at the latest: callers that were
 /// refused together must not come back together.
 constexpr milliseconds kEarlyRefusalRetryAfter{250};
@@ -91,7 +95,8 @@
       gate_(gate),
       hops_(context, directory),
       selection_{context.settings.zone, {}, {}},
-      budget_(budget_terms(context.settings), TimePoint::clock::now()) {}
+      budget_(budget_terms(context.settings), TimePoint::clock::now()),
+      started_(TimePoint::clock::now()) {}
 
 void CallIngress::apply_settings() {
     budget_.set_terms(budget_terms(context_.settings));
@@ -185,6 +190,7 @@
     terms.most_servers = request.body.whole() ? call.terms.most_servers : 1;
     terms.deadline = call.deadline;
     terms.refuse_unsent_at = call.received + call.terms.target_latency / kWaitPart;
+    terms.servers_known_at = started_ + kServersKnownAfter;
     const std::chrono::duration<double, std::micro> measured(candidates(call.service, now).mean_latency_us);
     const auto average =
         measured.count() > 0 ? std::chrono::duration_cast<Duration>(measured) : Duration(kUnmeasuredLatency);
@@ -236,7 +242,7 @@
             }
             return true;
         case AttemptStep::kWait:
-            flight.board->changed.wait_until(flight.plan.wait_until());
+            flight.board->changed.wait_until(flight.plan.wait_until(now));
             return true;
         default:
             return false;
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -110,6 +110,7 @@
     routing::WeightedSplit split_;
     selection::SelectionState selection_;
     retry::WindowBudget budget_;
+    TimePoint started_;
     std::vector<membership::KnownServer> own_servers_;  ///< What the last candidates point to.
 };
 
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -16,6 +16,8 @@
 
 /// Heartbeats that a server may miss before it counts as gone.
 constexpr int kMissedHeartbeats = 6;
+/// The same for one that was asked for its health: its next heartbeat is due within one interval.
+constexpr int kMissedHeartbeatsOfFound = 2;
 /// Weight of a new sample in the average latency, as a divisor.
 constexpr int kLatencyDivisor = 8;
 constexpr double kPercent = 100;
@@ -67,8 +69,10 @@
     const auto change =
         call.leaves ? registry_.on_leave(now, heartbeat.instance) : registry_.on_heartbeat(now, heartbeat);
     switch (change) {
-        case RegistryChange::kAppeared:
         case RegistryChange::kChanged:
+            resize_gate(heartbeat);
+            [[fallthrough]];
+        case RegistryChange::kAppeared:
             log_event(Event::kServerRegistered, {{"server", heartbeat.instance},
                                                  {"service", heartbeat.service},
                                                  {"address", heartbeat.address.text()},
@@ -88,8 +92,29 @@
     return change;
 }
 
+void LocalGate::resize_gate(const registration::Heartbeat& heartbeat) {
+    const auto found = servers_.find(heartbeat.instance);
+    if (found != servers_.end()) {
+        const admission::LimitBounds bounds{heartbeat.slots, heartbeat.slots};
+        found->second->gate.set_limit(std::make_unique<admission::AimdLimit>(bounds));
+    }
+}
+
+RegistryChange LocalGate::on_found(TimePoint now, const registration::Heartbeat& found) {
+    const auto change = registry_.on_found(now, found);
+    if (change == RegistryChange::kAppeared) {
+        log_event(Event::kServerFound, {{"server", found.instance},
+                                        {"service", found.service},
+                                        {"address", found.address.text()},
+                                        {"slots", std::to_string(found.slots)}});
+    }
+    return change;
+}
+
 bool LocalGate::expire(TimePoint now) {
-    const auto silent = registry_.expire(now, kMissedHeartbeats * context_.settings.heartbeat_interval);
+    const auto interval = context_.settings.heartbeat_interval;
+    const auto silent =
+        registry_.expire(now, kMissedHeartbeats * interval, kMissedHeartbeatsOfFound * interval);
     for (const auto& instance : silent) {
         log_event(Event::kServerSilent, {{"server", instance}});
     }
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -38,6 +38,8 @@
     GateAnswer run(net::HttpRequest request, const hop::HopRequest& call, net::CancelSignal* cancel);
 
     registration::RegistryChange on_registration(TimePoint now, const RegistrationCall& call);
+    /// The server beside was asked for its health and is well.
+    registration::RegistryChange on_found(TimePoint now, const registration::Heartbeat& found);
     /// Drops servers that fell silent; true if there were any.
     bool expire(TimePoint now);
 
@@ -74,6 +76,8 @@
         connection::Reach reach;
     };
 
+    /// A server's slots are others than before.
+    void resize_gate(const registration::Heartbeat& heartbeat);
     std::shared_ptr<Server> server_for(const registration::RegisteredServer& registered);
     std::optional<GateAnswer> wait_for_admission(Server& server, const hop::HopRequest& call,
                                                  std::uint64_t id, TimePoint deadline,
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -19,8 +19,8 @@
 /// The other daemons spread their calls to the watchers over this time.
 constexpr milliseconds kFetchSpread{100};
 constexpr milliseconds kFetchTimeout{1'000};
-/// A known peer that appears within this time after an announcement has that record. When a whole fleet
-/// starts, most answers would be such repetitions.
+/// A known peer that appears within this time after an announcement has that record, if it listened already
+/// when it was sent. When a whole fleet starts, most answers would be such repetitions.
 constexpr milliseconds kAnswerPause{500};
 constexpr double kShareOfPercent = 0.01;
 
@@ -38,6 +38,7 @@
     const auto error =
         socket_.start(context_.settings.gossip,
                       [this](const Endpoint& /*from*/, std::string_view bytes) { receive(bytes); });
+    opened_ = TimePoint::clock::now();
     if (!error) {
         net::EventLoop::spawn([this] { announce_periodically(); });
     }
@@ -51,6 +52,7 @@
     record.zone = settings.zone;
     record.boot_id = context_.boot_id;
     record.sequence = ++sequence_;
+    record.uptime_ms = static_cast<std::uint32_t>(to_milliseconds(TimePoint::clock::now() - opened_));
     record.call = settings.advertised_hops;
     record.gossip = settings.advertised_gossip;
     record.leaving = context_.leaving;
@@ -134,7 +136,8 @@
     }
     context_.origins.on_peer_verdict(record->client_routes);
     const auto now = TimePoint::clock::now();
-    const bool was_told = directory_.knows(record->name) && now - announced_ < kAnswerPause;
+    const bool listened = announced_ > now - milliseconds(record->uptime_ms);
+    const bool was_told = directory_.knows(record->name) && listened && now - announced_ < kAnswerPause;
     const auto change = directory_.on_record(now, *record);
     if (change != PeerChange::kNone) {
         overload::notePeerReport(context_.root_limit, now, record->name, record->pressures);
--- a/src/sidecar/peer_exchange.hpp
+++ b/src/sidecar/peer_exchange.hpp
@@ -42,6 +42,7 @@
     net::UdpSocket socket_;
     std::uint64_t sequence_ = 0;
     std::uint64_t fetching_version_ = 0;
+    TimePoint opened_;     ///< When records could come in first.
     TimePoint announced_;  ///< When this daemon's record last went to all known peers.
 };
 
--- /dev/null
+++ b/src/sidecar/server_probe.cpp
@@ -0,0 +1,43 @@
+#include "sidecar/server_probe.hpp"
+
+#include "net/http_client.hpp"
+
+namespace anisehold::sidecar {
+namespace {
+
+/// As long as a server waits for the acknowledgement of a heartbeat.
+constexpr milliseconds kProbeTimeout{1'000};
+/// Slots of a server that doesn't tell them, until its heartbeat does: few, since a gate that is too narrow
+/// for a second costs less than a server that is given more than it can hold.
+constexpr unsigned kUntoldSlots = 8;
+
+}  // namespace
+
+std::optional<registration::Heartbeat> ask_server_beside(const SidecarContext& context,
+                                                         const routing::Configuration& configuration) {
+    const auto& settings = context.settings;
+    const auto terms = configuration.services.find(settings.service);
+    if (settings.server.port == 0 || terms == configuration.services.end() ||
+        terms->second.health_path.empty()) {
+        return std::nullopt;
+    }
+    net::HttpClient client(context.io, settings.server);
+    auto request = net::make_request("GET", terms->second.health_path);
+    net::ExchangeProgress progress;
+    std::error_code error;
+    const auto response =
+        client.exchange(request, {TimePoint::clock::now() + kProbeTimeout}, progress, error);
+    const auto health = response ? context.dialect.read_health(*response) : std::nullopt;
+    if (!health) {
+        return std::nullopt;
+    }
+    registration::Heartbeat found;
+    found.instance = health->instance;
+    found.service = settings.service;
+    found.address = settings.server;
+    found.zone = settings.zone;
+    found.slots = health->slots.value_or(kUntoldSlots);
+    return found;
+}
+
+}  // namespace anisehold::sidecar
--- /dev/null
+++ b/src/sidecar/server_probe.hpp
@@ -0,0 +1,19 @@
+/// @file
+/// Asks the server beside this daemon for its health, so that a daemon that was restarted needn't wait for a
+/// heartbeat before it takes requests for that server.
+#pragma once
+
+#include <optional>
+
+#include "registration/server_registry.hpp"
+#include "sidecar/sidecar_context.hpp"
+
+namespace anisehold::sidecar {
+
+/// One request to the address that the settings name. Blocks the fiber for a second at most. Nothing if the
+/// settings or the configuration don't say how to ask, or if the server doesn't answer that it is well: its
+/// heartbeat decides then.
+std::optional<registration::Heartbeat> ask_server_beside(const SidecarContext& context,
+                                                         const routing::Configuration& configuration);
+
+}  // namespace anisehold::sidecar
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -8,6 +8,7 @@
 #include "observability/events.hpp"
 #include "sidecar/call_ingress.hpp"
 #include "sidecar/peer_exchange.hpp"
+#include "sidecar/server_probe.hpp"
 #include "sidecar/store_follower.hpp"
 
 namespace anisehold::sidecar {
@@ -116,6 +117,7 @@
     net::HttpServer readiness;
     net::HttpServer metrics;
     TimePoint started = TimePoint::clock::now();
+    bool looked_for_server = false;
 };
 
 Sidecar::Sidecar(net::EventLoop& loop, const WireDialect& dialect, store::CoordinationStore& store,
@@ -131,6 +133,10 @@
     parts_->configuration.set_listener(
         [this](const routing::Configuration& configuration, ConfigurationSource source) {
             parts_->calls.set_limits(limits_for(configuration.clients));
+            if (!parts_->looked_for_server) {
+                parts_->looked_for_server = true;
+                net::EventLoop::spawn([this] { find_server(); });
+            }
             // Watchers tell all; if everyone did, each version would cost the square of the fleet.
             if (source == ConfigurationSource::kStore) {
                 parts_->peers.announce();
@@ -258,6 +264,13 @@
     return net::make_response(kOk, kTextType, parts_->context.metrics.text());
 }
 
+void Sidecar::find_server() {
+    const auto found = ask_server_beside(parts_->context, *parts_->configuration.current());
+    if (found && parts_->gate.on_found(TimePoint::clock::now(), *found) == RegistryChange::kAppeared) {
+        parts_->peers.announce();
+    }
+}
+
 void Sidecar::watch_settings() {
     while (!parts_->context.stopping) {
         boost::this_fiber::sleep_for(kSettingsPeriod);
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -38,6 +38,8 @@
     bool is_busy() const;
     /// Waits until no request was in progress for a while, or `latest` has come.
     void wait_until_quiet(TimePoint latest);
+    /// Takes the server beside into service before its first heartbeat, if it is well.
+    void find_server();
     void watch_settings();
     void reload_settings();
 
--- a/src/sidecar/wire_dialect.hpp
+++ b/src/sidecar/wire_dialect.hpp
@@ -40,6 +40,12 @@
     registration::Heartbeat heartbeat;  ///< Only `instance` is set when it leaves.
 };
 
+/// What a server says of itself when it is asked for its health.
+struct HealthAnswer {
+    std::string instance;
+    std::optional<unsigned> slots;  ///< Requests that it works on at the same time, where it tells that.
+};
+
 /// A configuration document, or what is wrong with it.
 struct ConfigurationReading {
     std::optional<routing::Configuration> configuration;
@@ -62,6 +68,8 @@
     /// Nothing if it isn't a registration; `problem` is set if it is a malformed one.
     virtual std::optional<RegistrationCall> read_registration(const net::HttpRequest& request,
                                                               std::string& problem) const = 0;
+    /// Nothing unless the server is well and isn't leaving.
+    virtual std::optional<HealthAnswer> read_health(const net::HttpResponse& response) const = 0;
     virtual ConfigurationReading read_configuration(std::string_view text) const = 0;
     /// Key of the configuration in the store.
     virtual std::string configuration_key() const = 0;
--- a/tests/integration/sidecar_test.cpp
+++ b/tests/integration/sidecar_test.cpp
@@ -203,6 +203,30 @@
                            [&] { return fleet.log_of(0).find("\"from\":\"peer\"") != std::string::npos; }));
 }
 
+TEST_CASE("after all sidecars were killed, requests are served before the next heartbeats", "[sidecar]") {
+    auto plans = chain();
+    for (auto& plan : plans) {
+        plan.heartbeat_interval = milliseconds(8'000);
+    }
+    SidecarFleet fleet(next_base_port(), plans);
+    REQUIRE(fleet.start(chain_configuration(1)));
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        fleet.kill(index);
+    }
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        fleet.start_sidecar(index);
+    }
+    const auto all_ready = [&] {
+        bool all = true;
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            all = all && fleet.is_ready(index);
+        }
+        return all;
+    };
+    REQUIRE(fleet.eventually(seconds(3), all_ready));
+    CHECK(send_many(fleet, {"GET", "front.example", "/front/", "found"}, 30)[200] == 30);
+}
+
 TEST_CASE("every sidecar registers, and a calm fleet leaves the store alone", "[sidecar]") {
     SidecarFleet fleet(next_base_port(), chain());
     REQUIRE(fleet.start(chain_configuration(1)));
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -81,6 +81,7 @@
         machine->settings_file = folder_ + "/" + machine->name + ".toml";
         machine->log_file = folder_ + "/" + machine->name + ".log";
         machine->linked = plan.linked;
+        machine->heartbeat_interval = plan.heartbeat_interval;
         const auto at = [&](int offset) { return local(static_cast<std::uint16_t>(first_port + offset)); };
         machine->links = {at(7), at(8), at(6), at(9), at(1), at(10), at(4)};
         lab::PlatformServerOptions options;
@@ -94,6 +95,7 @@
         options.slots = plan.slots;
         options.work = plan.work;
         options.calls = plan.calls;
+        options.heartbeat_interval = plan.heartbeat_interval;
         machine->server = std::make_unique<lab::PlatformServer>(io, options);
         write_settings(*machine, first_port);
         machines_.push_back(std::move(machine));
@@ -125,7 +127,8 @@
          << "readiness = " << at(3) << "gossip = " << at(4) << "metrics = " << at(5)
          << "[store]\naddress = \"" << (machine.linked ? machine.links.store_link : store_endpoint_).text()
          << "\"\n"
-         << "[servers]\nheartbeat_interval = \"200ms\"\n"
+         << "[servers]\nheartbeat_interval = \"" << machine.heartbeat_interval.count() << "ms\"\naddress = \""
+         << (machine.linked ? machine.links.server_link : machine.links.server).text() << "\"\n"
          << "[repeats]\nratio = \"0.2\"\nextra = \"60\"\nwindow = \"2s\"\n";
     if (machine.linked) {
         file << "[advertise]\nhops = " << at(9) << "gossip = " << at(10);
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -35,6 +35,7 @@
     std::string zone;
     std::string service;
     bool linked = false;
+    milliseconds heartbeat_interval{200};
     MachineLinks links;
     Endpoint calls;
     Endpoint readiness;
@@ -53,6 +54,7 @@
     unsigned slots = 8;
     milliseconds work{5};
     bool linked = false;  ///< All links of the machine run through addresses that the test serves itself.
+    milliseconds heartbeat_interval{200};
 };
 
 /// What a client got.
--- a/tests/unit/platform/dialect_test.cpp
+++ b/tests/unit/platform/dialect_test.cpp
@@ -129,3 +129,19 @@
     Dialect().write_retry_after(response, milliseconds(350));
     CHECK(response.fields.find("Retry-After") == "0.350");
 }
+
+TEST_CASE("a server is well only if it says so and names itself") {
+    auto well = answer(200, false);
+    CHECK_FALSE(Dialect().read_health(well));
+    well.fields.set("Instance-Id", "i-1");
+    REQUIRE(Dialect().read_health(well));
+    CHECK(Dialect().read_health(well)->instance == "i-1");
+    CHECK_FALSE(Dialect().read_health(well)->slots);
+    well.fields.set("Server-Load", "3,0,20");
+    CHECK(Dialect().read_health(well)->slots == 20U);
+    well.fields.set("Server-Load", "3,0,x");
+    CHECK_FALSE(Dialect().read_health(well)->slots);
+    auto leaving = answer(503, false);
+    leaving.fields.set("Instance-Id", "i-1");
+    CHECK_FALSE(Dialect().read_health(leaving));
+}
--- a/tests/unit/registration/server_registry_test.cpp
+++ b/tests/unit/registration/server_registry_test.cpp
@@ -72,8 +72,8 @@
 TEST_CASE("a silent server is dropped, and comes back with its next heartbeat") {
     ServerRegistry registry;
     registry.on_heartbeat(kStart, heartbeat("a", 1));
-    CHECK(registry.expire(kStart + seconds(5), seconds(9)).empty());
-    CHECK(registry.expire(kStart + seconds(10), seconds(9)) == std::vector<std::string>{"a"});
+    CHECK(registry.expire(kStart + seconds(5), seconds(9), seconds(3)).empty());
+    CHECK(registry.expire(kStart + seconds(10), seconds(9), seconds(3)) == std::vector<std::string>{"a"});
     CHECK(registry.find_ready("a") == nullptr);
     CHECK(registry.on_heartbeat(kStart + seconds(11), heartbeat("a", 2)) == RegistryChange::kAppeared);
 }
@@ -86,3 +86,35 @@
     CHECK(registry.on_heartbeat(kStart, more) == RegistryChange::kChanged);
     CHECK(registry.find_ready("a")->heartbeat.slots == 8);
 }
+
+TEST_CASE("a server that was asked for its health takes requests until its heartbeat is overdue") {
+    ServerRegistry registry;
+    CHECK(registry.on_found(kStart, heartbeat("a", 0)) == RegistryChange::kAppeared);
+    REQUIRE(registry.find_ready("a") != nullptr);
+    CHECK(registry.expire(kStart + seconds(3), seconds(9), seconds(3)).empty());
+    CHECK(registry.expire(kStart + seconds(4), seconds(9), seconds(3)) == std::vector<std::string>{"a"});
+}
+
+TEST_CASE("a found server's first heartbeat is taken, whatever its number, and bounds its silence") {
+    ServerRegistry registry;
+    registry.on_found(kStart, heartbeat("a", 0));
+    auto beat = heartbeat("a", 0);
+    beat.slots = 9;
+    CHECK(registry.on_heartbeat(kStart + seconds(1), beat) == RegistryChange::kChanged);
+    CHECK(registry.find_ready("a")->heartbeat.slots == 9);
+    CHECK(registry.expire(kStart + seconds(8), seconds(9), seconds(3)).empty());
+}
+
+TEST_CASE("what a server said itself goes before what it was found to be") {
+    ServerRegistry registry;
+    registry.on_heartbeat(kStart, heartbeat("a", 1, true));
+    CHECK(registry.on_found(kStart, heartbeat("a", 0)) == RegistryChange::kNone);
+    CHECK(registry.find_ready("a") == nullptr);
+    registry.on_leave(kStart, "a");
+    CHECK(registry.on_found(kStart, heartbeat("a", 0)) == RegistryChange::kNone);
+    registry.on_heartbeat(kStart, heartbeat("b", 1));
+    CHECK(registry.on_found(kStart, heartbeat("c", 0)) == RegistryChange::kNone);
+    registry.on_found(kStart, heartbeat("d", 0, false, 9090));
+    CHECK(registry.on_heartbeat(kStart, heartbeat("d", 3, true, 9090)) == RegistryChange::kDraining);
+    CHECK(registry.find_ready("d") == nullptr);
+}
--- a/tests/unit/retry/attempt_plan_test.cpp
+++ b/tests/unit/retry/attempt_plan_test.cpp
@@ -71,11 +71,11 @@
     auto request = plan(true, 2);
     request.on_launched(kStart);
     CHECK(request.next(kStart + milliseconds(299), true) == AttemptStep::kWait);
-    CHECK(request.wait_until() == kStart + milliseconds(300));
+    CHECK(request.wait_until(kStart) == kStart + milliseconds(300));
     CHECK(request.next(kStart + milliseconds(300), true) == AttemptStep::kLaunchRepeat);
     request.on_launched(kStart + milliseconds(300));
     CHECK(request.next(kStart + seconds(1), true) == AttemptStep::kWait);
-    CHECK(request.wait_until() == kDeadline);
+    CHECK(request.wait_until(kStart) == kDeadline);
     request.on_outcome(AttemptOutcome::kAnswered);
     CHECK(request.next(kStart + seconds(1), true) == AttemptStep::kDeliver);
 }
@@ -85,7 +85,7 @@
     request.on_launched(kStart);
     request.on_repeat_refused();
     CHECK(request.next(kStart + seconds(1), true) == AttemptStep::kWait);
-    CHECK(request.wait_until() == kDeadline);
+    CHECK(request.wait_until(kStart) == kDeadline);
     request.on_outcome(AttemptOutcome::kUnknown);
     CHECK(request.next(kStart + seconds(1), true) == AttemptStep::kLaunchRepeat);
 }
@@ -120,3 +120,20 @@
     CHECK(request.next(kStart + milliseconds(250), true) == AttemptStep::kRefuse);
     CHECK_FALSE(request.may_have_run());
 }
+
+TEST_CASE("while servers are still being heard of, a request waits for one, but not past its bound") {
+    AttemptTerms terms{true, 2, kDeadline, kStart + milliseconds(300), milliseconds(300)};
+    terms.servers_known_at = kStart + seconds(1);
+    const AttemptPlan request(terms);
+    CHECK(request.next(kStart, false) == AttemptStep::kWait);
+    CHECK(request.wait_until(kStart) > kStart);
+    CHECK(request.wait_until(kStart) <= kStart + milliseconds(50));
+    CHECK(request.next(kStart + milliseconds(100), true) == AttemptStep::kLaunch);
+    CHECK(request.next(kStart + milliseconds(300), false) == AttemptStep::kRefuse);
+}
+
+TEST_CASE("once servers are known, a request without one is refused at once") {
+    AttemptTerms terms{true, 2, kDeadline, kStart + milliseconds(300), milliseconds(300)};
+    terms.servers_known_at = kStart - milliseconds(1);
+    CHECK(AttemptPlan(terms).next(kStart, false) == AttemptStep::kRefuse);
+}
