Limit of root requests: the first refusals after a calm time are told at once

Hypothesis: the first seconds of a burst are lost since reports go out once a second, the second of a daemon's reports is the first that counts, and `isRefusing` was never set. Change: a report carries the counts of its sender's last period, so that the first one counts; the first refusal asks for faster reports, is told after a tenth of a second, and the level moves 60 ms later. Tests: three in root_limit_test; they fail before.

--- a/src/net/fiber_signal.hpp
+++ b/src/net/fiber_signal.hpp
@@ -17,11 +17,12 @@
         given_ = true;
         condition_.notify_all();
     }
-    /// Waits until the signal is given or `deadline` has come, and takes the signal.
-    void wait_until(TimePoint deadline) {
+    /// Waits until the signal is given or `deadline` has come, and takes the signal; true if it was given.
+    bool wait_until(TimePoint deadline) {
         std::unique_lock lock(mutex_);
-        condition_.wait_until(lock, deadline, [this] { return given_; });
+        const bool was_given = condition_.wait_until(lock, deadline, [this] { return given_; });
         given_ = false;
+        return was_given;
     }
 
   private:
--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -68,6 +68,21 @@
     return sum;
 }
 
+/** This daemon's counts as its reports tell them, without rows. */
+ServicePressure ownCounts (const RootLimitState& state, const std::string& name, const ServiceState& service)
+{
+    const auto it = service.reports.find (state.ownName);
+    const bool isFirst = it == service.reports.end();
+    ServicePressure counts;
+    counts.service = name;
+    counts.ended = service.ended;
+    counts.refused = service.refused;
+    counts.recentEnded = service.ended - (isFirst ? 0 : it->second.endedBefore);
+    counts.recentRefused = service.refused - (isFirst ? 0 : it->second.refusedBefore);
+    counts.level = service.level;
+    return counts;
+}
+
 /** Takes in new counts of a daemon. A restarted one counts from zero again. */
 void takeReport (ServiceState& service, TimePoint now, const std::string& daemon,
                  const ServicePressure& report)
@@ -75,8 +90,10 @@
     auto& counts = service.reports[daemon];
     const bool isRestarted = report.ended < counts.ended || report.refused < counts.refused;
     const bool isFirst = counts.reported == TimePoint{};
-    counts.endedBefore = isFirst ? report.ended : isRestarted ? 0 : counts.ended;
-    counts.refusedBefore = isFirst ? report.refused : isRestarted ? 0 : counts.refused;
+    const auto endedEarlier = report.ended - std::min (report.recentEnded, report.ended);
+    const auto refusedEarlier = report.refused - std::min (report.recentRefused, report.refused);
+    counts.endedBefore = isFirst ? endedEarlier : isRestarted ? 0 : counts.ended;
+    counts.refusedBefore = isFirst ? refusedEarlier : isRestarted ? 0 : counts.refused;
     counts.ended = report.ended;
     counts.refused = report.refused;
     counts.level = report.level;
@@ -153,6 +170,7 @@
     auto& it = state.services[service];
     ++it.ended;
     it.refused += refused ? 1 : 0;
+    it.isRefusing = it.isRefusing || refused;
 }
 
 void noteReach (RootLimitState& state, const std::string& row, const std::string& service)
@@ -175,6 +193,7 @@
     {
         auto& service = state.services[it.service];
         service.rows.insert (it.rows.begin(), it.rows.end());
+        service.isRefusing = service.isRefusing || it.recentRefused > 0;
         takeReport (service, now, peer, it);
     }
 }
@@ -188,8 +207,9 @@
 
     for (auto& [name, service] : state.services)
     {
-        takeReport (service, now, state.ownName, { name, service.ended, service.refused, service.level, {} });
+        takeReport (service, now, state.ownName, ownCounts (state, name, service));
         const auto fleet = sumReports (service, now, state.period);
+        service.isRefusing = fleet.refused > 0;
         const double before = service.level;
         const auto found = uses.find (name);
         const double use = found == uses.end() ? 0 : found->second;
@@ -217,14 +237,11 @@
 
     for (const auto& [name, service] : state.services)
     {
-        if (service.rows.empty() && service.level >= 1)
+        if (service.rows.empty() && service.level >= 1 && ! service.isRefusing)
             continue;
 
-        reports.push_back ({ name,
-                             service.ended,
-                             service.refused,
-                             service.level,
-                             { service.rows.begin(), service.rows.end() } });
+        reports.push_back (ownCounts (state, name, service));
+        reports.back().rows.assign (service.rows.begin(), service.rows.end());
     }
 
     return reports;
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -46,7 +46,7 @@
     std::uint32_t refused = 0;
     double level = 1;          /**< Share of the volume of its rows that is let in. */
     double levelAtWork = 1;    /**< Moving mean: what is measured now was let in by it. */
-    bool isRefusing = false;   /**< Calls were refused in the last period. */
+    bool isRefusing = false;   /**< Calls were refused since the last period began, here or at peers. */
     unsigned cleanPeriods = 0; /**< In a row, without refusals. */
     std::set<std::string> rows;
     std::map<std::string, ReportedCounts> reports; /**< By daemon, this one included. */
@@ -101,11 +101,13 @@
 /** Ends a period, once between two reports of this daemon: moves the levels by the fleet's counts. */
 std::vector<LevelMove> endPeriod (RootLimitState&, TimePoint now, const ServiceUse&);
 
-/** Whether a level isn't whole, or calls were refused lately: reports should come more often then. */
+/** Whether a level isn't whole, or calls were refused lately: reports should come more often then. The first
+   refusal brings it about at once, so that an overload that comes suddenly is met within the shorter period.
+ */
 bool isUnderPressure (const RootLimitState&);
 
-/** What this daemon reports: services that some route is known to be refused by, or whose level isn't whole.
- */
+/** What this daemon reports: services that some route is known to be refused by, that refused calls lately,
+   or whose level isn't whole. */
 std::vector<ServicePressure> ownReport (const RootLimitState&);
 
 /** Share of new requests of a row that are refused now, from 0 to 1. */
--- a/src/overload/service_pressure.hpp
+++ b/src/overload/service_pressure.hpp
@@ -19,11 +19,15 @@
     double level = 1;          /**< Share of the volume that this daemon lets in. */
     std::vector<std::string>
         rows; /**< Routes whose requests reach the service, as far as this daemon knows. */
+    /** Of `ended`, those of about the last period: they count where the receiver has no earlier report to
+       compare with. */
+    std::uint32_t recentEnded = 0;
+    std::uint32_t recentRefused = 0; /**< The same of `refused`. */
 
     template <typename Archive>
     void serialize (Archive& archive, unsigned)
     {
-        serialize_all (archive, service, ended, refused, level, rows);
+        serialize_all (archive, service, ended, refused, recentEnded, recentRefused, level, rows);
     }
 };
 
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -279,7 +279,11 @@
 
 void CallIngress::note_overload(const Call& call, const Failure* failure, const GateAnswer* answered) {
     const bool refused = failure != nullptr && is_overload(failure->error);
+    const bool was_calm = !overload::isUnderPressure(context_.root_limit);
     overload::noteCallEnded(context_.root_limit, call.service, refused);
+    if (refused && was_calm) {
+        context_.pressure_rose.give();
+    }
     std::string lacking_room = refused ? call.service : "";
     if (answered != nullptr) {
         lacking_room = answered->result.overloaded_service;
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -22,6 +22,11 @@
 /// A known peer that appears within this time after an announcement has that record, if it listened already
 /// when it was sent. When a whole fleet starts, most answers would be such repetitions.
 constexpr milliseconds kAnswerPause{500};
+/// When calls begin to be refused, counts are taken for this time before peers are told of them: long enough
+/// for a verdict at some hundred calls a second of the fleet.
+constexpr milliseconds kOnsetCount{100};
+/// And the peers' counts are waited for so long; ways between zones take some milliseconds.
+constexpr milliseconds kOnsetHearing{60};
 constexpr double kShareOfPercent = 0.01;
 
 }  // namespace
@@ -81,8 +86,14 @@
         const auto periods =
             membership::record_periods(directory_.counts(), overload::isUnderPressure(context_.root_limit));
         context_.root_limit.period = periods.near;
-        boost::this_fiber::sleep_for(
-            std::chrono::duration_cast<Duration>(periods.near * (0.9 + 0.2 * context_.random_unit())));
+        const auto period =
+            std::chrono::duration_cast<Duration>(periods.near * (0.9 + 0.2 * context_.random_unit()));
+        const bool is_onset = context_.pressure_rose.wait_until(TimePoint::clock::now() + period);
+        if (is_onset) {
+            boost::this_fiber::sleep_for(kOnsetCount);
+            announce();
+            boost::this_fiber::sleep_for(kOnsetHearing);
+        }
         const auto now = TimePoint::clock::now();
         gate_.expire(now);
         directory_.expire(now);
@@ -140,7 +151,11 @@
     const bool was_told = directory_.knows(record->name) && listened && now - announced_ < kAnswerPause;
     const auto change = directory_.on_record(now, *record);
     if (change != PeerChange::kNone) {
+        const bool was_calm = !overload::isUnderPressure(context_.root_limit);
         overload::notePeerReport(context_.root_limit, now, record->name, record->pressures);
+        if (was_calm && overload::isUnderPressure(context_.root_limit)) {
+            context_.pressure_rose.give();
+        }
     }
     if (change == PeerChange::kAppeared && !was_told) {
         socket_.send(record->gossip, encode(own_record()));
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -8,6 +8,7 @@
 
 #include "admission/origin_estimator.hpp"
 #include "config/sidecar_settings.hpp"
+#include "net/fiber_signal.hpp"
 #include "observability/metrics.hpp"
 #include "overload/root_limit.hpp"
 #include "protocol/time_types.hpp"
@@ -46,9 +47,10 @@
     OverloadSign last_overload;
     admission::OriginEstimator origins;
     overload::RootLimitState root_limit;
-    bool stopping = false;       ///< A planned stop has begun; callers are asked to turn away.
-    bool leaving = false;        ///< Peers are told to send nothing more.
-    bool watches_store = false;  ///< This daemon has a working watch of the configuration.
+    net::FiberSignal pressure_rose;  ///< Calls were refused after a calm time: reports shouldn't wait.
+    bool stopping = false;           ///< A planned stop has begun; callers are asked to turn away.
+    bool leaving = false;            ///< Peers are told to send nothing more.
+    bool watches_store = false;      ///< This daemon has a working watch of the configuration.
 
   private:
     static std::uint64_t seed() {
--- a/tests/unit/overload/root_limit_test.cpp
+++ b/tests/unit/overload/root_limit_test.cpp
@@ -323,3 +323,50 @@
     endPeriod (state, now + seconds (9), { { "deep", 1.0 } });
     CHECK (state.services["deep"].level < 1);
 }
+
+TEST_CASE (
+    "the first refusal after a calm time asks for faster reports, and a period without one takes that back")
+{
+    const TimePoint start = TimePoint() + seconds (100);
+    auto state = daemonWithRows (start);
+    REQUIRE_FALSE (isUnderPressure (state));
+    noteCallEnded (state, "deep", true);
+    CHECK (isUnderPressure (state));
+    endPeriod (state, start + period, {});
+    endPeriod (state, start + 2 * period, {});
+    CHECK_FALSE (isUnderPressure (state));
+}
+
+TEST_CASE ("refusals are reported though it isn't known which routes they fail")
+{
+    RootLimitState state;
+    state.ownName = "self";
+    noteCallEnded (state, "deep", false);
+    CHECK (ownReport (state).empty());
+    noteCallEnded (state, "deep", true);
+    REQUIRE (ownReport (state).size() == 1);
+    CHECK (ownReport (state).front().recentEnded == 2);
+    CHECK (ownReport (state).front().recentRefused == 1);
+}
+
+TEST_CASE ("a peer's first report counts with what the peer counted lately, and no more than that")
+{
+    const TimePoint start = TimePoint() + seconds (100);
+    RootLimitState state;
+    state.ownName = "self";
+    noteReach (state, vital.name, "deep");
+    offerBoth (state, start, 50);
+    ServicePressure report;
+    report.service = "deep";
+    report.ended = 100'000;
+    report.refused = 5'000;
+    report.recentEnded = 100;
+    report.recentRefused = 40;
+    notePeerReport (state, start, "peer", { report });
+    CHECK (isUnderPressure (state));
+    const auto moves = endPeriod (state, start + milliseconds (10), { { "deep", 1.0 } });
+    REQUIRE (moves.size() == 1);
+    CHECK (moves.front().ended == 100);
+    CHECK (moves.front().refused == 40);
+    CHECK (moves.front().to < 0.8);
+}
