Mechanisms of the sidecar that the lab can switch off; trial: waiting requests count as use

`lab.without` of the sidecar's settings names mechanisms, for an ablation without an edit of the code.

Hypothesis: a service with a queue is over its capacity, so the queue should lower the level of early refusal faster than a use that can't pass 1.

--- a/src/config/mechanisms.cpp
+++ b/src/config/mechanisms.cpp
@@ -6,10 +6,32 @@
 namespace {
 
 constexpr std::array<std::string_view, static_cast<std::size_t>(Mechanism::kCount)> kNames{
-    "retry-escrow", "priority-admission", "early-refusal",
-    "gate-limit",   "connection-hygiene", "outcome-truth",
-    "claims",       "claim-abstention",   "leaving-detection",
-    "drain",        "revision-order",     "peer-spread"};
+    "retry-escrow",
+    "priority-admission",
+    "early-refusal",
+    "gate-limit",
+    "connection-hygiene",
+    "outcome-truth",
+    "claims",
+    "claim-abstention",
+    "leaving-detection",
+    "drain",
+    "revision-order",
+    "peer-spread",
+    "fleet-counts",
+    "onset-reports",
+    "waiting-use",
+    "retry-after-spread",
+    "hedging",
+    "repeats",
+    "usual-servers",
+    "zone-preference",
+    "cold-servers",
+    "failing-servers",
+    "reach-limit",
+    "rest-limit",
+    "server-probe",
+    "server-wait"};
 
 }  // namespace
 
--- a/src/config/mechanisms.hpp
+++ b/src/config/mechanisms.hpp
@@ -24,6 +24,21 @@
     kDrain,              ///< A planned stop waits for what is in flight.
     kRevisionOrder,      ///< Only a higher table revision is taken.
     kPeerSpread,         ///< Documents spread between peers.
+    // Of the sidecar alone.
+    kFleetCounts,       ///< Early refusal rests on all daemons' counts, not on the own ones.
+    kOnsetReports,      ///< The first refusals after a calm time are told at once.
+    kWaitingUse,        ///< Requests that wait at a gate count as use of its server.
+    kRetryAfterSpread,  ///< Early refusals name different times to come back.
+    kHedging,           ///< A slow attempt is joined by another one.
+    kRepeats,           ///< Requests are sent again within the budget.
+    kUsualServers,      ///< Each daemon prefers a few servers of each service.
+    kZonePreference,    ///< Servers of the own zone are preferred.
+    kColdServers,       ///< Servers that have just started get less.
+    kFailingServers,    ///< Servers that fail get less.
+    kReachLimit,        ///< Servers that can't be connected to are passed over.
+    kRestLimit,         ///< Connections that a server forgets rest less long.
+    kServerProbe,       ///< A daemon that starts asks the server beside it for its health.
+    kServerWait,        ///< Requests wait for servers to be heard of after a start.
     kCount,
 };
 
--- a/src/config/sidecar_settings.cpp
+++ b/src/config/sidecar_settings.cpp
@@ -3,6 +3,7 @@
 #include <toml++/toml.h>
 
 #include <charconv>
+#include <sstream>
 
 #include "protocol/duration_text.hpp"
 
@@ -52,6 +53,20 @@
         }
     }
 
+    /// Names of mechanisms, separated by spaces.
+    void mechanisms_without(std::string_view name, MechanismSet& value) {
+        std::istringstream words(find(name));
+        std::vector<std::string> names;
+        std::string word;
+        while (words >> word) {
+            if (!mechanism_from_name(word)) {
+                fail(name, "\"" + word + "\" is not one of " + mechanism_names());
+            }
+            names.push_back(word);
+        }
+        value = MechanismSet(names);
+    }
+
     void number(std::string_view name, double& value) {
         const auto found = find(name);
         if (found.empty()) {
@@ -109,6 +124,7 @@
     reader.number("repeats.ratio", settings.repeat_ratio);
     reader.number("repeats.extra", settings.repeat_extra);
     reader.duration("repeats.window", settings.repeat_window);
+    reader.mechanisms_without("lab.without", settings.mechanisms);
     return result;
 }
 
--- a/src/config/sidecar_settings.hpp
+++ b/src/config/sidecar_settings.hpp
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "config/mechanisms.hpp"
 #include "config/settings.hpp"
 #include "protocol/endpoint.hpp"
 #include "protocol/time_types.hpp"
@@ -33,6 +34,7 @@
     double repeat_extra = 0;
     milliseconds repeat_window{10'000};
     std::string log_level = "info";
+    MechanismSet mechanisms;  ///< All but those that the lab switches off.
 };
 
 /// Settings, usable only when `errors` is empty.
--- a/src/retry/attempt_plan.cpp
+++ b/src/retry/attempt_plan.cpp
@@ -28,7 +28,8 @@
     const bool time_to_repeat = now + kLeastTimeToRepeat < terms_.deadline;
     if (running_ > 0) {
         const bool overdue = now - last_launch_ >= terms_.hedge_after;
-        const bool hedge = terms_.may_repeat && overdue && time_to_repeat && repeat_allowed(another_server);
+        const bool hedge = terms_.may_hedge && terms_.may_repeat && overdue && time_to_repeat &&
+                           repeat_allowed(another_server);
         return hedge ? AttemptStep::kLaunchRepeat : AttemptStep::kWait;
     }
     const bool has_not_run = unknown_ == 0 && failed_answers_ == 0;
@@ -59,7 +60,8 @@
     if (running_ == 0) {
         return std::min<TimePoint>(terms_.deadline, now + kServerPoll);
     }
-    const bool may_hedge = terms_.may_repeat && !repeat_refused_ && reached_ + running_ < terms_.most_servers;
+    const bool may_hedge = terms_.may_hedge && terms_.may_repeat && !repeat_refused_ &&
+                           reached_ + running_ < terms_.most_servers;
     return may_hedge ? std::min(terms_.deadline, last_launch_ + terms_.hedge_after) : terms_.deadline;
 }
 
--- a/src/retry/attempt_plan.hpp
+++ b/src/retry/attempt_plan.hpp
@@ -18,6 +18,7 @@
     Duration hedge_after{};  ///< An attempt that takes longer is joined by another one.
     /// Until then servers may come to be known, and a request for which there is none waits.
     TimePoint servers_known_at = TimePoint::min();
+    bool may_hedge = true;  ///< Off only in the lab.
 };
 
 /// How one attempt ended.
--- a/src/selection/server_selection.cpp
+++ b/src/selection/server_selection.cpp
@@ -42,6 +42,9 @@
 /** What this daemon saw itself, or what the server's gate tells, whichever is worse. */
 double failureShare (const SelectionState& state, TimePoint now, const membership::ServerRecord& server)
 {
+    if (! state.rules.sparesFailing)
+        return 0;
+
     const auto it = state.failures.find (server.instance);
     const double seen = it == state.failures.end() ? 0 : shareOf (it->second, now);
     return std::max (seen, shareOfPercent * server.failed_percent - ordinaryShare);
@@ -172,10 +175,10 @@
     double cost = latency * (1.0 + loadWeight * fill * fill * fill);
     cost += failureWeight * meanUs * std::max (failureShare (state, now, server), 0.0);
 
-    if (known.zone != state.ownZone)
+    if (state.rules.prefersOwnZone && known.zone != state.ownZone)
         cost *= otherZoneFactor;
 
-    if (milliseconds (server.cold_ms) > now - known.heard)
+    if (state.rules.sparesCold && milliseconds (server.cold_ms) > now - known.heard)
         cost *= coldFactor;
 
     return cost;
@@ -201,7 +204,7 @@
         }
     };
 
-    if (tried.empty())
+    if (tried.empty() && state.rules.prefersUsual)
         takeCheapest (drawUsual (view, random));
 
     for (int n = 0; n < numFurtherLooks && (best == nullptr || isDoubtful (state, now, view, *best)); ++n)
--- a/src/selection/server_selection.hpp
+++ b/src/selection/server_selection.hpp
@@ -19,6 +19,15 @@
 /** Returns a number in [0, 1). */
 using UnitRandom = std::function<double()>;
 
+/** What counts in the choice. All does, but in the lab. */
+struct SelectionRules
+{
+    bool prefersUsual = true;
+    bool prefersOwnZone = true;
+    bool sparesCold = true;
+    bool sparesFailing = true;
+};
+
 /** What one daemon has seen of servers itself, by instance. */
 struct SelectionState
 {
@@ -26,6 +35,7 @@
     std::unordered_map<std::string, unsigned>
         underWay; /**< Requests that this daemon has sent and not seen end. */
     std::unordered_map<std::string, FailureShare> failures;
+    SelectionRules rules{};
 };
 
 /** Records that a request goes to the server. */
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -9,6 +9,7 @@
 namespace anisehold::sidecar {
 namespace {
 
+using config::Mechanism;
 using hop::HopOutcome;
 using membership::KnownServer;
 using observability::Event;
@@ -47,6 +48,15 @@
     return std::string(host.substr(0, host.find(':')));
 }
 
+selection::SelectionRules selection_rules(const SidecarContext& context) {
+    selection::SelectionRules rules;
+    rules.prefersUsual = context.has(Mechanism::kUsualServers);
+    rules.prefersOwnZone = context.has(Mechanism::kZonePreference);
+    rules.sparesCold = context.has(Mechanism::kColdServers);
+    rules.sparesFailing = context.has(Mechanism::kFailingServers);
+    return rules;
+}
+
 retry::WindowBudgetTerms budget_terms(const config::SidecarSettings& settings) {
     retry::WindowBudgetTerms terms;
     terms.ratio = settings.repeat_ratio;
@@ -94,7 +104,7 @@
       directory_(directory),
       gate_(gate),
       hops_(context, directory),
-      selection_{context.settings.zone, {}, {}},
+      selection_{context.settings.zone, {}, {}, selection_rules(context)},
       budget_(budget_terms(context.settings), TimePoint::clock::now()),
       started_(TimePoint::clock::now()) {}
 
@@ -141,7 +151,8 @@
     context_.origins.on_request(call.received, call.route);
     // A call that a server makes is never refused early: work has been done for it already.
     if (context_.origins.is_called_by_clients(call.route) && is_refused_early(call)) {
-        const auto spread = static_cast<double>(kEarlyRefusalSpread.count()) * context_.random_unit();
+        const double part = context_.has(Mechanism::kRetryAfterSpread) ? context_.random_unit() : 0;
+        const auto spread = static_cast<double>(kEarlyRefusalSpread.count()) * part;
         return Failure{ErrorKind::kOverloaded,
                        kEarlyRefusalRetryAfter + milliseconds(static_cast<long long>(spread))};
     }
@@ -151,7 +162,8 @@
 bool CallIngress::is_refused_early(const Call& call) {
     const overload::RootRow row{call.route, call.terms.priority};
     overload::noteOffered(context_.root_limit, call.received, row);
-    return context_.random_unit() < overload::refusedShare(context_.root_limit, row);
+    return context_.has(Mechanism::kEarlyRefusal) &&
+           context_.random_unit() < overload::refusedShare(context_.root_limit, row);
 }
 
 std::string CallIngress::choose_service(const routing::HostRoute& route, TimePoint now) {
@@ -190,11 +202,14 @@
     terms.most_servers = request.body.whole() ? call.terms.most_servers : 1;
     terms.deadline = call.deadline;
     terms.refuse_unsent_at = call.received + call.terms.target_latency / kWaitPart;
-    terms.servers_known_at = started_ + kServersKnownAfter;
+    if (context_.has(Mechanism::kServerWait)) {
+        terms.servers_known_at = started_ + kServersKnownAfter;
+    }
     const std::chrono::duration<double, std::micro> measured(candidates(call.service, now).mean_latency_us);
     const auto average =
         measured.count() > 0 ? std::chrono::duration_cast<Duration>(measured) : Duration(kUnmeasuredLatency);
     terms.hedge_after = std::max<Duration>(kLeastHedge, kHedgeFactor * average);
+    terms.may_hedge = context_.has(Mechanism::kHedging);
     return terms;
 }
 
@@ -233,7 +248,8 @@
             send();
             return true;
         case AttemptStep::kLaunchRepeat:
-            if (budget_.try_repeat(now, call.service, directory_.known_count() + 1,
+            if (context_.has(Mechanism::kRepeats) &&
+                budget_.try_repeat(now, call.service, directory_.known_count() + 1,
                                    flight.plan.repeat_reason())) {
                 context_.metrics.count_retry(call.service);
                 send();
@@ -281,7 +297,7 @@
     const bool refused = failure != nullptr && is_overload(failure->error);
     const bool was_calm = !overload::isUnderPressure(context_.root_limit);
     overload::noteCallEnded(context_.root_limit, call.service, refused);
-    if (refused && was_calm) {
+    if (refused && was_calm && context_.has(Mechanism::kOnsetReports)) {
         context_.pressure_rose.give();
     }
     std::string lacking_room = refused ? call.service : "";
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -9,6 +9,7 @@
 namespace anisehold::sidecar {
 namespace {
 
+using config::Mechanism;
 using hop::HopOutcome;
 using observability::Event;
 using observability::log_event;
@@ -151,13 +152,21 @@
     return records;
 }
 
+admission::GateOptions LocalGate::gate_options() const {
+    admission::GateOptions options;
+    // A request makes several calls one after the other: each wait must be short.
+    options.queue_per_limit = 1.5;
+    options.by_priority = context_.has(Mechanism::kPriorityAdmission);
+    return options;
+}
+
 std::shared_ptr<LocalGate::Server> LocalGate::server_for(const registration::RegisteredServer& registered) {
     const auto& heartbeat = registered.heartbeat;
     auto& server = servers_[heartbeat.instance];
     if (!server) {
         const admission::LimitBounds bounds{heartbeat.slots, heartbeat.slots};
         server = std::make_shared<Server>(std::make_unique<admission::AimdLimit>(bounds), context_.io,
-                                          heartbeat.address, pool_limits());
+                                          heartbeat.address, pool_limits(), gate_options());
     }
     return server;
 }
@@ -179,13 +188,13 @@
         context_.origins.on_server(arrived, true);
     }
     std::optional<GateAnswer> refused;
-    if (connection::takeTry(server->reach, arrived)) {
+    if (!context_.has(Mechanism::kReachLimit) || connection::takeTry(server->reach, arrived)) {
         refused = wait_for_admission(*server, call, id, deadline, cancel);
     } else {
         refused = refusal(HopOutcome::kNotSent, ErrorKind::kConnectFailed, Duration::zero());
     }
     const auto started = TimePoint::clock::now();
-    server->note_use(started);
+    note_use(*server, started);
     GateAnswer answer;
     if (refused) {
         answer = std::move(*refused);
@@ -253,7 +262,9 @@
     context_.dialect.write_server_call(request, {call.instance, call.caller, time_left});
     net::ExchangeOptions options{deadline + kAnswerSlack, cancel};
     options.expected_echo = context_.dialect.echoed_field(request_id);
-    options.longest_rest = connection::longestRest(server.rest, now);
+    if (context_.has(Mechanism::kRestLimit)) {
+        options.longest_rest = connection::longestRest(server.rest, now);
+    }
     if (call.at_most_once) {
         options.longest_rest = std::min<Duration>(options.longest_rest, kFreshRest);
     }
@@ -338,7 +349,13 @@
             found->second->decided.set();
         }
     }
-    server.note_use(now);
+    note_use(server, now);
+}
+
+void LocalGate::note_use(Server& server, TimePoint now) const {
+    const auto load = server.gate.load();
+    const unsigned waiting = context_.has(Mechanism::kWaitingUse) ? load.queued : 0;
+    overload::noteValue(server.use, now, load.in_flight + waiting);
 }
 
 void LocalGate::mark_overload_below(TimePoint started, GateAnswer& answer) const {
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -54,20 +54,12 @@
     };
     struct Server {
         Server(std::unique_ptr<admission::ConcurrencyLimit> limit, boost::asio::io_context& io,
-               const Endpoint& address, const net::HttpPoolLimits& pool)
-            : gate(std::move(limit), gate_options()), client(io, address, pool) {}
-
-        /// A request makes several calls one after the other: each wait must be short.
-        static admission::GateOptions gate_options() {
-            admission::GateOptions options;
-            options.queue_per_limit = 1.5;
-            return options;
-        }
-
-        void note_use(TimePoint now) { overload::noteValue(use, now, gate.load().in_flight); }
+               const Endpoint& address, const net::HttpPoolLimits& pool,
+               const admission::GateOptions& options)
+            : gate(std::move(limit), options), client(io, address, pool) {}
 
         admission::ServerGate gate;
-        overload::UseMeter use;  ///< Of requests in flight.
+        overload::UseMeter use;  ///< Of requests in flight and waiting.
         net::HttpClient client;
         std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
         Duration latency{};  ///< Moving average of answers.
@@ -78,6 +70,7 @@
 
     /// A server's slots are others than before.
     void resize_gate(const registration::Heartbeat& heartbeat);
+    admission::GateOptions gate_options() const;
     std::shared_ptr<Server> server_for(const registration::RegisteredServer& registered);
     std::optional<GateAnswer> wait_for_admission(Server& server, const hop::HopRequest& call,
                                                  std::uint64_t id, TimePoint deadline,
@@ -88,6 +81,7 @@
     std::optional<net::HttpResponse> send_once(Server& server, net::HttpRequest& request,
                                                const net::ExchangeOptions& options,
                                                net::ExchangeProgress& progress) const;
+    void note_use(Server& server, TimePoint now) const;
     /// Takes in what the end of a request tells of the server.
     static void observe(Server& server, TimePoint started, TimePoint now, const GateAnswer& answer,
                         bool cancelled);
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -150,10 +150,11 @@
     const bool listened = announced_ > now - milliseconds(record->uptime_ms);
     const bool was_told = directory_.knows(record->name) && listened && now - announced_ < kAnswerPause;
     const auto change = directory_.on_record(now, *record);
-    if (change != PeerChange::kNone) {
+    if (change != PeerChange::kNone && context_.has(config::Mechanism::kFleetCounts)) {
         const bool was_calm = !overload::isUnderPressure(context_.root_limit);
         overload::notePeerReport(context_.root_limit, now, record->name, record->pressures);
-        if (was_calm && overload::isUnderPressure(context_.root_limit)) {
+        if (was_calm && overload::isUnderPressure(context_.root_limit) &&
+            context_.has(config::Mechanism::kOnsetReports)) {
             context_.pressure_rose.give();
         }
     }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -133,7 +133,7 @@
     parts_->configuration.set_listener(
         [this](const routing::Configuration& configuration, ConfigurationSource source) {
             parts_->calls.set_limits(limits_for(configuration.clients));
-            if (!parts_->looked_for_server) {
+            if (!parts_->looked_for_server && parts_->context.has(config::Mechanism::kServerProbe)) {
                 parts_->looked_for_server = true;
                 net::EventLoop::spawn([this] { find_server(); });
             }
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -35,6 +35,8 @@
         root_limit.ownName = settings.name;
     }
 
+    /// Whether the lab has left a mechanism in force.
+    bool has(config::Mechanism mechanism) const { return settings.mechanisms.has(mechanism); }
     /// A number in [0, 1).
     double random_unit() { return std::uniform_real_distribution<double>(0.0, 1.0)(random); }
 
