Limit of a gate: learned from the times of calls near the number of slots; waiting requests no longer count as use

Hypothesis: servers that turn slower when nearly full complete less at all slots than just below; the AIMD limit, bound to the slots, never found that, and only fell on sheds. Change: KneeLimit compares the times of calls at five shares of the slots. The trial of waiting requests is reverted.

--- /dev/null
+++ b/src/admission/policy/knee_limit.cpp
@@ -0,0 +1,71 @@
+#include "admission/policy/knee_limit.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace anisehold::admission {
+namespace {
+
+/// Shares of the slots that are compared. Below the last one a slower server would have to be nearly half as
+/// fast when full, which a queue would show anyway.
+constexpr std::array<double, 5> kShares{1.0, 0.94, 0.88, 0.8, 0.7};
+/// Time after which a measured call counts half: a few seconds, so that a changed server is measured anew.
+constexpr double kHalfLifeS = 2.0;
+/// Calls that a step needs before it is compared. Times of calls scatter by about half of their mean; of 40
+/// the mean scatters by 8 %.
+constexpr double kLeastWeight = 40;
+/// A step below all slots must promise so much more.
+constexpr double kLeastGain = 1.08;
+
+}  // namespace
+
+KneeLimit::KneeLimit(unsigned slots) {
+    for (std::size_t index = 0; index < kSteps; ++index) {
+        steps_.at(index).limit = std::max(1U, static_cast<unsigned>(kShares.at(index) * slots));
+    }
+}
+
+void KneeLimit::on_sample(TimePoint now, const Sample& sample) {
+    fade(now);
+    if (sample.outcome != SampleOutcome::kCompleted) {
+        return;
+    }
+    // The last step whose limit isn't passed; steps of few slots share a limit, and the first of them counts.
+    const auto step = std::find_if(steps_.rbegin(), steps_.rend(),
+                                   [&](const Step& each) { return sample.in_flight <= each.limit; });
+    if (step != steps_.rend() && sample.in_flight * 2 > step->limit) {
+        step->weight += 1;
+        step->total_us +=
+            static_cast<double>(std::chrono::duration_cast<microseconds>(sample.latency).count());
+    }
+    std::size_t best = 0;
+    const double whole = throughput(steps_.front());
+    double most = whole * kLeastGain;
+    for (std::size_t index = 1; whole > 0 && index < kSteps; ++index) {
+        const double promised = throughput(steps_.at(index));
+        if (promised > most) {
+            most = promised;
+            best = index;
+        }
+    }
+    chosen_ = best;
+}
+
+void KneeLimit::fade(TimePoint now) {
+    if (faded_ == TimePoint{}) {
+        faded_ = now;
+    }
+    const std::chrono::duration<double> passed = now - faded_;
+    const double kept = std::exp2(-passed.count() / kHalfLifeS);
+    for (auto& step : steps_) {
+        step.weight *= kept;
+        step.total_us *= kept;
+    }
+    faded_ = now;
+}
+
+double KneeLimit::throughput(const Step& step) {
+    return step.weight < kLeastWeight ? 0 : step.limit * step.weight / std::max(1.0, step.total_us);
+}
+
+}  // namespace anisehold::admission
--- /dev/null
+++ b/src/admission/policy/knee_limit.hpp
@@ -0,0 +1,40 @@
+/// @file
+/// A limit for servers that turn slower when nearly all their slots are taken.
+#pragma once
+
+#include <array>
+
+#include "admission/concurrency_limit.hpp"
+
+namespace anisehold::admission {
+
+/// Compares how long calls take at several shares of the slots, and keeps to the share at which the server
+/// completes most: a few slots left free can give more than all of them taken. Starts from all slots, and
+/// comes back to them as soon as what was measured there is old. Sheds of the server don't count: the gate
+/// knows its calls in flight exactly, so a server that sheds below its slots doesn't do so for want of them.
+class KneeLimit final : public ConcurrencyLimit {
+  public:
+    explicit KneeLimit(unsigned slots);
+    unsigned limit() const override { return steps_.at(chosen_).limit; }
+    void on_sample(TimePoint now, const Sample& sample) override;
+
+  private:
+    /// Calls that began with as many in flight as the step's limit, and more than the next step's.
+    struct Step {
+        unsigned limit = 1;
+        double weight = 0;    ///< Number of calls; older ones count less.
+        double total_us = 0;  ///< Of their times, with the same weights.
+    };
+    static constexpr std::size_t kSteps = 5;
+
+    /// Makes older calls count less.
+    void fade(TimePoint now);
+    /// Calls completed a second at the step's limit, in no unit; 0 if too few were measured.
+    static double throughput(const Step& step);
+
+    std::array<Step, kSteps> steps_;  ///< Falling limits; the first is the number of slots.
+    std::size_t chosen_ = 0;
+    TimePoint faded_;
+};
+
+}  // namespace anisehold::admission
--- a/src/config/mechanisms.cpp
+++ b/src/config/mechanisms.cpp
@@ -20,7 +20,6 @@
     "peer-spread",
     "fleet-counts",
     "onset-reports",
-    "waiting-use",
     "retry-after-spread",
     "hedging",
     "repeats",
--- a/src/config/mechanisms.hpp
+++ b/src/config/mechanisms.hpp
@@ -27,7 +27,6 @@
     // Of the sidecar alone.
     kFleetCounts,       ///< Early refusal rests on all daemons' counts, not on the own ones.
     kOnsetReports,      ///< The first refusals after a calm time are told at once.
-    kWaitingUse,        ///< Requests that wait at a gate count as use of its server.
     kRetryAfterSpread,  ///< Early refusals name different times to come back.
     kHedging,           ///< A slow attempt is joined by another one.
     kRepeats,           ///< Requests are sent again within the budget.
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
-#include "admission/policy/aimd_limit.hpp"
+#include "admission/policy/fixed_limit.hpp"
+#include "admission/policy/knee_limit.hpp"
 #include "observability/events.hpp"
 
 namespace anisehold::sidecar {
@@ -96,8 +97,7 @@
 void LocalGate::resize_gate(const registration::Heartbeat& heartbeat) {
     const auto found = servers_.find(heartbeat.instance);
     if (found != servers_.end()) {
-        const admission::LimitBounds bounds{heartbeat.slots, heartbeat.slots};
-        found->second->gate.set_limit(std::make_unique<admission::AimdLimit>(bounds));
+        found->second->gate.set_limit(make_limit(heartbeat.slots));
     }
 }
 
@@ -160,13 +160,19 @@
     return options;
 }
 
+std::unique_ptr<admission::ConcurrencyLimit> LocalGate::make_limit(unsigned slots) const {
+    if (!context_.has(Mechanism::kGateLimit)) {
+        return std::make_unique<admission::FixedLimit>(slots);
+    }
+    return std::make_unique<admission::KneeLimit>(slots);
+}
+
 std::shared_ptr<LocalGate::Server> LocalGate::server_for(const registration::RegisteredServer& registered) {
     const auto& heartbeat = registered.heartbeat;
     auto& server = servers_[heartbeat.instance];
     if (!server) {
-        const admission::LimitBounds bounds{heartbeat.slots, heartbeat.slots};
-        server = std::make_shared<Server>(std::make_unique<admission::AimdLimit>(bounds), context_.io,
-                                          heartbeat.address, pool_limits(), gate_options());
+        server = std::make_shared<Server>(make_limit(heartbeat.slots), context_.io, heartbeat.address,
+                                          pool_limits(), gate_options());
     }
     return server;
 }
@@ -353,9 +359,7 @@
 }
 
 void LocalGate::note_use(Server& server, TimePoint now) const {
-    const auto load = server.gate.load();
-    const unsigned waiting = context_.has(Mechanism::kWaitingUse) ? load.queued : 0;
-    overload::noteValue(server.use, now, load.in_flight + waiting);
+    overload::noteValue(server.use, now, server.gate.load().in_flight);
 }
 
 void LocalGate::mark_overload_below(TimePoint started, GateAnswer& answer) const {
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -59,7 +59,7 @@
             : gate(std::move(limit), options), client(io, address, pool) {}
 
         admission::ServerGate gate;
-        overload::UseMeter use;  ///< Of requests in flight and waiting.
+        overload::UseMeter use;  ///< Of requests in flight.
         net::HttpClient client;
         std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
         Duration latency{};  ///< Moving average of answers.
@@ -71,6 +71,7 @@
     /// A server's slots are others than before.
     void resize_gate(const registration::Heartbeat& heartbeat);
     admission::GateOptions gate_options() const;
+    std::unique_ptr<admission::ConcurrencyLimit> make_limit(unsigned slots) const;
     std::shared_ptr<Server> server_for(const registration::RegisteredServer& registered);
     std::optional<GateAnswer> wait_for_admission(Server& server, const hop::HopRequest& call,
                                                  std::uint64_t id, TimePoint deadline,
--- /dev/null
+++ b/tests/unit/admission/knee_limit_test.cpp
@@ -0,0 +1,86 @@
+#include "admission/policy/knee_limit.hpp"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <random>
+
+using namespace anisehold;
+using namespace anisehold::admission;
+
+namespace {
+
+const TimePoint kStart = TimePoint() + seconds(100);
+constexpr unsigned kSlots = 20;
+
+/// Mean time of a call that begins with so many in flight, in milliseconds.
+using TimeAt = std::function<double(unsigned)>;
+
+/// Keeps between three quarters of the limit and all of it in flight, one call a millisecond, with times that
+/// scatter by half. Returns the time after it.
+TimePoint work(KneeLimit& limit, TimePoint now, milliseconds time, const TimeAt& time_at) {
+    std::mt19937 random(7);
+    std::uniform_real_distribution<double> scatter(0.5, 1.5);
+    const auto end = now + time;
+    for (; now < end; now += milliseconds(1)) {
+        std::uniform_int_distribution<unsigned> in_flight(limit.limit() * 3 / 4, limit.limit());
+        const unsigned running = in_flight(random);
+        const std::chrono::duration<double, std::milli> taken(scatter(random) * time_at(running));
+        limit.on_sample(now,
+                        {SampleOutcome::kCompleted, std::chrono::duration_cast<Duration>(taken), running});
+    }
+    return now;
+}
+
+double with_knee(unsigned in_flight) {
+    return in_flight >= 19 ? 28.6 : 22.0;
+}
+
+}  // namespace
+
+TEST_CASE("a server that turns slower when nearly full is kept below that") {
+    KneeLimit limit(kSlots);
+    CHECK(limit.limit() == kSlots);
+    work(limit, kStart, seconds(2), with_knee);
+    CHECK(limit.limit() < 19);
+    CHECK(limit.limit() >= 16);
+}
+
+TEST_CASE("a server whose times don't depend on its load gets all its slots") {
+    KneeLimit limit(kSlots);
+    auto now = kStart;
+    for (int second = 0; second < 20; ++second) {
+        now = work(limit, now, seconds(1), [](unsigned /*in_flight*/) { return 22.0; });
+        CHECK(limit.limit() == kSlots);
+    }
+}
+
+TEST_CASE("times that grow with the calls in flight, as behind a slow service, don't lower the limit") {
+    KneeLimit limit(kSlots);
+    work(limit, kStart, seconds(5), [](unsigned in_flight) { return 5.0 * in_flight; });
+    CHECK(limit.limit() == kSlots);
+}
+
+TEST_CASE("all slots are tried again once what was measured of them is old") {
+    KneeLimit limit(kSlots);
+    auto now = work(limit, kStart, seconds(2), with_knee);
+    REQUIRE(limit.limit() < kSlots);
+    bool tried = false;
+    for (int step = 0; step < 200 && !tried; ++step) {
+        now = work(limit, now, milliseconds(100), [](unsigned /*in_flight*/) { return 22.0; });
+        tried = limit.limit() == kSlots;
+    }
+    CHECK(tried);
+    work(limit, now, seconds(1), [](unsigned /*in_flight*/) { return 22.0; });
+    CHECK(limit.limit() == kSlots);
+}
+
+TEST_CASE("refusals of the server itself don't lower the limit, and one slot stays one") {
+    KneeLimit limit(kSlots);
+    for (int call = 0; call < 500; ++call) {
+        limit.on_sample(kStart + milliseconds(call), {SampleOutcome::kShed, milliseconds(1), kSlots});
+    }
+    CHECK(limit.limit() == kSlots);
+    KneeLimit single(1);
+    work(single, kStart, seconds(1), [](unsigned /*in_flight*/) { return 22.0; });
+    CHECK(single.limit() == 1);
+}
