--- a/src/admission/policy/knee_limit.cpp
+++ b/src/admission/policy/knee_limit.cpp
@@ -6,11 +6,12 @@
 namespace anisehold::admission {
 namespace {
 
-/// Shares of the slots that are compared. Below the last one a slower server would have to be nearly half as
-/// fast when full, which a queue would show anyway.
-constexpr std::array<double, 5> kShares{1.0, 0.94, 0.88, 0.8, 0.7};
-/// Time after which a measured call counts half: a few seconds, so that a changed server is measured anew.
-constexpr double kHalfLifeS = 2.0;
+/// Shares of the slots that are compared. A wrong choice must cost little: what changes a server's times
+/// while its load changes too, a slow moment for one, looks like a knee.
+constexpr std::array<double, 3> kShares{1.0, 0.94, 0.88};
+/// Time after which a measured call counts half: short, so that the shares are compared at about the same
+/// time.
+constexpr double kHalfLifeS = 0.7;
 /// Calls that a step needs before it is compared. Times of calls scatter by about half of their mean; of 40
 /// the mean scatters by 8 %.
 constexpr double kLeastWeight = 40;
--- a/src/admission/policy/knee_limit.hpp
+++ b/src/admission/policy/knee_limit.hpp
@@ -25,7 +25,7 @@
         double weight = 0;    ///< Number of calls; older ones count less.
         double total_us = 0;  ///< Of their times, with the same weights.
     };
-    static constexpr std::size_t kSteps = 5;
+    static constexpr std::size_t kSteps = 3;
 
     /// Makes older calls count less.
     void fade(TimePoint now);
