A request none of whose attempts began to be sent is said not to have run

Cause: at its deadline a request counted as perhaps run while an attempt was still connecting or waiting at the own gate; its client got 504 and could not try again. Change: attempts share their progress with the request. What was cancelled before its first byte never is sent. Test: attempt_plan_test.

--- a/src/admission/policy/knee_limit.cpp
+++ b/src/admission/policy/knee_limit.cpp
@@ -9,6 +9,8 @@
 /// Shares of the slots that are compared. A wrong choice must cost little: what changes a server's times
 /// while its load changes too, a slow moment for one, looks like a knee.
 constexpr std::array<double, 3> kShares{1.0, 0.94, 0.88};
+/// Calls that began with fewer than this part of the lowest step's limit in flight say nothing of it.
+constexpr double kLeastFill = 0.9;
 /// Time after which a measured call counts half: short, so that the shares are compared at about the same
 /// time.
 constexpr double kHalfLifeS = 0.7;
@@ -34,7 +36,7 @@
     // The last step whose limit isn't passed; steps of few slots share a limit, and the first of them counts.
     const auto step = std::find_if(steps_.rbegin(), steps_.rend(),
                                    [&](const Step& each) { return sample.in_flight <= each.limit; });
-    if (step != steps_.rend() && sample.in_flight * 2 > step->limit) {
+    if (step != steps_.rend() && sample.in_flight >= kLeastFill * step->limit) {
         step->weight += 1;
         step->total_us +=
             static_cast<double>(std::chrono::duration_cast<microseconds>(sample.latency).count());
--- a/src/retry/attempt_plan.hpp
+++ b/src/retry/attempt_plan.hpp
@@ -54,6 +54,10 @@
     /// No repeat was to be had; none is asked for until an attempt has ended.
     void on_repeat_refused() { repeat_refused_ = true; }
     void on_outcome(AttemptOutcome outcome);
+    /// An attempt was cancelled before it ended. One that hasn't begun to be sent never will be.
+    void on_given_up(bool was_sent) {
+        on_outcome(was_sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent);
+    }
 
     /// Why the next repeat would be one.
     RepeatReason repeat_reason() const;
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -267,8 +267,14 @@
 
 void CallIngress::cancel_attempts(Call& call, Flight& flight) const {
     for (const auto& attempt : flight.board->attempts) {
-        if (!attempt->ended) {
-            attempt->cancel.cancel();
+        if (attempt->ended) {
+            continue;
+        }
+        attempt->cancel.cancel();
+        // A streamed body is waited for below.
+        if (!flight.streamed) {
+            attempt->taken = true;
+            flight.plan.on_given_up(attempt->progress.request_started);
         }
     }
     while (flight.streamed && flight.plan.running() > 0) {
@@ -333,8 +339,9 @@
                            slow_after = flight.slow_after] {
         auto request = streamed ? std::move(board->request) : copy_of(board->request);
         const bool own = attempt->server.peer == context_.settings.name;
-        attempt->answer = own ? gate_.run(std::move(request), hop_call, &attempt->cancel)
-                              : hops_.run(attempt->server, std::move(request), hop_call, &attempt->cancel);
+        attempt->answer = own ? gate_.run(std::move(request), hop_call, &attempt->cancel, attempt->progress)
+                              : hops_.run(attempt->server, std::move(request), hop_call, &attempt->cancel,
+                                          attempt->progress);
         attempt->ended = true;
         const auto now = TimePoint::clock::now();
         const selection::AttemptEnd end{attempt->cancel.cancelled(),
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -50,6 +50,7 @@
     struct Attempt {
         membership::KnownServer server;
         net::CancelSignal cancel;
+        net::ExchangeProgress progress;
         GateAnswer answer;
         TimePoint started;
         bool ended = false;
--- a/src/sidecar/hop_client.cpp
+++ b/src/sidecar/hop_client.cpp
@@ -56,11 +56,11 @@
 }
 
 GateAnswer HopClient::run(const membership::KnownServer& server, net::HttpRequest request,
-                          const hop::HopRequest& call, net::CancelSignal* cancel) {
+                          const hop::HopRequest& call, net::CancelSignal* cancel,
+                          net::ExchangeProgress& progress) {
     const auto client = client_for(server);
     request.fields.set(hop::kRequestHeader, encode(call));
     net::ExchangeOptions options{TimePoint::clock::now() + call.remaining + kAnswerSlack, cancel};
-    net::ExchangeProgress progress;
     std::error_code error;
     auto response = client->exchange(request, options, progress, error);
     if (!response) {
--- a/src/sidecar/hop_client.hpp
+++ b/src/sidecar/hop_client.hpp
@@ -20,7 +20,7 @@
 
     /// Runs a request at the gate beside `server`. Blocks the fiber.
     GateAnswer run(const membership::KnownServer& server, net::HttpRequest request,
-                   const hop::HopRequest& call, net::CancelSignal* cancel);
+                   const hop::HopRequest& call, net::CancelSignal* cancel, net::ExchangeProgress& progress);
 
   private:
     struct Connections {
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -177,7 +177,8 @@
     return server;
 }
 
-GateAnswer LocalGate::run(net::HttpRequest request, const hop::HopRequest& call, net::CancelSignal* cancel) {
+GateAnswer LocalGate::run(net::HttpRequest request, const hop::HopRequest& call, net::CancelSignal* cancel,
+                          net::ExchangeProgress& progress) {
     const auto arrived = TimePoint::clock::now();
     const auto deadline = arrived + call.remaining;
     const auto request_id = context_.dialect.read_client_call(request).id;
@@ -208,7 +209,7 @@
         if (registry_.find_ready(call.instance) == nullptr) {
             answer = refusal(HopOutcome::kNotSent, ErrorKind::kNoBackend, Duration::zero());
         } else {
-            answer = exchange(*server, request, call, deadline, cancel);
+            answer = exchange(*server, request, call, deadline, cancel, progress);
         }
         mark_overload_below(started, answer);
         finish(*server, id, started, answer, cancel != nullptr && cancel->cancelled());
@@ -261,7 +262,8 @@
 }
 
 GateAnswer LocalGate::exchange(Server& server, net::HttpRequest& request, const hop::HopRequest& call,
-                               TimePoint deadline, net::CancelSignal* cancel) {
+                               TimePoint deadline, net::CancelSignal* cancel,
+                               net::ExchangeProgress& progress) {
     const auto now = TimePoint::clock::now();
     const auto request_id = context_.dialect.read_client_call(request).id;
     const milliseconds time_left(std::max(1LL, to_milliseconds(deadline - now)));
@@ -274,7 +276,6 @@
     if (call.at_most_once) {
         options.longest_rest = std::min<Duration>(options.longest_rest, kFreshRest);
     }
-    net::ExchangeProgress progress;
     // A connection that breaks at once may still have brought the request to the server: whether it is sent
     // again is the ingress's choice, which counts repeats.
     auto response = send_once(server, request, options, progress);
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -34,8 +34,10 @@
   public:
     explicit LocalGate(SidecarContext& context) : context_(context) {}
 
-    /// Runs a request at the server that `call` names, or refuses it. Blocks the fiber.
-    GateAnswer run(net::HttpRequest request, const hop::HopRequest& call, net::CancelSignal* cancel);
+    /// Runs a request at the server that `call` names, or refuses it. Blocks the fiber; meanwhile `progress`
+    /// tells whether the server may have been sent anything.
+    GateAnswer run(net::HttpRequest request, const hop::HopRequest& call, net::CancelSignal* cancel,
+                   net::ExchangeProgress& progress);
 
     registration::RegistryChange on_registration(TimePoint now, const RegistrationCall& call);
     /// The server beside was asked for its health and is well.
@@ -77,7 +79,7 @@
                                                  std::uint64_t id, TimePoint deadline,
                                                  net::CancelSignal* cancel);
     GateAnswer exchange(Server& server, net::HttpRequest& request, const hop::HopRequest& call,
-                        TimePoint deadline, net::CancelSignal* cancel);
+                        TimePoint deadline, net::CancelSignal* cancel, net::ExchangeProgress& progress);
     /// Sends the request once. A kept connection that is lost before any answer teaches the limit of rest.
     std::optional<net::HttpResponse> send_once(Server& server, net::HttpRequest& request,
                                                const net::ExchangeOptions& options,
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -218,7 +218,8 @@
         return parts_->ingress.reject(ErrorKind::kBadRequest);
     }
     request.fields.remove(hop::kRequestHeader);
-    auto answer = parts_->gate.run(std::move(request), *call, &cancel);
+    net::ExchangeProgress progress;
+    auto answer = parts_->gate.run(std::move(request), *call, &cancel, progress);
     auto response =
         answer.response ? std::move(*answer.response) : net::make_response(kUnavailable, kTextType, "");
     response.fields.set(hop::kResultHeader, encode(answer.result));
--- a/tests/unit/retry/attempt_plan_test.cpp
+++ b/tests/unit/retry/attempt_plan_test.cpp
@@ -137,3 +137,21 @@
     terms.servers_known_at = kStart - milliseconds(1);
     CHECK(AttemptPlan(terms).next(kStart, false) == AttemptStep::kRefuse);
 }
+
+TEST_CASE("a request whose attempts were given up may have run only if one of them was sent") {
+    for (const bool was_sent : {false, true}) {
+        auto request = plan(false);
+        request.on_launched(kStart);
+        CHECK(request.may_have_run());
+        CHECK(request.next(kDeadline, true) == AttemptStep::kTimeUp);
+        request.on_given_up(was_sent);
+        CHECK(request.may_have_run() == was_sent);
+        CHECK(request.running() == 0);
+    }
+    auto hedged = plan(true);
+    hedged.on_launched(kStart);
+    hedged.on_launched(kStart + milliseconds(300));
+    hedged.on_given_up(true);
+    hedged.on_given_up(false);
+    CHECK(hedged.may_have_run());
+}
