Choice of a server: failures fade to half in 1.5 s in place of 2

Cause: `links_test`, "requests pass over a machine whose links are silent, and come back to it", failed three times of three once given-up exchanges reset their connections. Its last check had been met by a request that the link had held back and let go afterwards; new requests came back only after the time that the check allows (5 s). Change: the test counts requests sent after the link was mended alone, which is stricter; failures fade faster, so that a machine that can be reached again is used within 5 s. The test fails with 2 s and passes three times of three. `wantedUse` stands in the header, for the test that used its value.

--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -13,8 +13,6 @@
 /** A request makes several calls, and stops at the first that is refused: more must be kept out than the
    share of refused calls says. */
 constexpr double refusalWeight = 2.0;
-/** Share of a limited service's places that should be taken. */
-constexpr double wantedUse = 0.96;
 /** How much of the way up to the level that seems right one period goes; it falls all the way at once, since
    work is wasted meanwhile. */
 constexpr double riseGain = 0.5;
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -21,6 +21,11 @@
 namespace anisehold::overload
 {
 
+/** Share of a limited service's places that should be taken. Measured on 15 days of one deployment: 0.96 gave
+   a worth of 0.525, 0.9 gave 0.519; waiting calls counted as use besides gave 0.04 less (docs/measurements).
+ */
+inline constexpr double wantedUse = 0.96;
+
 /** A route as the limit sees it. */
 struct RootRow
 {
--- a/src/selection/failure_share.hpp
+++ b/src/selection/failure_share.hpp
@@ -16,7 +16,7 @@
 };
 
 /** Failures fade to half in this time without a new result. */
-inline constexpr double failureHalfLifeS = 2.0;
+inline constexpr double failureHalfLifeS = 1.5;
 
 /** The share as of `now`. */
 inline double shareOf (const FailureShare& failures, TimePoint now)
--- a/tests/process/links_test.cpp
+++ b/tests/process/links_test.cpp
@@ -78,13 +78,15 @@
     CHECK (linked.serveMany ("silent-", 60) >= 57);
     linked.hops->setBehaviour ({});
     linked.gossip->setBehaviour ({});
-    auto& server = *linked.fleet.machine (3).server;
-    const auto before = server.arrivals();
+    // Only new requests count: one of those before may still be on its way.
+    int numBack = 0;
+    linked.fleet.machine (3).server->observe ([&] (const lab::ServerArrival& it)
+                                              { numBack += it.id.starts_with ("back-") ? 1 : 0; });
     CHECK (linked.fleet.eventually (settleTime,
                                     [&]
                                     {
                                         linked.serveMany ("back-", 10);
-                                        return server.arrivals() > before;
+                                        return numBack > 0;
                                     }));
 }
 
