Limit of root requests: a route reaches a service only if a good part of its requests fails there

Change: failures of that kind are counted against the route's requests, and a route counts with the second of them if they are a twentieth. A refusal by the service itself still counts at once. Tests: two in root_limit_test.

--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -33,6 +33,11 @@
 constexpr unsigned forgetAfterPeriods = 60;
 /** Reports that are older than this many periods don't count. */
 constexpr double reportPeriods = 2.5;
+/** Failures of a row that show that it reaches a service: so many, and such a part of its requests. A
+   server's own failures are less than a hundredth of its answers; where calls are refused, each fails a whole
+   request. */
+constexpr double leastFailuresBelow = 1.5;
+constexpr double leastPartFailedBelow = 0.05;
 /** A row's volume counts half after this time. */
 constexpr double volumeHalfLifeS = 3.0;
 
@@ -126,10 +131,14 @@
     service.level = std::clamp (service.level + gain * (right - service.level), leastLevel, 1.0);
 }
 
+double faded (double value, Duration age)
+{
+    return value * std::exp2 (-std::chrono::duration<double> (age).count() / volumeHalfLifeS);
+}
+
 double fadedVolume (const RowVolume& row, TimePoint now)
 {
-    const std::chrono::duration<double> age = now - row.updated;
-    return row.offered * std::exp2 (-age.count() / volumeHalfLifeS);
+    return faded (row.offered, now - row.updated);
 }
 
 /** Share of a row's requests that one service's level lets in: the more important rows come first. */
@@ -176,6 +185,19 @@
     state.services[service].rows.insert (row);
 }
 
+void noteFailedBelow (RootLimitState& state, TimePoint now, const std::string& row,
+                      const std::string& service)
+{
+    auto& evidence = state.services[service].evidence[row];
+    evidence.failures = faded (evidence.failures, now - evidence.updated) + 1;
+    evidence.updated = now;
+    const auto volume = state.rows.find (row);
+    const double offered = volume == state.rows.end() ? 0 : fadedVolume (volume->second, now);
+
+    if (evidence.failures >= leastFailuresBelow && evidence.failures >= leastPartFailedBelow * offered)
+        noteReach (state, row, service);
+}
+
 void noteOffered (RootLimitState& state, TimePoint now, const RootRow& row)
 {
     auto& volume = state.rows[row.name];
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -44,16 +44,25 @@
     TimePoint reported;
 };
 
+/** Failures of one route's requests while a service refused calls of the machine that ran them. Older ones
+   count less. */
+struct ReachEvidence
+{
+    double failures = 0;
+    TimePoint updated;
+};
+
 /** What is known of one service. */
 struct ServiceState
 {
     std::uint32_t ended = 0; /**< Of this daemon's calls, since its start. */
     std::uint32_t refused = 0;
-    double level = 1;          /**< Share of the volume of its rows that is let in. */
-    double levelAtWork = 1;    /**< Moving mean: what is measured now was let in by it. */
-    bool isRefusing = false;   /**< Calls were refused since the last period began, here or at peers. */
-    unsigned cleanPeriods = 0; /**< In a row, without refusals. */
-    std::set<std::string> rows;
+    double level = 1;           /**< Share of the volume of its rows that is let in. */
+    double levelAtWork = 1;     /**< Moving mean: what is measured now was let in by it. */
+    bool isRefusing = false;    /**< Calls were refused since the last period began, here or at peers. */
+    unsigned cleanPeriods = 0;  /**< In a row, without refusals. */
+    std::set<std::string> rows; /**< Routes whose requests reach it. */
+    std::map<std::string, ReachEvidence> evidence; /**< By route, of those that may. */
     std::map<std::string, ReportedCounts> reports; /**< By daemon, this one included. */
 };
 
@@ -78,9 +87,14 @@
 /** A call of this daemon to `service` ended. `refused`: all servers that were asked had no room. */
 void noteCallEnded (RootLimitState&, const std::string& service, bool refused);
 
-/** A request of `row` failed since `service` had no room: the row reaches it. */
+/** `service` itself had no room for a request of `row`: the row reaches it. */
 void noteReach (RootLimitState&, const std::string& row, const std::string& service);
 
+/** A request of `row` failed at a server whose machine's calls `service` had refused meanwhile. The server
+   may have failed for another reason, so the row counts as one that reaches the service only if that happens
+   to a good part of its requests. */
+void noteFailedBelow (RootLimitState&, TimePoint now, const std::string& row, const std::string& service);
+
 /** A client's request came, whether or not it is let in. */
 void noteOffered (RootLimitState&, TimePoint now, const RootRow&);
 
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -306,16 +306,19 @@
     if (refused && was_calm && context_.has(Mechanism::kOnsetReports)) {
         context_.pressure_rose.give();
     }
-    std::string lacking_room = refused ? call.service : "";
-    if (answered != nullptr) {
-        lacking_room = answered->result.overloaded_service;
-    }
-    if (lacking_room.empty()) {
-        return;
-    }
-    context_.last_overload = {TimePoint::clock::now(), lacking_room};
-    if (context_.origins.is_called_by_clients(call.route)) {
-        overload::noteReach(context_.root_limit, call.route, lacking_room);
+    const auto now = TimePoint::clock::now();
+    const bool is_root = context_.origins.is_called_by_clients(call.route);
+    if (refused) {
+        context_.last_overload = {now, call.service};
+        if (is_root) {
+            overload::noteReach(context_.root_limit, call.route, call.service);
+        }
+    } else if (answered != nullptr && !answered->result.overloaded_service.empty()) {
+        const auto& below = answered->result.overloaded_service;
+        context_.last_overload = {now, below};
+        if (is_root) {
+            overload::noteFailedBelow(context_.root_limit, now, call.route, below);
+        }
     }
 }
 
--- a/tests/unit/overload/root_limit_test.cpp
+++ b/tests/unit/overload/root_limit_test.cpp
@@ -370,3 +370,38 @@
     CHECK (moves.front().refused == 40);
     CHECK (moves.front().to < 0.8);
 }
+
+TEST_CASE ("a route whose server fails now and then isn't taken for one that reaches a service without room")
+{
+    const TimePoint start = TimePoint() + seconds (100);
+    RootLimitState state;
+    state.ownName = "self";
+    const auto play = [&] (const RootRow& row, int failEach)
+    {
+        for (int n = 0; n < 1'000; ++n)
+        {
+            const auto now = start + milliseconds (20 * n);
+            noteOffered (state, now, row);
+
+            if (n % failEach == 0)
+                noteFailedBelow (state, now, row.name, "deep");
+        }
+    };
+    play (plain, 200);
+    CHECK_FALSE (state.services["deep"].rows.contains (plain.name));
+    play (vital, 10);
+    CHECK (state.services["deep"].rows.contains (vital.name));
+}
+
+TEST_CASE ("a route whose requests all fail below is known with the second of them")
+{
+    const TimePoint start = TimePoint() + seconds (100);
+    RootLimitState state;
+
+    for (int n = 0; n < 2; ++n)
+    {
+        noteOffered (state, start + milliseconds (100 * n), vital);
+        noteFailedBelow (state, start + milliseconds (100 * n), vital.name, "deep");
+        CHECK (state.services["deep"].rows.contains (vital.name) == (n == 1));
+    }
+}
