--- a/src/cli/status_commands.cpp
+++ b/src/cli/status_commands.cpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "cli/admin_client.hpp"
+#include "explain/failure_summary.hpp"
 #include "explain/request_trace.hpp"
 
 namespace anisehold::cli {
@@ -29,6 +30,23 @@
     return fleet;
 }
 
+/// Calls `read` with each of the files, or with the standard input for "-"; false if one can't be read.
+template <typename Read>
+bool read_files(const std::vector<std::string>& file_names, Read read) {
+    for (const auto& file_name : file_names) {
+        std::ifstream file;
+        if (file_name != "-") {
+            file.open(file_name);
+            if (!file) {
+                std::cerr << file_name << ": can't be read\n";
+                return false;
+            }
+        }
+        read(file_name == "-" ? std::cin : file);
+    }
+    return true;
+}
+
 bool is_present(const json& member) {
     const auto state = member.at("state").get<std::string>();
     return state != "dead" && state != "left";
@@ -93,22 +111,28 @@
     auto* daemon = command_->add_option("--daemon", daemon_, "Admin address of a daemon, IP:PORT");
     command_->add_option("--log", log_files_, "Log files of any number of processes; - for standard input")
         ->excludes(daemon);
-    command_->add_option("request", request_id_, "Request id, as in the Anisehold-Request-Id header")
-        ->required();
+    command_
+        ->add_option(
+            "--summary", summary_files_,
+            "Count all refused and failed requests of these log files by cause; - for standard input")
+        ->excludes(daemon);
+    command_->add_option("request", request_id_, "Request id, as in the Anisehold-Request-Id header");
+}
+
+int ExplainCommand::summarize_logs() const {
+    explain::FailureSummary summary;
+    if (!read_files(summary_files_, [&](std::istream& input) { explain::addLog(summary, input); })) {
+        return kUsage;
+    }
+    std::cout << explain::describe(summary);
+    return kDone;
 }
 
 int ExplainCommand::explain_logs() const {
     std::vector<explain::LogLine> lines;
-    for (const auto& file_name : log_files_) {
-        std::ifstream file;
-        if (file_name != "-") {
-            file.open(file_name);
-            if (!file) {
-                std::cerr << file_name << ": can't be read\n";
-                return kUsage;
-            }
-        }
-        explain::readRelevantLines(file_name == "-" ? std::cin : file, request_id_, lines);
+    const auto read = [&](std::istream& input) { explain::readRelevantLines(input, request_id_, lines); };
+    if (!read_files(log_files_, read)) {
+        return kUsage;
     }
     const auto story = explain::describe(explain::traceRequest(lines, request_id_));
     if (story.empty()) {
@@ -120,6 +144,13 @@
 }
 
 int ExplainCommand::run(net::EventLoop& loop) {
+    if (!summary_files_.empty()) {
+        return summarize_logs();
+    }
+    if (request_id_.empty()) {
+        std::cerr << "explain: a request id is needed, or --summary\n";
+        return kUsage;
+    }
     if (!log_files_.empty()) {
         return explain_logs();
     }
--- a/src/cli/status_commands.hpp
+++ b/src/cli/status_commands.hpp
@@ -23,7 +23,7 @@
 };
 
 /// Prints what all members decided about one request, in order of time: as running daemons remember it, or
-/// from log files.
+/// from log files; or counts what was refused and failed in log files.
 class ExplainCommand {
   public:
     void add_to(CLI::App& app);
@@ -32,10 +32,12 @@
 
   private:
     int explain_logs() const;
+    int summarize_logs() const;
 
     CLI::App* command_ = nullptr;
     std::string daemon_;
     std::vector<std::string> log_files_;
+    std::vector<std::string> summary_files_;
     std::string request_id_;
 };
 
--- /dev/null
+++ b/src/explain/failure_summary.cpp
@@ -0,0 +1,150 @@
+#include "explain/failure_summary.hpp"
+
+#include <algorithm>
+#include <array>
+#include <iomanip>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+namespace anisehold::explain
+{
+namespace
+{
+
+struct CauseName
+{
+    FailureCause cause;
+    std::string_view name;
+};
+
+constexpr std::array<CauseName, 11> causeNames{ { { FailureCause::refusedEarly, "refused-early" },
+                                                  { FailureCause::noRoom, "no-room" },
+                                                  { FailureCause::noServer, "no-server" },
+                                                  { FailureCause::unreachable, "unreachable" },
+                                                  { FailureCause::serverFailed, "server-failed" },
+                                                  { FailureCause::serverDeclined, "server-declined" },
+                                                  { FailureCause::outcomeUnknown, "outcome-unknown" },
+                                                  { FailureCause::timeUp, "time-up" },
+                                                  { FailureCause::callerLeft, "caller-left" },
+                                                  { FailureCause::noConfiguration, "no-configuration" },
+                                                  { FailureCause::other, "other" } } };
+
+/** Whether the outcome is a server's status, and which. */
+bool isStatus (const std::string& outcome)
+{
+    return ! outcome.empty() &&
+           std::all_of (outcome.begin(), outcome.end(), [] (char it) { return it >= '0' && it <= '9'; });
+}
+
+FailureCause causeOf (const std::string& outcome, const std::string& attempts)
+{
+    if (isStatus (outcome))
+        return FailureCause::serverFailed;
+
+    if (outcome == "overloaded")
+        return attempts.empty() ? FailureCause::refusedEarly : FailureCause::noRoom;
+
+    if (outcome == "queue-timeout")
+        return FailureCause::noRoom;
+
+    if (outcome == "no-backend")
+        return attempts.empty() ? FailureCause::noServer : FailureCause::unreachable;
+
+    if (outcome == "backend-refused")
+        return FailureCause::serverDeclined;
+
+    if (outcome == "outcome-unknown" || outcome == "backend-failed")
+        return FailureCause::outcomeUnknown;
+
+    if (outcome == "deadline-exceeded")
+        return FailureCause::timeUp;
+
+    if (outcome == "cancelled")
+        return FailureCause::callerLeft;
+
+    return outcome == "no-table" ? FailureCause::noConfiguration : FailureCause::other;
+}
+
+/** Served requests are most lines: they are told by their text alone. */
+bool isServed (const std::string& text)
+{
+    return text.find ("\"outcome\":\"2") != std::string::npos ||
+           text.find ("\"outcome\":\"3") != std::string::npos;
+}
+
+} // namespace
+
+std::string_view nameOf (FailureCause cause)
+{
+    const auto* it = std::find_if (causeNames.begin(), causeNames.end(),
+                                   [&] (const CauseName& each) { return each.cause == cause; });
+    return it->name;
+}
+
+void addLog (FailureSummary& summary, std::istream& input)
+{
+    for (std::string text; std::getline (input, text);)
+    {
+        if (text.find ("\"name\":\"ingress-call\"") == std::string::npos)
+            continue;
+
+        if (isServed (text))
+        {
+            ++summary.served;
+            continue;
+        }
+
+        const auto line = parseLogLine (text);
+
+        if (! line)
+            continue;
+
+        const auto cause = causeOf (fieldOf (*line, "outcome"), fieldOf (*line, "attempts"));
+        auto& count = summary.groups[{ cause, fieldOf (*line, "route"), fieldOf (*line, "service") }];
+        ++count.total;
+        ++count.bySecond[std::chrono::duration_cast<seconds> (line->at).count()];
+
+        if (count.example.empty())
+            count.example = fieldOf (*line, "request_id");
+    }
+}
+
+std::string describe (const FailureSummary& summary)
+{
+    std::vector<std::pair<FailureGroup, FailureCount>> groups (summary.groups.begin(), summary.groups.end());
+
+    if (groups.empty())
+        return "no request was refused or failed\n";
+
+    std::stable_sort (groups.begin(), groups.end(),
+                      [] (const auto& left, const auto& right)
+                      { return left.second.total > right.second.total; });
+    std::int64_t first = groups.front().second.bySecond.begin()->first;
+
+    for (const auto& [group, count] : groups)
+        first = std::min (first, count.bySecond.begin()->first);
+
+    std::ostringstream text;
+    text << std::left << std::setw (9) << "requests" << std::setw (17) << "cause" << std::setw (20) << "route"
+         << std::setw (16) << "service" << std::setw (12) << "seconds" << std::setw (14) << "worst"
+         << "example\n";
+
+    for (const auto& [group, count] : groups)
+    {
+        const auto worst = std::max_element (count.bySecond.begin(), count.bySecond.end(),
+                                             [] (const auto& left, const auto& right)
+                                             { return left.second < right.second; });
+        const auto span = std::to_string (count.bySecond.begin()->first - first) + "-" +
+                          std::to_string (count.bySecond.rbegin()->first - first);
+        const auto most = std::to_string (worst->second) + " at " + std::to_string (worst->first - first);
+        text << std::setw (9) << count.total << std::setw (17) << nameOf (group.cause) << std::setw (20)
+             << group.route << std::setw (16) << group.service << std::setw (12) << span << std::setw (14)
+             << most << count.example << "\n";
+    }
+
+    text << "served, as far as the logs tell: " << summary.served << "\n";
+    return text.str();
+}
+
+} // namespace anisehold::explain
