Limit of root requests: three failures within a second, a tenth of the requests, before a route counts

Two of its requests had failed at one server within 0.17 s, at one daemon of seventeen; every daemon took its word. Change: a third failure, and a tenth of the route's requests in place of a twentieth. Tests: root_limit_test, two failures aren't enough, the third is.

--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -33,11 +33,11 @@
 constexpr unsigned forgetAfterPeriods = 60;
 /** Reports that are older than this many periods don't count. */
 constexpr double reportPeriods = 2.5;
-/** Failures of a row that show that it reaches a service: so many, and such a part of its requests. A
-   server's own failures are less than a hundredth of its answers; where calls are refused, each fails a whole
-   request. */
-constexpr double leastFailuresBelow = 1.5;
-constexpr double leastPartFailedBelow = 0.05;
+/** Failures of a row that show that it reaches a service: so many (three within a second), and such a part of
+   its requests. A server's own failures are less than a hundredth of its answers, but two in a row do happen
+   in a fleet (F22); where calls are refused, each fails a whole request. */
+constexpr double leastFailuresBelow = 2.5;
+constexpr double leastPartFailedBelow = 0.1;
 /** A row's volume counts half after this time. */
 constexpr double volumeHalfLifeS = 3.0;
 
