--- a/src/cli/status_commands.cpp
+++ b/src/cli/status_commands.cpp
@@ -111,30 +111,31 @@
     auto* daemon = command_->add_option("--daemon", daemon_, "Admin address of a daemon, IP:PORT");
     command_->add_option("--log", log_files_, "Log files of any number of processes; - for standard input")
         ->excludes(daemon);
+    command_->add_flag("--summary", counts_failures_,
+                       "Count all refused and failed requests of the log files by cause");
     command_
-        ->add_option(
-            "--summary", summary_files_,
-            "Count all refused and failed requests of these log files by cause; - for standard input")
-        ->excludes(daemon);
-    command_->add_option("request", request_id_, "Request id, as in the Anisehold-Request-Id header");
+        ->add_option("request", arguments_,
+                     "Request id, as in the Anisehold-Request-Id header; with --summary log files, - for "
+                     "standard input")
+        ->required();
 }
 
 int ExplainCommand::summarize_logs() const {
     explain::FailureSummary summary;
-    if (!read_files(summary_files_, [&](std::istream& input) { explain::addLog(summary, input); })) {
+    if (!read_files(arguments_, [&](std::istream& input) { explain::addLog(summary, input); })) {
         return kUsage;
     }
     std::cout << explain::describe(summary);
     return kDone;
 }
 
-int ExplainCommand::explain_logs() const {
+int ExplainCommand::explain_logs(const std::string& request_id) const {
     std::vector<explain::LogLine> lines;
-    const auto read = [&](std::istream& input) { explain::readRelevantLines(input, request_id_, lines); };
+    const auto read = [&](std::istream& input) { explain::readRelevantLines(input, request_id, lines); };
     if (!read_files(log_files_, read)) {
         return kUsage;
     }
-    const auto story = explain::describe(explain::traceRequest(lines, request_id_));
+    const auto story = explain::describe(explain::traceRequest(lines, request_id));
     if (story.empty()) {
         std::cout << "no line of the logs names this request\n";
         return kFailed;
@@ -144,15 +145,16 @@
 }
 
 int ExplainCommand::run(net::EventLoop& loop) {
-    if (!summary_files_.empty()) {
+    if (counts_failures_) {
         return summarize_logs();
     }
-    if (request_id_.empty()) {
-        std::cerr << "explain: a request id is needed, or --summary\n";
+    if (arguments_.size() != 1) {
+        std::cerr << "explain: one request id is needed\n";
         return kUsage;
     }
+    const auto& request_id = arguments_.front();
     if (!log_files_.empty()) {
-        return explain_logs();
+        return explain_logs(request_id);
     }
     if (daemon_.empty()) {
         std::cerr << "explain: --daemon or --log is needed\n";
@@ -169,7 +171,7 @@
         if (!is_present(member) || !admin) {
             continue;
         }
-        const auto explained = fetch_json(loop.io(), *admin, "/explain?id=" + request_id_);
+        const auto explained = fetch_json(loop.io(), *admin, "/explain?id=" + request_id);
         if (explained) {
             steps.insert(steps.end(), explained->at("steps").begin(), explained->at("steps").end());
         }
--- a/src/cli/status_commands.hpp
+++ b/src/cli/status_commands.hpp
@@ -31,14 +31,14 @@
     int run(net::EventLoop& loop);
 
   private:
-    int explain_logs() const;
+    int explain_logs(const std::string& request_id) const;
     int summarize_logs() const;
 
     CLI::App* command_ = nullptr;
     std::string daemon_;
     std::vector<std::string> log_files_;
-    std::vector<std::string> summary_files_;
-    std::string request_id_;
+    std::vector<std::string> arguments_;  ///< A request id, or log files.
+    bool counts_failures_ = false;
 };
 
 }  // namespace anisehold::cli
--- a/src/explain/failure_summary.cpp
+++ b/src/explain/failure_summary.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <iomanip>
-#include <sstream>
 #include <utility>
 #include <vector>
 
@@ -66,6 +64,12 @@
     return outcome == "no-table" ? FailureCause::noConfiguration : FailureCause::other;
 }
 
+/** The text, filled up to `width` and followed by a space at least. */
+std::string column (const std::string& text, std::size_t width)
+{
+    return text + std::string (std::max (width, text.size() + 1) - text.size(), ' ');
+}
+
 /** Served requests are most lines: they are told by their text alone. */
 bool isServed (const std::string& text)
 {
@@ -125,10 +129,8 @@
     for (const auto& [group, count] : groups)
         first = std::min (first, count.bySecond.begin()->first);
 
-    std::ostringstream text;
-    text << std::left << std::setw (9) << "requests" << std::setw (17) << "cause" << std::setw (20) << "route"
-         << std::setw (16) << "service" << std::setw (12) << "seconds" << std::setw (14) << "worst"
-         << "example\n";
+    std::string text = column ("requests", 9) + column ("cause", 17) + column ("route", 20) +
+                       column ("service", 16) + column ("seconds", 12) + column ("worst", 14) + "example\n";
 
     for (const auto& [group, count] : groups)
     {
@@ -138,13 +140,12 @@
         const auto span = std::to_string (count.bySecond.begin()->first - first) + "-" +
                           std::to_string (count.bySecond.rbegin()->first - first);
         const auto most = std::to_string (worst->second) + " at " + std::to_string (worst->first - first);
-        text << std::setw (9) << count.total << std::setw (17) << nameOf (group.cause) << std::setw (20)
-             << group.route << std::setw (16) << group.service << std::setw (12) << span << std::setw (14)
-             << most << count.example << "\n";
+        text += column (std::to_string (count.total), 9) + column (std::string (nameOf (group.cause)), 17) +
+                column (group.route, 20) + column (group.service, 16) + column (span, 12) +
+                column (most, 14) + count.example + "\n";
     }
 
-    text << "served, as far as the logs tell: " << summary.served << "\n";
-    return text.str();
+    return text + "served, as far as the logs tell: " + std::to_string (summary.served) + "\n";
 }
 
 } // namespace anisehold::explain
--- a/tests/integration/path_test.cpp
+++ b/tests/integration/path_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <fstream>
 
 #include "lab/answer_body.hpp"
 #include "net/http_client.hpp"
@@ -108,6 +109,24 @@
         CHECK(fleet.get_text(daemon.admin, "/metrics").find("anisehold_claims_total{result=\"won\"}") !=
               std::string::npos);
     }
+    SECTION("explain reads log files, given one by one or together, and counts failures in them") {
+        const std::string log = fleet.run_folder() + "/sidecar.log";
+        std::ofstream(log) << R"({"time":"2026-12-02T10:11:12.345Z","level":"info","event":1601,)"
+                           << R"("name":"ingress-call","member":"m","request_id":"r-1","route":"r",)"
+                           << R"("service":"s","attempts":"","outcome":"overloaded"})"
+                           << "\n";
+        const std::vector<std::vector<std::string>> calls{{"explain", "--log", log, "r-1"},
+                                                          {"explain", "--log", log, "--log", log, "r-1"},
+                                                          {"explain", "--log", log, log, "r-1"},
+                                                          {"explain", "--summary", log, log}};
+        for (const auto& call : calls) {
+            const auto told = fleet.run_program("anisehold", call);
+            CHECK(told.status == 0);
+            CHECK(told.output.find("r-1") != std::string::npos);
+        }
+        CHECK(fleet.run_program("anisehold", {"explain", "--summary", log + "-missing"}).status == 2);
+        CHECK(fleet.run_program("anisehold", {"explain", "--log", log}).status != 0);
+    }
 
     SECTION("the page shows the table, and accepts it with the token only") {
         CHECK(fleet.get_text(daemon.admin, "/").find("<h1>The table</h1>") != std::string::npos);
