--- a/src/explain/failure_summary.hpp
+++ b/src/explain/failure_summary.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 #include "explain/log_line.hpp"
 
@@ -38,7 +39,10 @@
     std::string route;
     std::string service;
 
-    auto operator<=> (const FailureGroup&) const = default;
+    bool operator<(const FailureGroup& other) const
+    {
+        return std::tie (cause, route, service) < std::tie (other.cause, other.route, other.service);
+    }
 };
 
 /** The requests of one group. */
