A request whose caller has left by the time it is sent on isn't sent

At an onset the daemons beside the few servers in the middle of the chain are short of processor time: a request and the end of its connection both wait in the socket, and the request was sent to the server half a second later, before its connection's end was read. Change: ingress and gate look at the caller's connection right before they send a request (one more system call each). Tests: cancel_signal_test; sidecar_test, "a request whose caller left before a slow daemon read it never comes to a server", which passes without the change too: the end is read before the server sees the request there.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,7 @@
 #include "net/beast_support.hpp"
 // Beast comes first, see there.
+#include <sys/socket.h>
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/fiber/operations.hpp>
 #include <deque>
@@ -92,6 +94,13 @@
 struct HttpServer::Connection {
     explicit Connection(Tcp::socket socket) : stream(std::move(socket)) {}
 
+    /// Whether the peer has ended the connection, though that may not have been read yet.
+    bool has_ended() {
+        char byte = 0;
+        const auto got = ::recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        const bool would_wait = got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+        return got <= 0 && !would_wait;
+    }
     bool is_resting() const { return open_exchanges.empty() && waiting_for_request; }
     void close_at_rest() {
         boost::system::error_code ignored;
@@ -238,6 +247,8 @@
     exchange->keep_alive = parser.keep_alive();
     exchange->version = parser.get().version();
     exchange->previous = connection->last;
+    // The fiber that handles the request keeps the connection.
+    exchange->cancel.set_probe([ended = connection.get()] { return ended->has_ended(); });
     const bool whole = parser.is_done();
     if (whole) {
         request.body.length = request.body.prefix.size();
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -88,9 +88,21 @@
     /// Sets the one callback, or clears it with an empty function.
     void on_cancel(Callback callback) { callback_ = std::move(callback); }
 
+    /// Sets what tells at once whether the caller has gone; it must hold as long as the signal is used.
+    void set_probe(std::function<bool()> caller_has_gone) { caller_has_gone_ = std::move(caller_has_gone); }
+    /// Looks whether the caller has gone, and cancels if so: a process that is short of time reads the end of
+    /// a connection late, after a request that came on it. Returns whether the signal is cancelled.
+    bool check() {
+        if (!cancelled_ && caller_has_gone_ && caller_has_gone_()) {
+            cancel();
+        }
+        return cancelled_;
+    }
+
   private:
     bool cancelled_ = false;
     Callback callback_;
+    std::function<bool()> caller_has_gone_;
 };
 
 /// Clears the callback of a signal when the scope ends.
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -228,7 +228,9 @@
         const auto* server = selection::chooseServer(selection_, now, view, call.tried,
                                                      [this] { return context_.random_unit(); });
         step = flight.plan.next(now, server != nullptr);
-        going_on = !cancel.cancelled() && advance(call, flight, step, server, now);
+        const bool sends = step == AttemptStep::kLaunch || step == AttemptStep::kLaunchRepeat;
+        const bool caller_left = sends ? cancel.check() : cancel.cancelled();
+        going_on = !caller_left && advance(call, flight, step, server, now);
     }
     cancel_attempts(call, flight);
     if (cancel.cancelled()) {
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -264,6 +264,9 @@
 GateAnswer LocalGate::exchange(Server& server, net::HttpRequest& request, const hop::HopRequest& call,
                                TimePoint deadline, net::CancelSignal* cancel,
                                net::ExchangeProgress& progress) {
+    if (cancel != nullptr && cancel->check()) {
+        return refusal(HopOutcome::kNotSent, ErrorKind::kCancelled, Duration::zero());
+    }
     const auto now = TimePoint::clock::now();
     const auto request_id = context_.dialect.read_client_call(request).id;
     const milliseconds time_left(std::max(1LL, to_milliseconds(deadline - now)));
--- a/tests/integration/sidecar_test.cpp
+++ b/tests/integration/sidecar_test.cpp
@@ -4,6 +4,7 @@
 #include <future>
 #include <set>
 
+#include "hop/hop_header.hpp"
 #include "tests/integration/raw_socket.hpp"
 #include "tests/support/sidecar_fleet.hpp"
 
@@ -396,6 +397,35 @@
     CHECK(fleet.send(0, {"GET", "front.example", "/front/", "still-served"}).status == 200);
 }
 
+TEST_CASE("a request whose caller left before a slow daemon read it never comes to a server", "[sidecar]") {
+    SidecarFleet fleet(next_base_port(), chain());
+    REQUIRE(fleet.start(chain_configuration(1)));
+    const auto& calls = fleet.machine(2).calls;
+    const Endpoint hops{calls.ip, static_cast<std::uint16_t>(calls.port + 1)};
+    const std::string hop =
+        "Anisehold-Hop: " +
+        hop::encode(hop::HopRequest{"i-2", "front", 1, milliseconds(5'000), milliseconds(1'000), false}) +
+        "\r\n";
+    const auto request = [](const std::string& id, const std::string& more) {
+        return "GET /back/ HTTP/1.1\r\nHost: back.example\r\nRequest-Id: " + id +
+               "\r\nDeadline-Milliseconds: 5000\r\n" + more + "\r\n";
+    };
+    // The requests and the ends of their connections wait in the sockets of a daemon that stands still.
+    fleet.freeze(2);
+    raw_exchange(hops, request("left-the-gate", hop));
+    raw_exchange(calls, request("left-the-ingress", ""));
+    fleet.thaw(2);
+    REQUIRE(fleet.eventually(seconds(3), [&] { return fleet.is_ready(2); }));
+    fleet.pause(milliseconds(500));
+    CHECK(runs_of(fleet, "left-the-gate") == 0);
+    CHECK(runs_of(fleet, "left-the-ingress") == 0);
+    // The same requests of a caller that stays are run.
+    auto exchange =
+        std::async(std::launch::async, [&] { return raw_exchange(hops, request("stays", hop), true); });
+    CHECK(fleet.eventually(seconds(3), [&] { return runs_of(fleet, "stays") == 1; }));
+    exchange.wait();
+}
+
 TEST_CASE("requests sent one behind the other are answered in their order", "[sidecar]") {
     SidecarFleet fleet(next_base_port(), chain());
     REQUIRE(fleet.start(chain_configuration(1)));
