--- a/lab/platform_server.cpp
+++ b/lab/platform_server.cpp
@@ -166,6 +166,8 @@
     most_running_ = std::max(most_running_, running_);
     ++runs_[id];
     callers_[id] = text_of(request, "Caller-Service");
+    tenants_[id] = text_of(request, "Tenant");
+    keys_seen_ += request.fields.find("Authorization") ? 1 : 0;
     const auto deadline = deadline_of(request);
     boost::this_fiber::sleep_for(options_.work);
     const auto hang_ends = TimePoint::clock::now() + kLongestHang;
--- a/lab/platform_server.hpp
+++ b/lab/platform_server.hpp
@@ -72,6 +72,10 @@
     const std::map<std::string, unsigned>& runs() const { return runs_; }
     /// The callers that were told, by id of the request.
     const std::map<std::string, std::string>& callers() const { return callers_; }
+    /// The tenants that were told, by id of the request; empty where none was.
+    const std::map<std::string, std::string>& tenants() const { return tenants_; }
+    /// Requests that came with their caller's key.
+    std::size_t keys_seen() const { return keys_seen_; }
     unsigned most_running() const { return most_running_; }
     std::size_t arrivals() const { return arrivals_; }
 
@@ -92,6 +96,8 @@
     net::HttpClient outbound_;
     std::map<std::string, unsigned> runs_;
     std::map<std::string, std::string> callers_;
+    std::map<std::string, std::string> tenants_;
+    std::size_t keys_seen_ = 0;
     unsigned running_ = 0;
     unsigned most_running_ = 0;
     std::size_t arrivals_ = 0;
--- a/src/config/mechanisms.cpp
+++ b/src/config/mechanisms.cpp
@@ -30,7 +30,9 @@
     "reach-limit",
     "rest-limit",
     "server-probe",
-    "server-wait"};
+    "server-wait",
+    "key-proof",
+    "quotas"};
 
 }  // namespace
 
--- a/src/config/mechanisms.hpp
+++ b/src/config/mechanisms.hpp
@@ -38,6 +38,8 @@
     kRestLimit,         ///< Connections that a server forgets rest less long.
     kServerProbe,       ///< A daemon that starts asks the server beside it for its health.
     kServerWait,        ///< Requests wait for servers to be heard of after a start.
+    kKeyProof,          ///< Keyed requests need a recent proof that the configuration is the newest.
+    kQuotas,            ///< Tenants are held to their quotas.
     kCount,
 };
 
--- a/src/config/sidecar_settings.cpp
+++ b/src/config/sidecar_settings.cpp
@@ -67,6 +67,17 @@
         value = MechanismSet(names);
     }
 
+    bool flag(std::string_view name, bool otherwise) {
+        const auto found = find(name);
+        if (found.empty()) {
+            return otherwise;
+        }
+        if (found != "true" && found != "false") {
+            fail(name, "is neither true nor false");
+        }
+        return found == "true";
+    }
+
     void number(std::string_view name, double& value) {
         const auto found = find(name);
         if (found.empty()) {
@@ -124,6 +135,10 @@
     reader.number("repeats.ratio", settings.repeat_ratio);
     reader.number("repeats.extra", settings.repeat_extra);
     reader.duration("repeats.window", settings.repeat_window);
+    reader.duration("tenants.revocation", settings.key_revocation);
+    if (!reader.flag("tenants.strict", true)) {
+        settings.key_revocation = milliseconds(0);
+    }
     reader.mechanisms_without("lab.without", settings.mechanisms);
     return result;
 }
--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -26,6 +26,12 @@
 /// How long a view is used: a peer that has just fallen silent stays in it for as long.
 constexpr milliseconds kViewLifetime{100};
 
+/// A silent peer counts as a member for so long after it became unreachable: longer than a cut that heals is
+/// expected to last, so that its smaller side knows itself to be that.
+constexpr milliseconds kSilentMember{12'000};
+/// The same for one that was only listed: a machine that is gone may stand in the listing for long.
+constexpr milliseconds kUnheardMember{5'000};
+
 /// Puts the `most` servers of the highest affinity first; returns how many that are.
 std::size_t bring_usual_to_front(std::vector<const KnownServer*>& servers, std::size_t most) {
     const auto count = std::min(most, servers.size());
@@ -247,6 +253,26 @@
     return addresses;
 }
 
+bool PeerDirectory::is_member(TimePoint now, const Peer& peer) const {
+    if (!peer.was_heard) {
+        return now - peer.learned < kUnheardMember;
+    }
+    return !peer.record.leaving && now - peer.heard < silent_after(peer) + kSilentMember;
+}
+
+std::vector<FleetMember> PeerDirectory::members(TimePoint now) const {
+    std::vector<FleetMember> members;
+    members.reserve(peers_.size());
+    for (const auto& [name, peer] : peers_) {
+        if (!is_member(now, peer)) {
+            continue;
+        }
+        members.push_back({name, peer.record.gossip, peer.heard, takes_requests(now, peer),
+                           peer.record.watches_store, is_near(peer)});
+    }
+    return members;
+}
+
 bool PeerDirectory::any_near_watches(TimePoint now) const {
     return std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
         const auto& peer = entry.second;
--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -79,6 +79,16 @@
     Endpoint gossip;
 };
 
+/// A peer that counts as a member of the fleet.
+struct FleetMember {
+    std::string name;
+    Endpoint gossip;
+    TimePoint heard;
+    bool takes_requests = false;  ///< Reachable, and not leaving.
+    bool watches_store = false;
+    bool near = false;  ///< Of the own zone.
+};
+
 /// Keeps the latest record of each peer. Pure.
 class PeerDirectory {
   public:
@@ -122,6 +132,8 @@
     bool knows(const std::string& name) const { return peers_.contains(name); }
     /// The reachable peers of the own zone that aren't leaving.
     std::vector<PeerAddress> near_reachable(TimePoint now) const;
+    /// Peers that haven't left, by name, reachable or not; one that is silent for long isn't counted any more.
+    std::vector<FleetMember> members(TimePoint now) const;
     /// Whether a reachable peer of the own zone has a working watch of the store. Those of other zones aren't
     /// counted: their silence is noticed late.
     bool any_near_watches(TimePoint now) const;
@@ -146,6 +158,7 @@
     static bool has_same_servers(const Peer& peer, const PeerRecord& record);
     bool is_near(const Peer& peer) const { return peer.was_heard && peer.record.zone == own_zone_; }
     Duration silent_after(const Peer& peer) const;
+    bool is_member(TimePoint now, const Peer& peer) const;
     /// Brings `periods_` up to date after a change of the peers.
     void count_peers();
     ServiceView make_view(TimePoint now, const std::string& service) const;
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -60,6 +60,13 @@
                "Whether this daemon watches the store for configurations changed."},
     EventEntry{Event::kRegistrationsRestored, Level::kWarn, "registrations-restored",
                "The store had lost registrations of daemons that are heard; a watcher wrote them again."},
+    EventEntry{Event::kKeysUnproven, Level::kWarn, "keys-unproven",
+               "Nothing has shown for long that the configuration is the newest: requests with keys are "
+               "refused."},
+    EventEntry{Event::kKeysProven, Level::kInfo, "keys-proven",
+               "The configuration was shown to be the newest: requests with keys are served again."},
+    EventEntry{Event::kQuotaOwnerSilent, Level::kWarn, "quota-owner-silent",
+               "The daemon that counts a tenant's requests didn't answer; another one is asked."},
     EventEntry{Event::kHolderViewInForce, Level::kInfo, "holder-view-in-force",
                "This daemon uses a new claim holder view."},
     EventEntry{Event::kHolderViewChanged, Level::kInfo, "holder-view-changed",
--- a/src/protocol/error_kind.cpp
+++ b/src/protocol/error_kind.cpp
@@ -55,6 +55,14 @@
     ErrorAnswer{kTooDeep, "too-deep", 508, kNotRun, kNever, 2023, "The call chain is too deep"},
     ErrorAnswer{kStopping, "stopping", 503, kNotRun, kSoon, 2024, "This daemon is stopping"},
     ErrorAnswer{kCancelled, "cancelled", 499, kMayHaveRun, kNever, 2025, "The caller went away"},
+    ErrorAnswer{kUnauthorized, "unauthorized", 401, kNotRun, kNever, 2026,
+                "The request needs a key that is in force"},
+    ErrorAnswer{kKeyUnproven, "key-unproven", 503, kNotRun, kSoon, 2027,
+                "This daemon can't tell for now which keys are in force"},
+    ErrorAnswer{kQuotaExceeded, "quota-exceeded", 429, kNotRun, kSoon, 2028,
+                "The tenant has used up its quota"},
+    ErrorAnswer{kQuotaUnknown, "quota-unknown", 503, kNotRun, kSoon, 2029,
+                "The daemon that counts the tenant's requests can't be reached"},
 };
 
 class ErrorKindCategory final : public std::error_category {
--- a/src/protocol/error_kind.hpp
+++ b/src/protocol/error_kind.hpp
@@ -37,6 +37,10 @@
     kTooDeep,
     kStopping,
     kCancelled,
+    kUnauthorized,
+    kKeyUnproven,
+    kQuotaExceeded,
+    kQuotaUnknown,
 };
 
 /// What is known about whether the call was run by a back end.
--- a/src/routing/configuration.hpp
+++ b/src/routing/configuration.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "protocol/time_types.hpp"
+#include "tenancy/tenant_types.hpp"
 
 namespace anisehold::routing {
 
@@ -43,6 +44,7 @@
     unsigned priority = 0;           ///< 0 is the most important.
     unsigned most_servers = 1;       ///< Most servers that one client attempt is sent to.
     std::vector<WeightedService> parts;
+    bool allows_anonymous = false;  ///< May be called without a key, where there are tenants.
 };
 
 /// What the operators say of a service.
@@ -65,7 +67,10 @@
     std::vector<HostRoute> routes;
     std::map<std::string, ServiceTerms> services;
     ClientBounds clients;
+    tenancy::KeyRing keys;
 
+    /// Whether requests belong to tenants, and need keys.
+    bool has_tenants() const { return !keys.tenants.empty(); }
     /// The route of `host` (without a port) whose prefix is the longest that begins `path`; null without one.
     const HostRoute* find(std::string_view host, std::string_view path) const;
 };
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -34,6 +34,12 @@
 /// second, and a server that can't be asked for its health sends a heartbeat within some 1.5 s.
 constexpr milliseconds kServersKnownAfter{3'000};
 
+/// When a request may come back whose key can't be told to be in force: proofs are asked for this often.
+constexpr milliseconds kUnprovenRetryAfter{300};
+/// Longest time that the count of a tenant's requests is waited for: an owner that is gone is found out in
+/// 180 ms, and the next one answers within a few milliseconds.
+constexpr milliseconds kQuotaWait{400};
+
 /// When a request that was refused early may come back, at the earliest and at the latest: callers that were
 /// refused together must not come back together.
 constexpr milliseconds kEarlyRefusalRetryAfter{250};
@@ -98,11 +104,14 @@
 }  // namespace
 
 CallIngress::CallIngress(SidecarContext& context, ConfigurationHolder& configuration,
-                         membership::PeerDirectory& directory, LocalGate& gate)
+                         membership::PeerDirectory& directory, LocalGate& gate, FreshnessKeeper& freshness,
+                         QuotaExchange& quotas)
     : context_(context),
       configuration_(configuration),
       directory_(directory),
       gate_(gate),
+      freshness_(freshness),
+      quotas_(quotas),
       hops_(context, directory),
       selection_{context.settings.zone, {}, {}, selection_rules(context)},
       budget_(budget_terms(context.settings), TimePoint::clock::now()),
@@ -124,6 +133,9 @@
         return fail(call, *failure, false);
     }
     request.fields.remove(hop::kRequestHeader);
+    if (call.hides_key) {
+        context_.dialect.write_tenant(request, call.tenant);
+    }
     return run(call, request, cancel);
 }
 
@@ -145,7 +157,12 @@
     }
     call.terms = *route;
     call.route = route->name;
-    call.service = choose_service(*route, call.received);
+    if (const auto failure = admit_caller(*configuration, request, call)) {
+        return failure;
+    }
+    call.row = call.route + "/" + std::to_string(call.terms.priority);
+    // What a part has no room for is refused, not moved: operators rely on the shares.
+    call.service = split_.next(*route, context_.random_unit());
     const auto allowed = client.time_left ? std::min(*client.time_left, route->timeout) : route->timeout;
     call.deadline = call.received + std::max(allowed - kAnswerMargin, milliseconds(1));
     context_.origins.on_request(call.received, call.route);
@@ -156,29 +173,59 @@
         return Failure{ErrorKind::kOverloaded,
                        kEarlyRefusalRetryAfter + milliseconds(static_cast<long long>(spread))};
     }
+    return take_token(*configuration, call);
+}
+
+std::optional<CallIngress::Failure> CallIngress::admit_caller(const routing::Configuration& configuration,
+                                                              const net::HttpRequest& request, Call& call) {
+    if (!configuration.has_tenants()) {
+        return std::nullopt;
+    }
+    call.hides_key = true;
+    const tenancy::CallerRules rules{call.terms.allows_anonymous, freshness_.longest_age()};
+    const auto verdict = tenancy::judgeCaller(configuration.keys, freshness_.state(), call.received,
+                                              context_.dialect.read_credentials(request), rules);
+    switch (verdict.admission) {
+        case tenancy::Admission::unauthorized:
+            return Failure{ErrorKind::kUnauthorized};
+        case tenancy::Admission::unproven:
+            return Failure{ErrorKind::kKeyUnproven, kUnprovenRetryAfter};
+        case tenancy::Admission::anonymous:
+            break;
+        case tenancy::Admission::known:
+            call.tenant = verdict.tenant->name;
+    }
+    call.terms.priority = tenancy::rankOf(configuration.keys, verdict.tenant, call.terms.priority);
+    return std::nullopt;
+}
+
+std::optional<CallIngress::Failure> CallIngress::take_token(const routing::Configuration& configuration,
+                                                            Call& call) {
+    const auto* tenant = tenancy::termsOf(configuration.keys, call.tenant);
+    if (tenant == nullptr || !tenant->quota.isLimited() || !context_.has(Mechanism::kQuotas)) {
+        return std::nullopt;
+    }
+    const auto decision =
+        quotas_.take(*tenant, std::min<TimePoint>(call.deadline, call.received + kQuotaWait));
+    const milliseconds retry_after(to_milliseconds(decision.retry_after));
+    switch (decision.verdict) {
+        case QuotaDecision::Verdict::kExceeded:
+            return Failure{ErrorKind::kQuotaExceeded, retry_after};
+        case QuotaDecision::Verdict::kUnknown:
+            return Failure{ErrorKind::kQuotaUnknown, retry_after};
+        case QuotaDecision::Verdict::kServe:
+            call.holds_token = true;
+    }
     return std::nullopt;
 }
 
 bool CallIngress::is_refused_early(const Call& call) {
-    const overload::RootRow row{call.route, call.terms.priority};
+    const overload::RootRow row{call.row, call.terms.priority};
     overload::noteOffered(context_.root_limit, call.received, row);
     return context_.has(Mechanism::kEarlyRefusal) &&
            context_.random_unit() < overload::refusedShare(context_.root_limit, row);
 }
 
-std::string CallIngress::choose_service(const routing::HostRoute& route, TimePoint now) {
-    auto chosen = split_.next(route, context_.random_unit());
-    if (!candidates(chosen, now).empty()) {
-        return chosen;
-    }
-    for (const auto& part : route.parts) {
-        if (part.weight > 0 && !candidates(part.service, now).empty()) {
-            return part.service;
-        }
-    }
-    return chosen;
-}
-
 membership::ServiceView CallIngress::candidates(const std::string& service, TimePoint now) {
     auto view = directory_.servers_of(now, service);
     own_servers_.clear();
@@ -313,13 +360,13 @@
     if (refused) {
         context_.last_overload = {now, call.service};
         if (is_root) {
-            overload::noteReach(context_.root_limit, call.route, call.service);
+            overload::noteReach(context_.root_limit, call.row, call.service);
         }
     } else if (answered != nullptr && !answered->result.overloaded_service.empty()) {
         const auto& below = answered->result.overloaded_service;
         context_.last_overload = {now, below};
         if (is_root) {
-            overload::noteFailedBelow(context_.root_limit, now, call.route, below);
+            overload::noteFailedBelow(context_.root_limit, now, call.row, below);
         }
     }
 }
@@ -403,6 +450,9 @@
     } else if (fears_a_run || given.error == ErrorKind::kConnectFailed) {
         given.error = ErrorKind::kNoBackend;
     }
+    if (call.holds_token && !may_have_run) {
+        quotas_.give_back(call.tenant);
+    }
     context_.metrics.count_error(call.route, given.error);
     log(call, std::string(answer_for(given.error).name), false);
     return error_response(given, call.request_id);
@@ -431,6 +481,7 @@
     const auto write_line = served ? observability::log_routine : log_event;
     write_line(Event::kIngressCall, {{"request_id", call.request_id},
                                      {"route", call.route},
+                                     {"tenant", call.tenant.value},
                                      {"version", std::to_string(call.configuration_version)},
                                      {"service", call.service},
                                      {"attempts", call.servers},
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -14,8 +14,10 @@
 #include "routing/weighted_split.hpp"
 #include "selection/server_selection.hpp"
 #include "sidecar/configuration_holder.hpp"
+#include "sidecar/freshness_keeper.hpp"
 #include "sidecar/hop_client.hpp"
 #include "sidecar/local_gate.hpp"
+#include "sidecar/quota_exchange.hpp"
 #include "sidecar/sidecar_context.hpp"
 
 namespace anisehold::sidecar {
@@ -24,7 +26,8 @@
 class CallIngress {
   public:
     CallIngress(SidecarContext& context, ConfigurationHolder& configuration,
-                membership::PeerDirectory& directory, LocalGate& gate);
+                membership::PeerDirectory& directory, LocalGate& gate, FreshnessKeeper& freshness,
+                QuotaExchange& quotas);
 
     /// Answers one request; blocks its fiber until then.
     net::HttpResponse handle(net::HttpRequest& request, net::CancelSignal& cancel);
@@ -38,8 +41,12 @@
     struct Call {
         std::string request_id;
         std::string route;
+        std::string row;  ///< The route, and the request's rank: what the limit of root requests tells apart.
         std::string service;
         routing::HostRoute terms;
+        tenancy::TenantName tenant;  ///< Empty for a request that belongs to none.
+        bool hides_key = false;      ///< The server is told a tenant in place of the key.
+        bool holds_token = false;    ///< It counts against its tenant's quota.
         std::uint64_t configuration_version = 0;
         TimePoint received;
         TimePoint deadline;
@@ -81,9 +88,13 @@
     };
 
     std::optional<Failure> prepare(const net::HttpRequest& request, Call& call);
+    /// Finds out whose request it is, and whether it may be served.
+    std::optional<Failure> admit_caller(const routing::Configuration& configuration,
+                                        const net::HttpRequest& request, Call& call);
+    /// Counts the request against its tenant's quota; blocks its fiber for a moment.
+    std::optional<Failure> take_token(const routing::Configuration& configuration, Call& call);
     /// Whether the request would meet a service without room.
     bool is_refused_early(const Call& call);
-    std::string choose_service(const routing::HostRoute& route, TimePoint now);
     /// Servers beside peers, and the one beside this daemon. Holds until the next call.
     membership::ServiceView candidates(const std::string& service, TimePoint now);
     net::HttpResponse run(Call& call, net::HttpRequest& request, net::CancelSignal& cancel);
@@ -107,6 +118,8 @@
     ConfigurationHolder& configuration_;
     membership::PeerDirectory& directory_;
     LocalGate& gate_;
+    FreshnessKeeper& freshness_;
+    QuotaExchange& quotas_;
     HopClient hops_;
     routing::WeightedSplit split_;
     selection::SelectionState selection_;
--- a/src/sidecar/configuration_holder.hpp
+++ b/src/sidecar/configuration_holder.hpp
@@ -14,6 +14,13 @@
 /// Where a configuration came from, for logs.
 enum class ConfigurationSource { kStore, kPeer };
 
+/// What became of an offered configuration.
+enum class OfferOutcome {
+    kTaken,
+    kNotNewer,  ///< The one in force is as new, or newer.
+    kRejected,  ///< It can't be read.
+};
+
 /// Holds the configuration and its text, which peers may ask for.
 class ConfigurationHolder {
   public:
@@ -21,8 +28,8 @@
 
     explicit ConfigurationHolder(SidecarContext& context) : context_(context) {}
 
-    /// Takes the text if it holds a higher version. Returns whether it did.
-    bool offer(const std::string& text, ConfigurationSource source);
+    /// Takes the text if it holds a higher version.
+    OfferOutcome offer(const std::string& text, ConfigurationSource source);
     /// Null until the first one came.
     std::shared_ptr<const routing::Configuration> current() const { return current_; }
     std::uint64_t version() const { return current_ ? current_->version : 0; }
--- /dev/null
+++ b/src/sidecar/freshness_keeper.cpp
@@ -0,0 +1,188 @@
+#include "sidecar/freshness_keeper.hpp"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+#include "net/event_loop.hpp"
+#include "observability/events.hpp"
+
+namespace anisehold::sidecar {
+namespace {
+
+using observability::Event;
+using observability::log_event;
+using store::CallOutcome;
+
+/// A watcher's proof is renewed at this age: with a peer's question each `kAskPeriod` the others' proofs are
+/// younger than two seconds, which leaves nearly three of a revocation time of five for an outage.
+constexpr milliseconds kVoucherReadAge{1'000};
+/// Any other daemon reads at this age at the earliest: no voucher has answered it for a second.
+constexpr milliseconds kOwnReadAge{2'300};
+/// More of it for each known peer, drawn at random: a fleet of 50 and more makes its own reads over the whole
+/// of `kMostOwnReadSpread`.
+constexpr milliseconds kOwnReadSpreadPerPeer{30};
+constexpr milliseconds kMostOwnReadSpread{1'500};
+/// Longest time that a read is waited for. Longer ones prove little: the proof counts from their start.
+constexpr milliseconds kReadTimeout{1'000};
+/// Pauses after reads that failed: short at a voucher, since its zone waits for the store's return.
+constexpr milliseconds kVoucherRetry{300};
+constexpr milliseconds kOwnRetry{800};
+/// How often a daemon asks a voucher, and what it adds to the age of its proof.
+constexpr milliseconds kAskPeriod{700};
+/// The same with a proof so old that the last answer must have been lost, or its voucher have none.
+constexpr milliseconds kOldProof{1'900};
+constexpr milliseconds kOldProofAskPeriod{200};
+/// How often the loops look whether there is something to do.
+constexpr milliseconds kLookPeriod{200};
+
+std::int64_t reading_of(TimePoint now) {
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(now.time_since_epoch()).count();
+}
+
+}  // namespace
+
+void FreshnessKeeper::start(Send send) {
+    send_ = std::move(send);
+    patience_ = context_.random_unit();
+    net::EventLoop::spawn([this] { read_periodically(); });
+    net::EventLoop::spawn([this] { ask_periodically(); });
+}
+
+bool FreshnessKeeper::is_needed() const {
+    const auto configuration = configuration_.current();
+    return longest_age() && configuration && configuration->has_tenants();
+}
+
+std::optional<Duration> FreshnessKeeper::longest_age() const {
+    const auto revocation = context_.settings.key_revocation;
+    if (revocation <= milliseconds(0) || !context_.has(config::Mechanism::kKeyProof)) {
+        return std::nullopt;
+    }
+    return tenancy::longestProofAge(revocation);
+}
+
+Duration FreshnessKeeper::age_or_longest(TimePoint now) const {
+    return tenancy::proofAge(state_, now).value_or(Duration::max());
+}
+
+Duration FreshnessKeeper::own_read_age() const {
+    if (context_.watches_store) {
+        return kVoucherReadAge;
+    }
+    const auto by_fleet = kOwnReadSpreadPerPeer * static_cast<long long>(directory_.known_count());
+    const std::chrono::duration<double> spread =
+        std::min<milliseconds>(by_fleet, kMostOwnReadSpread) * patience_;
+    return kOwnReadAge + std::chrono::duration_cast<Duration>(spread);
+}
+
+void FreshnessKeeper::read_periodically() {
+    while (true) {
+        const auto now = TimePoint::clock::now();
+        const bool is_due = is_needed() && age_or_longest(now) >= own_read_age();
+        if (!is_due) {
+            boost::this_fiber::sleep_for(kLookPeriod);
+            continue;
+        }
+        const bool read = read_once();
+        patience_ = context_.random_unit();
+        if (!read) {
+            const auto pause = context_.watches_store ? kVoucherRetry : kOwnRetry;
+            const std::chrono::duration<double> jittered = pause * (0.5 + context_.random_unit());
+            boost::this_fiber::sleep_for(std::chrono::duration_cast<Duration>(jittered));
+        }
+        const bool is_proven = tenancy::isProven(state_, TimePoint::clock::now(), *longest_age());
+        if (is_proven != was_proven_) {
+            was_proven_ = is_proven;
+            log_event(is_proven ? Event::kKeysProven : Event::kKeysUnproven,
+                      {{"version", std::to_string(configuration_.version())}});
+        }
+    }
+}
+
+bool FreshnessKeeper::read_once() {
+    const auto asked = TimePoint::clock::now();
+    const auto reply =
+        store_.read(context_.dialect.configuration_key(), store::Freshness::kLatest, asked + kReadTimeout);
+    if (reply.outcome != CallOutcome::kDone) {
+        return false;
+    }
+    // An unchanged configuration isn't parsed again: a large one takes milliseconds.
+    const bool is_known = reply.item.revision == read_revision_;
+    if (!is_known &&
+        configuration_.offer(reply.item.value, ConfigurationSource::kStore) == OfferOutcome::kRejected) {
+        return false;
+    }
+    on_read(asked, reply.item.revision);
+    return true;
+}
+
+void FreshnessKeeper::on_read(TimePoint asked, std::uint64_t revision) {
+    read_revision_ = std::max(read_revision_, revision);
+    tenancy::noteProof(state_, asked);
+}
+
+void FreshnessKeeper::ask_periodically() {
+    while (true) {
+        const auto age = age_or_longest(TimePoint::clock::now());
+        const bool is_old = age >= kOldProof;
+        if (is_needed() && !context_.watches_store && age >= kAskPeriod) {
+            ask_peer();
+        }
+        const std::chrono::duration<double> period =
+            (is_old ? kOldProofAskPeriod : kAskPeriod) * (0.9 + 0.2 * context_.random_unit());
+        boost::this_fiber::sleep_for(std::chrono::duration_cast<Duration>(period));
+    }
+}
+
+void FreshnessKeeper::ask_peer() {
+    const auto now = TimePoint::clock::now();
+    const auto members = directory_.members(now);
+    const bool is_old = age_or_longest(now) >= kOldProof;
+    std::vector<const membership::FleetMember*> vouchers;
+    // With an old proof anyone is asked: the vouchers that this daemon knows of may have none.
+    for (const bool near : {true, false}) {
+        for (const auto& member : members) {
+            const bool may_know = member.watches_store || is_old;
+            if (member.near == near && member.takes_requests && may_know) {
+                vouchers.push_back(&member);
+            }
+        }
+        if (!vouchers.empty() && !is_old) {
+            break;
+        }
+    }
+    if (vouchers.empty()) {
+        return;
+    }
+    const auto chosen =
+        static_cast<std::size_t>(context_.random_unit() * static_cast<double>(vouchers.size()));
+    const tenancy::ProofQuestion question{
+        {context_.settings.advertised_gossip, context_.boot_id, reading_of(now)}};
+    send_(vouchers[chosen]->gossip, tenancy::encode(question));
+}
+
+void FreshnessKeeper::on_question(const tenancy::ProofQuestion& question) {
+    const auto age = tenancy::proofAge(state_, TimePoint::clock::now());
+    if (!age || configuration_.version() == 0) {
+        return;
+    }
+    tenancy::ProofAnswer answer;
+    answer.asker = question.asker;
+    answer.version = configuration_.version();
+    // Rounded up: on the way an age only grows.
+    answer.ageMs = static_cast<std::uint32_t>(std::min(to_milliseconds(*age) + 1, 3'600'000LL));
+    send_(question.asker.replyTo, tenancy::encode(answer));
+}
+
+void FreshnessKeeper::on_answer(const tenancy::ProofAnswer& answer) {
+    const bool is_own = answer.asker.bootId == context_.boot_id;
+    // Of a newer version this daemon knows nothing yet: records bring it.
+    if (!is_own || answer.version > configuration_.version()) {
+        return;
+    }
+    const TimePoint asked{
+        std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(answer.asker.askedNs))};
+    tenancy::noteProof(state_, asked, milliseconds(answer.ageMs));
+}
+
+}  // namespace anisehold::sidecar
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -151,6 +151,9 @@
 }
 
 void PeerExchange::receive(std::string_view bytes) {
+    if (other_receiver_ && other_receiver_(bytes)) {
+        return;
+    }
     auto record = membership::decode_peer_record(bytes);
     if (!record) {
         log_event(Event::kPeerFrameRefused, {{"bytes", std::to_string(bytes.size())}});
--- a/src/sidecar/peer_exchange.hpp
+++ b/src/sidecar/peer_exchange.hpp
@@ -19,7 +19,13 @@
     PeerExchange(SidecarContext& context, membership::PeerDirectory& directory, LocalGate& gate,
                  ConfigurationHolder& configuration);
 
+    /// Takes a datagram that isn't a member's record; true if it was meant for it.
+    using OtherReceiver = std::function<bool(std::string_view bytes)>;
+
     std::error_code start();
+    /// Sets who is given datagrams that aren't records.
+    void set_other_receiver(OtherReceiver receiver) { other_receiver_ = std::move(receiver); }
+    void send(const Endpoint& to, std::string_view bytes) { socket_.send(to, bytes); }
     /// Sends the record to all peers now.
     void announce();
 
@@ -42,6 +48,7 @@
     LocalGate& gate_;
     ConfigurationHolder& configuration_;
     net::UdpSocket socket_;
+    OtherReceiver other_receiver_;
     std::uint64_t sequence_ = 0;
     std::uint64_t fetching_version_ = 0;
     TimePoint opened_;     ///< When records could come in first.
--- /dev/null
+++ b/src/sidecar/quota_exchange.cpp
@@ -0,0 +1,280 @@
+#include "sidecar/quota_exchange.hpp"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+#include "net/event_loop.hpp"
+#include "observability/events.hpp"
+
+namespace anisehold::sidecar {
+namespace {
+
+using observability::Event;
+using observability::log_event;
+using tenancy::QuotaAnswer;
+using tenancy::TenantName;
+using tenancy::TenantTerms;
+using Verdict = QuotaDecision::Verdict;
+
+/// An owner answers within some two milliseconds; a busy one, or one whose datagram was lost, is asked again
+/// after this time.
+constexpr milliseconds kAnswerTimeout{60};
+/// Questions in vain after which another owner is asked: 180 ms, so that a request is still served in time.
+constexpr int kMostQuestions = 3;
+/// A suspected owner is one again when it was heard at least this long after it didn't answer.
+constexpr milliseconds kSuspicion{1'000};
+/// A daemon that can't read the list of members counts as alone after this time.
+constexpr milliseconds kAloneAfter{5'000};
+/// How long a view of the fleet is used.
+constexpr milliseconds kViewLifetime{200};
+constexpr milliseconds kReviewPeriod{500};
+/// An owner that had no token isn't asked for this time at least and at most: at 71 daemons it is then asked
+/// some 1,400 times a second for the busiest tenant.
+constexpr milliseconds kLeastRefusal{5};
+constexpr milliseconds kMostRefusal{50};
+/// Part of the rate that a daemon grants for a tenant whose owner is another one by its own view: as much as
+/// may be gone over. So a wrong view of some daemons doesn't double a quota.
+constexpr double kSecondOwnerPart = 0.1;
+/// When a request may come back that no owner could be asked for: by then another one has been found.
+constexpr milliseconds kUnknownRetryAfter{300};
+/// Part of the time to come back that is drawn at random.
+constexpr double kRetryAfterSpread = 0.25;
+
+std::int64_t reading_of(TimePoint now) {
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(now.time_since_epoch()).count();
+}
+
+std::uint32_t whole_ms(Duration duration) {
+    return static_cast<std::uint32_t>(std::clamp(to_milliseconds(duration) + 1, 0LL, 3'600'000LL));
+}
+
+}  // namespace
+
+void QuotaExchange::start(Send send) {
+    send_ = std::move(send);
+    net::EventLoop::spawn([this] { review_fleet(); });
+}
+
+void QuotaExchange::review_fleet() {
+    while (true) {
+        const auto configuration = configuration_.current();
+        if (configuration && configuration->has_tenants()) {
+            fleet(TimePoint::clock::now());
+        }
+        boost::this_fiber::sleep_for(kReviewPeriod);
+    }
+}
+
+QuotaDecision QuotaExchange::take(const TenantTerms& tenant, TimePoint latest) {
+    auto now = TimePoint::clock::now();
+    auto& account = accounts_[tenant.name];
+    tenancy::noteDemand(account.purse, now);
+    while (!tenancy::takeToken(account.purse, now)) {
+        if (now < account.purse.refusedUntil) {
+            return {Verdict::kExceeded, refusal_pause(now, account.purse)};
+        }
+        if (now >= latest) {
+            return {Verdict::kUnknown, kUnknownRetryAfter};
+        }
+        ++account.waiting;
+        if (!account.round) {
+            begin_round(tenant, account);
+        }
+        if (const auto round = account.round) {
+            round->ended.wait_until(latest);
+            --account.waiting;
+            if (round->ended.is_set() && !round->found_owner) {
+                return {Verdict::kUnknown, kUnknownRetryAfter};
+            }
+        } else {
+            --account.waiting;
+        }
+        now = TimePoint::clock::now();
+    }
+    return {};
+}
+
+void QuotaExchange::give_back(const TenantName& tenant) {
+    const auto found = accounts_.find(tenant);
+    if (found != accounts_.end()) {
+        tenancy::giveBack(found->second.purse);
+    }
+}
+
+Duration QuotaExchange::refusal_pause(TimePoint now, const tenancy::QuotaPurse& purse) {
+    const std::chrono::duration<double> pause = purse.retryAt - now;
+    const auto spread = pause * (1.0 + kRetryAfterSpread * context_.random_unit());
+    return std::max<Duration>(std::chrono::duration_cast<Duration>(spread), kMostRefusal);
+}
+
+void QuotaExchange::begin_round(const TenantTerms& tenant, Account& account) {
+    const auto now = TimePoint::clock::now();
+    const auto owner = owner_of(now, tenant.name);
+    if (owner && owner->name == context_.settings.name) {
+        const auto unused = std::exchange(account.purse.unused, 0);
+        take_answer(account, now,
+                    grant(tenant.name, tenancy::tokensWanted(account.purse, account.waiting), unused));
+        return;
+    }
+    const auto round = std::make_shared<Round>();
+    account.round = round;
+    net::EventLoop::spawn([this, name = tenant.name, owner, round] {
+        auto& own_account = accounts_[name];
+        auto asked_one = owner;
+        // The second one is asked if the first is dead.
+        for (int tries = 0; tries < 2 && asked_one && !round->found_owner; ++tries) {
+            round->found_owner = ask(name, own_account, round, *asked_one);
+            if (!round->found_owner) {
+                const auto later = TimePoint::clock::now();
+                suspected_[asked_one->name] = later;
+                fleet_.made = TimePoint{};
+                log_event(Event::kQuotaOwnerSilent, {{"tenant", name.value}, {"owner", asked_one->name}});
+                asked_one = owner_of(later, name);
+            }
+        }
+        own_account.round.reset();
+        round->ended.set();
+    });
+}
+
+bool QuotaExchange::ask(const TenantName& tenant, Account& account, const std::shared_ptr<Round>& round,
+                        const Owner& owner) {
+    if (owner.name == context_.settings.name) {
+        take_answer(account, TimePoint::clock::now(),
+                    grant(tenant, tenancy::tokensWanted(account.purse, account.waiting), 0));
+        return true;
+    }
+    const auto returned = std::exchange(account.purse.unused, 0);
+    for (int questions = 0; questions < kMostQuestions; ++questions) {
+        const auto asked = TimePoint::clock::now();
+        tenancy::QuotaQuestion question;
+        question.asker = {context_.settings.advertised_gossip, context_.boot_id, reading_of(asked)};
+        question.tenant = tenant.value;
+        question.wanted = tenancy::tokensWanted(account.purse, account.waiting);
+        // Told once only: a question whose answer was lost may have been heard.
+        question.returned = questions == 0 ? returned : 0;
+        send_(owner.gossip, tenancy::encode(question));
+        if (round->answered.wait_until(asked + kAnswerTimeout)) {
+            const TimePoint earliest{
+                std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(round->answer->asker.askedNs))};
+            if (round->answer->owns) {
+                take_answer(account, earliest, *round->answer);
+            }
+            return round->answer->owns;
+        }
+    }
+    return false;
+}
+
+void QuotaExchange::take_answer(Account& account, TimePoint asked, const QuotaAnswer& answer) {
+    const auto now = TimePoint::clock::now();
+    tenancy::takeGrant(account.purse, asked, answer.granted);
+    account.purse.retryAt = now + milliseconds(answer.retryAfterMs);
+    if (answer.granted == 0) {
+        const milliseconds until_next(answer.untilNextMs);
+        account.purse.refusedUntil = now + std::clamp(until_next, kLeastRefusal, kMostRefusal);
+    }
+}
+
+void QuotaExchange::on_answer(const QuotaAnswer& answer) {
+    const auto found = accounts_.find(TenantName(answer.tenant));
+    const bool is_own = answer.asker.bootId == context_.boot_id;
+    if (!is_own || found == accounts_.end() || !found->second.round) {
+        return;
+    }
+    found->second.round->answer = answer;
+    found->second.round->answered.set();
+}
+
+void QuotaExchange::on_question(const tenancy::QuotaQuestion& question) {
+    auto answer = grant(TenantName(question.tenant), question.wanted, question.returned);
+    answer.asker = question.asker;
+    send_(question.asker.replyTo, tenancy::encode(answer));
+}
+
+QuotaAnswer QuotaExchange::grant(const TenantName& tenant, unsigned wanted, unsigned returned) {
+    const auto now = TimePoint::clock::now();
+    QuotaAnswer answer;
+    answer.tenant = tenant.value;
+    const auto configuration = configuration_.current();
+    const auto* terms = configuration ? tenancy::termsOf(configuration->keys, tenant) : nullptr;
+    const auto owner = owner_of(now, tenant);
+    if (terms == nullptr || context_.leaving || !owner) {
+        return answer;
+    }
+    auto quota = terms->quota;
+    if (owner->name != context_.settings.name) {
+        quota.ratePerS *= kSecondOwnerPart;
+        quota.burst *= kSecondOwnerPart;
+    }
+    answer.owns = true;
+    if (!quota.isLimited()) {
+        answer.granted = wanted;
+        return answer;
+    }
+    const auto found = buckets_.find(tenant);
+    auto& bucket =
+        found != buckets_.end()
+            ? found->second
+            : buckets_.emplace(tenant, tenancy::makeBucket(quota, now, fleet_.settled)).first->second;
+    tenancy::returnTokens(bucket, now, quota, returned);
+    const auto given = tenancy::takeTokens(bucket, now, quota, wanted);
+    answer.granted = given.granted;
+    answer.untilNextMs = whole_ms(given.untilNext);
+    answer.retryAfterMs = whole_ms(given.retryAfter);
+    return answer;
+}
+
+bool QuotaExchange::is_suspected(TimePoint now, const membership::FleetMember& member) const {
+    const auto found = suspected_.find(member.name);
+    return found != suspected_.end() && (now - found->second < kSuspicion || member.heard < found->second);
+}
+
+const QuotaExchange::FleetView& QuotaExchange::fleet(TimePoint now) {
+    if (now - fleet_.made < kViewLifetime) {
+        return fleet_;
+    }
+    const auto members = directory_.members(now);
+    tenancy::OwnerCandidates candidates;
+    std::vector<Endpoint> addresses;
+    candidates.members = members.size() + 1;
+    if (!context_.leaving) {
+        candidates.reachable.push_back(context_.settings.name);
+        addresses.push_back(context_.settings.advertised_gossip);
+    }
+    for (const auto& member : members) {
+        if (!member.takes_requests || is_suspected(now, member)) {
+            continue;
+        }
+        candidates.reachable.push_back(member.name);
+        addresses.push_back(member.gossip);
+    }
+    if (candidates.reachable != fleet_.candidates.reachable) {
+        fleet_.settled = now;
+        fleet_.candidates = std::move(candidates);
+        fleet_.addresses = std::move(addresses);
+        // Whoever counts for a tenant after a change begins anew: what was given meanwhile isn't known.
+        std::erase_if(buckets_, [&](const auto& entry) {
+            const auto owner = tenancy::ownerOf(fleet_.candidates, entry.first);
+            return !owner || fleet_.candidates.reachable[*owner] != context_.settings.name;
+        });
+    }
+    fleet_.candidates.members = members.size() + 1;
+    fleet_.made = now;
+    return fleet_;
+}
+
+std::optional<QuotaExchange::Owner> QuotaExchange::owner_of(TimePoint now, const TenantName& tenant) {
+    const auto& view = fleet(now);
+    // A daemon that has just started and knows nobody isn't the whole fleet.
+    if (!context_.knows_fleet && now - started_ < kAloneAfter) {
+        return std::nullopt;
+    }
+    const auto owner = tenancy::ownerOf(view.candidates, tenant);
+    if (!owner) {
+        return std::nullopt;
+    }
+    return Owner{view.candidates.reachable[*owner], view.addresses[*owner]};
+}
+
+}  // namespace anisehold::sidecar
--- /dev/null
+++ b/src/sidecar/quota_exchange.hpp
@@ -0,0 +1,104 @@
+/// @file
+/// Gets tokens of tenants' quotas from the daemons that count them, and counts those of its own tenants.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "membership/peer_directory.hpp"
+#include "net/fiber_event.hpp"
+#include "sidecar/configuration_holder.hpp"
+#include "sidecar/sidecar_context.hpp"
+#include "tenancy/quota_bucket.hpp"
+#include "tenancy/quota_owner.hpp"
+#include "tenancy/quota_purse.hpp"
+#include "tenancy/tenancy_messages.hpp"
+
+namespace anisehold::sidecar {
+
+/// What becomes of a request that needs a token.
+struct QuotaDecision {
+    enum class Verdict {
+        kServe,
+        kExceeded,  ///< The tenant has used up its quota.
+        kUnknown,   ///< No owner could be asked.
+    };
+    Verdict verdict = Verdict::kServe;
+    Duration retry_after{};  ///< Unless served.
+};
+
+/// Requests of a tenant that come while a question is under way wait for its answer, and share the next one.
+class QuotaExchange {
+  public:
+    using Send = std::function<void(const Endpoint& to, std::string_view bytes)>;
+
+    QuotaExchange(SidecarContext& context, ConfigurationHolder& configuration,
+                  membership::PeerDirectory& directory)
+        : context_(context), configuration_(configuration), directory_(directory) {}
+
+    void start(Send send);
+    /// Takes a token for a request of the tenant; blocks the fiber until `latest` at most.
+    QuotaDecision take(const tenancy::TenantTerms& tenant, TimePoint latest);
+    /// A request that had taken a token has not run and never will.
+    void give_back(const tenancy::TenantName& tenant);
+
+    void on_question(const tenancy::QuotaQuestion& question);
+    void on_answer(const tenancy::QuotaAnswer& answer);
+
+  private:
+    /// One question, with its repetitions, and all that wait for it.
+    struct Round {
+        net::FiberEvent ended;
+        net::FiberEvent answered;
+        std::optional<tenancy::QuotaAnswer> answer;
+        bool found_owner = false;
+    };
+    struct Account {
+        tenancy::QuotaPurse purse;
+        unsigned waiting = 0;
+        std::shared_ptr<Round> round;  ///< The one under way.
+    };
+    /// The fleet as the choice of owners sees it, made anew every now and then.
+    struct FleetView {
+        tenancy::OwnerCandidates candidates;
+        std::vector<Endpoint> addresses;  ///< Of `candidates.reachable`.
+        TimePoint made;
+        TimePoint settled;  ///< Since when it is the same.
+    };
+    struct Owner {
+        std::string name;
+        Endpoint gossip;
+    };
+
+    void begin_round(const tenancy::TenantTerms& tenant, Account& account);
+    /// Asks the owner; false if it didn't answer.
+    bool ask(const tenancy::TenantName& tenant, Account& account, const std::shared_ptr<Round>& round,
+             const Owner& owner);
+    static void take_answer(Account& account, TimePoint asked, const tenancy::QuotaAnswer& answer);
+    /// Counts as the owner.
+    tenancy::QuotaAnswer grant(const tenancy::TenantName& tenant, unsigned wanted, unsigned returned);
+    /// Notices changes of the fleet also while nothing is asked: a new owner's first tokens depend on how long
+    /// ago the last one was.
+    void review_fleet();
+    const FleetView& fleet(TimePoint now);
+    std::optional<Owner> owner_of(TimePoint now, const tenancy::TenantName& tenant);
+    bool is_suspected(TimePoint now, const membership::FleetMember& member) const;
+    Duration refusal_pause(TimePoint now, const tenancy::QuotaPurse& purse);
+
+    SidecarContext& context_;
+    ConfigurationHolder& configuration_;
+    membership::PeerDirectory& directory_;
+    Send send_;
+    std::unordered_map<tenancy::TenantName, Account> accounts_;
+    std::unordered_map<tenancy::TenantName, tenancy::QuotaBucket> buckets_;  ///< Of tenants owned here.
+    std::map<std::string, TimePoint> suspected_;  ///< Peers that didn't answer, and since when.
+    FleetView fleet_;
+    TimePoint started_ = TimePoint::clock::now();
+};
+
+}  // namespace anisehold::sidecar
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -7,7 +7,9 @@
 #include "net/http_server.hpp"
 #include "observability/events.hpp"
 #include "sidecar/call_ingress.hpp"
+#include "sidecar/freshness_keeper.hpp"
 #include "sidecar/peer_exchange.hpp"
+#include "sidecar/quota_exchange.hpp"
 #include "sidecar/server_probe.hpp"
 #include "sidecar/store_follower.hpp"
 
@@ -80,8 +82,10 @@
           configuration(context),
           gate(context),
           peers(context, directory, gate, configuration),
-          follower(context, store, configuration, directory),
-          ingress(context, configuration, directory, gate),
+          freshness(context, store, configuration, directory),
+          quotas(context, configuration, directory),
+          follower(context, store, configuration, directory, freshness),
+          ingress(context, configuration, directory, gate, freshness, quotas),
           calls(loop.io(), limits_for({}),
                 {[this](net::HttpRequest& request, net::CancelSignal& cancel) {
                      return ingress.handle(request, cancel);
@@ -109,6 +113,8 @@
     ConfigurationHolder configuration;
     LocalGate gate;
     PeerExchange peers;
+    FreshnessKeeper freshness;
+    QuotaExchange quotas;
     StoreFollower follower;
     CallIngress ingress;
     net::HttpServer calls;
@@ -152,6 +158,10 @@
     if (!all_bound) {
         return false;
     }
+    const auto send = [this](const Endpoint& to, std::string_view bytes) { parts_->peers.send(to, bytes); };
+    parts_->freshness.start(send);
+    parts_->quotas.start(send);
+    parts_->peers.set_other_receiver([this](std::string_view bytes) { return receive_message(bytes); });
     parts_->follower.start([this] { parts_->peers.announce(); });
     net::EventLoop::spawn([this] { watch_settings(); });
     log_event(Event::kStarted, {{"zone", settings.zone},
@@ -205,6 +215,23 @@
     return !parts_->context.stopping && parts_->configuration.version() != 0 && knows_peers;
 }
 
+bool Sidecar::receive_message(std::string_view bytes) {
+    const auto message = tenancy::decode(bytes);
+    if (!message) {
+        return false;
+    }
+    if (const auto* proof_question = boost::get<tenancy::ProofQuestion>(&*message)) {
+        parts_->freshness.on_question(*proof_question);
+    } else if (const auto* proof = boost::get<tenancy::ProofAnswer>(&*message)) {
+        parts_->freshness.on_answer(*proof);
+    } else if (const auto* quota_question = boost::get<tenancy::QuotaQuestion>(&*message)) {
+        parts_->quotas.on_question(*quota_question);
+    } else if (const auto* grant = boost::get<tenancy::QuotaAnswer>(&*message)) {
+        parts_->quotas.on_answer(*grant);
+    }
+    return true;
+}
+
 net::HttpResponse Sidecar::handle_hop(net::HttpRequest& request, net::CancelSignal& cancel) {
     const auto header = request.fields.find(hop::kRequestHeader);
     if (!header) {
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -30,6 +30,8 @@
   private:
     struct Parts;
 
+    /// Takes a peer's message about tenants; false if it is something else.
+    bool receive_message(std::string_view bytes);
     net::HttpResponse handle_hop(net::HttpRequest& request, net::CancelSignal& cancel);
     net::HttpResponse handle_registration(net::HttpRequest& request);
     net::HttpResponse handle_readiness(net::HttpRequest& request);
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -53,6 +53,7 @@
     bool stopping = false;           ///< A planned stop has begun; callers are asked to turn away.
     bool leaving = false;            ///< Peers are told to send nothing more.
     bool watches_store = false;      ///< This daemon has a working watch of the configuration.
+    bool knows_fleet = false;        ///< The list of members was read, or there is no way to it.
 
   private:
     static std::uint64_t seed() {
--- a/src/sidecar/store_follower.cpp
+++ b/src/sidecar/store_follower.cpp
@@ -65,21 +65,27 @@
 }
 
 std::uint64_t StoreFollower::read_configuration(Freshness freshness) {
+    const auto asked = TimePoint::clock::now();
     const auto reply = store_.read(context_.dialect.configuration_key(), freshness, call_deadline());
     if (!note(reply.outcome, "read configuration")) {
         return 0;
     }
     if (reply.outcome == CallOutcome::kDone) {
-        configuration_.offer(reply.item.value, ConfigurationSource::kStore);
+        const auto offered = configuration_.offer(reply.item.value, ConfigurationSource::kStore);
+        if (freshness == Freshness::kLatest && offered != OfferOutcome::kRejected) {
+            freshness_.on_read(asked, reply.item.revision);
+        }
     }
     return reply.store_revision;
 }
 
 void StoreFollower::take_first_configuration() {
     // An old version is enough to begin with: the watchers' records tell of a newer one at once. Where the
-    // store has none yet, they tell of the first.
+    // store has none yet, they tell of the first. Keyed requests need more: a daemon that reads the latest
+    // one serves them a second sooner than one that waits for a peer's proof.
+    const auto freshness = freshness_.longest_age() ? Freshness::kLatest : Freshness::kMayBeStale;
     unsigned failures = 0;
-    while (configuration_.version() == 0 && read_configuration(Freshness::kMayBeStale) == 0) {
+    while (configuration_.version() == 0 && read_configuration(freshness) == 0) {
         pause(failures++, kLongestRegistrationPause);
     }
 }
@@ -230,6 +236,7 @@
         }
     }
     has_listed_ = true;
+    context_.knows_fleet = true;
     peers_found_();
     remove_abandoned(listing);
     return own_listed;
--- a/src/sidecar/store_follower.hpp
+++ b/src/sidecar/store_follower.hpp
@@ -12,6 +12,7 @@
 #include "discovery/watch_role.hpp"
 #include "membership/peer_directory.hpp"
 #include "sidecar/configuration_holder.hpp"
+#include "sidecar/freshness_keeper.hpp"
 #include "sidecar/sidecar_context.hpp"
 #include "store/coordination_store.hpp"
 
@@ -24,8 +25,13 @@
     using PeersFound = std::function<void()>;
 
     StoreFollower(SidecarContext& context, store::CoordinationStore& store,
-                  ConfigurationHolder& configuration, membership::PeerDirectory& directory)
-        : context_(context), store_(store), configuration_(configuration), directory_(directory) {}
+                  ConfigurationHolder& configuration, membership::PeerDirectory& directory,
+                  FreshnessKeeper& freshness)
+        : context_(context),
+          store_(store),
+          configuration_(configuration),
+          directory_(directory),
+          freshness_(freshness) {}
 
     /// Starts the fibers; `peers_found` is called after each list of peers was read.
     void start(PeersFound peers_found);
@@ -67,6 +73,7 @@
     store::CoordinationStore& store_;
     ConfigurationHolder& configuration_;
     membership::PeerDirectory& directory_;
+    FreshnessKeeper& freshness_;
     PeersFound peers_found_;
     discovery::WatchState watch_;
     discovery::RegistrationAges ages_;
--- a/src/sidecar/wire_dialect.hpp
+++ b/src/sidecar/wire_dialect.hpp
@@ -11,6 +11,7 @@
 #include "protocol/time_types.hpp"
 #include "registration/server_registry.hpp"
 #include "routing/configuration.hpp"
+#include "tenancy/caller_verdict.hpp"
 
 namespace anisehold::sidecar {
 
@@ -60,6 +61,11 @@
     virtual ClientCall read_client_call(const net::HttpRequest& request) const = 0;
     /// Sets the header lines that the system itself tells a server.
     virtual void write_server_call(net::HttpRequest& request, const ServerCall& call) const = 0;
+    /// What the request says of its caller.
+    virtual tenancy::Credentials read_credentials(const net::HttpRequest& request) const = 0;
+    /// Takes the caller's key out of the request and tells the server the tenant in its place; an empty name
+    /// for a request that belongs to none.
+    virtual void write_tenant(net::HttpRequest& request, const tenancy::TenantName& tenant) const = 0;
     virtual AnswerNature nature_of(const net::HttpResponse& response) const = 0;
     /// The header line of the request that a server repeats in every answer.
     virtual net::HeaderField echoed_field(const std::string& request_id) const = 0;
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -129,6 +129,7 @@
          << "\"\n"
          << "[servers]\nheartbeat_interval = \"" << machine.heartbeat_interval.count() << "ms\"\naddress = \""
          << (machine.linked ? machine.links.server_link : machine.links.server).text() << "\"\n"
+         << "[tenants]\nrevocation = \"" << machine.key_revocation.count() << "ms\"\n"
          << "[repeats]\nratio = \"0.2\"\nextra = \"60\"\nwindow = \"2s\"\n";
     if (machine.linked) {
         file << "[advertise]\nhops = " << at(9) << "gossip = " << at(10);
@@ -195,6 +196,9 @@
     request.fields.set("Host", client_request.host);
     request.fields.set("Request-Id", client_request.id);
     request.fields.set("Deadline-Milliseconds", std::to_string(client_request.time_left.count()));
+    for (const auto& field : client_request.fields) {
+        request.fields.add(field.name, field.value);
+    }
     net::ExchangeProgress progress;
     std::error_code error;
     const auto deadline = TimePoint::clock::now() + client_request.time_left + kFetchTimeout;
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -36,6 +36,7 @@
     std::string service;
     bool linked = false;
     milliseconds heartbeat_interval{200};
+    milliseconds key_revocation{3'000};
     MachineLinks links;
     Endpoint calls;
     Endpoint readiness;
@@ -71,6 +72,7 @@
     std::string target;
     std::string id;
     milliseconds time_left{2'000};
+    net::HeaderFields fields{};  ///< Further header lines.
 };
 
 /// The processes are ended by the destructor.
--- a/tests/unit/platform/dialect_test.cpp
+++ b/tests/unit/platform/dialect_test.cpp
@@ -145,3 +145,86 @@
     leaving.fields.set("Instance-Id", "i-1");
     CHECK_FALSE(Dialect().read_health(leaving));
 }
+
+namespace {
+
+tenancy::Credentials credentials_of(const std::vector<std::string>& lines) {
+    auto request = net::make_request("GET", "/a");
+    for (const auto& line : lines) {
+        request.fields.add("authorization", line);
+    }
+    return Dialect().read_credentials(request);
+}
+
+}  // namespace
+
+TEST_CASE("a caller's key is read in every shape that the scheme has") {
+    for (const auto* line : {"Bearer k1", "bearer k1", "BEARER  k1 ", " Bearer\tk1"}) {
+        const auto credentials = credentials_of({line});
+        REQUIRE(credentials.key);
+        CHECK(credentials.key->value == "k1");
+        CHECK_FALSE(credentials.isMalformed);
+    }
+    CHECK_FALSE(credentials_of({}).key);
+    CHECK_FALSE(credentials_of({}).isMalformed);
+    for (const auto* line : {"", "Bearer", "Bearer ", "Basic k1", "k1", "Bearer k1 k2", "Bearerk1"}) {
+        CHECK(credentials_of({line}).isMalformed);
+    }
+    CHECK(credentials_of({"Bearer k1", "Bearer k2"}).isMalformed);
+    CHECK(credentials_of({"Bearer k1", "Bearer k1"}).isMalformed);
+}
+
+TEST_CASE("the server is told the tenant and never shown the key") {
+    auto request = net::make_request("GET", "/a");
+    request.fields.add("Authorization", "Bearer k1");
+    request.fields.add("authorization", "Bearer k2");
+    request.fields.add("Tenant", "forged");
+    Dialect().write_tenant(request, tenancy::TenantName("blue"));
+    CHECK(request.fields.find("Tenant") == "blue");
+    CHECK_FALSE(request.fields.find("Authorization"));
+    request.fields.add("tenant", "forged");
+    Dialect().write_tenant(request, {});
+    CHECK_FALSE(request.fields.find("Tenant"));
+}
+
+namespace {
+
+std::string with_tenants(const std::string& tenants) {
+    return R"({"version":"r7","routes":{},"services":{},"tenants":)" + tenants + "}";
+}
+
+}  // namespace
+
+TEST_CASE("tenants, their keys and quotas are read") {
+    const auto reading = Dialect().read_configuration(with_tenants(
+        R"({"blue":{"apiKeys":["k1","k2"],"priority":1,"requestsPerS":39.5,"burst":40},"green":{"apiKeys":[]}})"));
+    REQUIRE(reading.configuration);
+    const auto& keys = reading.configuration->keys;
+    CHECK(reading.configuration->has_tenants());
+    REQUIRE(tenancy::holderOf(keys, tenancy::ApiKey("k2")) != nullptr);
+    CHECK(tenancy::holderOf(keys, tenancy::ApiKey("k2"))->quota.ratePerS == Approx(39.5));
+    CHECK_FALSE(tenancy::termsOf(keys, tenancy::TenantName("green"))->quota.isLimited());
+    CHECK(tenancy::holderOf(keys, tenancy::ApiKey("k3")) == nullptr);
+}
+
+TEST_CASE("what is wrong with tenants is told without a key") {
+    for (const auto* tenants :
+         {R"({"blue":{"apiKeys":["secret-1"]},"green":{"apiKeys":["secret-1"]}})", R"({"blue":{}})",
+          R"({"blue":{"apiKeys":["secret-1",""]}})", R"({"blue":{"apiKeys":["secret-1",7]}})",
+          R"({"blue":{"apiKeys":["secret-1"],"requestsPerS":-1}})",
+          R"({"blue":{"apiKeys":["secret-1"],"priority":"high"}})"}) {
+        const auto reading = Dialect().read_configuration(with_tenants(tenants));
+        CHECK_FALSE(reading.configuration);
+        CHECK(reading.problem.find("tenants.") != std::string::npos);
+        CHECK(reading.problem.find("secret-1") == std::string::npos);
+    }
+}
+
+TEST_CASE("a configuration that isn't JSON is told without what stands in it") {
+    const auto whole = with_tenants(R"({"blue":{"apiKeys":["secret-1"]}})");
+    for (std::size_t length = 1; length < whole.size(); ++length) {
+        const auto problem = Dialect().read_configuration(whole.substr(0, length)).problem;
+        CHECK(problem.find("byte") != std::string::npos);
+        CHECK(problem.find("secret") == std::string::npos);
+    }
+}
