--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -324,6 +324,7 @@
     settings.repeat_ratio = loaded.settings.repeat_ratio;
     settings.repeat_extra = loaded.settings.repeat_extra;
     settings.repeat_window = loaded.settings.repeat_window;
+    settings.key_revocation = loaded.settings.key_revocation;
     parts_->ingress.apply_settings();
     log_event(Event::kSettingsReloaded, {{"service", settings.service}});
 }
