--- a/src/sidecar/freshness_keeper.cpp
+++ b/src/sidecar/freshness_keeper.cpp
@@ -14,8 +14,10 @@
 using store::CallOutcome;
 
 /// A watcher's proof is renewed at this age: with a peer's question each `kAskPeriod` the others' proofs are
-/// younger than two seconds, which leaves nearly three of a revocation time of five for an outage.
+/// mostly younger than two seconds, which leaves some three of a revocation time of five for an outage.
 constexpr milliseconds kVoucherReadAge{1'000};
+/// More of it, drawn at random: the watchers ask each other meanwhile, so that one's read serves several.
+constexpr milliseconds kVoucherReadSpread{400};
 /// Any other daemon reads at this age at the earliest: no voucher has answered it for a second.
 constexpr milliseconds kOwnReadAge{2'300};
 /// More of it for each known peer, drawn at random: a fleet of 50 and more makes its own reads over the whole
@@ -67,7 +69,8 @@
 
 Duration FreshnessKeeper::own_read_age() const {
     if (context_.watches_store) {
-        return kVoucherReadAge;
+        const std::chrono::duration<double> spread = kVoucherReadSpread * patience_;
+        return kVoucherReadAge + std::chrono::duration_cast<Duration>(spread);
     }
     const auto by_fleet = kOwnReadSpreadPerPeer * static_cast<long long>(directory_.known_count());
     const std::chrono::duration<double> spread =
@@ -125,11 +128,11 @@
     while (true) {
         const auto age = age_or_longest(TimePoint::clock::now());
         const bool is_old = age >= kOldProof;
-        if (is_needed() && !context_.watches_store && age >= kAskPeriod) {
+        if (is_needed() && age >= kAskPeriod) {
             ask_peer();
         }
         const std::chrono::duration<double> period =
-            (is_old ? kOldProofAskPeriod : kAskPeriod) * (0.9 + 0.2 * context_.random_unit());
+            (is_old || context_.watches_store ? kOldProofAskPeriod : kAskPeriod) * (0.9 + 0.2 * context_.random_unit());
         boost::this_fiber::sleep_for(std::chrono::duration_cast<Duration>(period));
     }
 }
@@ -147,7 +150,7 @@
                 vouchers.push_back(&member);
             }
         }
-        if (!vouchers.empty() && !is_old) {
+        if (!vouchers.empty() && !is_old && !context_.watches_store) {
             break;
         }
     }
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -131,6 +131,9 @@
          << (machine.linked ? machine.links.server_link : machine.links.server).text() << "\"\n"
          << "[tenants]\nrevocation = \"" << machine.key_revocation.count() << "ms\"\n"
          << "[repeats]\nratio = \"0.2\"\nextra = \"60\"\nwindow = \"2s\"\n";
+    if (const auto* without = std::getenv("ANISEHOLD_WITHOUT"); without != nullptr && *without != '\0') {
+        file << "[lab]\nwithout = \"" << without << "\"\n";
+    }
     if (machine.linked) {
         file << "[advertise]\nhops = " << at(9) << "gossip = " << at(10);
     }
