--- a/src/config/sidecar_settings.hpp
+++ b/src/config/sidecar_settings.hpp
@@ -33,7 +33,8 @@
     double repeat_ratio = 0.2;
     double repeat_extra = 0;
     milliseconds repeat_window{10'000};
-    /// How long after the store acknowledged that a key was taken away it may still be served; 0 for no bound.
+    /// How long after the store acknowledged that a key was taken away it may still be served; 0 for no
+    /// bound.
     milliseconds key_revocation{0};
     std::string log_level = "info";
     MechanismSet mechanisms;  ///< All but those that the lab switches off.
--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -98,12 +98,11 @@
     std::uint32_t remaining_ms = 0;
     std::uint32_t longest_wait_ms = 0;
     unsigned once = 0;
-    const bool whole = read(fields, "instance", request.instance) && read(fields, "caller", request.caller) &&
-                       read(fields, "priority", request.priority) &&
-                       read(fields, "remaining_ms", remaining_ms) &&
-                       read(fields, "longest_wait_ms", longest_wait_ms) && read(fields, "once", once) &&
-                       read(fields, "repeat_percent", request.repeat_percent) &&
-                       request.repeat_percent <= kMostPercent;
+    const bool whole =
+        read(fields, "instance", request.instance) && read(fields, "caller", request.caller) &&
+        read(fields, "priority", request.priority) && read(fields, "remaining_ms", remaining_ms) &&
+        read(fields, "longest_wait_ms", longest_wait_ms) && read(fields, "once", once) &&
+        read(fields, "repeat_percent", request.repeat_percent) && request.repeat_percent <= kMostPercent;
     if (!whole) {
         return std::nullopt;
     }
--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -132,7 +132,8 @@
     bool knows(const std::string& name) const { return peers_.contains(name); }
     /// The reachable peers of the own zone that aren't leaving.
     std::vector<PeerAddress> near_reachable(TimePoint now) const;
-    /// Peers that haven't left, by name, reachable or not; one that is silent for long isn't counted any more.
+    /// Peers that haven't left, by name, reachable or not; one that is silent for long isn't counted any
+    /// more.
     std::vector<FleetMember> members(TimePoint now) const;
     /// Whether a reachable peer of the own zone has a working watch of the store. Those of other zones aren't
     /// counted: their silence is noticed late.
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -44,9 +44,9 @@
         std::string row;  ///< The route, and the request's rank: what the limit of root requests tells apart.
         std::string service;
         routing::HostRoute terms;
-        tenancy::TenantName tenant;  ///< Empty for a request that belongs to none.
-        bool hides_key = false;      ///< The server is told a tenant in place of the key.
-        bool holds_token = false;    ///< It counts against its tenant's quota.
+        tenancy::TenantName tenant;   ///< Empty for a request that belongs to none.
+        bool hides_key = false;       ///< The server is told a tenant in place of the key.
+        bool holds_token = false;     ///< It counts against its tenant's quota.
         double inherited_repeat = 0;  ///< How likely the run that makes this call is a repeat.
         std::uint64_t configuration_version = 0;
         TimePoint received;
--- a/src/sidecar/freshness_keeper.cpp
+++ b/src/sidecar/freshness_keeper.cpp
@@ -132,7 +132,8 @@
             ask_peer();
         }
         const std::chrono::duration<double> period =
-            (is_old || context_.watches_store ? kOldProofAskPeriod : kAskPeriod) * (0.9 + 0.2 * context_.random_unit());
+            (is_old || context_.watches_store ? kOldProofAskPeriod : kAskPeriod) *
+            (0.9 + 0.2 * context_.random_unit());
         boost::this_fiber::sleep_for(std::chrono::duration_cast<Duration>(period));
     }
 }
--- a/src/sidecar/freshness_keeper.hpp
+++ b/src/sidecar/freshness_keeper.hpp
@@ -16,8 +16,8 @@
 namespace anisehold::sidecar {
 
 /// The watchers of each zone read the configuration's revision from the store about once a second between
-/// them; the others ask a watcher, and read themselves when their proof grows old all the same. A waiting watch proves
-/// nothing: the store may have fallen silent, or hear nothing itself.
+/// them; the others ask a watcher, and read themselves when their proof grows old all the same. A waiting
+/// watch proves nothing: the store may have fallen silent, or hear nothing itself.
 class FreshnessKeeper {
   public:
     using Send = std::function<void(const Endpoint& to, std::string_view bytes)>;
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -104,7 +104,7 @@
     std::map<std::string, std::shared_ptr<Server>> servers_;
     std::uint64_t next_id_ = 1;
     std::size_t in_flight_ = 0;
-    unsigned running_ = 0;         ///< Requests at the server.
+    unsigned running_ = 0;          ///< Requests at the server.
     unsigned running_repeats_ = 0;  ///< The sum of their `repeat_percent`.
 };
 
--- a/src/sidecar/quota_exchange.hpp
+++ b/src/sidecar/quota_exchange.hpp
@@ -82,8 +82,8 @@
     static void take_answer(Account& account, TimePoint asked, const tenancy::QuotaAnswer& answer);
     /// Counts as the owner.
     tenancy::QuotaAnswer grant(const tenancy::TenantName& tenant, unsigned wanted, unsigned returned);
-    /// Notices changes of the fleet also while nothing is asked: a new owner's first tokens depend on how long
-    /// ago the last one was.
+    /// Notices changes of the fleet also while nothing is asked: a new owner's first tokens depend on how
+    /// long ago the last one was.
     void review_fleet();
     const FleetView& fleet(TimePoint now);
     std::optional<Owner> owner_of(TimePoint now, const tenancy::TenantName& tenant);
