Quotas: owners are ranked over all members; a second owner looks for the first

Change: members that stand in the store's list count as owners before they are heard; one that doesn't answer in 180 ms is passed over by whoever asked. Since a dead owner now stays a candidate for long, a daemon that is asked in its place asks it itself, and grants a tenth of the rate until it knows.

Tests: daemons that have heard different peers name the same owner; a quota after all were killed; the whole rate after an owner's death (5 of 25 requests served without the look for the owner).

--- a/src/sidecar/quota_exchange.cpp
+++ b/src/sidecar/quota_exchange.cpp
@@ -122,9 +122,10 @@
         auto& own_account = accounts_[name];
         auto asked_one = owner;
         // The second one is asked if the first is dead.
-        for (int tries = 0; tries < 2 && asked_one && !round->found_owner; ++tries) {
-            round->found_owner = ask(name, own_account, round, *asked_one);
-            if (!round->found_owner) {
+        auto asked = Asked::kSilent;
+        for (int tries = 0; tries < 2 && asked_one && asked == Asked::kSilent; ++tries) {
+            asked = ask(name, own_account, round, *asked_one);
+            if (asked == Asked::kSilent) {
                 const auto later = TimePoint::clock::now();
                 suspected_[asked_one->name] = later;
                 fleet_.made = TimePoint{};
@@ -132,17 +133,18 @@
                 asked_one = owner_of(later, name);
             }
         }
+        round->found_owner = asked == Asked::kGranted;
         own_account.round.reset();
         round->ended.set();
     });
 }
 
-bool QuotaExchange::ask(const TenantName& tenant, Account& account, const std::shared_ptr<Round>& round,
-                        const Owner& owner) {
+QuotaExchange::Asked QuotaExchange::ask(const TenantName& tenant, Account& account,
+                                        const std::shared_ptr<Round>& round, const Owner& owner) {
     if (owner.name == context_.settings.name) {
         take_answer(account, TimePoint::clock::now(),
                     grant(tenant, tenancy::tokensWanted(account.purse, account.waiting), 0));
-        return true;
+        return Asked::kGranted;
     }
     const auto returned = std::exchange(account.purse.unused, 0);
     for (int questions = 0; questions < kMostQuestions; ++questions) {
@@ -157,13 +159,14 @@
         if (round->answered.wait_until(asked + kAnswerTimeout)) {
             const TimePoint earliest{
                 std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(round->answer->asker.askedNs))};
-            if (round->answer->owns) {
-                take_answer(account, earliest, *round->answer);
+            if (!round->answer->owns) {
+                return Asked::kDeclined;
             }
-            return round->answer->owns;
+            take_answer(account, earliest, *round->answer);
+            return Asked::kGranted;
         }
     }
-    return false;
+    return Asked::kSilent;
 }
 
 void QuotaExchange::take_answer(Account& account, TimePoint asked, const QuotaAnswer& answer) {
@@ -187,9 +190,23 @@
 }
 
 void QuotaExchange::on_question(const tenancy::QuotaQuestion& question) {
-    auto answer = grant(TenantName(question.tenant), question.wanted, question.returned);
+    const TenantName tenant(question.tenant);
+    auto answer = grant(tenant, question.wanted, question.returned);
     answer.asker = question.asker;
     send_(question.asker.replyTo, tenancy::encode(answer));
+    const auto owner = owner_of(TimePoint::clock::now(), tenant);
+    if (answer.owns && owner && owner->name != context_.settings.name) {
+        look_for_owner(tenant);
+    }
+}
+
+void QuotaExchange::look_for_owner(const TenantName& tenant) {
+    const auto configuration = configuration_.current();
+    const auto* terms = tenancy::termsOf(configuration->keys, tenant);
+    auto& account = accounts_[tenant];
+    if (terms != nullptr && !account.round) {
+        begin_round(*terms, account);
+    }
 }
 
 QuotaAnswer QuotaExchange::grant(const TenantName& tenant, unsigned wanted, unsigned returned) {
@@ -238,27 +255,31 @@
     tenancy::OwnerCandidates candidates;
     std::vector<Endpoint> addresses;
     candidates.members = members.size() + 1;
+    candidates.reachable = 1;
     if (!context_.leaving) {
-        candidates.reachable.push_back(context_.settings.name);
+        candidates.names.push_back(context_.settings.name);
         addresses.push_back(context_.settings.advertised_gossip);
     }
     for (const auto& member : members) {
-        if (!member.takes_requests || is_suspected(now, member)) {
+        candidates.reachable += member.takes_requests ? 1 : 0;
+        if (is_suspected(now, member)) {
             continue;
         }
-        candidates.reachable.push_back(member.name);
+        candidates.names.push_back(member.name);
         addresses.push_back(member.gossip);
     }
-    if (candidates.reachable != fleet_.candidates.reachable) {
+    const auto reachable = candidates.reachable;
+    if (candidates.names != fleet_.candidates.names) {
         fleet_.settled = now;
         fleet_.candidates = std::move(candidates);
         fleet_.addresses = std::move(addresses);
         // Whoever counts for a tenant after a change begins anew: what was given meanwhile isn't known.
         std::erase_if(buckets_, [&](const auto& entry) {
             const auto owner = tenancy::ownerOf(fleet_.candidates, entry.first);
-            return !owner || fleet_.candidates.reachable[*owner] != context_.settings.name;
+            return !owner || fleet_.candidates.names[*owner] != context_.settings.name;
         });
     }
+    fleet_.candidates.reachable = reachable;
     fleet_.candidates.members = members.size() + 1;
     fleet_.made = now;
     return fleet_;
@@ -274,7 +295,7 @@
     if (!owner) {
         return std::nullopt;
     }
-    return Owner{view.candidates.reachable[*owner], view.addresses[*owner]};
+    return Owner{view.candidates.names[*owner], view.addresses[*owner]};
 }
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/quota_exchange.hpp
+++ b/src/sidecar/quota_exchange.hpp
@@ -66,7 +66,7 @@
     /// The fleet as the choice of owners sees it, made anew every now and then.
     struct FleetView {
         tenancy::OwnerCandidates candidates;
-        std::vector<Endpoint> addresses;  ///< Of `candidates.reachable`.
+        std::vector<Endpoint> addresses;  ///< Of `candidates.names`.
         TimePoint made;
         TimePoint settled;  ///< Since when it is the same.
     };
@@ -76,10 +76,18 @@
     };
 
     void begin_round(const tenancy::TenantTerms& tenant, Account& account);
-    /// Asks the owner; false if it didn't answer.
-    bool ask(const tenancy::TenantName& tenant, Account& account, const std::shared_ptr<Round>& round,
-             const Owner& owner);
+    /// What came of asking an owner.
+    enum class Asked {
+        kGranted,   ///< It counted, whatever it gave.
+        kDeclined,  ///< It doesn't count for the tenant, or not yet.
+        kSilent,
+    };
+    Asked ask(const tenancy::TenantName& tenant, Account& account, const std::shared_ptr<Round>& round,
+              const Owner& owner);
     static void take_answer(Account& account, TimePoint asked, const tenancy::QuotaAnswer& answer);
+    /// Another daemon was asked in vain, by a peer: finds out whether it is there. Until that is known, this
+    /// one grants a part of the rate only.
+    void look_for_owner(const tenancy::TenantName& tenant);
     /// Counts as the owner.
     tenancy::QuotaAnswer grant(const tenancy::TenantName& tenant, unsigned wanted, unsigned returned);
     /// Notices changes of the fleet also while nothing is asked: a new owner's first tokens depend on how
--- a/tests/integration/tenants_test.cpp
+++ b/tests/integration/tenants_test.cpp
@@ -199,6 +199,41 @@
         CHECK(fleet.eventually(
             seconds(2), [&] { return fleet.send(0, keyed("k-" + name, "secret-" + name)).status == 200; }));
     }
+    // The next owner grants the whole rate, not the part that it grants while the first may be there.
+    fleet.pause(seconds(1));
+    for (int index = 0; index < 8; ++index) {
+        const auto name = std::to_string(index);
+        unsigned served = 0;
+        for (int request = 0; request < 25; ++request) {
+            const auto id = "l-" + name + "-" + std::to_string(request);
+            served += fleet.send(0, keyed(id, "secret-" + name)).status == 200 ? 1 : 0;
+        }
+        CHECK(served == 25);
+    }
+}
+
+TEST_CASE("a quota holds after all daemons were killed", "[tenants]") {
+    SidecarFleet fleet(next_base_port(), machines());
+    REQUIRE(start_with_key(
+        fleet, configuration(1, {{"blue", {{"secret-b"}, 20, 20}}, {"green", {{"secret-g"}}}}), "secret-g"));
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        fleet.kill(index);
+    }
+    const auto began = TimePoint::clock::now();
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        fleet.start_sidecar(index);
+    }
+    unsigned served = 0;
+    int sent = 0;
+    while (TimePoint::clock::now() - began < seconds(3)) {
+        const auto answer = fleet.send(static_cast<std::size_t>(sent) % fleet.size(),
+                                       keyed("r-" + std::to_string(sent), "secret-b"));
+        served += answer.status == 200 ? 1 : 0;
+        ++sent;
+    }
+    const double taken_s = std::chrono::duration<double>(TimePoint::clock::now() - began).count();
+    CHECK(served <= 1.1 * 20 * taken_s + 20);
+    CHECK(served >= 20);
 }
 
 TEST_CASE("a part of a split that has no server refuses its share", "[tenants]") {
--- a/tests/unit/tenancy/quota_test.cpp
+++ b/tests/unit/tenancy/quota_test.cpp
@@ -242,36 +242,48 @@
 TEST_CASE ("all daemons of a side name the same owner, and a smaller side names none")
 {
     const auto names = daemons (71);
-    OwnerCandidates all{ names, 71 };
+    OwnerCandidates all{ names, 71, 71 };
     std::set<std::size_t> owners;
 
     for (int i = 0; i < 200; ++i)
         owners.insert (*ownerOf (all, TenantName ("tenant-" + std::to_string (i))));
 
     CHECK (owners.size() > 50);
-    const OwnerCandidates larger{ { names.begin(), names.begin() + 36 }, 71 };
-    const OwnerCandidates smaller{ { names.begin() + 36, names.end() }, 71 };
+    const OwnerCandidates larger{ { names.begin(), names.begin() + 36 }, 36, 71 };
+    const OwnerCandidates smaller{ { names.begin() + 36, names.end() }, 35, 71 };
     CHECK (ownerOf (larger, TenantName ("t")));
     CHECK_FALSE (ownerOf (smaller, TenantName ("t")));
-    const OwnerCandidates half{ { names.begin(), names.begin() + 35 }, 70 };
+    const OwnerCandidates half{ { names.begin(), names.begin() + 35 }, 35, 70 };
     CHECK_FALSE (ownerOf (half, TenantName ("t")));
-    CHECK (ownerOf ({ { "alone" }, 1 }, TenantName ("t")));
+    CHECK (ownerOf ({ { "alone" }, 1, 1 }, TenantName ("t")));
+}
+
+TEST_CASE ("daemons that have heard different peers name the same owner")
+{
+    // After a restart of all, each daemon has the store's list and has heard some of the others.
+    const auto names = daemons (71);
+
+    for (int i = 0; i < 100; ++i)
+    {
+        const TenantName tenant ("tenant-" + std::to_string (i));
+        CHECK (ownerOf ({ names, 40, 71 }, tenant) == ownerOf ({ names, 71, 71 }, tenant));
+    }
 }
 
 TEST_CASE ("an owner that goes takes only its own tenants along")
 {
     auto names = daemons (71);
-    const OwnerCandidates all{ names, 71 };
+    const OwnerCandidates all{ names, 71, 71 };
     names.erase (names.begin() + 5);
-    const OwnerCandidates rest{ names, 71 };
+    const OwnerCandidates rest{ names, 70, 71 };
 
     for (int i = 0; i < 300; ++i)
     {
         const TenantName tenant ("tenant-" + std::to_string (i));
-        const auto before = all.reachable[*ownerOf (all, tenant)];
+        const auto before = all.names[*ownerOf (all, tenant)];
 
         if (before != "daemon-5")
-            CHECK (rest.reachable[*ownerOf (rest, tenant)] == before);
+            CHECK (rest.names[*ownerOf (rest, tenant)] == before);
     }
 }
 
