--- a/src/sidecar/quota_exchange.cpp
+++ b/src/sidecar/quota_exchange.cpp
@@ -203,8 +203,11 @@
 void QuotaExchange::look_for_owner(const TenantName& tenant) {
     const auto configuration = configuration_.current();
     const auto* terms = tenancy::termsOf(configuration->keys, tenant);
+    if (terms == nullptr) {
+        return;
+    }
     auto& account = accounts_[tenant];
-    if (terms != nullptr && !account.round) {
+    if (!account.round) {
         begin_round(*terms, account);
     }
 }
