--- a/src/registration/server_registry.cpp
+++ b/src/registration/server_registry.cpp
@@ -78,6 +78,12 @@
     return found == servers_.end() || found->second.heartbeat.draining ? nullptr : &found->second;
 }
 
+bool ServerRegistry::serves(const std::string& service) const {
+    return std::any_of(servers_.begin(), servers_.end(), [&](const auto& entry) {
+        return !entry.second.heartbeat.draining && entry.second.heartbeat.service == service;
+    });
+}
+
 std::vector<RegisteredServer> ServerRegistry::ready_servers() const {
     std::vector<RegisteredServer> ready;
     for (const auto& [instance, server] : servers_) {
--- a/src/registration/server_registry.hpp
+++ b/src/registration/server_registry.hpp
@@ -56,6 +56,8 @@
 
     /// The server, if it takes new requests.
     const RegisteredServer* find_ready(const std::string& instance) const;
+    /// Whether a server of `service` takes new requests.
+    bool serves(const std::string& service) const;
     /// All servers that take new requests.
     std::vector<RegisteredServer> ready_servers() const;
 
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -231,6 +231,9 @@
 membership::ServiceView CallIngress::candidates(const std::string& service, TimePoint now) {
     auto view = directory_.servers_of(now, service);
     own_servers_.clear();
+    if (!gate_.serves(service)) {
+        return view;
+    }
     for (auto& own : gate_.records(now)) {
         if (own.service == service) {
             own_servers_.push_back({std::move(own), context_.settings.name, context_.settings.zone,
@@ -254,7 +257,8 @@
     if (context_.has(Mechanism::kServerWait)) {
         terms.servers_known_at = started_ + kServersKnownAfter;
     }
-    const std::chrono::duration<double, std::micro> measured(candidates(call.service, now).mean_latency_us);
+    const std::chrono::duration<double, std::micro> measured(
+        directory_.servers_of(now, call.service).mean_latency_us);
     const auto average =
         measured.count() > 0 ? std::chrono::duration_cast<Duration>(measured) : Duration(kUnmeasuredLatency);
     terms.hedge_after = std::max<Duration>(kLeastHedge, kHedgeFactor * average);
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -45,6 +45,8 @@
     /// Drops servers that fell silent; true if there were any.
     bool expire(TimePoint now);
 
+    /// Whether the server beside is one of `service`; cheaper than `records`, which makes texts.
+    bool serves(const std::string& service) const { return registry_.serves(service); }
     /// The servers that take requests, for peers.
     std::vector<membership::ServerRecord> records(TimePoint now) const;
     std::size_t in_flight() const { return in_flight_; }
--- a/tests/unit/registration/server_registry_test.cpp
+++ b/tests/unit/registration/server_registry_test.cpp
@@ -118,3 +118,13 @@
     CHECK(registry.on_heartbeat(kStart, heartbeat("d", 3, true, 9090)) == RegistryChange::kDraining);
     CHECK(registry.find_ready("d") == nullptr);
 }
+
+TEST_CASE("a service is served while a server of it takes requests") {
+    ServerRegistry registry;
+    CHECK_FALSE(registry.serves("orders"));
+    registry.on_heartbeat(kStart, heartbeat("a", 1));
+    CHECK(registry.serves("orders"));
+    CHECK_FALSE(registry.serves("stock"));
+    registry.on_heartbeat(kStart, heartbeat("a", 2, true));
+    CHECK_FALSE(registry.serves("orders"));
+}
