Soak: tenants with keys, one of which is taken away in the course of each round

Three promises more, from what servers saw: the tenant is the key's, the key is never shown, and a request that is sent more than the revocation time after its key was taken away doesn't run. Quotas aren't checked by the soak.

The checker's own tests bring each of the three about.

--- a/lab/platform_server.cpp
+++ b/lab/platform_server.cpp
@@ -152,7 +152,8 @@
     const bool declined = faults.declines || running_ >= options_.slots;
     if (observer_) {
         observer_({text_of(request, "Expected-Instance"), options_.service, id, request.target,
-                   !misdirected && !declined});
+                   !misdirected && !declined, text_of(request, "Tenant"),
+                   request.fields.find("Authorization").has_value()});
     }
     if (misdirected) {
         return answer(kMisdirected, "");
--- a/lab/platform_server.hpp
+++ b/lab/platform_server.hpp
@@ -28,7 +28,9 @@
     std::string service;
     std::string id;
     std::string target;
-    bool runs = false;  ///< Otherwise the server declined it and said so.
+    bool runs = false;       ///< Otherwise the server declined it and said so.
+    std::string tenant;      ///< The one that the server was told; empty if none was.
+    bool shows_key = false;  ///< The caller's key came along.
 };
 
 struct PlatformServerOptions {
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -187,6 +187,11 @@
     server.replace ("i-" + std::to_string (machine) + "-" + std::to_string (++replacements));
 }
 
+void FaultInjector::changeConfiguration()
+{
+    fleet.configure (options.configuration (++version));
+}
+
 void FaultInjector::strikeStore (FaultKind kind, TimePoint ends)
 {
     auto& store = fleet.store();
@@ -196,7 +201,7 @@
     else if (kind == FaultKind::leasesEnd)
         store.end_leases();
     else if (kind == FaultKind::configurationChanged)
-        fleet.configure (options.configuration (++version));
+        changeConfiguration();
 
     auto& flag = kind == FaultKind::storeLosesAnswers ? store.faults.loses_answers
                  : kind == FaultKind::storeSilent     ? store.faults.is_silent
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -20,7 +21,7 @@
 {
     Duration drainTimeout{}; /**< A replaced server serves on for twice that. */
     Duration aftermath{};    /**< A machine counts as struck for this long after its fault. */
-    std::string (*configuration) (unsigned version) = nullptr;
+    std::function<std::string (unsigned version)> configuration;
 };
 
 /** The links of one machine. */
@@ -45,6 +46,9 @@
     /** Starts the plan on fibers of its own. */
     void start (const std::vector<Fault>& plan);
 
+    /** The operator puts the next version. */
+    void changeConfiguration();
+
     /** Whether a fault of the machine lasts, or has ended just now. */
     bool isStruck (std::size_t machine) const;
 
@@ -62,7 +66,7 @@
     std::vector<MachineLinkSet> links;
     std::map<std::size_t, TimePoint> struckUntil;
     TimePoint loadStarted;
-    unsigned version = 1;
+    unsigned version = 1; /**< Of the configuration that was put last. */
     std::size_t replacements = 0;
 };
 
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -8,9 +8,10 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 10> promiseNames{
-    "runs-once",       "refused-never-runs", "answer-is-own",    "nothing-unasked", "right-service",
-    "bounded-servers", "drained-is-left",    "answered-in-time", "recovers",        "stays-alive"
+constexpr std::array<std::string_view, 13> promiseNames{
+    "runs-once",       "refused-never-runs", "answer-is-own",     "nothing-unasked", "right-service",
+    "bounded-servers", "drained-is-left",    "answered-in-time",  "recovers",        "stays-alive",
+    "tenant-is-set",   "key-is-hidden",      "revoked-is-refused"
 };
 
 constexpr unsigned statusOk = 200;
@@ -52,8 +53,14 @@
     if (leave != left.end() && arrival.at > leave->second + drainTimeout)
         report (Promise::drainedIsLeft, arrival.id.value + " at " + arrival.instance.value);
 
+    if (arrival.showsKey)
+        report (Promise::keyIsHidden, arrival.id.value + " at " + arrival.instance.value);
+
     if (isNestedCall (arrival.id))
+    {
+        checkTenant ({}, arrival);
         return;
+    }
 
     const auto it = requests.find (arrival.id);
 
@@ -77,10 +84,23 @@
     if (arrival.service != request.sent.service)
         report (Promise::rightService, arrival.id.value + " at " + arrival.service);
 
+    checkTenant (request.sent, arrival);
+
     if (++request.runs == 2 && ! request.sent.mayRepeat)
         report (Promise::runsOnce, arrival.id.value);
 }
 
+void PromiseChecker::checkTenant (const SentRequest& sent, const Arrival& arrival)
+{
+    if (arrival.tenant != sent.tenant)
+        report (Promise::tenantIsSet, arrival.id.value + " for \"" + arrival.tenant + "\"");
+
+    const bool isLate = keyTakenAway != TimePoint::max() && sent.at > keyTakenAway + revocation;
+
+    if (sent.usesRevokedKey && isLate)
+        report (Promise::revokedIsRefused, arrival.id.value + " at " + arrival.instance.value);
+}
+
 void PromiseChecker::checkSuccess (const Request& request, const ReceivedAnswer& answer)
 {
     const auto& sent = request.sent;
--- a/soak/promises.hpp
+++ b/soak/promises.hpp
@@ -30,7 +30,10 @@
     drainedIsLeft,    /**< It reached a server long after the leave was acknowledged. */
     answeredInTime,   /**< Still no answer long after its deadline, at a machine without a fault. */
     recovers,         /**< After the last fault the share of served requests stays low. */
-    staysAlive        /**< A process ended by itself. */
+    staysAlive,       /**< A process ended by itself. */
+    tenantIsSet,      /**< A server was told another tenant than its key's. */
+    keyIsHidden,      /**< A server was shown the caller's key. */
+    revokedIsRefused  /**< It ran although its key had been taken away long before it was sent. */
 };
 
 /** The promise's name in reports. */
@@ -49,7 +52,10 @@
     std::string service;
     std::string target;
     bool mayRepeat = false;
-    unsigned mostServers = 2; /**< Of its route. */
+    unsigned mostServers = 2;    /**< Of its route. */
+    std::string tenant{};        /**< That holds its key; empty without one. */
+    bool usesRevokedKey = false; /**< Its key is one that is taken away in the course of the round. */
+    TimePoint at{};
 };
 
 /** What its client got. */
@@ -71,21 +77,27 @@
     std::string target;
     bool runs = false;
     TimePoint at;
+    std::string tenant{}; /**< That the server was told. */
+    bool showsKey = false;
 };
 
 /** Collects what was seen and names each promise that it breaks. */
 class PromiseChecker
 {
 public:
-    /** `drainTimeout`: after an acknowledged leave, arrivals are allowed for this long. */
-    explicit PromiseChecker (Duration drainTimeoutToUse)
-        : drainTimeout (drainTimeoutToUse)
+    /** `drainTimeout`: after an acknowledged leave, arrivals are allowed for this long. `revocation`: after a
+        key was taken away, it may be served for this long. */
+    PromiseChecker (Duration drainTimeoutToUse, Duration revocationToUse)
+        : drainTimeout (drainTimeoutToUse),
+          revocation (revocationToUse)
     {
     }
 
     void onSent (const SentRequest&);
     void onAnswer (const ReceivedAnswer&);
     void onArrival (const Arrival&);
+    /** The store acknowledged that the key of `usesRevokedKey` was taken away. */
+    void onKeyTakenAway (TimePoint at) { keyTakenAway = at; }
     void onLeaveAcknowledged (const InstanceId&, TimePoint at);
     void report (Promise, std::string detail);
 
@@ -106,8 +118,11 @@
     };
 
     void checkSuccess (const Request&, const ReceivedAnswer&);
+    void checkTenant (const SentRequest&, const Arrival&);
 
     Duration drainTimeout;
+    Duration revocation;
+    TimePoint keyTakenAway = TimePoint::max();
     std::map<RequestId, Request> requests;
     std::map<InstanceId, TimePoint> left;
     std::vector<BrokenPromise> found;
--- a/soak/round.cpp
+++ b/soak/round.cpp
@@ -1,6 +1,7 @@
 #include "soak/round.hpp"
 
 #include <boost/fiber/operations.hpp>
+#include <nlohmann/json.hpp>
 
 #include "net/event_loop.hpp"
 #include "soak/fault_injector.hpp"
@@ -45,9 +46,39 @@
     return plans;
 }
 
-std::string configuration (unsigned version)
+/** The clients' keys, and the tenants that hold them. The last one is taken away in the course of a round. */
+struct ClientKey
 {
-    return testing::configuration_text (version, { "front", "back" }, { "pay" });
+    std::string key;
+    std::string tenant;
+};
+
+const std::vector<ClientKey>& clientKeys()
+{
+    static const std::vector<ClientKey> keys{ { "soak-key-1", "blue" },
+                                              { "soak-key-2", "green" },
+                                              { "soak-key-3", "green" } };
+    return keys;
+}
+
+/** All routes may be called without a key: the fleet's own probes and servers have none. */
+std::string configuration (unsigned version, bool holdsLastKey)
+{
+    auto document =
+        nlohmann::json::parse (testing::configuration_text (version, { "front", "back" }, { "pay" }));
+
+    for (auto& route : document["routes"])
+        route["allowAnonymous"] = true;
+
+    for (const auto& it : clientKeys())
+    {
+        auto& keys = document["tenants"][it.tenant]["apiKeys"];
+
+        if (holdsLastKey || it.key != clientKeys().back().key)
+            keys.push_back (it.key);
+    }
+
+    return document.dump();
 }
 
 //==============================================================================
@@ -57,8 +88,10 @@
     explicit Round (const RoundOptions& optionsToUse)
         : options (optionsToUse),
           fleet (options.basePort, machinePlans()),
-          checker (drainTimeout),
-          injector (fleet, checker, { drainTimeout, requestTime, configuration })
+          checker (drainTimeout, fleet.machine (0).key_revocation),
+          injector (fleet, checker, { drainTimeout, requestTime, [this] (unsigned version) {
+                                         return configuration (version, holdsLastKey);
+                                     } })
     {
     }
 
@@ -67,7 +100,7 @@
         RoundResult result;
         result.plan = drawPlan (options.seed, { fleet.size(), options.numFaults, options.faultsEnd });
         result.logFolder = fleet.folder();
-        result.started = injector.startLinks() && fleet.start (configuration (1));
+        result.started = injector.startLinks() && fleet.start (configuration (1, true));
 
         if (! result.started)
             return result;
@@ -75,7 +108,9 @@
         observeServers();
         startClients();
         injector.start (result.plan);
-        boost::this_fiber::sleep_for (options.faultsEnd + recoveryTime);
+        boost::this_fiber::sleep_for (options.faultsEnd / 2);
+        takeKeyAway();
+        boost::this_fiber::sleep_for (options.faultsEnd - options.faultsEnd / 2 + recoveryTime);
         checkProcesses();
         isWatched = true;
         boost::this_fiber::sleep_for (watchTime);
@@ -94,11 +129,18 @@
                 [this] (const lab::ServerArrival& it)
                 {
                     checker.onArrival ({ RequestId (it.id), InstanceId (it.instance), it.service, it.target,
-                                         it.runs, TimePoint::clock::now() });
+                                         it.runs, TimePoint::clock::now(), it.tenant, it.shows_key });
                 });
         }
     }
 
+    void takeKeyAway()
+    {
+        holdsLastKey = false;
+        injector.changeConfiguration();
+        checker.onKeyTakenAway (TimePoint::clock::now());
+    }
+
     //==============================================================================
     void startClients()
     {
@@ -122,19 +164,26 @@
             sent.service = service;
             sent.target = "/" + service + "/" + std::to_string (n);
             sent.mayRepeat = service != "pay";
-            sendOne (machine, sent);
+            const auto& key = clientKeys()[n % clientKeys().size()];
+            sent.tenant = key.tenant;
+            sent.usesRevokedKey = &key == &clientKeys().back();
+            sent.at = TimePoint::clock::now();
+            sendOne (machine, sent, key.key);
             boost::this_fiber::sleep_for (clientPause);
         }
     }
 
-    void sendOne (std::size_t machine, const SentRequest& sent)
+    void sendOne (std::size_t machine, const SentRequest& sent, const std::string& key)
     {
         checker.onSent (sent);
-        const bool counts = isWatched;
+        // A key that was taken away is refused for good, as it should be.
+        const bool counts = isWatched && ! sent.usesRevokedKey;
         const bool wasSound = ! injector.isStruck (machine);
         const auto started = TimePoint::clock::now();
-        const auto got = fleet.send (machine, { sent.mayRepeat ? "GET" : "POST", sent.service + ".example",
-                                                sent.target, sent.id.value, requestTime });
+        testing::ClientRequest request{ sent.mayRepeat ? "GET" : "POST", sent.service + ".example",
+                                        sent.target, sent.id.value, requestTime };
+        request.fields.add ("Authorization", "Bearer " + key);
+        const auto got = fleet.send (machine, request);
         const auto taken = TimePoint::clock::now() - started;
         checker.onAnswer ({ sent.id, got.status, std::string (got.fields.find ("Request-Id").value_or ("")),
                             std::string (got.fields.find ("Server-Signature").value_or ("")), got.body });
@@ -186,6 +235,7 @@
     SidecarFleet fleet;
     PromiseChecker checker;
     FaultInjector injector;
+    bool holdsLastKey = true;
     bool isWatched = false;
     bool isOver = false;
     std::size_t watchedSent = 0;
--- a/tests/unit/soak/promises_test.cpp
+++ b/tests/unit/soak/promises_test.cpp
@@ -16,7 +16,7 @@
 /** A checker that knows one request of each kind. */
 PromiseChecker checkerWithRequests()
 {
-    PromiseChecker checker (milliseconds (500));
+    PromiseChecker checker (milliseconds (500), seconds (3));
     checker.onSent ({ payment, "pay", "/pay/1", false, 2 });
     checker.onSent ({ lookup, "back", "/back/1", true, 2 });
     return checker;
@@ -159,3 +159,46 @@
     late.onArrival (arrivalOf (lookup, one));
     checkOnly (late, Promise::drainedIsLeft);
 }
+
+TEST_CASE ("a tenant that isn't the key's, and a key that is shown, are seen", "[soak]")
+{
+    PromiseChecker checker (milliseconds (500), seconds (3));
+    checker.onSent ({ lookup, "back", "/back/1", true, 2, "blue" });
+    auto arrival = arrivalOf (lookup, one);
+    arrival.tenant = "blue";
+    checker.onArrival (arrival);
+    CHECK (checker.broken().empty());
+    arrival.tenant = "green";
+    checker.onArrival (arrival);
+    checkOnly (checker, Promise::tenantIsSet);
+
+    auto shown = checkerWithRequests();
+    auto withKey = arrivalOf (lookup, one);
+    withKey.showsKey = true;
+    shown.onArrival (withKey);
+    checkOnly (shown, Promise::keyIsHidden);
+}
+
+TEST_CASE ("a call that a server makes belongs to no tenant", "[soak]")
+{
+    auto checker = checkerWithRequests();
+    auto call = arrivalOf (RequestId ("p:call-1"), one);
+    checker.onArrival (call);
+    CHECK (checker.broken().empty());
+    call.tenant = "blue";
+    checker.onArrival (call);
+    checkOnly (checker, Promise::tenantIsSet);
+}
+
+TEST_CASE ("a request with a key that was taken away long before it was sent is seen", "[soak]")
+{
+    const TimePoint taken (seconds (20));
+    PromiseChecker checker (milliseconds (500), seconds (3));
+    checker.onSent ({ lookup, "back", "/back/1", true, 2, "", true, taken + milliseconds (2'999) });
+    checker.onSent ({ payment, "pay", "/pay/1", false, 2, "", true, taken + milliseconds (3'001) });
+    checker.onKeyTakenAway (taken);
+    checker.onArrival (arrivalOf (lookup, one));
+    CHECK (checker.broken().empty());
+    checker.onArrival (arrivalOf (payment, one));
+    checkOnly (checker, Promise::revokedIsRefused);
+}
