A slow attempt that nothing can join waits, in place of looping

A profile of the soak's sidecars showed most of their time in a loop of choosing a server and waiting for a moment that was past: an attempt whose time to be joined has come while no other server is known, or with less than 20 ms left.

Change: once that moment is past it looks again every 50 ms, or waits for the deadline. The test fails before the change.

Before -> after, samples of six sidecars of a soak: 2,172 in 8 s -> 460 in 7 s.

The check of platform names passes over Authorization, which HTTP itself defines (RFC 9110), as it does over Retry-After: the older daemon reads it as well.

--- a/scripts/check-platform-names.sh
+++ b/scripts/check-platform-names.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.."
 
 mapfile -t names < <(grep -o '"[^"]*"' platform/names.hpp | tr -d '"' | grep '[A-Z/-]' |
-    grep -vxE 'Retry-After|Content-Encoding' | sort -u)
+    grep -vxE 'Retry-After|Content-Encoding|Authorization' | sort -u)
 [ "${#names[@]}" -gt 20 ] || { echo "platform names: only ${#names[@]} found, the check is broken"; exit 1; }
 
 found=0
--- a/src/retry/attempt_plan.cpp
+++ b/src/retry/attempt_plan.cpp
@@ -9,6 +9,8 @@
 constexpr unsigned kMostUnsent = 12;
 /// How often servers are looked for while none is known.
 constexpr milliseconds kServerPoll{10};
+/// How often a slow attempt looks for another server while there is none to join it.
+constexpr milliseconds kHedgePoll{50};
 /// A repeat isn't worth starting with less time left.
 constexpr milliseconds kLeastTimeToRepeat{20};
 
@@ -62,7 +64,13 @@
     }
     const bool may_hedge = terms_.may_hedge && terms_.may_repeat && !repeat_refused_ &&
                            reached_ + running_ < terms_.most_servers;
-    return may_hedge ? std::min(terms_.deadline, last_launch_ + terms_.hedge_after) : terms_.deadline;
+    if (!may_hedge) {
+        return terms_.deadline;
+    }
+    // Once the time has come and nothing was launched, there is no other server for now, or too little time
+    // is left. Waiting for a moment that is past would be a loop that takes the whole processor.
+    const auto hedge_at = last_launch_ + terms_.hedge_after;
+    return std::min<TimePoint>(terms_.deadline, now < hedge_at ? hedge_at : now + kHedgePoll);
 }
 
 RepeatReason AttemptPlan::repeat_reason() const {
--- a/tests/unit/retry/attempt_plan_test.cpp
+++ b/tests/unit/retry/attempt_plan_test.cpp
@@ -155,3 +155,20 @@
     hedged.on_given_up(false);
     CHECK(hedged.may_have_run());
 }
+
+TEST_CASE("a slow attempt that nothing can join doesn't wait for a moment that is past") {
+    AttemptTerms terms{true, 2, kDeadline, TimePoint::max(), milliseconds(300)};
+    terms.may_hedge = true;
+    AttemptPlan slow(terms);
+    slow.on_launched(kStart);
+    CHECK(slow.wait_until(kStart) == kStart + milliseconds(300));
+    const auto overdue = kStart + milliseconds(400);
+    // No other server is known.
+    REQUIRE(slow.next(overdue, false) == AttemptStep::kWait);
+    CHECK(slow.wait_until(overdue) > overdue);
+    CHECK(slow.wait_until(overdue) < kDeadline);
+    // One is, but too little time is left for it.
+    const auto late = kDeadline - milliseconds(10);
+    REQUIRE(slow.next(late, true) == AttemptStep::kWait);
+    CHECK(slow.wait_until(late) == kDeadline);
+}
