--- a/src/explain/failure_summary.cpp
+++ b/src/explain/failure_summary.cpp
@@ -16,7 +16,7 @@
     std::string_view name;
 };
 
-constexpr std::array<CauseName, 11> causeNames{ { { FailureCause::refusedEarly, "refused-early" },
+constexpr std::array<CauseName, 15> causeNames{ { { FailureCause::refusedEarly, "refused-early" },
                                                   { FailureCause::noRoom, "no-room" },
                                                   { FailureCause::noServer, "no-server" },
                                                   { FailureCause::unreachable, "unreachable" },
@@ -26,6 +26,10 @@
                                                   { FailureCause::timeUp, "time-up" },
                                                   { FailureCause::callerLeft, "caller-left" },
                                                   { FailureCause::noConfiguration, "no-configuration" },
+                                                  { FailureCause::unauthorized, "unauthorized" },
+                                                  { FailureCause::keyUnproven, "key-unproven" },
+                                                  { FailureCause::quotaExceeded, "quota-exceeded" },
+                                                  { FailureCause::quotaUnknown, "quota-unknown" },
                                                   { FailureCause::other, "other" } } };
 
 /** Whether the outcome is a server's status, and which. */
@@ -35,6 +39,19 @@
            std::all_of (outcome.begin(), outcome.end(), [] (char it) { return it >= '0' && it <= '9'; });
 }
 
+/** Causes that lie with the caller's key or its tenant's quota have the outcome's own name. */
+FailureCause tenancyCauseOf (const std::string& outcome)
+{
+    constexpr std::array causes{ FailureCause::unauthorized, FailureCause::keyUnproven,
+                                 FailureCause::quotaExceeded, FailureCause::quotaUnknown };
+
+    for (const auto it : causes)
+        if (outcome == nameOf (it))
+            return it;
+
+    return FailureCause::other;
+}
+
 FailureCause causeOf (const std::string& outcome, const std::string& attempts)
 {
     if (isStatus (outcome))
@@ -61,7 +78,10 @@
     if (outcome == "cancelled")
         return FailureCause::callerLeft;
 
-    return outcome == "no-table" ? FailureCause::noConfiguration : FailureCause::other;
+    if (outcome == "no-table")
+        return FailureCause::noConfiguration;
+
+    return tenancyCauseOf (outcome);
 }
 
 /** The text, filled up to `width` and followed by a space at least. */
--- a/src/explain/failure_summary.hpp
+++ b/src/explain/failure_summary.hpp
@@ -26,6 +26,10 @@
     timeUp,          /**< Its time ran out. */
     callerLeft,      /**< Its caller went away. */
     noConfiguration, /**< The daemon had none yet. */
+    unauthorized,    /**< No key, or one that no tenant holds. */
+    keyUnproven,     /**< The daemon couldn't tell whether the key was in force. */
+    quotaExceeded,   /**< The tenant had used up its quota. */
+    quotaUnknown,    /**< The daemon that counts the tenant's requests couldn't be asked. */
     other            /**< Named by the outcome in the log: bad input, for one. */
 };
 
--- a/tests/unit/explain/failure_summary_test.cpp
+++ b/tests/unit/explain/failure_summary_test.cpp
@@ -49,6 +49,10 @@
                                  { "deadline-exceeded", "", FailureCause::timeUp },
                                  { "cancelled", "", FailureCause::callerLeft },
                                  { "no-table", "", FailureCause::noConfiguration },
+                                 { "unauthorized", "", FailureCause::unauthorized },
+                                 { "key-unproven", "", FailureCause::keyUnproven },
+                                 { "quota-exceeded", "", FailureCause::quotaExceeded },
+                                 { "quota-unknown", "", FailureCause::quotaUnknown },
                                  { "bad-request", "", FailureCause::other } };
 
     for (const auto& row : rows)
