Proofs: settings that take the bound away during a read leave nothing empty to be read

Cause: read on the last look, not seen: the bound was taken from the settings again after the store's answer, and a reload may have removed it meanwhile. No test forces it; the process test of revocation passes (27 assertions). The rest of the tests were not run again.

--- a/src/sidecar/freshness_keeper.cpp
+++ b/src/sidecar/freshness_keeper.cpp
@@ -93,7 +93,9 @@
             const std::chrono::duration<double> jittered = pause * (0.5 + context_.random_unit());
             boost::this_fiber::sleep_for(std::chrono::duration_cast<Duration>(jittered));
         }
-        const bool is_proven = tenancy::isProven(state_, TimePoint::clock::now(), *longest_age());
+        // Changed settings may have taken the bound away during the read.
+        const auto bound = longest_age();
+        const bool is_proven = !bound || tenancy::isProven(state_, TimePoint::clock::now(), *bound);
         if (is_proven != was_proven_) {
             was_proven_ = is_proven;
             log_event(is_proven ? Event::kKeysProven : Event::kKeysUnproven,
