Sight: what a limit lets in by route, gates' limits as they move, and skipped lines told once a second

Change: root-limit-moved has let_in, gate-limit-moved is new (1606), skipped lines are told once a second (unit test: 5 to 10 tellings in 10 s, none forgotten). No decision changed.

--- a/src/logging/line_budget.hpp
+++ b/src/logging/line_budget.hpp
@@ -18,8 +18,13 @@
     double tokens = 400;
     TimePoint updated;
     std::uint64_t skipped = 0; /**< Lines that were not written since `takeSkipped`. */
+    TimePoint told;            /**< When skipped lines were last taken. */
 };
 
+/** Least time between two tellings of skipped lines. Told with each line that was written again, they were a
+   third to nine tenths of all lines of a busy process, and used up the room of the failures' lines. */
+inline constexpr seconds leastSkippedGap{ 1 };
+
 /** Takes one line's token; false, and one more skipped line, if there is none. */
 inline bool takeLine (LineBudget& budget, TimePoint now)
 {
@@ -37,9 +42,13 @@
     return true;
 }
 
-/** Number of lines skipped since the last call. */
-inline std::uint64_t takeSkipped (LineBudget& budget)
+/** Number of lines skipped since it last told of any; 0 if that is less than `leastSkippedGap` ago. */
+inline std::uint64_t takeSkipped (LineBudget& budget, TimePoint now)
 {
+    if (budget.skipped == 0 || now - budget.told < leastSkippedGap)
+        return 0;
+
+    budget.told = now;
     return std::exchange (budget.skipped, 0);
 }
 
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -110,6 +110,8 @@
         "A kept connection broke as soon as it was used again; others may rest less long from now on."},
     EventEntry{Event::kRoutineLinesSkipped, Level::kInfo, "routine-lines-skipped",
                "So many lines of ordinary successes were not written, for their rate; failures are."},
+    EventEntry{Event::kGateLimitMoved, Level::kInfo, "gate-limit-moved",
+               "The number of calls that a gate lets run at its server changed, by how long calls take there."},
     EventEntry{Event::kMechanismOff, Level::kWarn, "mechanism-off", "The lab switched a mechanism off."},
 };
 
@@ -202,12 +204,12 @@
     }
 
     /// Whether one more line of an ordinary success may be written; the first after skipped ones tells how
-    /// many.
+    /// many, at most once a second.
     bool takes_routine_line(TimePoint now) {
         if (!logging::takeLine(routine_lines_, now)) {
             return false;
         }
-        const auto skipped = logging::takeSkipped(routine_lines_);
+        const auto skipped = logging::takeSkipped(routine_lines_, now);
         if (skipped > 0) {
             const auto& entry = entry_for(Event::kRoutineLinesSkipped);
             write(static_cast<unsigned>(entry.event), entry.name, entry.level,
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -58,6 +58,7 @@
     kRootLimitMoved = 1603,
     kConnectionForgotten = 1604,
     kRoutineLinesSkipped = 1605,
+    kGateLimitMoved = 1606,
     kMechanismOff = 1901,
 };
 
--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -172,6 +172,22 @@
     return std::clamp ((service.level * whole - before) / same, 0.0, 1.0);
 }
 
+/** The shares of all rows that reach the service. */
+std::map<std::string, double> sharesLetIn (const RootLimitState& state, const ServiceState& service)
+{
+    std::map<std::string, double> shares;
+
+    for (const auto& name : service.rows)
+    {
+        const auto volume = state.rows.find (name);
+
+        if (volume != state.rows.end())
+            shares[name] = shareLetIn (state, service, { name, volume->second.priority });
+    }
+
+    return shares;
+}
+
 } // namespace
 
 void noteCallEnded (RootLimitState& state, const std::string& service, bool refused)
@@ -241,7 +257,8 @@
             continue;
 
         moves.push_back ({ name, before, service.level, static_cast<std::uint64_t> (fleet.ended),
-                           static_cast<std::uint64_t> (fleet.refused), fleet.daemons, use });
+                           static_cast<std::uint64_t> (fleet.refused), fleet.daemons, use,
+                           sharesLetIn (state, service) });
     }
 
     return moves;
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -115,6 +115,7 @@
     std::uint64_t refused = 0; /**< Of those, refused. */
     std::size_t daemons = 0;   /**< Whose reports were recent enough. */
     double use = 0;            /**< Of the service. */
+    std::map<std::string, double> letIn; /**< Share let in of each row that reaches the service. */
 };
 
 /** Ends a period, once between two reports of this daemon: moves the levels by the fleet's counts. */
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -216,10 +216,10 @@
             running_repeats_ -= call.repeat_percent;
         }
         mark_overload_below(started, answer);
-        finish(*server, id, started, answer, cancel != nullptr && cancel->cancelled());
+        finish(*server, id, call.instance, started, answer, cancel != nullptr && cancel->cancelled());
     }
-    fill_load(*server, answer.result);
     answer.result.instance = call.instance;
+    fill_load(*server, answer.result);
     if (--in_flight_ == 0) {
         context_.origins.on_server(TimePoint::clock::now(), false);
     }
@@ -352,10 +352,11 @@
     selection::noteResult(server.failures, now, !whole, kFailureSample);
 }
 
-void LocalGate::finish(Server& server, std::uint64_t id, TimePoint started, const GateAnswer& answer,
-                       bool cancelled) {
+void LocalGate::finish(Server& server, std::uint64_t id, const std::string& instance, TimePoint started,
+                       const GateAnswer& answer, bool cancelled) {
     const auto now = TimePoint::clock::now();
     observe(server, started, now, answer, cancelled);
+    const auto limit_before = server.gate.load().limit;
     for (const auto admitted : server.gate.finish(now, id, sample_of(answer), Duration::zero())) {
         const auto found = server.waiters.find(admitted);
         if (found != server.waiters.end()) {
@@ -364,6 +365,14 @@
         }
     }
     note_use(server, now);
+    const auto load = server.gate.load();
+    if (load.limit != limit_before) {
+        log_event(Event::kGateLimitMoved, {{"server", instance},
+                                           {"from", std::to_string(limit_before)},
+                                           {"to", std::to_string(load.limit)},
+                                           {"in_flight", std::to_string(load.in_flight)},
+                                           {"queued", std::to_string(load.queued)}});
+    }
 }
 
 double LocalGate::repeat_share() const {
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -92,8 +92,8 @@
     /// Takes in what the end of a request tells of the server.
     static void observe(Server& server, TimePoint started, TimePoint now, const GateAnswer& answer,
                         bool cancelled);
-    void finish(Server& server, std::uint64_t id, TimePoint started, const GateAnswer& answer,
-                bool cancelled);
+    void finish(Server& server, std::uint64_t id, const std::string& instance, TimePoint started,
+                const GateAnswer& answer, bool cancelled);
     /// A server that failed while calls of its machine were refused for overload has most likely failed for
     /// that: its own load says nothing, and the work done for the request is lost.
     void mark_overload_below(TimePoint started, GateAnswer& answer) const;
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
+#include <iomanip>
+#include <sstream>
 
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
@@ -29,6 +31,16 @@
 constexpr milliseconds kOnsetHearing{60};
 constexpr double kShareOfPercent = 0.01;
 
+/// "route/rank:share ..." with shares of two digits, for the log.
+std::string text_of(const std::map<std::string, double>& shares) {
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(2);
+    for (const auto& [row, share] : shares) {
+        text << (text.tellp() > 0 ? " " : "") << row << ":" << share;
+    }
+    return text.str();
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(SidecarContext& context, membership::PeerDirectory& directory, LocalGate& gate,
@@ -146,7 +158,8 @@
                                            {"ended", std::to_string(move.ended)},
                                            {"refused", std::to_string(move.refused)},
                                            {"daemons", std::to_string(move.daemons)},
-                                           {"use", std::to_string(move.use)}});
+                                           {"use", std::to_string(move.use)},
+                                           {"let_in", text_of(move.letIn)}});
     }
 }
 
--- a/tests/unit/logging/line_budget_test.cpp
+++ b/tests/unit/logging/line_budget_test.cpp
@@ -19,8 +19,36 @@
 
     CHECK (written >= 2'300);
     CHECK (written <= 2'401);
-    CHECK (takeSkipped (budget) == static_cast<std::uint64_t> (10'000 - written));
-    CHECK (takeSkipped (budget) == 0);
+    CHECK (takeSkipped (budget, now) == static_cast<std::uint64_t> (10'000 - written));
+    CHECK (takeSkipped (budget, now) == 0);
+}
+
+TEST_CASE ("skipped lines are told once a second, and none is forgotten", "[logging]")
+{
+    TimePoint now (seconds (10));
+    LineBudget budget;
+    int written = 0;
+    int tellings = 0;
+    std::uint64_t told = 0;
+
+    for (int n = 0; n < 10'000; ++n)
+    {
+        now += milliseconds (1);
+
+        if (! takeLine (budget, now))
+            continue;
+
+        ++written;
+        const auto skipped = takeSkipped (budget, now);
+        told += skipped;
+        tellings += skipped > 0 ? 1 : 0;
+    }
+
+    now += leastSkippedGap;
+    told += takeSkipped (budget, now);
+    CHECK (tellings >= 5);
+    CHECK (tellings <= 10);
+    CHECK (told == static_cast<std::uint64_t> (10'000 - written));
 }
 
 TEST_CASE ("a quiet process writes every line", "[logging]")
