--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -110,8 +110,9 @@
         "A kept connection broke as soon as it was used again; others may rest less long from now on."},
     EventEntry{Event::kRoutineLinesSkipped, Level::kInfo, "routine-lines-skipped",
                "So many lines of ordinary successes were not written, for their rate; failures are."},
-    EventEntry{Event::kGateLimitMoved, Level::kInfo, "gate-limit-moved",
-               "The number of calls that a gate lets run at its server changed, by how long calls take there."},
+    EventEntry{
+        Event::kGateLimitMoved, Level::kInfo, "gate-limit-moved",
+        "The number of calls that a gate lets run at its server changed, by how long calls take there."},
     EventEntry{Event::kMechanismOff, Level::kWarn, "mechanism-off", "The lab switched a mechanism off."},
 };
 
--- /dev/null
+++ b/tests/incidents/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
