Room at a service that can't take all goes by work, and no rank takes all of it

Cause: the share of early refusals went by rank alone and counted requests. Change: overload/room_share: by rank, but a rank that can't be whole leaves 8 to 25 % of the room to those below, more the more it lacks; within a rank equal amounts at most; all in work. overload/work_estimate: what a row's requests bring to a service, from the calls made while they run (shared by what runs when a call comes) and from times of slots; told in records along the chain while a service lacks room.

--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr unsigned kMostPercent = 100;
+/// What a text field may not hold.
+constexpr std::string_view kReserved = ";\r\n";
 
 constexpr std::array<std::string_view, 4> kOutcomeNames{"answered", "not-sent", "refused-by-server",
                                                         "unknown"};
@@ -74,6 +76,8 @@
     append(text, "longest_wait_ms", static_cast<std::uint64_t>(request.longest_wait.count()));
     append(text, "once", request.at_most_once ? 1 : 0);
     append(text, "repeat_percent", request.repeat_percent);
+    const bool is_plain = request.row.find_first_of(kReserved) == std::string::npos;
+    append(text, "row", std::string_view(is_plain ? request.row : std::string()));
     return text;
 }
 
@@ -98,11 +102,12 @@
     std::uint32_t remaining_ms = 0;
     std::uint32_t longest_wait_ms = 0;
     unsigned once = 0;
-    const bool whole =
-        read(fields, "instance", request.instance) && read(fields, "caller", request.caller) &&
-        read(fields, "priority", request.priority) && read(fields, "remaining_ms", remaining_ms) &&
-        read(fields, "longest_wait_ms", longest_wait_ms) && read(fields, "once", once) &&
-        read(fields, "repeat_percent", request.repeat_percent) && request.repeat_percent <= kMostPercent;
+    const bool whole = read(fields, "instance", request.instance) && read(fields, "caller", request.caller) &&
+                       read(fields, "row", request.row) && read(fields, "priority", request.priority) &&
+                       read(fields, "remaining_ms", remaining_ms) &&
+                       read(fields, "longest_wait_ms", longest_wait_ms) && read(fields, "once", once) &&
+                       read(fields, "repeat_percent", request.repeat_percent) &&
+                       request.repeat_percent <= kMostPercent;
     if (!whole) {
         return std::nullopt;
     }
--- a/src/hop/hop_header.hpp
+++ b/src/hop/hop_header.hpp
@@ -25,6 +25,7 @@
     milliseconds longest_wait{0};  ///< Longest time it may wait at the gate.
     bool at_most_once = false;     ///< It must not run twice.
     unsigned repeat_percent = 0;   ///< How likely it is a repeat, or made by a run that is one; 0 to 100.
+    std::string row;  ///< The route and the request's rank; empty if it can't be written in a header line.
 };
 
 /// What became of the request at the gate.
--- /dev/null
+++ b/src/overload/room_share.cpp
@@ -0,0 +1,92 @@
+#include "overload/room_share.hpp"
+
+#include <algorithm>
+#include <cstddef>
+#include <map>
+
+namespace anisehold::overload
+{
+namespace
+{
+
+/** Part of the room that is kept for the ranks below one that can't be served whole: it grows with what that
+   rank lacks, so that a small shortage hardly moves anything, from a least part to a most. In a model of a
+   chain with a third of its room left (three rows of 8, 4 and 1 calls, 20 seeds) 0.24 of all requests were
+   served, and two rows not at all, when nothing was kept. */
+constexpr double keptPerLack = 1.0;
+constexpr double leastKept = 0.08;
+constexpr double mostKept = 0.25;
+
+/** Indices of one rank's demands, the least first. */
+using Rank = std::vector<std::size_t>;
+
+std::map<unsigned, Rank> ranksOf (const std::vector<RowDemand>& demands)
+{
+    std::map<unsigned, Rank> ranks;
+
+    for (std::size_t n = 0; n < demands.size(); ++n)
+        ranks[demands[n].priority].push_back (n);
+
+    for (auto& [priority, rank] : ranks)
+        std::sort (rank.begin(), rank.end(),
+                   [&] (auto left, auto right) { return demands[left].work < demands[right].work; });
+
+    return ranks;
+}
+
+double wholeOf (const std::vector<RowDemand>& demands, const Rank& rank)
+{
+    double whole = 0;
+
+    for (const auto n : rank)
+        whole += demands[n].work;
+
+    return whole;
+}
+
+/** What a rank with this demand leaves of the room to the ranks below, which ask for so much. */
+double keptForLower (double room, double demand, double lowerDemand)
+{
+    const double lack = demand > 0 ? std::max (0.0, 1 - room / demand) : 0;
+    return std::min (lowerDemand, room * std::clamp (keptPerLack * lack, leastKept, mostKept));
+}
+
+/** Equal amounts to all; what one doesn't need goes to the others. */
+void shareEqually (const std::vector<RowDemand>& demands, const Rank& rank, double room,
+                   std::vector<double>& shares)
+{
+    auto rowsLeft = rank.size();
+
+    for (const auto n : rank)
+    {
+        const double given = std::min (demands[n].work, room / static_cast<double> (rowsLeft));
+        shares[n] = demands[n].work > 0 ? given / demands[n].work : 1;
+        room -= given;
+        --rowsLeft;
+    }
+}
+
+} // namespace
+
+std::vector<double> shareRoom (const std::vector<RowDemand>& demands, double room)
+{
+    std::vector<double> shares (demands.size(), 1.0);
+    const auto ranks = ranksOf (demands);
+    double lower = 0;
+
+    for (const auto& [priority, rank] : ranks)
+        lower += wholeOf (demands, rank);
+
+    for (const auto& [priority, rank] : ranks)
+    {
+        const double demand = wholeOf (demands, rank);
+        lower = std::max (0.0, lower - demand);
+        const double given = std::min (demand, room - keptForLower (room, demand, lower));
+        shareEqually (demands, rank, given, shares);
+        room -= given;
+    }
+
+    return shares;
+}
+
+} // namespace anisehold::overload
--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "overload/room_share.hpp"
+
 namespace anisehold::overload
 {
 namespace
@@ -40,6 +42,8 @@
    in a fleet (F22); where calls are refused, each fails a whole request. */
 constexpr double leastFailuresBelow = 2.5;
 constexpr double leastPartFailedBelow = 0.1;
+/** Weight of a report in the mean work of a row. */
+constexpr double workSample = 0.25;
 /** A row's volume counts half after this time. */
 constexpr double volumeHalfLifeS = 3.0;
 
@@ -115,7 +119,10 @@
     service.cleanPeriods = isClean ? service.cleanPeriods + 1 : 0;
 
     if (service.cleanPeriods >= forgetAfterPeriods)
+    {
         service.rows.clear();
+        service.works.clear();
+    }
 
     // Only refusals bring a limit about; a few calls of a small fleet are no verdict.
     if (service.level >= 1 && (isClean || ! isEnough))
@@ -143,49 +150,67 @@
     return faded (row.offered, now - row.updated);
 }
 
-/** Share of a row's requests that one service's level lets in: the more important rows come first. */
-double shareLetIn (const RootLimitState& state, const ServiceState& service, const RootRow& row)
+/** Work of the service's rows for which none was measured: the mean of the others. */
+double usualWork (const ServiceState& service)
+{
+    double sum = 0;
+
+    for (const auto& [row, ms] : service.works)
+        sum += ms;
+
+    return sum > 0 ? sum / static_cast<double> (service.works.size()) : 1.0;
+}
+
+/** What is offered of the rows that reach the service, in work. */
+std::vector<RowDemand> demandsOf (const RootLimitState& state, const ServiceState& service)
 {
     TimePoint latest{};
 
     for (const auto& [name, it] : state.rows)
         latest = std::max (latest, it.updated);
 
-    double whole = 0;
-    double before = 0;
-    double same = 0;
+    std::vector<RowDemand> demands;
 
     for (const auto& [name, it] : state.rows)
     {
         if (! service.rows.contains (name))
             continue;
 
-        const double volume = fadedVolume (it, latest);
-        whole += volume;
-        before += it.priority < row.priority ? volume : 0;
-        same += it.priority == row.priority ? volume : 0;
+        const auto known = service.works.find (name);
+        const double work = known == service.works.end() ? usualWork (service) : known->second;
+        demands.push_back ({ name, it.priority, fadedVolume (it, latest) * work });
     }
 
-    if (same <= 0)
-        return 1;
-
-    return std::clamp ((service.level * whole - before) / same, 0.0, 1.0);
+    return demands;
 }
 
-/** The shares of all rows that reach the service. */
+/** The shares of all rows that reach the service and were offered, by its level. */
 std::map<std::string, double> sharesLetIn (const RootLimitState& state, const ServiceState& service)
 {
-    std::map<std::string, double> shares;
+    const auto demands = demandsOf (state, service);
+    double whole = 0;
+
+    for (const auto& it : demands)
+        whole += it.work;
+
+    const auto shares = shareRoom (demands, service.level * whole);
+    std::map<std::string, double> byRow;
+
+    for (std::size_t n = 0; n < demands.size(); ++n)
+        byRow[std::string (demands[n].row)] = shares[n];
 
-    for (const auto& name : service.rows)
+    return byRow;
+}
+
+void takeWorks (ServiceState& service, const std::vector<RowWork>& told)
+{
+    for (const auto& it : told)
     {
-        const auto volume = state.rows.find (name);
+        const auto [known, isNew] = service.works.try_emplace (it.row, it.ms);
 
-        if (volume != state.rows.end())
-            shares[name] = shareLetIn (state, service, { name, volume->second.priority });
+        if (! isNew)
+            known->second += workSample * (it.ms - known->second);
     }
-
-    return shares;
 }
 
 } // namespace
@@ -216,6 +241,24 @@
         noteReach (state, row, service);
 }
 
+void setOwnWorks (RootLimitState& state, const std::string& service, std::vector<RowWork> works)
+{
+    auto& it = state.services[service];
+    takeWorks (it, works);
+    it.ownWorks = std::move (works);
+}
+
+double knownWork (const RootLimitState& state, const std::string& service, const std::string& row)
+{
+    const auto found = state.services.find (service);
+
+    if (found == state.services.end())
+        return 0;
+
+    const auto work = found->second.works.find (row);
+    return work == found->second.works.end() ? 0 : work->second;
+}
+
 void noteOffered (RootLimitState& state, TimePoint now, const RootRow& row)
 {
     auto& volume = state.rows[row.name];
@@ -232,6 +275,7 @@
         auto& service = state.services[it.service];
         service.rows.insert (it.rows.begin(), it.rows.end());
         service.isRefusing = service.isRefusing || it.recentRefused > 0;
+        takeWorks (service, it.works);
         takeReport (service, now, peer, it);
     }
 }
@@ -281,6 +325,7 @@
 
         reports.push_back (ownCounts (state, name, service));
         reports.back().rows.assign (service.rows.begin(), service.rows.end());
+        reports.back().works = service.ownWorks;
     }
 
     return reports;
@@ -295,7 +340,9 @@
         if (service.level >= 1 || ! service.rows.contains (row.name))
             continue;
 
-        letIn = std::min (letIn, shareLetIn (state, service, row));
+        const auto shares = sharesLetIn (state, service);
+        const auto share = shares.find (row.name);
+        letIn = std::min (letIn, share == shares.end() ? 1.0 : share->second);
     }
 
     return 1 - letIn;
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -4,7 +4,7 @@
    it lets in at the edge. Each daemon counts how its calls to each service end, and tells its peers; all sum
    the counts of the last period, so that the verdict rests on the whole fleet's calls and not on a few of one
     daemon. While calls are refused, the share of the volume that is let in falls by what is refused; without
-    refusals it rises, slowly at first. The least important routes give way first.
+    refusals it rises, slowly at first. Who gets the room that is left is decided by `shareRoom`.
 
     Plain state and free functions over it. Pure.
 */
@@ -64,6 +64,8 @@
     std::set<std::string> rows; /**< Routes whose requests reach it. */
     std::map<std::string, ReachEvidence> evidence; /**< By route, of those that may. */
     std::map<std::string, ReportedCounts> reports; /**< By daemon, this one included. */
+    std::vector<RowWork> ownWorks;       /**< Told to peers: of rows that run at this daemon's server. */
+    std::map<std::string, double> works; /**< By row: mean of what all daemons tell, in ms. */
 };
 
 /** Requests offered of one route; older ones count less. */
@@ -95,6 +97,12 @@
    to a good part of its requests. */
 void noteFailedBelow (RootLimitState&, TimePoint now, const std::string& row, const std::string& service);
 
+/** What the requests of the rows that run at this daemon's server bring to `service`, as measured here. */
+void setOwnWorks (RootLimitState&, const std::string& service, std::vector<RowWork>);
+
+/** Work that one request of `row` brings to `service`, in ms; 0 if it isn't known. */
+double knownWork (const RootLimitState&, const std::string& service, const std::string& row);
+
 /** A client's request came, whether or not it is let in. */
 void noteOffered (RootLimitState&, TimePoint now, const RootRow&);
 
@@ -111,10 +119,10 @@
     std::string service;
     double from = 1;
     double to = 1;
-    std::uint64_t ended = 0;   /**< Calls of the whole fleet in the period. */
-    std::uint64_t refused = 0; /**< Of those, refused. */
-    std::size_t daemons = 0;   /**< Whose reports were recent enough. */
-    double use = 0;            /**< Of the service. */
+    std::uint64_t ended = 0;             /**< Calls of the whole fleet in the period. */
+    std::uint64_t refused = 0;           /**< Of those, refused. */
+    std::size_t daemons = 0;             /**< Whose reports were recent enough. */
+    double use = 0;                      /**< Of the service. */
     std::map<std::string, double> letIn; /**< Share let in of each row that reaches the service. */
 };
 
--- a/src/overload/service_pressure.hpp
+++ b/src/overload/service_pressure.hpp
@@ -10,6 +10,19 @@
 namespace anisehold::overload
 {
 
+/** Work that one request of a row brings to a service, with all calls made for it. */
+struct RowWork
+{
+    std::string row;
+    double ms = 0; /**< Time of the service's slots. */
+
+    template <typename Archive>
+    void serialize (Archive& archive, unsigned)
+    {
+        serialize_all (archive, row, ms);
+    }
+};
+
 /** One daemon's count of calls to one service, and what it makes of them. Sent in its record to peers. */
 struct ServicePressure
 {
@@ -23,11 +36,12 @@
        compare with. */
     std::uint32_t recentEnded = 0;
     std::uint32_t recentRefused = 0; /**< The same of `refused`. */
+    std::vector<RowWork> works{};    /**< Of rows that the sender's server runs, as it measures them. */
 
     template <typename Archive>
     void serialize (Archive& archive, unsigned)
     {
-        serialize_all (archive, service, ended, refused, recentEnded, recentRefused, level, rows);
+        serialize_all (archive, service, ended, refused, recentEnded, recentRefused, level, rows, works);
     }
 };
 
--- /dev/null
+++ b/src/overload/work_estimate.cpp
@@ -0,0 +1,126 @@
+#include "overload/work_estimate.hpp"
+
+#include <cmath>
+
+namespace anisehold::overload
+{
+namespace
+{
+
+/** Time after which an observation counts half: far longer than a request, since under overload the chains
+   that break off at their first call make few. */
+constexpr double halfLifeS = 10;
+/** Requests of a row that must have ended before anything is said of it. */
+constexpr double leastEnded = 5;
+/** What is taken to have been seen of each pair of rows before: as many calls in as many seconds of slots. It
+   lets a row begin, and is soon outweighed. */
+constexpr double priorCalls = 0.5;
+constexpr double priorSlotS = 0.5;
+/** A row that was seen less than this is forgotten. */
+constexpr double forgottenBelow = 0.01;
+
+/** Lets the time up to `now` pass. */
+void advance (WorkEstimate& work, TimePoint now)
+{
+    const double passedS = std::chrono::duration<double> (now - work.updated).count();
+    const double kept = std::exp2 (-passedS / halfLifeS);
+    const bool isFirst = work.updated == TimePoint{};
+    work.updated = now;
+
+    if (isFirst || passedS <= 0)
+        return;
+
+    for (auto& [name, it] : work.rows)
+    {
+        it.slotS = it.slotS * kept + it.inFlight * passedS;
+        it.ended *= kept;
+
+        for (auto& [called, count] : it.calls)
+            count *= kept;
+    }
+
+    std::erase_if (work.rows, [] (const auto& it)
+                   { return it.second.inFlight == 0 && it.second.ended < forgottenBelow; });
+}
+
+/** Calls of row `called` in a second of the row's slots. */
+double callRate (const RowRuns& row, const std::string& called)
+{
+    const auto found = row.calls.find (called);
+    const double count = found == row.calls.end() ? 0 : found->second;
+    return (count + priorCalls) / (row.slotS + priorSlotS);
+}
+
+} // namespace
+
+void noteRunBegan (WorkEstimate& work, TimePoint now, const std::string& row)
+{
+    advance (work, now);
+    ++work.rows[row].inFlight;
+}
+
+void noteRunEnded (WorkEstimate& work, TimePoint now, const std::string& row)
+{
+    advance (work, now);
+    auto& it = work.rows[row];
+    it.inFlight -= it.inFlight > 0 ? 1 : 0;
+    it.ended += 1;
+}
+
+void noteCallMade (WorkEstimate& work, TimePoint now, const std::string& called)
+{
+    advance (work, now);
+    double whole = 0;
+
+    for (const auto& [name, it] : work.rows)
+        whole += it.inFlight * callRate (it, called);
+
+    if (whole <= 0)
+        return;
+
+    for (auto& [name, it] : work.rows)
+    {
+        if (it.inFlight > 0)
+            it.calls[called] += it.inFlight * callRate (it, called) / whole;
+    }
+}
+
+double callsPerRun (const WorkEstimate& work, const std::string& row, const std::string& called)
+{
+    const auto found = work.rows.find (row);
+
+    if (found == work.rows.end() || found->second.ended < leastEnded)
+        return 0;
+
+    const auto count = found->second.calls.find (called);
+    return count == found->second.calls.end() ? 0 : count->second / found->second.ended;
+}
+
+double slotMsPerRun (const WorkEstimate& work, const std::string& row)
+{
+    constexpr double msPerS = 1'000;
+    const auto found = work.rows.find (row);
+    const bool isKnown = found != work.rows.end() && found->second.ended >= leastEnded;
+    return isKnown ? msPerS * found->second.slotS / found->second.ended : 0;
+}
+
+std::vector<RowWork> worksAt (const WorkEstimate& work, const RootLimitState& limit,
+                              const std::string& ownService, const std::string& service)
+{
+    std::vector<RowWork> works;
+
+    for (const auto& [row, it] : work.rows)
+    {
+        double ms = service == ownService ? slotMsPerRun (work, row) : 0;
+
+        for (const auto& [called, count] : it.calls)
+            ms += callsPerRun (work, row, called) * knownWork (limit, service, called);
+
+        if (ms > 0 && works.size() < mostWorks)
+            works.push_back ({ row, ms });
+    }
+
+    return works;
+}
+
+} // namespace anisehold::overload
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -269,6 +269,9 @@
 net::HttpResponse CallIngress::run(Call& call, net::HttpRequest& request, net::CancelSignal& cancel) {
     const bool is_root = context_.origins.is_called_by_clients(call.route);
     call.inherited_repeat = is_root ? 0 : gate_.repeat_share();
+    if (!is_root) {
+        overload::noteCallMade(context_.work, call.received, call.row);
+    }
     budget_.on_request(call.received, call.service, call.inherited_repeat);
     Flight flight(terms_of(call, request, call.received));
     flight.streamed = !request.body.whole();
@@ -396,6 +399,7 @@
     hop_call.longest_wait = std::max(kLeastWait, milliseconds(to_milliseconds(wait_ends - attempt->started)));
     hop_call.repeat_percent = static_cast<unsigned>(std::lround(repeat * kPercent));
     hop_call.at_most_once = !may_repeat(call.terms.repeat);
+    hop_call.row = call.row;
     net::EventLoop::spawn([this, board, attempt, hop_call, streamed = flight.streamed,
                            slow_after = flight.slow_after] {
         auto request = streamed ? std::move(board->request) : copy_of(board->request);
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -211,9 +211,11 @@
         } else {
             ++running_;
             running_repeats_ += call.repeat_percent;
+            overload::noteRunBegan(context_.work, started, call.row);
             answer = exchange(*server, request, call, deadline, cancel, progress);
             --running_;
             running_repeats_ -= call.repeat_percent;
+            overload::noteRunEnded(context_.work, TimePoint::clock::now(), call.row);
         }
         mark_overload_below(started, answer);
         finish(*server, id, call.instance, started, answer, cancel != nullptr && cancel->cancelled());
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -76,11 +76,20 @@
     record.configuration_version = configuration_.version();
     record.watches_store = context_.watches_store;
     record.client_routes = context_.origins.own_verdicts();
+    measure_works();
     record.pressures = overload::ownReport(context_.root_limit);
     record.servers = gate_.records(TimePoint::clock::now());
     return record;
 }
 
+void PeerExchange::measure_works() {
+    auto& limit = context_.root_limit;
+    for (const auto& [service, state] : limit.services) {
+        overload::setOwnWorks(limit, service,
+                              overload::worksAt(context_.work, limit, context_.settings.service, service));
+    }
+}
+
 void PeerExchange::announce() {
     announced_ = TimePoint::clock::now();
     send_record_to(directory_.addresses());
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -11,6 +11,7 @@
 #include "net/fiber_signal.hpp"
 #include "observability/metrics.hpp"
 #include "overload/root_limit.hpp"
+#include "overload/work_estimate.hpp"
 #include "protocol/time_types.hpp"
 #include "sidecar/wire_dialect.hpp"
 
@@ -49,6 +50,7 @@
     OverloadSign last_overload;
     admission::OriginEstimator origins;
     overload::RootLimitState root_limit;
+    overload::WorkEstimate work;     ///< Of the requests at this machine's server.
     net::FiberSignal pressure_rose;  ///< Calls were refused after a calm time: reports shouldn't wait.
     bool stopping = false;           ///< A planned stop has begun; callers are asked to turn away.
     bool leaving = false;            ///< Peers are told to send nothing more.
--- a/tests/incidents/chain_model.cpp
+++ b/tests/incidents/chain_model.cpp
@@ -188,6 +188,7 @@
     const double scatter = 0.5 + draw();
     const double workMs =
         call->chain->terms->workMs * scatter * it.terms.slowness * (isBeyondKnee ? it.terms.kneeFactor : 1);
+    call->began = now;
     at (now + fromMs (workMs), [this, server, call] { endWork (server, call); });
 }
 
@@ -198,6 +199,7 @@
         it.gate.finish (now, call->id, admission::SampleOutcome::kCompleted, Duration::zero());
     overload::noteValue (it.use, now, it.gate.load().in_flight);
     ++completed;
+    call->chain->heldMs += std::chrono::duration<double, std::milli> (now - call->began).count();
 
     for (const auto id : admitted)
         startWork (server, waiting.extract (id).mapped());
@@ -214,6 +216,7 @@
     if (refused)
     {
         ++chain->tally->failed;
+        noteWork (*chain);
 
         if (terms.isDirect)
             overload::noteReach (daemons[chain->daemon], terms.row.name, endService);
@@ -224,11 +227,21 @@
     }
 
     if (--chain->callsLeft == 0)
+    {
         ++chain->tally->served;
+        noteWork (*chain);
+    }
     else
         at (now + fromMs (terms.betweenMs), [this, chain] { beginCall (chain); });
 }
 
+void ChainModel::noteWork (const Chain& chain)
+{
+    constexpr double sample = 0.05;
+    const auto [mean, isNew] = works.try_emplace (chain.terms->row.name, chain.heldMs);
+    mean->second += sample * (chain.heldMs - mean->second);
+}
+
 void ChainModel::report (std::size_t daemon)
 {
     double taken = 0;
@@ -241,6 +254,12 @@
     }
 
     auto& own = daemons[daemon];
+    std::vector<overload::RowWork> ownWorks;
+
+    for (const auto& [row, ms] : works)
+        ownWorks.push_back ({ row, ms });
+
+    overload::setOwnWorks (own, endService, ownWorks);
     overload::endPeriod (own, now, { { endService, taken / places } });
     const auto reports = overload::ownReport (own);
 
--- a/tests/incidents/chain_model.hpp
+++ b/tests/incidents/chain_model.hpp
@@ -84,6 +84,7 @@
         const RowTerms* terms = nullptr;
         std::size_t daemon = 0; /**< That took the request. */
         int callsLeft = 0;
+        double heldMs = 0; /**< Time of slots that its calls took. */
         std::shared_ptr<RowTally> tally;
     };
 
@@ -95,7 +96,7 @@
         std::uint64_t id = 0;
         std::vector<bool> tried;
         TimePoint waitEnds;
-        bool isRunning = false;
+        TimePoint began; /**< Its work. */
     };
 
     struct Event
@@ -117,6 +118,7 @@
     void startWork (std::size_t server, const std::shared_ptr<Call>&);
     void endWork (std::size_t server, const std::shared_ptr<Call>&);
     void endCall (const std::shared_ptr<Call>&, bool refused);
+    void noteWork (const Chain&);
     void report (std::size_t daemon);
     double draw() { return std::uniform_real_distribution<double> (0, 1) (random); }
     std::size_t anyDaemon() { return random() % daemons.size(); }
@@ -126,6 +128,7 @@
     std::vector<overload::RootLimitState> daemons;
     std::map<std::string, std::shared_ptr<RowTally>> tallies;
     std::map<std::uint64_t, std::shared_ptr<Call>> waiting; /**< By id. */
+    std::map<std::string, double> works; /**< Mean of what the requests of a row took, in ms of slots. */
     std::priority_queue<Event> events;
     std::mt19937 random;
     TimePoint now{ seconds (1'000) };
--- a/tests/integration/sidecar_test.cpp
+++ b/tests/integration/sidecar_test.cpp
@@ -402,10 +402,10 @@
     REQUIRE(fleet.start(chain_configuration(1)));
     const auto& calls = fleet.machine(2).calls;
     const Endpoint hops{calls.ip, static_cast<std::uint16_t>(calls.port + 1)};
-    const std::string hop =
-        "Anisehold-Hop: " +
-        hop::encode(hop::HopRequest{"i-2", "front", 1, milliseconds(5'000), milliseconds(1'000), false}) +
-        "\r\n";
+    const std::string hop = "Anisehold-Hop: " +
+                            hop::encode(hop::HopRequest{"i-2", "front", 1, milliseconds(5'000),
+                                                        milliseconds(1'000), false, 0, "back/1"}) +
+                            "\r\n";
     const auto request = [](const std::string& id, const std::string& more) {
         return "GET /back/ HTTP/1.1\r\nHost: back.example\r\nRequest-Id: " + id +
                "\r\nDeadline-Milliseconds: 5000\r\n" + more + "\r\n";
--- a/tests/unit/hop/hop_header_test.cpp
+++ b/tests/unit/hop/hop_header_test.cpp
@@ -6,7 +6,7 @@
 using namespace anisehold::hop;
 
 TEST_CASE("a hop request survives its encoding") {
-    const HopRequest sent{"i-1", "orders", 2, milliseconds(1'250), milliseconds(250), true, 35};
+    const HopRequest sent{"i-1", "orders", 2, milliseconds(1'250), milliseconds(250), true, 35, "route/2"};
     const auto received = decode_hop_request(encode(sent));
     REQUIRE(received);
     CHECK(received->instance == "i-1");
@@ -16,6 +16,18 @@
     CHECK(received->longest_wait == milliseconds(250));
     CHECK(received->at_most_once);
     CHECK(received->repeat_percent == 35);
+    CHECK(received->row == "route/2");
+}
+
+TEST_CASE("a row that would break its header line is left out") {
+    HopRequest sent;
+    for (const auto* row : {"a;once=1", "a\r\nX: y"}) {
+        sent.row = row;
+        const auto received = decode_hop_request(encode(sent));
+        REQUIRE(received);
+        CHECK(received->row.empty());
+        CHECK_FALSE(received->at_most_once);
+    }
 }
 
 TEST_CASE("every outcome survives its encoding") {
--- /dev/null
+++ b/tests/unit/overload/room_share_test.cpp
@@ -0,0 +1,68 @@
+#include "overload/room_share.hpp"
+
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace anisehold::overload;
+
+TEST_CASE ("with room for all, all is let in", "[overload]")
+{
+    const auto shares = shareRoom ({ { "a", 0, 10 }, { "b", 2, 20 }, { "c", 2, 0 } }, 30);
+    CHECK (shares == std::vector<double>{ 1, 1, 1 });
+}
+
+TEST_CASE ("a rank that fits is served whole before the next, but for a least part", "[overload]")
+{
+    const auto shares = shareRoom ({ { "vital", 0, 50 }, { "plain", 2, 50 } }, 60);
+    CHECK (shares[0] == 1);
+    CHECK (shares[1] == Approx (0.2));
+    const auto tight = shareRoom ({ { "vital", 0, 50 }, { "plain", 2, 50 } }, 50);
+    CHECK (tight[0] == Approx (0.92));
+    CHECK (tight[1] == Approx (0.08));
+}
+
+TEST_CASE ("the more a rank lacks, the more is kept for those below, up to a quarter", "[overload]")
+{
+    const auto shares = shareRoom ({ { "vital", 0, 100 }, { "plain", 2, 100 } }, 40);
+    CHECK (shares[0] == Approx (0.3));
+    CHECK (shares[1] == Approx (0.1));
+}
+
+TEST_CASE ("within a rank each row gets the same room at most, so that little needs are met", "[overload]")
+{
+    const auto shares = shareRoom ({ { "lookup", 2, 800 }, { "card", 2, 70 } }, 200);
+    CHECK (shares[1] == 1);
+    CHECK (shares[0] == Approx (130.0 / 800));
+}
+
+TEST_CASE ("shares are shares, never give more than the room, and use it up", "[overload]")
+{
+    std::mt19937 random (11);
+    std::uniform_real_distribution<double> unit (0, 1);
+
+    for (int n = 0; n < 2'000; ++n)
+    {
+        std::vector<RowDemand> demands (1 + random() % 6);
+        double whole = 0;
+
+        for (auto& it : demands)
+        {
+            it = { "row", static_cast<unsigned> (random() % 3),
+                   unit (random) < 0.1 ? 0 : 100 * unit (random) };
+            whole += it.work;
+        }
+
+        const double room = 1.2 * whole * unit (random);
+        const auto shares = shareRoom (demands, room);
+        double given = 0;
+
+        for (std::size_t row = 0; row < demands.size(); ++row)
+        {
+            REQUIRE (shares[row] >= 0);
+            REQUIRE (shares[row] <= 1);
+            given += shares[row] * demands[row].work;
+        }
+
+        REQUIRE (given == Approx (std::min (room, whole)).margin (1e-6));
+    }
+}
--- /dev/null
+++ b/tests/unit/overload/work_estimate_test.cpp
@@ -0,0 +1,134 @@
+#include "overload/work_estimate.hpp"
+
+#include <catch2/catch.hpp>
+#include <queue>
+#include <random>
+
+using namespace anisehold;
+using namespace anisehold::overload;
+
+namespace
+{
+
+/** A server that runs requests of some rows, whose calls come at random times while they run. */
+struct ServerModel
+{
+    struct Row
+    {
+        std::string name;
+        double perSecond = 0;
+        double runMs = 0;
+        std::map<std::string, int> calls;
+    };
+
+    struct Step
+    {
+        TimePoint time;
+        int kind = 0; /**< 0 began, 1 made a call, 2 ended. */
+        std::string row;
+        bool operator> (const Step& other) const { return time > other.time; }
+    };
+
+    void play (const std::vector<Row>& rows, seconds time, unsigned seed)
+    {
+        std::mt19937 random (seed);
+        std::uniform_real_distribution<double> unit (0, 1);
+        const auto begin = TimePoint (seconds (100));
+        const auto after = [&] (TimePoint from, double ms) {
+            return from +
+                   std::chrono::duration_cast<Duration> (std::chrono::duration<double, std::milli> (ms));
+        };
+
+        for (const auto& row : rows)
+        {
+            for (int n = 0; n < static_cast<int> (row.perSecond * static_cast<double> (time.count())); ++n)
+            {
+                const auto began = after (begin, 1'000 * unit (random) * static_cast<double> (time.count()));
+                const double runMs = row.runMs * (0.5 + unit (random));
+                steps.push ({ began, 0, row.name });
+                steps.push ({ after (began, runMs), 2, row.name });
+
+                for (const auto& [called, count] : row.calls)
+                {
+                    for (int call = 0; call < count; ++call)
+                        steps.push ({ after (began, runMs * unit (random)), 1, called });
+                }
+            }
+        }
+
+        for (; ! steps.empty(); steps.pop())
+        {
+            const auto& step = steps.top();
+
+            if (step.kind == 0)
+                noteRunBegan (work, step.time, step.row);
+            else if (step.kind == 1)
+                noteCallMade (work, step.time, step.row);
+            else
+                noteRunEnded (work, step.time, step.row);
+        }
+    }
+
+    WorkEstimate work;
+    std::priority_queue<Step, std::vector<Step>, std::greater<>> steps;
+};
+
+} // namespace
+
+TEST_CASE ("calls are told apart by what runs when they come", "[overload]")
+{
+    ServerModel server;
+    server.play ({ { "index", 120, 150, { { "catalog", 4 } } }, { "export", 10, 72, {} } }, seconds (60), 3);
+    CHECK (callsPerRun (server.work, "index", "catalog") == Approx (4).epsilon (0.05));
+    CHECK (callsPerRun (server.work, "export", "catalog") < 0.4);
+    CHECK (slotMsPerRun (server.work, "index") == Approx (150).epsilon (0.1));
+    CHECK (slotMsPerRun (server.work, "export") == Approx (72).epsilon (0.15));
+}
+
+TEST_CASE ("two rows that make the same calls at nearly the same rate are told apart roughly, and add up",
+           "[overload]")
+{
+    for (unsigned seed = 1; seed <= 8; ++seed)
+    {
+        ServerModel server;
+        server.play ({ { "redeem", 20, 300, { { "index", 2 } } }, { "ledger", 48, 170, { { "index", 1 } } } },
+                     seconds (60), seed);
+        const double redeem = callsPerRun (server.work, "redeem", "index");
+        const double ledger = callsPerRun (server.work, "ledger", "index");
+        INFO ("seed " << seed);
+        CHECK (redeem == Approx (2).epsilon (0.4));
+        CHECK (ledger == Approx (1).epsilon (0.4));
+        CHECK (20 * redeem + 48 * ledger == Approx (88).epsilon (0.05));
+    }
+}
+
+TEST_CASE ("work at a service adds up along the chain", "[overload]")
+{
+    ServerModel server;
+    server.play ({ { "index", 50, 150, { { "catalog", 4 } } } }, seconds (30), 1);
+    RootLimitState limit;
+    CHECK (worksAt (server.work, limit, "export-svc", "end-svc").empty());
+    setOwnWorks (limit, "end-svc", { { "catalog", 30 } });
+    const auto below = worksAt (server.work, limit, "export-svc", "end-svc");
+    REQUIRE (below.size() == 1);
+    CHECK (below.front().row == "index");
+    CHECK (below.front().ms == Approx (120).epsilon (0.05));
+    const auto here = worksAt (server.work, limit, "export-svc", "export-svc");
+    REQUIRE (here.size() == 1);
+    CHECK (here.front().ms == Approx (150).epsilon (0.1));
+}
+
+TEST_CASE ("nothing is said of few requests, of calls without any, and of what is long past", "[overload]")
+{
+    const auto start = TimePoint (seconds (100));
+    WorkEstimate work;
+    noteCallMade (work, start, "catalog");
+    CHECK (work.rows.empty());
+    noteRunBegan (work, start, "index");
+    noteCallMade (work, start + milliseconds (10), "catalog");
+    noteRunEnded (work, start + milliseconds (100), "index");
+    CHECK (callsPerRun (work, "index", "catalog") == 0);
+    CHECK (slotMsPerRun (work, "index") == 0);
+    noteRunBegan (work, start + seconds (200), "other");
+    CHECK_FALSE (work.rows.contains ("index"));
+}
