--- a/src/overload/room_share.cpp
+++ b/src/overload/room_share.cpp
@@ -11,8 +11,9 @@
 
 /** Part of the room that is kept for the ranks below one that can't be served whole: it grows with what that
    rank lacks, so that a small shortage hardly moves anything, from a least part to a most. In a model of a
-   chain with a third of its room left (three rows of 8, 4 and 1 calls, 20 seeds) 0.24 of all requests were
-   served, and two rows not at all, when nothing was kept. */
+   chain with a third of its room left (three rows of 8, 4 and 1 calls, mean of 10 seeds) 0.26 of all requests
+   were served, and two rows not at all, when nothing was kept; 0.295, and 0.07 and 0.54 of those rows, so. A
+   most of 0.4 serves 0.304 of all, but of the first row 0.47 in place of 0.51. */
 constexpr double keptPerLack = 1.0;
 constexpr double leastKept = 0.08;
 constexpr double mostKept = 0.25;
@@ -44,11 +45,18 @@
     return whole;
 }
 
-/** What a rank with this demand leaves of the room to the ranks below, which ask for so much. */
+/** What a rank with this demand leaves of the room to the ranks below, which ask for so much. They never get
+   a greater share of what they ask for. */
 double keptForLower (double room, double demand, double lowerDemand)
 {
+    const double whole = demand + lowerDemand;
+
+    if (whole <= 0 || room >= whole)
+        return lowerDemand;
+
     const double lack = demand > 0 ? std::max (0.0, 1 - room / demand) : 0;
-    return std::min (lowerDemand, room * std::clamp (keptPerLack * lack, leastKept, mostKept));
+    const double kept = room * std::clamp (keptPerLack * lack, leastKept, mostKept);
+    return std::min (kept, room * lowerDemand / whole);
 }
 
 /** Equal amounts to all; what one doesn't need goes to the others. */
--- a/tests/unit/overload/room_share_test.cpp
+++ b/tests/unit/overload/room_share_test.cpp
@@ -1,10 +1,35 @@
 #include "overload/room_share.hpp"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <random>
 
 using namespace anisehold::overload;
 
+namespace
+{
+
+/** Share of what these ranks together ask for that they get, if they ask for anything. */
+std::optional<double> shareOfRanks (const std::vector<RowDemand>& demands, const std::vector<double>& shares,
+                                    unsigned first, unsigned last)
+{
+    double asked = 0;
+    double given = 0;
+
+    for (std::size_t n = 0; n < demands.size(); ++n)
+    {
+        if (demands[n].priority < first || demands[n].priority > last)
+            continue;
+
+        asked += demands[n].work;
+        given += demands[n].work * shares[n];
+    }
+
+    return asked > 0 ? std::optional (given / asked) : std::nullopt;
+}
+
+} // namespace
+
 TEST_CASE ("with room for all, all is let in", "[overload]")
 {
     const auto shares = shareRoom ({ { "a", 0, 10 }, { "b", 2, 20 }, { "c", 2, 0 } }, 30);
@@ -23,9 +48,19 @@
 
 TEST_CASE ("the more a rank lacks, the more is kept for those below, up to a quarter", "[overload]")
 {
-    const auto shares = shareRoom ({ { "vital", 0, 100 }, { "plain", 2, 100 } }, 40);
-    CHECK (shares[0] == Approx (0.3));
-    CHECK (shares[1] == Approx (0.1));
+    const auto some = shareRoom ({ { "vital", 0, 100 }, { "plain", 2, 100 } }, 80);
+    CHECK (some[0] == Approx (0.64));
+    CHECK (some[1] == Approx (0.16));
+    const auto most = shareRoom ({ { "vital", 0, 100 }, { "plain", 2, 100 } }, 20);
+    CHECK (most[0] == Approx (0.15));
+    CHECK (most[1] == Approx (0.05));
+}
+
+TEST_CASE ("the ranks below together get no greater share than the one above", "[overload]")
+{
+    const auto shares = shareRoom ({ { "vital", 0, 100 }, { "tiny", 2, 1 } }, 50);
+    CHECK (shares[0] == Approx (50.0 / 101));
+    CHECK (shares[1] == Approx (50.0 / 101));
 }
 
 TEST_CASE ("within a rank each row gets the same room at most, so that little needs are met", "[overload]")
@@ -64,5 +99,12 @@
         }
 
         REQUIRE (given == Approx (std::min (room, whole)).margin (1e-6));
+
+        for (unsigned rank = 0; rank < 2; ++rank)
+        {
+            const auto above = shareOfRanks (demands, shares, rank, rank);
+            const auto below = shareOfRanks (demands, shares, rank + 1, 2);
+            REQUIRE ((! above || ! below || *above >= *below - 1e-9));
+        }
     }
 }
