Chain model: servers that decline whatever their load, with the real budgets

What binds is the bound itself: repeats are a fifth of first calls, and a call doesn't tell which chain it belongs to.

--- a/tests/incidents/chain_model.cpp
+++ b/tests/incidents/chain_model.cpp
@@ -15,6 +15,13 @@
 constexpr milliseconds pressedPeriod{ 400 };
 /** As the sidecar's gates have it. */
 constexpr double queuePerLimit = 1.5;
+/** Bounds of repeats, as on the recorded deployment, and most servers that one call may reach. */
+const retry::WindowBudgetTerms budgetTerms{ 0.2, 49, milliseconds (10'000) };
+constexpr unsigned mostServers = 3;
+/** Time in which a server declines. */
+constexpr milliseconds declineTime{ 1 };
+/** Machines on which the servers above stand. */
+constexpr std::size_t runDaemons = 3;
 /** Longest time of a call; far beyond all waits here. */
 constexpr milliseconds callTime{ 700 };
 
@@ -41,6 +48,7 @@
     for (std::size_t n = 0; n < daemons.size(); ++n)
     {
         daemons[n].ownName = "d" + std::to_string (n);
+        budgets.emplace_back (budgetTerms, now - budgetTerms.window);
         at (now + fromMs (draw() * 1'000), [this, n] { report (n); });
     }
 
@@ -118,7 +126,13 @@
 {
     const auto call = std::make_shared<Call>();
     call->chain = chain;
-    call->daemon = chain->terms->isDirect ? chain->daemon : anyDaemon();
+    const auto& terms = *chain->terms;
+
+    if ((terms.calls - chain->callsLeft) % terms.callsPerRun == 0)
+        chain->runDaemon = terms.isDirect ? chain->daemon : random() % std::min (runDaemons, daemons.size());
+
+    call->daemon = chain->runDaemon;
+    budgets[call->daemon].on_request (now, endService);
     call->id = ++lastCall;
     call->tried.resize (servers.size());
     call->waitEnds = now + fromMs (chain->terms->longestWaitMs);
@@ -184,6 +198,10 @@
     auto& it = *servers[server];
     const auto inFlight = it.gate.load().in_flight;
     overload::noteValue (it.use, now, inFlight);
+
+    if (draw() < it.terms.declined)
+        return at (now + declineTime, [this, server, call] { endDeclined (server, call); });
+
     const bool isBeyondKnee = inFlight > it.terms.kneeShare * it.terms.slots;
     const double scatter = 0.5 + draw();
     const double workMs =
@@ -194,17 +212,39 @@
 
 void ChainModel::endWork (std::size_t server, const std::shared_ptr<Call>& call)
 {
-    auto& it = *servers[server];
-    const auto admitted =
-        it.gate.finish (now, call->id, admission::SampleOutcome::kCompleted, Duration::zero());
-    overload::noteValue (it.use, now, it.gate.load().in_flight);
     ++completed;
     call->chain->heldMs += std::chrono::duration<double, std::milli> (now - call->began).count();
+    leaveServer (server, *call, admission::SampleOutcome::kCompleted);
+    endCall (call, false);
+}
+
+void ChainModel::endDeclined (std::size_t server, const std::shared_ptr<Call>& call)
+{
+    leaveServer (server, *call, admission::SampleOutcome::kShed);
+    const bool mayRepeat = ++call->reached < std::min<std::size_t> (mostServers, servers.size());
+
+    if (mayRepeat &&
+        budgets[call->daemon].try_repeat (now, endService, daemons.size(), retry::RepeatReason::kNoAnswer))
+        return tryServers (call);
+
+    overload::noteCallEnded (daemons[call->daemon], endService, false);
+    failChain (*call->chain);
+}
+
+void ChainModel::leaveServer (std::size_t server, const Call& call, admission::SampleOutcome outcome)
+{
+    auto& it = *servers[server];
+    const auto admitted = it.gate.finish (now, call.id, outcome, Duration::zero());
+    overload::noteValue (it.use, now, it.gate.load().in_flight);
 
     for (const auto id : admitted)
         startWork (server, waiting.extract (id).mapped());
+}
 
-    endCall (call, false);
+void ChainModel::failChain (const Chain& chain)
+{
+    ++chain.tally->failed;
+    noteWork (chain);
 }
 
 void ChainModel::endCall (const std::shared_ptr<Call>& call, bool refused)
@@ -215,8 +255,7 @@
 
     if (refused)
     {
-        ++chain->tally->failed;
-        noteWork (*chain);
+        failChain (*chain);
 
         if (terms.isDirect)
             overload::noteReach (daemons[chain->daemon], terms.row.name, endService);
--- a/tests/incidents/chain_model.hpp
+++ b/tests/incidents/chain_model.hpp
@@ -19,6 +19,7 @@
 #include "admission/server_gate.hpp"
 #include "overload/root_limit.hpp"
 #include "overload/use_meter.hpp"
+#include "retry/window_budget.hpp"
 
 namespace anisehold::model
 {
@@ -34,6 +35,7 @@
     unsigned callPriority = 0; /**< At the gates. */
     double longestWaitMs = 0;  /**< Of each call at gates. */
     bool isDirect = false;     /**< The request itself is the call: nothing was done for it before. */
+    int callsPerRun = 1; /**< Calls in a row that one server above makes, through the daemon beside it. */
 };
 
 /** A server of the service at the end. */
@@ -43,6 +45,7 @@
     double slowness = 1;   /**< Factor of all work. */
     double kneeShare = 1;  /**< With more than this share of its slots taken ... */
     double kneeFactor = 1; /**< ... all work takes so many times as long. */
+    double declined = 0;   /**< Share of the calls that it declines at once, whatever its load. */
 };
 
 /** How the requests of one row ended, by when they were sent. */
@@ -82,7 +85,8 @@
     struct Chain
     {
         const RowTerms* terms = nullptr;
-        std::size_t daemon = 0; /**< That took the request. */
+        std::size_t daemon = 0;    /**< That took the request. */
+        std::size_t runDaemon = 0; /**< Beside the server above that makes the calls now. */
         int callsLeft = 0;
         double heldMs = 0; /**< Time of slots that its calls took. */
         std::shared_ptr<RowTally> tally;
@@ -96,7 +100,8 @@
         std::uint64_t id = 0;
         std::vector<bool> tried;
         TimePoint waitEnds;
-        TimePoint began; /**< Its work. */
+        unsigned reached = 0; /**< Servers that declined it. */
+        TimePoint began;      /**< Its work. */
     };
 
     struct Event
@@ -117,6 +122,11 @@
     void tryServers (const std::shared_ptr<Call>&);
     void startWork (std::size_t server, const std::shared_ptr<Call>&);
     void endWork (std::size_t server, const std::shared_ptr<Call>&);
+    void endDeclined (std::size_t server, const std::shared_ptr<Call>&);
+    /** The server's gate has a slot less taken. */
+    void leaveServer (std::size_t server, const Call&, admission::SampleOutcome);
+    /** The request ends without an answer. */
+    void failChain (const Chain&);
     void endCall (const std::shared_ptr<Call>&, bool refused);
     void noteWork (const Chain&);
     void report (std::size_t daemon);
@@ -126,6 +136,7 @@
     std::vector<RowTerms> rows;
     std::vector<std::unique_ptr<Server>> servers;
     std::vector<overload::RootLimitState> daemons;
+    std::vector<retry::WindowBudget> budgets; /**< Of the same daemons. */
     std::map<std::string, std::shared_ptr<RowTally>> tallies;
     std::map<std::uint64_t, std::shared_ptr<Call>> waiting; /**< By id. */
     std::map<std::string, double> works; /**< Mean of what the requests of a row took, in ms of slots. */
--- a/tests/incidents/shortage_test.cpp
+++ b/tests/incidents/shortage_test.cpp
@@ -106,3 +106,22 @@
     // One that doesn't slow down isn't held back by more than a fiftieth: 20 calls of 35.2 ms, 568 a second.
     CHECK (completedPerSecond ({ 20, 1.6, 1, 1 }) > 0.98 * 568);
 }
+
+TEST_CASE (
+    "while servers decline whatever their load, what makes one call or none doesn't pay for the chains",
+    "[room]")
+{
+    // Nothing is full, so nothing is refused early: all chains are let in, and most break off.
+    auto rows = recordedRows();
+
+    for (auto& it : rows)
+        it.callsPerRun = 4;
+
+    const ServerTerms quick{ 20, 0.7, 1, 1, 0.55 };
+    ChainModel fleet (rows, { quick, quick, quick }, daemons, 3);
+    auto shares = sharesServed (fleet);
+    INFO ("redeem " << shares["redeem"] << " lookup " << shares["lookup"] << " card " << shares["card"]);
+    CHECK (shares["export"] == 1);
+    CHECK (shares["card"] > 0.45);
+    CHECK (shares["lookup"] > 0.05);
+}
