--- a/src/sidecar/freshness_keeper.cpp
+++ b/src/sidecar/freshness_keeper.cpp
@@ -37,10 +37,6 @@
 /// How often the loops look whether there is something to do.
 constexpr milliseconds kLookPeriod{200};
 
-std::int64_t reading_of(TimePoint now) {
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(now.time_since_epoch()).count();
-}
-
 }  // namespace
 
 void FreshnessKeeper::start(Send send) {
@@ -163,7 +159,7 @@
     const auto chosen =
         static_cast<std::size_t>(context_.random_unit() * static_cast<double>(vouchers.size()));
     const tenancy::ProofQuestion question{
-        {context_.settings.advertised_gossip, context_.boot_id, reading_of(now)}};
+        {context_.settings.advertised_gossip, context_.boot_id, tenancy::clockReading(now)}};
     send_(vouchers[chosen]->gossip, tenancy::encode(question));
 }
 
@@ -186,9 +182,7 @@
     if (!is_own || answer.version > configuration_.version()) {
         return;
     }
-    const TimePoint asked{
-        std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(answer.asker.askedNs))};
-    tenancy::noteProof(state_, asked, milliseconds(answer.ageMs));
+    tenancy::noteProof(state_, tenancy::askedAt(answer.asker), milliseconds(answer.ageMs));
 }
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/quota_exchange.cpp
+++ b/src/sidecar/quota_exchange.cpp
@@ -40,10 +40,6 @@
 /// Part of the time to come back that is drawn at random.
 constexpr double kRetryAfterSpread = 0.25;
 
-std::int64_t reading_of(TimePoint now) {
-    return std::chrono::duration_cast<std::chrono::nanoseconds>(now.time_since_epoch()).count();
-}
-
 std::uint32_t whole_ms(Duration duration) {
     return static_cast<std::uint32_t>(std::clamp(to_milliseconds(duration) + 1, 0LL, 3'600'000LL));
 }
@@ -118,25 +114,31 @@
     }
     const auto round = std::make_shared<Round>();
     account.round = round;
-    net::EventLoop::spawn([this, name = tenant.name, owner, round] {
-        auto& own_account = accounts_[name];
-        auto asked_one = owner;
-        // The second one is asked if the first is dead.
-        auto asked = Asked::kSilent;
-        for (int tries = 0; tries < 2 && asked_one && asked == Asked::kSilent; ++tries) {
-            asked = ask(name, own_account, round, *asked_one);
-            if (asked == Asked::kSilent) {
-                const auto later = TimePoint::clock::now();
-                suspected_[asked_one->name] = later;
-                fleet_.made = TimePoint{};
-                log_event(Event::kQuotaOwnerSilent, {{"tenant", name.value}, {"owner", asked_one->name}});
-                asked_one = owner_of(later, name);
-            }
+    net::EventLoop::spawn([this, name = tenant.name, owner, round] { run_round(name, owner, round); });
+}
+
+void QuotaExchange::run_round(const TenantName& tenant, std::optional<Owner> owner,
+                              const std::shared_ptr<Round>& round) {
+    auto& account = accounts_[tenant];
+    auto asked = Asked::kSilent;
+    // The second one is asked if the first is dead.
+    for (int tries = 0; tries < 2 && owner && asked == Asked::kSilent; ++tries) {
+        asked = ask(tenant, account, round, *owner);
+        if (asked == Asked::kSilent) {
+            owner = suspect(tenant, *owner);
         }
-        round->found_owner = asked == Asked::kGranted;
-        own_account.round.reset();
-        round->ended.set();
-    });
+    }
+    round->found_owner = asked == Asked::kGranted;
+    account.round.reset();
+    round->ended.set();
+}
+
+std::optional<QuotaExchange::Owner> QuotaExchange::suspect(const TenantName& tenant, const Owner& owner) {
+    const auto now = TimePoint::clock::now();
+    suspected_[owner.name] = now;
+    fleet_.made = TimePoint{};
+    log_event(Event::kQuotaOwnerSilent, {{"tenant", tenant.value}, {"owner", owner.name}});
+    return owner_of(now, tenant);
 }
 
 QuotaExchange::Asked QuotaExchange::ask(const TenantName& tenant, Account& account,
@@ -150,7 +152,8 @@
     for (int questions = 0; questions < kMostQuestions; ++questions) {
         const auto asked = TimePoint::clock::now();
         tenancy::QuotaQuestion question;
-        question.asker = {context_.settings.advertised_gossip, context_.boot_id, reading_of(asked)};
+        question.asker = {context_.settings.advertised_gossip, context_.boot_id,
+                          tenancy::clockReading(asked)};
         question.tenant = tenant.value;
         question.wanted = tenancy::tokensWanted(account.purse, account.waiting);
         // Told once only: a question whose answer was lost may have been heard.
@@ -158,12 +161,10 @@
         send_(owner.gossip, tenancy::encode(question));
         if (round->answered.wait_until(asked + kAnswerTimeout)) {
             trust_owners(owner, *round->answer);
-            const TimePoint earliest{
-                std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(round->answer->asker.askedNs))};
             if (!round->answer->owns) {
                 return Asked::kDeclined;
             }
-            take_answer(account, earliest, *round->answer);
+            take_answer(account, tenancy::askedAt(round->answer->asker), *round->answer);
             return Asked::kGranted;
         }
     }
--- a/src/sidecar/quota_exchange.hpp
+++ b/src/sidecar/quota_exchange.hpp
@@ -76,6 +76,11 @@
     };
 
     void begin_round(const tenancy::TenantTerms& tenant, Account& account);
+    /// Asks the owner, and the next one if it is silent; blocks its fiber. Ends the round.
+    void run_round(const tenancy::TenantName& tenant, std::optional<Owner> owner,
+                   const std::shared_ptr<Round>& round);
+    /// The owner didn't answer: it is passed over for a time. Returns the one that is asked next.
+    std::optional<Owner> suspect(const tenancy::TenantName& tenant, const Owner& owner);
     /// What came of asking an owner.
     enum class Asked {
         kGranted,   ///< It counted, whatever it gave.
--- a/src/tenancy/tenancy_messages.hpp
+++ b/src/tenancy/tenancy_messages.hpp
@@ -13,6 +13,7 @@
 
 #include "protocol/endpoint.hpp"
 #include "protocol/serialize_all.hpp"
+#include "protocol/time_types.hpp"
 
 namespace anisehold::tenancy
 {
@@ -31,6 +32,18 @@
     }
 };
 
+/** The asker's clock reading for a question that is sent at `now`. */
+inline std::int64_t clockReading (TimePoint now)
+{
+    return std::chrono::duration_cast<std::chrono::nanoseconds> (now.time_since_epoch()).count();
+}
+
+/** When the question was asked, on the asker's clock. */
+inline TimePoint askedAt (const Asker& asker)
+{
+    return TimePoint (std::chrono::duration_cast<Duration> (std::chrono::nanoseconds (asker.askedNs)));
+}
+
 /** How fresh is your configuration? */
 struct ProofQuestion
 {
