--- a/src/overload/room_share.cpp
+++ b/src/overload/room_share.cpp
@@ -11,9 +11,9 @@
 
 /** Part of the room that is kept for the ranks below one that can't be served whole: it grows with what that
    rank lacks, so that a small shortage hardly moves anything, from a least part to a most. In a model of a
-   chain with a third of its room left (three rows of 8, 4 and 1 calls, mean of 10 seeds) 0.26 of all requests
-   were served, and two rows not at all, when nothing was kept; 0.295, and 0.07 and 0.54 of those rows, so. A
-   most of 0.4 serves 0.304 of all, but of the first row 0.47 in place of 0.51. */
+   chain with a third of its room left (three rows of 8, 4 and 1 calls, mean of 10 seeds) 0.257 of all
+   requests were served, and two rows not at all, when nothing was kept; 0.296, and 0.07 and 0.53 of those
+   rows, so. A most of 0.4 serves 0.305 of all, but of the first row 0.46 in place of 0.52. */
 constexpr double keptPerLack = 1.0;
 constexpr double leastKept = 0.08;
 constexpr double mostKept = 0.25;
--- a/tests/incidents/shortage_test.cpp
+++ b/tests/incidents/shortage_test.cpp
@@ -88,6 +88,20 @@
     }
 }
 
+TEST_CASE ("with a third of the room left, three tenths of all are served, whatever the luck", "[margin]")
+{
+    // A quarter must be served on every day. On days of the same kind 0.25 to 0.29 are: too little to spare.
+    constexpr unsigned seeds = 20;
+
+    for (unsigned seed = 1; seed <= seeds; ++seed)
+    {
+        ChainModel fleet (recordedRows(), { lastServer() }, daemons, seed);
+        auto shares = sharesServed (fleet);
+        INFO ("seed " << seed);
+        CHECK (shares["all"] > 0.30);
+    }
+}
+
 TEST_CASE ("a server whose queue is never empty is kept below the number of calls at which it slows down",
            "[knee]")
 {
--- a/tests/integration/tenants_test.cpp
+++ b/tests/integration/tenants_test.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 std::uint16_t next_base_port() {
-    static std::uint16_t port = 27'000;  // Up to 27'900; no other tests use these.
+    static std::uint16_t port = 24'000;  // Up to 24'900; no other tests use these.
     port = static_cast<std::uint16_t>(port + 100);
     return port;
 }
