--- a/tests/unit/admission/knee_limit_test.cpp
+++ b/tests/unit/admission/knee_limit_test.cpp
@@ -35,8 +35,36 @@
     return in_flight >= 19 ? 28.6 : 22.0;
 }
 
+/// Share of the time for which a limit is below all slots when the server is always full, one call a
+/// millisecond.
+double time_below_slots(const TimeAt& time_at) {
+    KneeLimit limit(kSlots);
+    std::mt19937 random(3);
+    std::uniform_real_distribution<double> scatter(0.5, 1.5);
+    constexpr int calls = 30'000;
+    int below = 0;
+    for (int call = 0; call < calls; ++call) {
+        const auto running = limit.limit();
+        below += running < kSlots ? 1 : 0;
+        const std::chrono::duration<double, std::milli> taken(scatter(random) * time_at(running));
+        limit.on_sample(kStart + milliseconds(call),
+                        {SampleOutcome::kCompleted, std::chrono::duration_cast<Duration>(taken), running});
+    }
+    return below / static_cast<double>(calls);
+}
+
 }  // namespace
 
+TEST_CASE("a server that is always full is kept below its knee, but for short looks at all slots") {
+    CHECK(time_below_slots(with_knee) > 0.9);
+}
+
+TEST_CASE("a server without a knee that is always full is held back for short looks only") {
+    const double below = time_below_slots([](unsigned /*in_flight*/) { return 22.0; });
+    CHECK(below < 0.05);
+    CHECK(below > 0);
+}
+
 TEST_CASE("a server that turns slower when nearly full is kept below that") {
     KneeLimit limit(kSlots);
     CHECK(limit.limit() == kSlots);
