--- a/src/logging/line_budget.hpp
+++ b/src/logging/line_budget.hpp
@@ -21,8 +21,8 @@
     TimePoint told;            /**< When skipped lines were last taken. */
 };
 
-/** Least time between two tellings of skipped lines. Told with each line that was written again, they were 126
-   of 433 lines of the busiest of 15 processes, and used up the room of the failures' lines. */
+/** Least time between two tellings of skipped lines. Told with each line that was written again, they were
+   126 of 433 lines of the busiest of 15 processes, and used up the room of the failures' lines. */
 inline constexpr seconds leastSkippedGap{ 1 };
 
 /** Takes one line's token; false, and one more skipped line, if there is none. */
