Sight: what ran at a server when it ended, by a digest of path, caller and body

Change: a digest (XXH3, 128 bits) in gate-call lines; an event server-crashed with the digests of what ran, when a run's connection broke and the server then refuses connections. No request is handled differently.

--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -96,6 +96,8 @@
     EventEntry{Event::kHeartbeatRefused, Level::kWarn, "heartbeat-refused", "A heartbeat was malformed."},
     EventEntry{Event::kServerFound, Level::kInfo, "server-found",
                "The server beside this daemon said that it is well, before its first heartbeat came."},
+    EventEntry{Event::kServerCrashed, Level::kWarn, "server-crashed",
+               "The server beside this daemon ended while requests ran there; `running` of them, by digest."},
     EventEntry{Event::kContextRefused, Level::kWarn, "context-refused",
                "A call brought a context that is forged, malformed or of an ended call."},
     EventEntry{Event::kIngressCall, Level::kInfo, "ingress-call",
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -52,6 +52,7 @@
     kServerSilent = 1406,
     kHeartbeatRefused = 1407,
     kServerFound = 1408,
+    kServerCrashed = 1409,
     kContextRefused = 1501,
     kIngressCall = 1601,
     kGateCall = 1602,
--- /dev/null
+++ b/src/protocol/request_digest.cpp
@@ -0,0 +1,60 @@
+#include "protocol/request_digest.hpp"
+
+#include <xxhash.h>
+
+#include <array>
+#include <charconv>
+
+namespace anisehold {
+namespace {
+
+constexpr std::size_t kHalfDigits = 16;
+constexpr int kHexadecimal = 16;
+
+void append_hex(std::string& text, std::uint64_t value) {
+    std::array<char, kHalfDigits> digits{};
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value, kHexadecimal).ptr;
+    text.append(kHalfDigits - static_cast<std::size_t>(end - digits.data()), '0');
+    text.append(digits.data(), end);
+}
+
+std::optional<std::uint64_t> parse_half(std::string_view text) {
+    std::uint64_t value = 0;
+    const auto* end = text.data() + text.size();
+    const auto result = std::from_chars(text.data(), end, value, kHexadecimal);
+    return result.ec == std::errc{} && result.ptr == end ? std::optional(value) : std::nullopt;
+}
+
+}  // namespace
+
+std::string RequestDigest::text() const {
+    std::string text;
+    text.reserve(2 * kHalfDigits);
+    append_hex(text, high);
+    append_hex(text, low);
+    return text;
+}
+
+std::optional<RequestDigest> parse_request_digest(std::string_view text) {
+    if (text.size() != 2 * kHalfDigits) {
+        return std::nullopt;
+    }
+    const auto high = parse_half(text.substr(0, kHalfDigits));
+    const auto low = parse_half(text.substr(kHalfDigits));
+    return high && low ? std::optional(RequestDigest{*high, *low}) : std::nullopt;
+}
+
+RequestDigest digest_of(const RequestTraits& traits) {
+    // Each part is preceded by its length, so that no two requests run together to the same bytes.
+    std::string head;
+    for (const auto part : {traits.caller, traits.method, traits.host, traits.target}) {
+        const std::uint64_t length = part.size();
+        head.append(reinterpret_cast<const char*>(&length), sizeof length).append(part);
+    }
+    const auto seed = XXH3_64bits(head.data(), head.size());
+    const auto head_digest = XXH3_128bits(head.data(), head.size());
+    const auto body_digest = XXH3_128bits_withSeed(traits.body.data(), traits.body.size(), seed);
+    return {head_digest.high64 ^ body_digest.high64, head_digest.low64 ^ body_digest.low64};
+}
+
+}  // namespace anisehold
--- /dev/null
+++ b/src/protocol/request_digest.hpp
@@ -0,0 +1,52 @@
+/// @file
+/// The digest by which a request that comes again is known, whatever its id, machine and deadline.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "protocol/serialize_all.hpp"
+
+namespace anisehold {
+
+/// 128 bits of XXH3 over what makes two requests the same; not for security. Two of a million different
+/// requests share one with a chance of 1e-27.
+struct RequestDigest {
+    std::uint64_t high = 0;
+    std::uint64_t low = 0;
+
+    auto operator<=>(const RequestDigest&) const = default;
+    /// 32 lower-case hexadecimal digits.
+    std::string text() const;
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        serialize_all(archive, high, low);
+    }
+};
+
+/// Nothing unless the text is 32 hexadecimal digits.
+std::optional<RequestDigest> parse_request_digest(std::string_view text);
+
+/// What makes two requests the same. Neither id nor deadline nor other header lines do.
+struct RequestTraits {
+    std::string_view caller;  ///< Service on the machine where the request began.
+    std::string_view method;
+    std::string_view host;
+    std::string_view target;  ///< Path and query.
+    /// The whole body, or what was read of one that is streamed: two long bodies that begin alike count as
+    /// the same.
+    std::string_view body;
+};
+
+RequestDigest digest_of(const RequestTraits& traits);
+
+}  // namespace anisehold
+
+template <>
+struct std::hash<anisehold::RequestDigest> {
+    std::size_t operator()(const anisehold::RequestDigest& digest) const { return digest.low; }
+};
--- /dev/null
+++ b/src/sidecar/crash_watch.cpp
@@ -0,0 +1,52 @@
+#include "sidecar/crash_watch.hpp"
+
+#include <algorithm>
+
+#include "net/connect_probe.hpp"
+
+namespace anisehold::sidecar {
+namespace {
+
+/// The server is on this machine: a port that nobody listens at answers within a millisecond. One that is
+/// short of processor time may let a connection wait.
+constexpr milliseconds kLookTimeout{100};
+
+}  // namespace
+
+bool CrashWatch::is_server_gone() {
+    if (is_gone_) {
+        return true;
+    }
+    if (look_) {
+        const auto look = look_;
+        look->ended.wait();
+        return look->refused;
+    }
+    const auto look = std::make_shared<Look>();
+    look_ = look;
+    look->refused = net::refuses_connections(io_, address_, TimePoint::clock::now() + kLookTimeout);
+    is_gone_ = look->refused;
+    look_.reset();
+    look->ended.set();
+    return look->refused;
+}
+
+bool CrashWatch::take_report() {
+    const bool is_first = is_gone_ && !was_reported_;
+    was_reported_ = was_reported_ || is_first;
+    return is_first;
+}
+
+std::vector<RequestDigest> CrashWatch::unanswered() const {
+    std::vector<RequestDigest> digests;
+    for (const auto& [run, at_server] : runs_) {
+        if (at_server.progress->request_started) {
+            digests.push_back(at_server.digest);
+        }
+    }
+    std::sort(digests.begin(), digests.end());
+    digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
+    return digests;
+}
+
+}  // namespace anisehold::sidecar
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -35,6 +35,13 @@
 constexpr milliseconds kConnectTimeout{500};
 constexpr milliseconds kConnectionRest{8'000};
 constexpr milliseconds kSilenceInBody{60'000};
+/// Digests in one log line: 33 bytes each, and a server may have a hundred requests running when it ends.
+constexpr std::size_t kMostDigestsLogged = 32;
+
+RequestDigest digest_of(const net::HttpRequest& request, const hop::HopRequest& call) {
+    return anisehold::digest_of({call.caller, request.method, request.fields.find("Host").value_or(""),
+                                 request.target, request.body.prefix});
+}
 
 GateAnswer refusal(HopOutcome outcome, ErrorKind error, Duration retry_after) {
     GateAnswer answer;
@@ -182,11 +189,12 @@
     const auto arrived = TimePoint::clock::now();
     const auto deadline = arrived + call.remaining;
     const auto request_id = context_.dialect.read_client_call(request).id;
+    const auto digest = digest_of(request, call);
     const auto* registered = registry_.find_ready(call.instance);
     if (registered == nullptr) {
         auto answer = refusal(HopOutcome::kNotSent, ErrorKind::kNoBackend, Duration::zero());
         answer.result.instance = call.instance;
-        log(request_id, call, answer, arrived, Duration::zero());
+        log(request_id, digest, call, answer, arrived, Duration::zero());
         return answer;
     }
     const auto server = server_for(*registered);
@@ -212,7 +220,9 @@
             ++running_;
             running_repeats_ += call.repeat_percent;
             overload::noteRunBegan(context_.work, started, call.row);
+            server->crash.began(id, {digest, &progress});
             answer = exchange(*server, request, call, deadline, cancel, progress);
+            server->crash.ended(id);
             --running_;
             running_repeats_ -= call.repeat_percent;
             overload::noteRunEnded(context_.work, TimePoint::clock::now(), call.row);
@@ -225,7 +235,7 @@
     if (--in_flight_ == 0) {
         context_.origins.on_server(TimePoint::clock::now(), false);
     }
-    log(request_id, call, answer, arrived, started - arrived);
+    log(request_id, digest, call, answer, arrived, started - arrived);
     return answer;
 }
 
@@ -287,11 +297,16 @@
     }
     // A connection that breaks at once may still have brought the request to the server: whether it is sent
     // again is the ingress's choice, which counts repeats.
-    auto response = send_once(server, request, options, progress);
+    std::error_code error;
+    auto response = send_once(server, request, options, progress, error);
     if (!response) {
         if (!progress.request_started) {
             return refusal(HopOutcome::kNotSent, ErrorKind::kConnectFailed, Duration::zero());
         }
+        const bool gave_up = cancel != nullptr && cancel->cancelled();
+        if (!gave_up && error != std::errc::timed_out) {
+            look_for_crash(server, call);
+        }
         return refusal(HopOutcome::kUnknown, ErrorKind::kBackendFailed, Duration::zero());
     }
     GateAnswer answer;
@@ -309,8 +324,8 @@
 
 std::optional<net::HttpResponse> LocalGate::send_once(Server& server, net::HttpRequest& request,
                                                       const net::ExchangeOptions& options,
-                                                      net::ExchangeProgress& progress) const {
-    std::error_code error;
+                                                      net::ExchangeProgress& progress,
+                                                      std::error_code& error) const {
     const auto sent = TimePoint::clock::now();
     auto response = server.client.exchange(request, options, progress, error);
     const auto now = TimePoint::clock::now();
@@ -333,6 +348,21 @@
     return response;
 }
 
+void LocalGate::look_for_crash(Server& server, const hop::HopRequest& call) const {
+    if (!server.crash.is_server_gone() || !server.crash.take_report()) {
+        return;
+    }
+    const auto unanswered = server.crash.unanswered();
+    std::string digests;
+    for (std::size_t n = 0; n < std::min(unanswered.size(), kMostDigestsLogged); ++n) {
+        digests += (n > 0 ? " " : "") + unanswered[n].text();
+    }
+    log_event(Event::kServerCrashed, {{"server", call.instance},
+                                      {"service", context_.settings.service},
+                                      {"running", std::to_string(unanswered.size())},
+                                      {"digests", digests}});
+}
+
 void LocalGate::observe(Server& server, TimePoint started, TimePoint now, const GateAnswer& answer,
                         bool cancelled) {
     constexpr unsigned first_server_error = 500;
@@ -405,8 +435,8 @@
         static_cast<unsigned>(std::chrono::duration_cast<std::chrono::microseconds>(server.latency).count());
 }
 
-void LocalGate::log(const std::string& request_id, const hop::HopRequest& call, const GateAnswer& answer,
-                    TimePoint arrived, Duration waited) const {
+void LocalGate::log(const std::string& request_id, const RequestDigest& digest, const hop::HopRequest& call,
+                    const GateAnswer& answer, TimePoint arrived, Duration waited) const {
     const auto& result = answer.result;
     const bool answered = result.outcome == HopOutcome::kAnswered;
     constexpr unsigned first_server_error = 500;
@@ -414,6 +444,7 @@
     const auto write_line = served ? observability::log_routine : log_event;
     write_line(Event::kGateCall,
                {{"request_id", request_id},
+                {"digest", digest.text()},
                 {"server", call.instance},
                 {"priority", std::to_string(call.priority)},
                 {"outcome", std::string(hop::outcome_name(result.outcome))},
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -19,6 +19,7 @@
 #include "overload/use_meter.hpp"
 #include "registration/server_registry.hpp"
 #include "selection/failure_share.hpp"
+#include "sidecar/crash_watch.hpp"
 #include "sidecar/sidecar_context.hpp"
 
 namespace anisehold::sidecar {
@@ -62,11 +63,12 @@
         Server(std::unique_ptr<admission::ConcurrencyLimit> limit, boost::asio::io_context& io,
                const Endpoint& address, const net::HttpPoolLimits& pool,
                const admission::GateOptions& options)
-            : gate(std::move(limit), options), client(io, address, pool) {}
+            : gate(std::move(limit), options), client(io, address, pool), crash(io, address) {}
 
         admission::ServerGate gate;
         overload::UseMeter use;  ///< Of requests in flight.
         net::HttpClient client;
+        CrashWatch crash;
         std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
         Duration latency{};  ///< Moving average of answers.
         selection::FailureShare failures;
@@ -87,7 +89,9 @@
     /// Sends the request once. A kept connection that is lost before any answer teaches the limit of rest.
     std::optional<net::HttpResponse> send_once(Server& server, net::HttpRequest& request,
                                                const net::ExchangeOptions& options,
-                                               net::ExchangeProgress& progress) const;
+                                               net::ExchangeProgress& progress, std::error_code& error) const;
+    /// The connection of a request broke: tells of the server's end, if that was the cause. Blocks the fiber.
+    void look_for_crash(Server& server, const hop::HopRequest& call) const;
     void note_use(Server& server, TimePoint now) const;
     /// Takes in what the end of a request tells of the server.
     static void observe(Server& server, TimePoint started, TimePoint now, const GateAnswer& answer,
@@ -98,8 +102,8 @@
     /// that: its own load says nothing, and the work done for the request is lost.
     void mark_overload_below(TimePoint started, GateAnswer& answer) const;
     void fill_load(const Server& server, hop::HopResult& result) const;
-    void log(const std::string& request_id, const hop::HopRequest& call, const GateAnswer& answer,
-             TimePoint arrived, Duration waited) const;
+    void log(const std::string& request_id, const RequestDigest& digest, const hop::HopRequest& call,
+             const GateAnswer& answer, TimePoint arrived, Duration waited) const;
 
     SidecarContext& context_;
     registration::ServerRegistry registry_;
--- /dev/null
+++ b/tests/unit/protocol/request_digest_test.cpp
@@ -0,0 +1,40 @@
+#include "protocol/request_digest.hpp"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace anisehold;
+
+namespace {
+
+const RequestTraits kRequest{"orders", "GET", "shop.example", "/read/2f", "body"};
+
+}  // namespace
+
+TEST_CASE("a request has the same digest wherever it is taken", "[digest]") {
+    CHECK(digest_of(kRequest) == digest_of(kRequest));
+}
+
+TEST_CASE("each trait of a request changes its digest, and parts don't run together", "[digest]") {
+    std::set<RequestDigest> digests{digest_of(kRequest)};
+    digests.insert(digest_of({"packs", "GET", "shop.example", "/read/2f", "body"}));
+    digests.insert(digest_of({"orders", "PUT", "shop.example", "/read/2f", "body"}));
+    digests.insert(digest_of({"orders", "GET", "other.example", "/read/2f", "body"}));
+    digests.insert(digest_of({"orders", "GET", "shop.example", "/read/30", "body"}));
+    digests.insert(digest_of({"orders", "GET", "shop.example", "/read/2f", "other"}));
+    digests.insert(digest_of({"orders", "GET", "shop.example/", "read/2f", "body"}));
+    digests.insert(digest_of({"ordersGET", "", "shop.example", "/read/2f", "body"}));
+    digests.insert(digest_of({"orders", "GET", "shop.example", "/read/2fbody", ""}));
+    CHECK(digests.size() == 9);
+}
+
+TEST_CASE("a digest's text reads back, and nothing else does", "[digest]") {
+    const RequestDigest digest{0x1234, 0xfedcba9876543210};
+    CHECK(digest.text() == "0000000000001234fedcba9876543210");
+    CHECK(parse_request_digest(digest.text()) == digest);
+    CHECK_FALSE(parse_request_digest(""));
+    CHECK_FALSE(parse_request_digest(digest.text() + "0"));
+    CHECK_FALSE(parse_request_digest("0000000000001234fedcba987654321g"));
+    CHECK_FALSE(parse_request_digest("000000000000123 fedcba9876543210"));
+    CHECK_FALSE(parse_request_digest("+000000000001234fedcba9876543210"));
+}
