--- a/lab/platform_server.cpp
+++ b/lab/platform_server.cpp
@@ -48,19 +48,60 @@
     return TimePoint::clock::now() + milliseconds(left_ms);
 }
 
+std::uint64_t unix_milliseconds() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(now).count());
+}
+
 }  // namespace
 
 PlatformServer::PlatformServer(boost::asio::io_context& io, PlatformServerOptions options)
     : options_(std::move(options)),
-      server_(
-          io, {},
-          {[this](net::HttpRequest& request, net::CancelSignal& cancel) { return handle(request, cancel); },
-           [](ErrorKind /*kind*/) { return net::make_response(kFailed, "text/plain", ""); }}),
+      io_(io),
+      server_(make_listener()),
       control_(io, options_.control),
-      outbound_(io, options_.outbound) {}
+      outbound_(io, options_.outbound),
+      born_ms_(unix_milliseconds()) {}
+
+std::unique_ptr<net::HttpServer> PlatformServer::make_listener() {
+    return std::make_unique<net::HttpServer>(
+        io_, net::HttpServerLimits{},
+        net::HttpServerHandlers{
+            [this](net::HttpRequest& request, net::CancelSignal& cancel) { return handle(request, cancel); },
+            [](ErrorKind /*kind*/) { return net::make_response(kFailed, "text/plain", ""); }});
+}
+
+void PlatformServer::crash() {
+    if (!is_up_) {
+        return;
+    }
+    is_up_ = false;
+    if (crash_observer_) {
+        crash_observer_();
+    }
+    server_->stop_accepting();
+    server_->reset_connections();
+    ended_servers_.push_back(std::move(server_));
+    server_ = make_listener();
+    net::EventLoop::spawn([this] {
+        boost::this_fiber::sleep_for(options_.down_time);
+        come_back();
+    });
+}
+
+void PlatformServer::come_back() {
+    if (!options_.keeps_instance) {
+        options_.instance += "-" + std::to_string(++starts_);
+    }
+    born_ms_ = unix_milliseconds();
+    sequence_ = 0;
+    running_ = 0;
+    draining_ = false;
+    is_up_ = !server_->start(options_.listen);
+}
 
 std::error_code PlatformServer::start() {
-    const auto error = server_.start(options_.listen);
+    const auto error = server_->start(options_.listen);
     if (!error) {
         net::EventLoop::spawn([this] { beat_periodically(); });
     }
@@ -69,6 +110,7 @@
 
 bool PlatformServer::beat(bool draining) {
     const json body{
+        {"born", born_ms_},
         {"address", options_.registered.text()},
         {"information",
          {{"service", options_.service},
@@ -88,7 +130,9 @@
 
 void PlatformServer::beat_periodically() {
     while (true) {
-        beat(draining_);
+        if (is_up_) {
+            beat(draining_);
+        }
         boost::this_fiber::sleep_for(options_.heartbeat_interval);
     }
 }
@@ -170,13 +214,18 @@
     tenants_[id] = text_of(request, "Tenant");
     keys_seen_ += request.fields.find("Authorization") ? 1 : 0;
     const auto deadline = deadline_of(request);
+    if (!faults.fatal_target.empty() && request.target.find(faults.fatal_target) != std::string::npos) {
+        boost::this_fiber::sleep_for(options_.fatal_after);
+        crash();
+        return cut_answer();
+    }
     boost::this_fiber::sleep_for(options_.work);
     const auto hang_ends = TimePoint::clock::now() + kLongestHang;
     while (faults.hangs && !cancel.cancelled() && TimePoint::clock::now() < hang_ends) {
         boost::this_fiber::sleep_for(kPoll);
     }
     const bool calls_served = make_calls(id, deadline);
-    --running_;
+    running_ -= running_ > 0 ? 1 : 0;  // A crash meanwhile began to count anew.
     if (faults.loses_answers) {
         return cut_answer();
     }
--- a/lab/platform_server.hpp
+++ b/lab/platform_server.hpp
@@ -44,6 +44,9 @@
     unsigned slots = 8;
     milliseconds work{5};
     milliseconds heartbeat_interval{200};
+    milliseconds fatal_after{40};   ///< How long a fatal request runs before the server ends.
+    milliseconds down_time{2'500};  ///< How long it is gone after a crash.
+    bool keeps_instance = false;    ///< Whether it comes back under the id that it had.
     std::vector<NestedCall> calls;
 };
 
@@ -54,6 +57,8 @@
     bool forgets_signature = false;  ///< Answers without its signature.
     bool answers_another = false;    ///< Answers with another request's id.
     bool hangs = false;              ///< Takes requests and answers nothing.
+    /// A request whose target holds this text ends the server that begins it; none does if it is empty.
+    std::string fatal_target;
 };
 
 /// Serves one server.
@@ -67,6 +72,11 @@
     /// Goes over to another instance at the same address, as if a new server had been given it: the old one
     /// says that it left first.
     void replace(const std::string& instance);
+    /// Ends as a process does that is killed: all connections are reset and nobody listens, for `down_time`.
+    void crash();
+    /// The observer is told of each crash.
+    void observe_crashes(std::function<void()> observer) { crash_observer_ = std::move(observer); }
+    bool is_up() const { return is_up_; }
     const std::string& instance() const { return options_.instance; }
     /// The observer is told of each request, before it is run.
     void observe(std::function<void(const ServerArrival&)> observer) { observer_ = std::move(observer); }
@@ -84,6 +94,8 @@
     PlatformServerFaults faults;
 
   private:
+    std::unique_ptr<net::HttpServer> make_listener();
+    void come_back();
     net::HttpResponse handle(net::HttpRequest& request, net::CancelSignal& cancel);
     net::HttpResponse answer_health() const;
     bool make_calls(const std::string& id, TimePoint deadline);
@@ -93,7 +105,10 @@
 
     PlatformServerOptions options_;
     std::function<void(const ServerArrival&)> observer_;
-    net::HttpServer server_;
+    std::function<void()> crash_observer_;
+    boost::asio::io_context& io_;
+    std::unique_ptr<net::HttpServer> server_;
+    std::vector<std::unique_ptr<net::HttpServer>> ended_servers_;  ///< Fibers may still refer to them.
     net::HttpClient control_;
     net::HttpClient outbound_;
     std::map<std::string, unsigned> runs_;
@@ -105,6 +120,9 @@
     std::size_t arrivals_ = 0;
     std::uint64_t sequence_ = 0;
     std::uint64_t calls_made_ = 0;
+    std::uint64_t born_ms_ = 0;  ///< Unix time of the start.
+    unsigned starts_ = 1;
+    bool is_up_ = true;
     bool draining_ = false;
 };
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -393,6 +393,14 @@
     }
 }
 
+void HttpServer::reset_connections() {
+    const auto connections = state_->connections;
+    for (const auto& connection : connections) {
+        connection->cancel_all();
+        connection->stream.reset();
+    }
+}
+
 std::size_t HttpServer::requests_in_flight() const {
     return state_->in_flight;
 }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -56,6 +56,8 @@
     void stop_accepting();
     /// Closes the connections that have no request in progress.
     void close_idle();
+    /// Ends all connections with a reset, whatever goes on there, as the end of the process would.
+    void reset_connections();
     /// Requests being answered now.
     std::size_t requests_in_flight() const;
 
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -5,6 +5,7 @@
 #include <boost/fiber/operations.hpp>
 #include <boost/filesystem.hpp>
 #include <boost/process/args.hpp>
+#include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
 #include <fstream>
 #include <nlohmann/json.hpp>
@@ -95,6 +96,7 @@
         options.slots = plan.slots;
         options.work = plan.work;
         options.calls = plan.calls;
+        options.keeps_instance = plan.keeps_instance;
         options.heartbeat_interval = plan.heartbeat_interval;
         machine->server = std::make_unique<lab::PlatformServer>(io, options);
         write_settings(*machine, first_port);
@@ -149,7 +151,9 @@
     machine.child =
         process::child(std::string(ANISEHOLD_BINARY_DIR) + "/anisehold",
                        process::args(std::vector<std::string>{"sidecar", "--config", machine.settings_file}),
-                       process::std_out > machine.log_file, process::std_err > machine.log_file + ".err");
+                       process::std_out > machine.log_file, process::std_err > machine.log_file + ".err",
+                       // A stand-in's socket that a child holds too would stay open when the stand-in ends.
+                       process::limit_handles);
 }
 
 void SidecarFleet::configure(const std::string& configuration) {
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -56,6 +56,7 @@
     milliseconds work{5};
     bool linked = false;  ///< All links of the machine run through addresses that the test serves itself.
     milliseconds heartbeat_interval{200};
+    bool keeps_instance = false;  ///< The server comes back under its id after a crash.
 };
 
 /// What a client got.
