--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -52,6 +52,17 @@
     return result.ec == std::errc{} && result.ptr == end;
 }
 
+/// A number that is left out where it is 0, as nearly always.
+bool read_unless_zero(const Fields& fields, std::string_view name, unsigned& number) {
+    return !fields.contains(name) || read(fields, name, number);
+}
+
+void append_unless_zero(std::string& text, std::string_view name, unsigned value) {
+    if (value != 0) {
+        append(text, name, value);
+    }
+}
+
 bool read(const Fields& fields, std::string_view name, std::string& text) {
     const auto found = fields.find(name);
     if (found == fields.end()) {
@@ -76,6 +87,7 @@
     append(text, "longest_wait_ms", static_cast<std::uint64_t>(request.longest_wait.count()));
     append(text, "once", request.at_most_once ? 1 : 0);
     append(text, "repeat_percent", request.repeat_percent);
+    append_unless_zero(text, "crashes", request.crashes);
     const bool is_plain = request.row.find_first_of(kReserved) == std::string::npos;
     append(text, "row", std::string_view(is_plain ? request.row : std::string()));
     return text;
@@ -92,6 +104,7 @@
     append(text, "limit", result.limit);
     append(text, "latency_us", result.latency_us);
     append(text, "failed_percent", result.failed_percent);
+    append_unless_zero(text, "crashes", result.crashes);
     append(text, "overloaded", std::string_view(result.overloaded_service));
     return text;
 }
@@ -102,12 +115,12 @@
     std::uint32_t remaining_ms = 0;
     std::uint32_t longest_wait_ms = 0;
     unsigned once = 0;
-    const bool whole = read(fields, "instance", request.instance) && read(fields, "caller", request.caller) &&
-                       read(fields, "row", request.row) && read(fields, "priority", request.priority) &&
-                       read(fields, "remaining_ms", remaining_ms) &&
-                       read(fields, "longest_wait_ms", longest_wait_ms) && read(fields, "once", once) &&
-                       read(fields, "repeat_percent", request.repeat_percent) &&
-                       request.repeat_percent <= kMostPercent;
+    const bool whole =
+        read(fields, "instance", request.instance) && read(fields, "caller", request.caller) &&
+        read(fields, "row", request.row) && read(fields, "priority", request.priority) &&
+        read(fields, "remaining_ms", remaining_ms) && read(fields, "longest_wait_ms", longest_wait_ms) &&
+        read(fields, "once", once) && read(fields, "repeat_percent", request.repeat_percent) &&
+        read_unless_zero(fields, "crashes", request.crashes) && request.repeat_percent <= kMostPercent;
     if (!whole) {
         return std::nullopt;
     }
@@ -129,6 +142,7 @@
                        read(fields, "in_flight", result.in_flight) && read(fields, "queued", result.queued) &&
                        read(fields, "limit", result.limit) && read(fields, "latency_us", result.latency_us) &&
                        read(fields, "failed_percent", result.failed_percent) &&
+                       read_unless_zero(fields, "crashes", result.crashes) &&
                        read(fields, "overloaded", result.overloaded_service);
     const auto kind = error_kind_from_name(error);
     if (!whole || !kind) {
--- a/src/hop/hop_header.hpp
+++ b/src/hop/hop_header.hpp
@@ -26,6 +26,7 @@
     bool at_most_once = false;     ///< It must not run twice.
     unsigned repeat_percent = 0;   ///< How likely it is a repeat, or made by a run that is one; 0 to 100.
     std::string row;  ///< The route and the request's rank; empty if it can't be written in a header line.
+    unsigned crashes = 0;  ///< Servers in a row that are known to have crashed under it.
 };
 
 /// What became of the request at the gate.
@@ -47,6 +48,7 @@
     unsigned limit = 0;
     unsigned latency_us = 0;
     unsigned failed_percent = 0;  ///< Share of the server's latest requests that it failed.
+    unsigned crashes = 0;         ///< Servers in a row that are known at the gate to have crashed under it.
     /// Set when the server failed and a call that it made had been refused for overload meanwhile.
     std::string overloaded_service;
 };
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -115,6 +115,13 @@
     EventEntry{
         Event::kGateLimitMoved, Level::kInfo, "gate-limit-moved",
         "The number of calls that a gate lets run at its server changed, by how long calls take there."},
+    EventEntry{Event::kRequestCondemned, Level::kWarn, "request-condemned",
+               "A request has crashed several servers in a row; it is sent to none from now on."},
+    EventEntry{Event::kRequestCleared, Level::kInfo, "request-cleared",
+               "A request that ran at a server when it crashed was answered by another, or lifted by an "
+               "operator."},
+    EventEntry{Event::kVerdictStored, Level::kInfo, "verdict-stored",
+               "What is known of a request that crashes servers was written to the store, or removed."},
     EventEntry{Event::kMechanismOff, Level::kWarn, "mechanism-off", "The lab switched a mechanism off."},
 };
 
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -60,6 +60,9 @@
     kConnectionForgotten = 1604,
     kRoutineLinesSkipped = 1605,
     kGateLimitMoved = 1606,
+    kRequestCondemned = 1607,
+    kRequestCleared = 1608,
+    kVerdictStored = 1609,
     kMechanismOff = 1901,
 };
 
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -29,6 +29,10 @@
     MetricEntry{"anisehold_gate_limit", "gauge", "Learned concurrency limit, by server."},
     MetricEntry{"anisehold_members", "gauge", "Known members, by state."},
     MetricEntry{"anisehold_table_revision", "gauge", "Store revision of the table in force."},
+    MetricEntry{"anisehold_server_crashes_total", "counter",
+                "Crashes of the server beside this daemon while requests ran there, by service."},
+    MetricEntry{"anisehold_suspects", "gauge",
+                "Requests that ran at servers when these crashed, by state: condemned or suspected."},
 };
 
 const MetricEntry& entry(std::string_view name) {
@@ -82,6 +86,8 @@
     prometheus::Family<prometheus::Gauge>& gate_limit = gauge("anisehold_gate_limit");
     prometheus::Family<prometheus::Gauge>& members = gauge("anisehold_members");
     prometheus::Gauge& table_revision = gauge("anisehold_table_revision").Add({});
+    prometheus::Family<prometheus::Counter>& server_crashes = counter("anisehold_server_crashes_total");
+    prometheus::Family<prometheus::Gauge>& suspects = gauge("anisehold_suspects");
 };
 
 std::span<const MetricEntry> metric_catalogue() {
@@ -129,6 +135,14 @@
     families_->members.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
 
+void Metrics::count_server_crash(const std::string& service) {
+    families_->server_crashes.Add({{"service", service}}).Increment();
+}
+
+void Metrics::set_suspects(std::string_view state, std::size_t count) {
+    families_->suspects.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
+}
+
 void Metrics::set_table_revision(std::uint64_t revision) {
     families_->table_revision.Set(static_cast<double>(revision));
 }
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -47,6 +47,8 @@
     void count_gossip_bytes(std::size_t sent, std::size_t received);
     void set_gate(const std::string& server, const GateMetrics& gate);
     void set_members(std::string_view state, std::size_t count);
+    void count_server_crash(const std::string& service);
+    void set_suspects(std::string_view state, std::size_t count);
     void set_table_revision(std::uint64_t revision);
 
     /// The text that a scraper gets.
--- /dev/null
+++ b/src/poison/crash_ledger.cpp
@@ -0,0 +1,172 @@
+#include "poison/crash_ledger.hpp"
+
+#include <algorithm>
+#include <iterator>
+
+namespace anisehold::poison
+{
+namespace
+{
+
+/** Makes room for another suspect: of those with the fewest crashes the oldest goes. */
+void dropLeast (CrashLedger& ledger)
+{
+    const auto least = std::min_element (ledger.suspects.begin(), ledger.suspects.end(),
+                                         [] (const auto& left, const auto& right)
+                                         {
+                                             const auto& a = left.second;
+                                             const auto& b = right.second;
+                                             return a.numCrashes != b.numCrashes ? a.numCrashes < b.numCrashes
+                                                                                 : a.latest < b.latest;
+                                         });
+    ledger.suspects.erase (least);
+}
+
+bool holds (const Suspect& suspect, CallerDigest caller)
+{
+    return std::find (suspect.callers.begin(), suspect.callers.end(), caller) != suspect.callers.end();
+}
+
+/** Whether what is known of the request is known of this caller's too. */
+bool speaksOf (const Suspect& suspect, CallerDigest caller)
+{
+    return suspect.callers.size() >= callersForAll || holds (suspect, caller);
+}
+
+bool isHarmless (const CrashLedger& ledger, TimePoint now, const RequestIdentity& request)
+{
+    const auto it = ledger.cleared.find (request);
+    return it != ledger.cleared.end() && now - it->second < innocenceLifetime;
+}
+
+} // namespace
+
+Duration condemnationTime (unsigned numCrashes)
+{
+    if (numCrashes < crashesToCondemn)
+        return Duration::zero();
+
+    seconds time = firstCondemnation;
+
+    for (unsigned n = crashesToCondemn; n < numCrashes && time < longestCondemnation; ++n)
+        time *= condemnationGrowth;
+
+    return std::min (time, longestCondemnation);
+}
+
+unsigned crashesOf (const CrashLedger& ledger, TimePoint now, const RequestIdentity& request)
+{
+    const auto it = ledger.suspects.find (request.digest);
+
+    if (it == ledger.suspects.end() || isHarmless (ledger, now, request))
+        return 0;
+
+    const auto& suspect = it->second;
+    return speaksOf (suspect, request.caller) ? suspect.numCrashes
+                                              : std::min (suspect.numCrashes, crashesToCondemn - 1);
+}
+
+bool isCondemned (const CrashLedger& ledger, TimePoint now, const RequestIdentity& request)
+{
+    const auto it = ledger.suspects.find (request.digest);
+    return it != ledger.suspects.end() &&
+           now - it->second.latest < condemnationTime (crashesOf (ledger, now, request));
+}
+
+bool noteCrashes (CrashLedger& ledger, TimePoint now, const RequestIdentity& request, unsigned numCrashes,
+                  Duration age)
+{
+    if (numCrashes == 0 || isHarmless (ledger, now, request))
+        return false;
+
+    const bool isKnown = ledger.suspects.contains (request.digest);
+
+    if (! isKnown && ledger.suspects.size() >= mostSuspects)
+        dropLeast (ledger);
+
+    auto& suspect = ledger.suspects[request.digest];
+    const bool isLonger = numCrashes > suspect.numCrashes;
+    const bool isNewCaller = ! speaksOf (suspect, request.caller);
+
+    if (isLonger)
+    {
+        suspect.numCrashes = std::min (numCrashes, mostCrashes);
+        suspect.latest = now - age;
+    }
+
+    if (isNewCaller)
+        suspect.callers.push_back (request.caller);
+
+    return isLonger || isNewCaller;
+}
+
+bool noteAnswered (CrashLedger& ledger, TimePoint now, const RequestIdentity& request)
+{
+    return ledger.suspects.contains (request.digest) && ! isHarmless (ledger, now, request) &&
+           noteCleared (ledger, now, request, Duration::zero());
+}
+
+bool noteCleared (CrashLedger& ledger, TimePoint now, const RequestIdentity& request, Duration age)
+{
+    const bool hasRoom = ledger.cleared.contains (request) || ledger.cleared.size() < mostSuspects;
+
+    if (age >= innocenceLifetime || ! hasRoom)
+        return false;
+
+    auto& answered = ledger.cleared[request];
+    answered = std::max (answered, now - age);
+    const auto suspect = ledger.suspects.find (request.digest);
+
+    if (suspect == ledger.suspects.end())
+        return false;
+
+    // Another caller's crashes stand.
+    if (speaksOf (suspect->second, request.caller))
+        ledger.suspects.erase (suspect);
+
+    return true;
+}
+
+bool forget (CrashLedger& ledger, TimePoint now, const RequestDigest& digest)
+{
+    const auto suspect = ledger.suspects.find (digest);
+
+    if (suspect == ledger.suspects.end())
+        return false;
+
+    for (const auto& it : suspect->second.callers)
+        ledger.cleared[{ digest, it }] = now;
+
+    ledger.suspects.erase (suspect);
+    return true;
+}
+
+void expire (CrashLedger& ledger, TimePoint now)
+{
+    std::erase_if (ledger.suspects,
+                   [&] (const auto& entry)
+                   {
+                       const auto& it = entry.second;
+                       return now - it.latest > condemnationTime (it.numCrashes) + suspicionLifetime;
+                   });
+    std::erase_if (ledger.cleared,
+                   [&] (const auto& entry) { return now - entry.second > innocenceLifetime; });
+}
+
+std::vector<CrashedRun> blamed (const std::vector<CrashedRun>& runs)
+{
+    unsigned most = 0;
+
+    for (const auto& it : runs)
+        most = std::max (most, it.crashesBefore);
+
+    if (most < crashesToIsolate)
+        return runs;
+
+    std::vector<CrashedRun> strongest;
+    std::copy_if (runs.begin(), runs.end(), std::back_inserter (strongest),
+                  [&] (const CrashedRun& it) { return it.crashesBefore == most; });
+    return strongest;
+}
+
+} // namespace anisehold::poison
--- /dev/null
+++ b/src/poison/crash_ledger.hpp
@@ -0,0 +1,102 @@
+/** What is known of requests that were running at servers when these crashed.
+
+    A request that crashes each server that begins it is told from the many that were only there by what
+   follows on each other: one run meets a crash, the same request runs again, knowing of that crash, and meets
+   another. `numCrashes` is the length of that chain, the longest that any daemon knows. So servers that crash
+   at the same moment, or of themselves, add one to each request and no more; and a request that any server
+   ever answers is cleared. Daemons' ledgers agree by taking the greater count, in whatever order news come.
+
+    A caller's request is condemned for its own crashes, or when the same request crashed servers for two
+    callers. What one caller's crashed makes a strong suspect of another's, and no more: the server may
+    treat the two differently. Pure.
+*/
+#pragma once
+
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "protocol/request_digest.hpp"
+#include "protocol/time_types.hpp"
+
+namespace anisehold::poison
+{
+
+/** Crashes in a row after which a request isn't sent to any server. Of 2 the second may still be chance: of
+   two servers that crash of themselves within a second, a request can meet both. */
+inline constexpr unsigned crashesToCondemn = 3;
+/** From this many on a suspect runs alone among its like, so that the next crash has one cause. */
+inline constexpr unsigned crashesToIsolate = 2;
+/** Callers whose request crashed servers from which on it is the same for all callers. */
+inline constexpr std::size_t callersForAll = 2;
+/** How long a suspect is remembered after its latest crash. One that isn't sent again costs 60 bytes only. */
+inline constexpr seconds suspicionLifetime{ 600 };
+/** How long a caller's request counts as harmless after a server answered it, against late news: those of a
+    peer that was cut off for some seconds. */
+inline constexpr seconds innocenceLifetime{ 30 };
+/** How long a request is condemned at first. Then one trial is made, since a new version of the service may
+    bear it; each trial that crashes a server makes the next time six times as long. */
+inline constexpr seconds firstCondemnation{ 600 };
+inline constexpr int condemnationGrowth = 6;
+inline constexpr seconds longestCondemnation{ 86'400 };
+/** Most suspects of one daemon; a hundred may run at a server when it ends. */
+inline constexpr std::size_t mostSuspects = 4'096;
+/** Most crashes that are counted: the time of a condemnation has long reached its greatest. */
+inline constexpr unsigned mostCrashes = 32;
+
+/** One suspect. */
+struct Suspect
+{
+    unsigned numCrashes = 0;           /**< Of its chain. */
+    TimePoint latest;                  /**< When the last of them was. */
+    std::vector<CallerDigest> callers; /**< For whom it crashed servers; up to `callersForAll`. */
+};
+
+/** What one daemon knows. */
+struct CrashLedger
+{
+    std::unordered_map<RequestDigest, Suspect> suspects;
+    std::unordered_map<RequestIdentity, TimePoint> cleared; /**< When a server answered them. */
+};
+
+/** How long a request with so many crashes is condemned; zero if it isn't. */
+Duration condemnationTime (unsigned numCrashes);
+
+/** Crashes that are known of the request; 0 for nearly all. Where they are another caller's alone, fewer than
+    condemn it. */
+unsigned crashesOf (const CrashLedger&, TimePoint now, const RequestIdentity&);
+
+/** Whether the request must not be sent to a server. */
+bool isCondemned (const CrashLedger&, TimePoint now, const RequestIdentity&);
+
+/** Takes in a chain of crashes, the last of which was `age` ago, under requests of this caller. True if it
+   tells anything new. */
+bool noteCrashes (CrashLedger&, TimePoint now, const RequestIdentity&, unsigned numCrashes,
+                  Duration age = {});
+
+/** A server has given the request a whole answer. True if it was a suspect. */
+bool noteAnswered (CrashLedger&, TimePoint now, const RequestIdentity&);
+
+/** A peer tells that a server answered the request, `age` ago. That may come before the news of the crash.
+   True as above. */
+bool noteCleared (CrashLedger&, TimePoint now, const RequestIdentity&, Duration age);
+
+/** Forgets a request for all callers; true if anything was known of it. */
+bool forget (CrashLedger&, TimePoint now, const RequestDigest&);
+
+/** Forgets what is too old. */
+void expire (CrashLedger&, TimePoint now);
+
+/** One request that ran at a server when that crashed. */
+struct CrashedRun
+{
+    RequestIdentity request;
+    unsigned crashesBefore = 0; /**< That were known when it began. */
+};
+
+/** Whose chain a crash makes longer. All that ran there are suspects, but where one ran that had met two
+   crashes before, and had been let in for that reason alone, it is taken for the cause and the others for
+    bystanders. */
+std::vector<CrashedRun> blamed (const std::vector<CrashedRun>&);
+
+} // namespace anisehold::poison
--- /dev/null
+++ b/src/poison/crash_news.cpp
@@ -0,0 +1,123 @@
+#include "poison/crash_news.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include "protocol/message_archive.hpp"
+
+namespace anisehold::poison
+{
+namespace
+{
+
+/** First byte of every datagram: tells these messages from others, and from another layout. */
+constexpr char layout = 'C';
+
+std::uint32_t ageMs (TimePoint now, TimePoint then)
+{
+    return static_cast<std::uint32_t> (std::max (0LL, to_milliseconds (now - then)));
+}
+
+bool isMoreWorthTelling (const SuspectNews& left, const SuspectNews& right)
+{
+    return left.numCrashes != right.numCrashes ? left.numCrashes > right.numCrashes
+                                               : left.ageMs < right.ageMs;
+}
+
+/** A number at the start of `text`, which is cut off it. */
+template <typename Number>
+bool takeNumber (std::string_view& text, Number& number)
+{
+    const auto result = std::from_chars (text.data(), text.data() + text.size(), number);
+    text.remove_prefix (static_cast<std::size_t> (result.ptr - text.data()));
+    return result.ec == std::errc{};
+}
+
+/** The blank before the next number. */
+bool takeBlank (std::string_view& text)
+{
+    const bool isBlank = text.starts_with (' ');
+    text.remove_prefix (isBlank ? 1 : 0);
+    return isBlank;
+}
+
+} // namespace
+
+CrashNews newsOf (const CrashLedger& ledger, TimePoint now)
+{
+    CrashNews news;
+
+    for (const auto& [digest, suspect] : ledger.suspects)
+    {
+        SuspectNews it{ digest, suspect.numCrashes, ageMs (now, suspect.latest), {} };
+
+        for (const auto& caller : suspect.callers)
+            it.callers.push_back ({ caller.value });
+
+        news.suspects.push_back (std::move (it));
+    }
+
+    for (const auto& [request, answered] : ledger.cleared)
+        news.cleared.push_back ({ request.digest, request.caller.value, ageMs (now, answered) });
+
+    std::sort (news.suspects.begin(), news.suspects.end(), isMoreWorthTelling);
+    std::sort (news.cleared.begin(), news.cleared.end(),
+               [] (const ClearedNews& left, const ClearedNews& right) { return left.ageMs < right.ageMs; });
+    news.suspects.resize (std::min (news.suspects.size(), mostNews));
+    news.cleared.resize (std::min (news.cleared.size(), mostNews));
+    return news;
+}
+
+std::string encode (const CrashNews& news)
+{
+    return layout + archive_bytes (news);
+}
+
+std::optional<CrashNews> decodeCrashNews (std::string_view bytes)
+{
+    if (bytes.empty() || bytes.front() != layout)
+        return std::nullopt;
+
+    const auto news = unarchive_bytes<CrashNews> (bytes.substr (1));
+
+    const auto hasTooManyCallers = [] (const SuspectNews& it) { return it.callers.size() > callersForAll; };
+
+    if (! news || news->suspects.size() > mostNews || news->cleared.size() > mostNews ||
+        std::any_of (news->suspects.begin(), news->suspects.end(), hasTooManyCallers))
+        return std::nullopt;
+
+    return news;
+}
+
+std::string encode (const StoredVerdict& verdict)
+{
+    auto text = std::to_string (verdict.numCrashes) + " " + std::to_string (verdict.latestUnixMs);
+
+    for (const auto& it : verdict.callers)
+        text += " " + std::to_string (it.value);
+
+    return text;
+}
+
+std::optional<StoredVerdict> decodeStoredVerdict (std::string_view text)
+{
+    StoredVerdict verdict;
+
+    if (! takeNumber (text, verdict.numCrashes) || ! takeBlank (text) ||
+        ! takeNumber (text, verdict.latestUnixMs))
+        return std::nullopt;
+
+    while (! text.empty() && verdict.callers.size() < callersForAll)
+    {
+        CallerDigest caller;
+
+        if (! takeBlank (text) || ! takeNumber (text, caller.value))
+            return std::nullopt;
+
+        verdict.callers.push_back (caller);
+    }
+
+    return text.empty() && ! verdict.callers.empty() ? std::optional (verdict) : std::nullopt;
+}
+
+} // namespace anisehold::poison
--- /dev/null
+++ b/src/poison/crash_news.hpp
@@ -0,0 +1,97 @@
+/** What daemons tell each other of suspects: one datagram a message; and how a verdict is kept in the store.
+ */
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "poison/crash_ledger.hpp"
+#include "protocol/request_digest.hpp"
+#include "protocol/serialize_all.hpp"
+
+namespace anisehold::poison
+{
+
+/** One caller. A struct, since the archives write and read bare vectors of numbers in two ways. */
+struct CallerNews
+{
+    std::uint64_t caller = 0;
+
+    template <typename Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        serialize_all (archive, caller);
+    }
+};
+
+/** One suspect. */
+struct SuspectNews
+{
+    RequestDigest digest;
+    std::uint32_t numCrashes = 0;
+    std::uint32_t ageMs = 0; /**< Of the latest crash. */
+    std::vector<CallerNews> callers;
+
+    template <typename Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        serialize_all (archive, digest, numCrashes, ageMs, callers);
+    }
+};
+
+/** One caller's request that is a suspect no more. */
+struct ClearedNews
+{
+    RequestDigest digest;
+    std::uint64_t caller = 0;
+    std::uint32_t ageMs = 0; /**< Of the server's answer. */
+
+    template <typename Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        serialize_all (archive, digest, caller, ageMs);
+    }
+};
+
+struct CrashNews
+{
+    std::vector<SuspectNews> suspects;
+    std::vector<ClearedNews> cleared;
+
+    bool empty() const { return suspects.empty() && cleared.empty(); }
+
+    template <typename Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        serialize_all (archive, suspects, cleared);
+    }
+};
+
+/** Most suspects, and most cleared requests, of one message: 40 and 28 bytes each for one caller, some 9 KB.
+ */
+inline constexpr std::size_t mostNews = 128;
+
+/** What of the ledger is worth telling: those with the most crashes first, then the latest. */
+CrashNews newsOf (const CrashLedger&, TimePoint now);
+
+std::string encode (const CrashNews&);
+/** Nothing if the bytes aren't such a message. */
+std::optional<CrashNews> decodeCrashNews (std::string_view);
+
+/** A verdict as it lies in the store: the number of crashes, the Unix time of the latest, in milliseconds,
+   and the callers, as decimal numbers with a blank between. */
+struct StoredVerdict
+{
+    unsigned numCrashes = 0;
+    std::int64_t latestUnixMs = 0;
+    std::vector<CallerDigest> callers; /**< One at least. */
+};
+
+std::string encode (const StoredVerdict&);
+/** Nothing if the text isn't a verdict. */
+std::optional<StoredVerdict> decodeStoredVerdict (std::string_view);
+
+} // namespace anisehold::poison
--- /dev/null
+++ b/src/poison/suspect_lane.hpp
@@ -0,0 +1,46 @@
+/** How many suspects run at one server at the same time.
+
+    What a suspect crashes takes all that runs there along, and makes suspects of it. Few at a time keep the
+   number of suspects small that a second crash leaves; one at a time of those that met two crashes tells the
+   cause from the rest. Pure.
+*/
+#pragma once
+
+#include <algorithm>
+
+#include "poison/crash_ledger.hpp"
+
+namespace anisehold::poison
+{
+
+/** Suspects of one crash that run at one server at once. The more, the more are left after a second crash;
+   the fewer, the longer the harmless ones wait: at a crash with 30 running, three servers left and 90 ms of
+   work, 4 make the last one wait 0.2 s, 1 makes it wait 0.8 s. */
+inline constexpr unsigned mostWeakSuspects = 4;
+
+/** What runs now. */
+struct SuspectLane
+{
+    unsigned numWeak = 0;
+    unsigned numStrong = 0; /**< Those that met two crashes or more. */
+};
+
+/** Whether a suspect with so many crashes may begin. */
+inline bool mayBegin (const SuspectLane& lane, unsigned numCrashes)
+{
+    return numCrashes >= crashesToIsolate ? lane.numStrong == 0 : lane.numWeak < mostWeakSuspects;
+}
+
+inline void noteBegan (SuspectLane& lane, unsigned numCrashes)
+{
+    ++(numCrashes >= crashesToIsolate ? lane.numStrong : lane.numWeak);
+}
+
+/** `numCrashes` as it was when the suspect began. */
+inline void noteEnded (SuspectLane& lane, unsigned numCrashes)
+{
+    auto& count = numCrashes >= crashesToIsolate ? lane.numStrong : lane.numWeak;
+    count -= std::min (count, 1U);
+}
+
+} // namespace anisehold::poison
--- /dev/null
+++ b/src/poison/suspect_server.hpp
@@ -0,0 +1,19 @@
+/** Which server a suspect is sent to. */
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "membership/peer_directory.hpp"
+#include "protocol/request_digest.hpp"
+
+namespace anisehold::poison
+{
+
+/** The server of the view that ranks first for the suspect by rendezvous hash, of those not in `tried`; null
+   if there is none. All daemons choose the same one, so that the gate beside it sees all runs of the suspect:
+    only one is made at a time, and a trial after a condemnation is the fleet's only one. */
+const membership::KnownServer* chooseForSuspect (const membership::ServiceView&, const RequestDigest&,
+                                                 const std::vector<std::string>& tried);
+
+} // namespace anisehold::poison
--- a/src/protocol/error_kind.cpp
+++ b/src/protocol/error_kind.cpp
@@ -63,6 +63,8 @@
                 "The tenant has used up its quota"},
     ErrorAnswer{kQuotaUnknown, "quota-unknown", 503, kNotRun, kSoon, 2029,
                 "The daemon that counts the tenant's requests can't be reached"},
+    ErrorAnswer{kCrashesServers, "crashes-servers", 502, kNotRun, kNever, 2030,
+                "The request has crashed several servers and is sent to none"},
 };
 
 class ErrorKindCategory final : public std::error_category {
--- a/src/protocol/error_kind.hpp
+++ b/src/protocol/error_kind.hpp
@@ -41,6 +41,7 @@
     kKeyUnproven,
     kQuotaExceeded,
     kQuotaUnknown,
+    kCrashesServers,
 };
 
 /// What is known about whether the call was run by a back end.
--- a/src/protocol/request_digest.cpp
+++ b/src/protocol/request_digest.cpp
@@ -44,10 +44,14 @@
     return high && low ? std::optional(RequestDigest{*high, *low}) : std::nullopt;
 }
 
+CallerDigest caller_digest(std::string_view service) {
+    return CallerDigest(XXH3_64bits(service.data(), service.size()));
+}
+
 RequestDigest digest_of(const RequestTraits& traits) {
     // Each part is preceded by its length, so that no two requests run together to the same bytes.
     std::string head;
-    for (const auto part : {traits.caller, traits.method, traits.host, traits.target}) {
+    for (const auto part : {traits.method, traits.host, traits.target}) {
         const std::uint64_t length = part.size();
         head.append(reinterpret_cast<const char*>(&length), sizeof length).append(part);
     }
--- a/src/protocol/request_digest.hpp
+++ b/src/protocol/request_digest.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 
 #include "protocol/serialize_all.hpp"
+#include "protocol/strong_id.hpp"
 
 namespace anisehold {
 
@@ -31,9 +32,22 @@
 /// Nothing unless the text is 32 hexadecimal digits.
 std::optional<RequestDigest> parse_request_digest(std::string_view text);
 
+/// Tells callers apart: a digest of the name of the service on the machine where the request began.
+using CallerDigest = Strong<struct CallerDigestTag, std::uint64_t>;
+
+CallerDigest caller_digest(std::string_view service);
+
+/// A request that comes again, and who sends it. Not one digest: the same request may come from several
+/// callers, and what is known of one is then worth something for the others.
+struct RequestIdentity {
+    RequestDigest digest;
+    CallerDigest caller;
+
+    bool operator==(const RequestIdentity&) const = default;
+};
+
 /// What makes two requests the same. Neither id nor deadline nor other header lines do.
 struct RequestTraits {
-    std::string_view caller;  ///< Service on the machine where the request began.
     std::string_view method;
     std::string_view host;
     std::string_view target;  ///< Path and query.
@@ -50,3 +64,10 @@
 struct std::hash<anisehold::RequestDigest> {
     std::size_t operator()(const anisehold::RequestDigest& digest) const { return digest.low; }
 };
+
+template <>
+struct std::hash<anisehold::RequestIdentity> {
+    std::size_t operator()(const anisehold::RequestIdentity& request) const {
+        return request.digest.low ^ request.caller.value;
+    }
+};
--- a/src/registration/server_registry.hpp
+++ b/src/registration/server_registry.hpp
@@ -50,6 +50,8 @@
     /// instance, or of its address.
     RegistryChange on_found(TimePoint now, const Heartbeat& found);
     RegistryChange on_leave(TimePoint now, const std::string& instance);
+    /// The server has crashed: nothing is known of it until it registers again. False if nothing was.
+    bool on_crash(const std::string& instance) { return servers_.erase(instance) > 0; }
     /// Forgets servers that fell silent for `silence`, found ones without a heartbeat after `found_silence`,
     /// and what was remembered of those that left long ago. Returns the instances that fell silent.
     std::vector<std::string> expire(TimePoint now, Duration silence, Duration found_silence);
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "net/event_loop.hpp"
+#include "poison/suspect_server.hpp"
 #include "sidecar/call_ingress.hpp"
 
 namespace anisehold::sidecar {
@@ -80,6 +81,16 @@
     return terms;
 }
 
+const KnownServer* CallIngress::choose_server(const Call& call, TimePoint now, unsigned running) {
+    const auto view = candidates(call.service, now);
+    if (crashes_.crashes_of(now, call.identity) == 0) {
+        return selection::chooseServer(selection_, now, view, call.tried,
+                                       [this] { return context_.random_unit(); });
+    }
+    // A suspect isn't at two servers at once.
+    return running > 0 ? nullptr : poison::chooseForSuspect(view, call.identity.digest, call.tried);
+}
+
 net::HttpResponse CallIngress::run(Call& call, net::HttpRequest& request, net::CancelSignal& cancel) {
     const bool is_root = context_.origins.is_called_by_clients(call.route);
     call.inherited_repeat = is_root ? 0 : gate_.repeat_share();
@@ -96,11 +107,12 @@
     while (going_on) {
         take_outcomes(call, flight);
         const auto now = TimePoint::clock::now();
-        const auto view = candidates(call.service, now);
-        const auto* server = selection::chooseServer(selection_, now, view, call.tried,
-                                                     [this] { return context_.random_unit(); });
+        const auto* server = choose_server(call, now, flight.plan.running());
         step = flight.plan.next(now, server != nullptr);
         const bool sends = step == AttemptStep::kLaunch || step == AttemptStep::kLaunchRepeat;
+        if (sends && crashes_.is_condemned(now, call.identity)) {
+            return fail(call, {ErrorKind::kCrashesServers}, flight.plan.may_have_run());
+        }
         const bool caller_left = sends ? cancel.check() : cancel.cancelled();
         going_on = !caller_left && advance(call, flight, step, server, now);
     }
@@ -156,6 +168,7 @@
     hop_call.longest_wait = std::max(kLeastWait, milliseconds(to_milliseconds(wait_ends - attempt->started)));
     hop_call.repeat_percent = static_cast<unsigned>(std::lround(repeat * kPercent));
     hop_call.at_most_once = !may_repeat(call.terms.repeat);
+    hop_call.crashes = crashes_.crashes_of(attempt->started, call.identity);
     hop_call.row = call.row;
     net::EventLoop::spawn([this, board, attempt, hop_call, streamed = flight.streamed,
                            slow_after = flight.slow_after] {
@@ -175,7 +188,7 @@
     });
 }
 
-void CallIngress::take_outcomes(Call& call, Flight& flight) const {
+void CallIngress::take_outcomes(Call& call, Flight& flight) {
     for (const auto& attempt : flight.board->attempts) {
         if (!attempt->ended || attempt->taken) {
             continue;
@@ -184,6 +197,11 @@
         const auto outcome = outcome_of(attempt->answer);
         flight.plan.on_outcome(outcome);
         const auto& result = attempt->answer.result;
+        if (outcome == AttemptOutcome::kAnswered || outcome == AttemptOutcome::kFailedAnswer) {
+            crashes_.on_answered(call.identity);
+        } else {
+            crashes_.on_told(call.identity, result.crashes);
+        }
         const bool answered = attempt->answer.response.has_value();
         if (outcome == AttemptOutcome::kAnswered || (answered && !flight.best)) {
             flight.best = attempt;
@@ -201,7 +219,7 @@
     }
 }
 
-void CallIngress::cancel_attempts(Call& call, Flight& flight) const {
+void CallIngress::cancel_attempts(Call& call, Flight& flight) {
     for (const auto& attempt : flight.board->attempts) {
         if (attempt->ended) {
             continue;
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -59,13 +59,14 @@
 
 CallIngress::CallIngress(SidecarContext& context, ConfigurationHolder& configuration,
                          membership::PeerDirectory& directory, LocalGate& gate, FreshnessKeeper& freshness,
-                         QuotaExchange& quotas)
+                         QuotaExchange& quotas, CrashExchange& crashes)
     : context_(context),
       configuration_(configuration),
       directory_(directory),
       gate_(gate),
       freshness_(freshness),
       quotas_(quotas),
+      crashes_(crashes),
       hops_(context, directory),
       selection_{context.settings.zone, {}, {}, selection_rules(context)},
       budget_(budget_terms(context.settings), TimePoint::clock::now()),
@@ -119,6 +120,12 @@
     call.service = split_.next(*route, context_.random_unit());
     const auto allowed = client.time_left ? std::min(*client.time_left, route->timeout) : route->timeout;
     call.deadline = call.received + std::max(allowed - kAnswerMargin, milliseconds(1));
+    const auto host = request.fields.find("Host").value_or("");
+    call.identity = {digest_of({request.method, host, request.target, request.body.prefix}),
+                     caller_digest(context_.settings.service)};
+    if (crashes_.is_condemned(call.received, call.identity)) {
+        return Failure{ErrorKind::kCrashesServers};
+    }
     context_.origins.on_request(call.received, call.route);
     // A call that a server makes is never refused early: work has been done for it already.
     if (context_.origins.is_called_by_clients(call.route) && is_refused_early(call)) {
@@ -293,6 +300,7 @@
                                      {"attempts", call.servers},
                                      {"taken_ms", std::to_string(to_milliseconds(now - call.received))},
                                      {"time_left_ms", std::to_string(to_milliseconds(call.deadline - now))},
+                                     {"digest", call.identity.digest.text()},
                                      {"outcome", outcome}});
 }
 
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -14,6 +14,7 @@
 #include "routing/weighted_split.hpp"
 #include "selection/server_selection.hpp"
 #include "sidecar/configuration_holder.hpp"
+#include "sidecar/crash_exchange.hpp"
 #include "sidecar/freshness_keeper.hpp"
 #include "sidecar/hop_client.hpp"
 #include "sidecar/local_gate.hpp"
@@ -27,7 +28,7 @@
   public:
     CallIngress(SidecarContext& context, ConfigurationHolder& configuration,
                 membership::PeerDirectory& directory, LocalGate& gate, FreshnessKeeper& freshness,
-                QuotaExchange& quotas);
+                QuotaExchange& quotas, CrashExchange& crashes);
 
     /// Answers one request; blocks its fiber until then.
     net::HttpResponse handle(net::HttpRequest& request, net::CancelSignal& cancel);
@@ -40,6 +41,7 @@
     /// One request on its way.
     struct Call {
         std::string request_id;
+        RequestIdentity identity;
         std::string route;
         std::string row;  ///< The route, and the request's rank: what the limit of root requests tells apart.
         std::string service;
@@ -98,6 +100,8 @@
     bool is_refused_early(const Call& call);
     /// Servers beside peers, and the one beside this daemon. Holds until the next call.
     membership::ServiceView candidates(const std::string& service, TimePoint now);
+    /// The server that the request is sent to next, or null. `running`: attempts that haven't ended.
+    const membership::KnownServer* choose_server(const Call& call, TimePoint now, unsigned running);
     net::HttpResponse run(Call& call, net::HttpRequest& request, net::CancelSignal& cancel);
     /// Takes the step that the plan named; false if that was the last one.
     bool advance(Call& call, Flight& flight, retry::AttemptStep step, const membership::KnownServer* server,
@@ -105,8 +109,8 @@
     /// `repeat` in [0, 1]: how likely the attempt counts as a repeat at its service.
     void launch(Call& call, Flight& flight, const membership::KnownServer& server, double repeat);
     /// Feeds ended attempts to the plan.
-    void take_outcomes(Call& call, Flight& flight) const;
-    void cancel_attempts(Call& call, Flight& flight) const;
+    void take_outcomes(Call& call, Flight& flight);
+    void cancel_attempts(Call& call, Flight& flight);
     net::HttpResponse conclude(Call& call, Flight& flight, retry::AttemptStep step);
     retry::AttemptTerms terms_of(const Call& call, const net::HttpRequest& request, TimePoint now);
     /// Tells the limit of root requests and the gate of this machine's server how the request ended.
@@ -122,6 +126,7 @@
     LocalGate& gate_;
     FreshnessKeeper& freshness_;
     QuotaExchange& quotas_;
+    CrashExchange& crashes_;
     HopClient hops_;
     routing::WeightedSplit split_;
     selection::SelectionState selection_;
--- /dev/null
+++ b/src/sidecar/crash_exchange.cpp
@@ -0,0 +1,237 @@
+#include "sidecar/crash_exchange.hpp"
+
+#include <algorithm>
+#include <boost/fiber/operations.hpp>
+
+#include "net/event_loop.hpp"
+#include "observability/events.hpp"
+
+namespace anisehold::sidecar {
+namespace {
+
+using observability::Event;
+using observability::log_event;
+
+/// Least time between two rounds of news to all peers. A crash makes up to a hundred suspects, which are then
+/// cleared one by one: without it each would be told to all.
+constexpr milliseconds kLeastGap{200};
+/// Each daemon tells one peer so often, while it has anything to tell.
+constexpr milliseconds kTellOnePeriod{1'000};
+constexpr milliseconds kCallTimeout{1'500};
+constexpr milliseconds kStorePause{500};
+
+std::string verdict_key(const RequestDigest& digest) {
+    return std::string(kVerdictPrefix) + digest.text();
+}
+
+/// The time of day; machines' clocks differ by seconds at most, and verdicts last for minutes.
+std::int64_t unix_milliseconds() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<milliseconds>(now).count();
+}
+
+TimePoint call_deadline() {
+    return TimePoint::clock::now() + kCallTimeout;
+}
+
+}  // namespace
+
+void CrashExchange::start(Send send) {
+    send_ = std::move(send);
+    net::EventLoop::spawn([this] { tell_when_changed(); });
+    net::EventLoop::spawn([this] { tell_one_periodically(); });
+}
+
+std::vector<RememberedRequest> CrashExchange::remembered(TimePoint now) const {
+    std::vector<RememberedRequest> requests;
+    for (const auto& [digest, suspect] : ledger_.suspects) {
+        const auto ends = suspect.latest + poison::condemnationTime(suspect.numCrashes);
+        requests.push_back({digest, suspect.numCrashes, now < ends, std::max(ends - now, Duration::zero())});
+    }
+    std::sort(requests.begin(), requests.end(),
+              [](const auto& left, const auto& right) { return left.crashes > right.crashes; });
+    return requests;
+}
+
+void CrashExchange::set_metrics(TimePoint now) const {
+    const auto requests = remembered(now);
+    const auto condemned = std::count_if(requests.begin(), requests.end(),
+                                         [](const RememberedRequest& each) { return each.is_condemned; });
+    context_.metrics.set_suspects("condemned", static_cast<std::size_t>(condemned));
+    context_.metrics.set_suspects("suspected", requests.size() - static_cast<std::size_t>(condemned));
+}
+
+bool CrashExchange::raise(const RequestIdentity& request, unsigned crashes, Duration age,
+                          const char* source) {
+    const auto now = TimePoint::clock::now();
+    const bool was_condemned = is_condemned(now, request);
+    poison::noteCrashes(ledger_, now, request, crashes, age);
+    const bool is_new = !was_condemned && is_condemned(now, request);
+    if (is_new) {
+        log_event(Event::kRequestCondemned, {{"digest", request.digest.text()},
+                                             {"crashes", std::to_string(crashes)},
+                                             {"age_ms", std::to_string(to_milliseconds(age))},
+                                             {"source", source}});
+    }
+    return is_new;
+}
+
+void CrashExchange::on_crash(const std::vector<poison::CrashedRun>& runs) {
+    for (const auto& run : poison::blamed(runs)) {
+        if (raise(run.request, run.crashesBefore + 1, Duration::zero(), "crash")) {
+            net::EventLoop::spawn([this, request = run.request] { keep_verdict(request); });
+        }
+    }
+    set_metrics(TimePoint::clock::now());
+    // At once: the request may already be on its way from its caller to another machine.
+    tell_all();
+    changed_.give();
+}
+
+void CrashExchange::on_told(const RequestIdentity& request, unsigned crashes) {
+    if (crashes > 0) {
+        raise(request, crashes, Duration::zero(), "daemon");
+    }
+}
+
+void CrashExchange::on_answered(const RequestIdentity& request) {
+    const auto now = TimePoint::clock::now();
+    const auto crashes = crashes_of(now, request);
+    if (crashes == 0 || !poison::noteAnswered(ledger_, now, request)) {
+        return;
+    }
+    log_event(Event::kRequestCleared,
+              {{"digest", request.digest.text()}, {"crashes", std::to_string(crashes)}});
+    if (crashes >= poison::crashesToCondemn) {
+        net::EventLoop::spawn([this, digest = request.digest] { remove_verdict(digest); });
+    }
+    changed_.give();
+}
+
+bool CrashExchange::lift(const RequestDigest& digest) {
+    if (!poison::forget(ledger_, TimePoint::clock::now(), digest)) {
+        return false;
+    }
+    log_event(Event::kRequestCleared, {{"digest", digest.text()}, {"by", "operator"}});
+    net::EventLoop::spawn([this, digest] { remove_verdict(digest); });
+    changed_.give();
+    return true;
+}
+
+void CrashExchange::on_news(const poison::CrashNews& news) {
+    const auto now = TimePoint::clock::now();
+    for (const auto& each : news.cleared) {
+        poison::noteCleared(ledger_, now, {each.digest, CallerDigest(each.caller)}, milliseconds(each.ageMs));
+    }
+    for (const auto& each : news.suspects) {
+        for (const auto& it : each.callers) {
+            raise({each.digest, CallerDigest(it.caller)}, each.numCrashes, milliseconds(each.ageMs), "peer");
+        }
+    }
+    set_metrics(now);
+}
+
+void CrashExchange::on_peer_appeared(const Endpoint& gossip) {
+    const auto news = poison::newsOf(ledger_, TimePoint::clock::now());
+    if (!news.empty()) {
+        send_(gossip, encode(news));
+    }
+}
+
+void CrashExchange::on_stored(const std::vector<store::StoreItem>& items, bool may_remove) {
+    for (const auto& item : items) {
+        const auto digest = parse_request_digest(
+            std::string_view(item.key).substr(std::min(item.key.size(), kVerdictPrefix.size())));
+        const auto verdict = poison::decodeStoredVerdict(item.value);
+        if (!digest || !verdict) {
+            log_event(Event::kVerdictStored, {{"key", item.key}, {"outcome", "not a verdict"}});
+            continue;
+        }
+        const milliseconds age(std::max<std::int64_t>(0, unix_milliseconds() - verdict->latestUnixMs));
+        const bool is_over = age > poison::condemnationTime(verdict->numCrashes) + poison::suspicionLifetime;
+        if (is_over && may_remove) {
+            store_.remove(item.key, item.revision, call_deadline());
+        }
+        for (const auto caller : verdict->callers) {
+            if (!is_over) {
+                raise({*digest, caller}, verdict->numCrashes, age, "store");
+            }
+        }
+    }
+}
+
+void CrashExchange::tell_all() {
+    const auto news = poison::newsOf(ledger_, TimePoint::clock::now());
+    if (news.empty()) {
+        return;
+    }
+    const auto bytes = encode(news);
+    for (const auto& peer : directory_.addresses()) {
+        send_(peer.gossip, bytes);
+    }
+}
+
+void CrashExchange::tell_when_changed() {
+    while (true) {
+        if (!changed_.wait_until(TimePoint::clock::now() + kTellOnePeriod)) {
+            continue;
+        }
+        tell_all();
+        boost::this_fiber::sleep_for(kLeastGap);
+        // Some datagrams of the first round may be lost.
+        tell_all();
+        boost::this_fiber::sleep_for(kLeastGap);
+    }
+}
+
+void CrashExchange::tell_one_periodically() {
+    while (true) {
+        const std::chrono::duration<double> period = kTellOnePeriod * (0.5 + context_.random_unit());
+        boost::this_fiber::sleep_for(std::chrono::duration_cast<Duration>(period));
+        const auto now = TimePoint::clock::now();
+        poison::expire(ledger_, now);
+        if (ledger_.suspects.empty() && ledger_.cleared.empty()) {
+            continue;
+        }
+        set_metrics(now);
+        const auto peers = directory_.addresses();
+        if (!peers.empty()) {
+            const auto chosen =
+                static_cast<std::size_t>(context_.random_unit() * static_cast<double>(peers.size()));
+            on_peer_appeared(peers[std::min(chosen, peers.size() - 1)].gossip);
+        }
+    }
+}
+
+void CrashExchange::keep_verdict(const RequestIdentity& request) {
+    const auto key = verdict_key(request.digest);
+    const auto found = ledger_.suspects.find(request.digest);
+    if (found == ledger_.suspects.end()) {
+        return;
+    }
+    const auto value =
+        encode(poison::StoredVerdict{found->second.numCrashes, unix_milliseconds(), found->second.callers});
+    auto outcome = store::CallOutcome::kUnknown;
+    while (outcome != store::CallOutcome::kDone && is_condemned(TimePoint::clock::now(), request)) {
+        outcome = store_.write({{key, value}}, call_deadline()).outcome;
+        log_event(
+            Event::kVerdictStored,
+            {{"key", key}, {"verdict", value}, {"outcome", std::string(store::call_outcome_name(outcome))}});
+        if (outcome != store::CallOutcome::kDone) {
+            boost::this_fiber::sleep_for(kStorePause);
+        }
+    }
+}
+
+void CrashExchange::remove_verdict(const RequestDigest& digest) {
+    const auto found = store_.read(verdict_key(digest), store::Freshness::kLatest, call_deadline());
+    auto outcome = found.outcome;
+    if (outcome == store::CallOutcome::kDone) {
+        outcome = store_.remove(verdict_key(digest), found.item.revision, call_deadline()).outcome;
+    }
+    log_event(Event::kVerdictStored, {{"key", verdict_key(digest)},
+                                      {"verdict", "removed"},
+                                      {"outcome", std::string(store::call_outcome_name(outcome))}});
+}
+
+}  // namespace anisehold::sidecar
--- a/src/sidecar/crash_watch.cpp
+++ b/src/sidecar/crash_watch.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/crash_watch.hpp"
 
 #include <algorithm>
+#include <unordered_map>
 
 #include "net/connect_probe.hpp"
 
@@ -37,16 +38,20 @@
     return is_first;
 }
 
-std::vector<RequestDigest> CrashWatch::unanswered() const {
-    std::vector<RequestDigest> digests;
+std::vector<poison::CrashedRun> CrashWatch::unanswered() const {
+    std::unordered_map<RequestIdentity, unsigned> crashes_before;
     for (const auto& [run, at_server] : runs_) {
-        if (at_server.progress->request_started) {
-            digests.push_back(at_server.digest);
+        if (!at_server.progress->request_started) {
+            continue;
         }
+        auto& before = crashes_before[at_server.request.request];
+        before = std::max(before, at_server.request.crashesBefore);
     }
-    std::sort(digests.begin(), digests.end());
-    digests.erase(std::unique(digests.begin(), digests.end()), digests.end());
-    return digests;
+    std::vector<poison::CrashedRun> unanswered;
+    for (const auto& [request, before] : crashes_before) {
+        unanswered.push_back({request, before});
+    }
+    return unanswered;
 }
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -38,9 +38,10 @@
 /// Digests in one log line: 33 bytes each, and a server may have a hundred requests running when it ends.
 constexpr std::size_t kMostDigestsLogged = 32;
 
-RequestDigest digest_of(const net::HttpRequest& request, const hop::HopRequest& call) {
-    return anisehold::digest_of({call.caller, request.method, request.fields.find("Host").value_or(""),
-                                 request.target, request.body.prefix});
+RequestIdentity identity_of(const net::HttpRequest& request, const hop::HopRequest& call) {
+    const auto host = request.fields.find("Host").value_or("");
+    return {digest_of({request.method, host, request.target, request.body.prefix}),
+            caller_digest(call.caller)};
 }
 
 GateAnswer refusal(HopOutcome outcome, ErrorKind error, Duration retry_after) {
@@ -189,12 +190,12 @@
     const auto arrived = TimePoint::clock::now();
     const auto deadline = arrived + call.remaining;
     const auto request_id = context_.dialect.read_client_call(request).id;
-    const auto digest = digest_of(request, call);
+    const auto identity = identity_of(request, call);
     const auto* registered = registry_.find_ready(call.instance);
     if (registered == nullptr) {
         auto answer = refusal(HopOutcome::kNotSent, ErrorKind::kNoBackend, Duration::zero());
         answer.result.instance = call.instance;
-        log(request_id, digest, call, answer, arrived, Duration::zero());
+        log(request_id, identity.digest, call, answer, arrived, Duration::zero());
         return answer;
     }
     const auto server = server_for(*registered);
@@ -202,8 +203,14 @@
     if (++in_flight_ == 1) {
         context_.origins.on_server(arrived, true);
     }
+    crashes_.on_told(identity, call.crashes);
     std::optional<GateAnswer> refused;
-    if (!context_.has(Mechanism::kReachLimit) || connection::takeTry(server->reach, arrived)) {
+    const auto turn = take_turn(*server, identity, call, arrived, cancel);
+    if (crashes_.is_condemned(TimePoint::clock::now(), identity)) {
+        refused = refusal(HopOutcome::kNotSent, ErrorKind::kCrashesServers, Duration::zero());
+    } else if (!turn) {
+        refused = refusal(HopOutcome::kNotSent, ErrorKind::kQueueTimeout, server->latency);
+    } else if (!context_.has(Mechanism::kReachLimit) || connection::takeTry(server->reach, arrived)) {
         refused = wait_for_admission(*server, call, id, deadline, cancel);
     } else {
         refused = refusal(HopOutcome::kNotSent, ErrorKind::kConnectFailed, Duration::zero());
@@ -217,25 +224,50 @@
         if (registry_.find_ready(call.instance) == nullptr) {
             answer = refusal(HopOutcome::kNotSent, ErrorKind::kNoBackend, Duration::zero());
         } else {
-            ++running_;
-            running_repeats_ += call.repeat_percent;
-            overload::noteRunBegan(context_.work, started, call.row);
-            server->crash.began(id, {digest, &progress});
-            answer = exchange(*server, request, call, deadline, cancel, progress);
-            server->crash.ended(id);
-            --running_;
-            running_repeats_ -= call.repeat_percent;
-            overload::noteRunEnded(context_.work, TimePoint::clock::now(), call.row);
+            answer = run_admitted(*server, id, request, identity, call, deadline, cancel, progress);
         }
         mark_overload_below(started, answer);
         finish(*server, id, call.instance, started, answer, cancel != nullptr && cancel->cancelled());
     }
     answer.result.instance = call.instance;
+    answer.result.crashes = crashes_.crashes_of(TimePoint::clock::now(), identity);
     fill_load(*server, answer.result);
     if (--in_flight_ == 0) {
         context_.origins.on_server(TimePoint::clock::now(), false);
     }
-    log(request_id, digest, call, answer, arrived, started - arrived);
+    log(request_id, identity.digest, call, answer, arrived, started - arrived);
+    return answer;
+}
+
+std::optional<SuspectQueue::Turn> LocalGate::take_turn(Server& server, const RequestIdentity& identity,
+                                                       const hop::HopRequest& call, TimePoint arrived,
+                                                       net::CancelSignal* cancel) const {
+    // It has run once, so that waiting longer for a turn than others for room is worth it.
+    const auto latest = arrived + std::max(call.longest_wait, call.remaining / 2);
+    const auto known = [&] {
+        const auto now = TimePoint::clock::now();
+        return crashes_.is_condemned(now, identity) ? 0 : crashes_.crashes_of(now, identity);
+    };
+    return server.suspects.enter(known, latest, cancel);
+}
+
+GateAnswer LocalGate::run_admitted(Server& server, std::uint64_t id, net::HttpRequest& request,
+                                   const RequestIdentity& identity, const hop::HopRequest& call,
+                                   TimePoint deadline, net::CancelSignal* cancel,
+                                   net::ExchangeProgress& progress) {
+    ++running_;
+    running_repeats_ += call.repeat_percent;
+    const auto now = TimePoint::clock::now();
+    overload::noteRunBegan(context_.work, now, call.row);
+    server.crash.began(id, {{identity, crashes_.crashes_of(now, identity)}, &progress});
+    auto answer = exchange(server, request, call, deadline, cancel, progress);
+    server.crash.ended(id);
+    --running_;
+    running_repeats_ -= call.repeat_percent;
+    overload::noteRunEnded(context_.work, TimePoint::clock::now(), call.row);
+    if (answer.result.outcome == HopOutcome::kAnswered) {
+        crashes_.on_answered(identity);
+    }
     return answer;
 }
 
@@ -348,14 +380,24 @@
     return response;
 }
 
-void LocalGate::look_for_crash(Server& server, const hop::HopRequest& call) const {
-    if (!server.crash.is_server_gone() || !server.crash.take_report()) {
+void LocalGate::look_for_crash(Server& server, const hop::HopRequest& call) {
+    // One that said that it leaves ends as it should.
+    const auto* registered = registry_.find_ready(call.instance);
+    if (registered == nullptr || !server.crash.is_server_gone() || !server.crash.take_report()) {
         return;
     }
     const auto unanswered = server.crash.unanswered();
     std::string digests;
     for (std::size_t n = 0; n < std::min(unanswered.size(), kMostDigestsLogged); ++n) {
-        digests += (n > 0 ? " " : "") + unanswered[n].text();
+        digests += (n > 0 ? " " : "") + unanswered[n].request.digest.text();
+    }
+    context_.metrics.count_server_crash(context_.settings.service);
+    crashes_.on_crash(unanswered);
+    // Its next start registers anew, maybe under the same id; nothing of this one holds for it.
+    registry_.on_crash(call.instance);
+    servers_.erase(call.instance);
+    if (crash_listener_) {
+        crash_listener_();
     }
     log_event(Event::kServerCrashed, {{"server", call.instance},
                                       {"service", context_.settings.service},
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -2,6 +2,7 @@
 /// The gate of the server beside this daemon: registration, admission, and the exchange with the server.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,8 +20,10 @@
 #include "overload/use_meter.hpp"
 #include "registration/server_registry.hpp"
 #include "selection/failure_share.hpp"
+#include "sidecar/crash_exchange.hpp"
 #include "sidecar/crash_watch.hpp"
 #include "sidecar/sidecar_context.hpp"
+#include "sidecar/suspect_queue.hpp"
 
 namespace anisehold::sidecar {
 
@@ -33,7 +36,10 @@
 /// All requests for this machine's server pass here, so its state is known exactly.
 class LocalGate {
   public:
-    explicit LocalGate(SidecarContext& context) : context_(context) {}
+    LocalGate(SidecarContext& context, CrashExchange& crashes) : context_(context), crashes_(crashes) {}
+
+    /// `listener` is called when the server beside has crashed.
+    void set_crash_listener(std::function<void()> listener) { crash_listener_ = std::move(listener); }
 
     /// Runs a request at the server that `call` names, or refuses it. Blocks the fiber; meanwhile `progress`
     /// tells whether the server may have been sent anything.
@@ -69,6 +75,7 @@
         overload::UseMeter use;  ///< Of requests in flight.
         net::HttpClient client;
         CrashWatch crash;
+        SuspectQueue suspects;
         std::unordered_map<std::uint64_t, std::shared_ptr<Waiter>> waiters;
         Duration latency{};  ///< Moving average of answers.
         selection::FailureShare failures;
@@ -81,9 +88,9 @@
     admission::GateOptions gate_options() const;
     std::unique_ptr<admission::ConcurrencyLimit> make_limit(unsigned slots) const;
     std::shared_ptr<Server> server_for(const registration::RegisteredServer& registered);
-    std::optional<GateAnswer> wait_for_admission(Server& server, const hop::HopRequest& call,
-                                                 std::uint64_t id, TimePoint deadline,
-                                                 net::CancelSignal* cancel);
+    static std::optional<GateAnswer> wait_for_admission(Server& server, const hop::HopRequest& call,
+                                                        std::uint64_t id, TimePoint deadline,
+                                                        net::CancelSignal* cancel);
     GateAnswer exchange(Server& server, net::HttpRequest& request, const hop::HopRequest& call,
                         TimePoint deadline, net::CancelSignal* cancel, net::ExchangeProgress& progress);
     /// Sends the request once. A kept connection that is lost before any answer teaches the limit of rest.
@@ -91,7 +98,15 @@
                                                const net::ExchangeOptions& options,
                                                net::ExchangeProgress& progress, std::error_code& error) const;
     /// The connection of a request broke: tells of the server's end, if that was the cause. Blocks the fiber.
-    void look_for_crash(Server& server, const hop::HopRequest& call) const;
+    void look_for_crash(Server& server, const hop::HopRequest& call);
+    /// The turn of a request that is a suspect, or what it is refused with. Blocks the fiber.
+    std::optional<SuspectQueue::Turn> take_turn(Server& server, const RequestIdentity& identity,
+                                                const hop::HopRequest& call, TimePoint arrived,
+                                                net::CancelSignal* cancel) const;
+    /// Runs a request that was admitted.
+    GateAnswer run_admitted(Server& server, std::uint64_t id, net::HttpRequest& request,
+                            const RequestIdentity& identity, const hop::HopRequest& call, TimePoint deadline,
+                            net::CancelSignal* cancel, net::ExchangeProgress& progress);
     void note_use(Server& server, TimePoint now) const;
     /// Takes in what the end of a request tells of the server.
     static void observe(Server& server, TimePoint started, TimePoint now, const GateAnswer& answer,
@@ -106,6 +121,8 @@
              const GateAnswer& answer, TimePoint arrived, Duration waited) const;
 
     SidecarContext& context_;
+    CrashExchange& crashes_;
+    std::function<void()> crash_listener_;
     registration::ServerRegistry registry_;
     std::map<std::string, std::shared_ptr<Server>> servers_;
     std::uint64_t next_id_ = 1;
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -197,6 +197,9 @@
     if (change == PeerChange::kAppeared && !was_told) {
         socket_.send(record->gossip, encode(own_record()));
     }
+    if (change == PeerChange::kAppeared && appearance_listener_) {
+        appearance_listener_(record->gossip);
+    }
     if (change == PeerChange::kAppeared || change == PeerChange::kServers) {
         log_event(Event::kPeerChanged,
                   {{"peer", record->name},
--- a/src/sidecar/peer_exchange.hpp
+++ b/src/sidecar/peer_exchange.hpp
@@ -25,6 +25,10 @@
     std::error_code start();
     /// Sets who is given datagrams that aren't records.
     void set_other_receiver(OtherReceiver receiver) { other_receiver_ = std::move(receiver); }
+    /// `listener` is told where a peer is that has just started, or is heard again.
+    void set_appearance_listener(std::function<void(const Endpoint& gossip)> listener) {
+        appearance_listener_ = std::move(listener);
+    }
     void send(const Endpoint& to, std::string_view bytes) { socket_.send(to, bytes); }
     /// Sends the record to all peers now.
     void announce();
@@ -51,6 +55,7 @@
     ConfigurationHolder& configuration_;
     net::UdpSocket socket_;
     OtherReceiver other_receiver_;
+    std::function<void(const Endpoint& gossip)> appearance_listener_;
     std::uint64_t sequence_ = 0;
     std::uint64_t fetching_version_ = 0;
     TimePoint opened_;     ///< When records could come in first.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -7,6 +7,7 @@
 #include "net/http_server.hpp"
 #include "observability/events.hpp"
 #include "sidecar/call_ingress.hpp"
+#include "sidecar/crash_exchange.hpp"
 #include "sidecar/freshness_keeper.hpp"
 #include "sidecar/peer_exchange.hpp"
 #include "sidecar/quota_exchange.hpp"
@@ -80,12 +81,13 @@
         : context(loop.io(), dialect, std::move(settings)),
           directory(context.settings.name, context.settings.zone, membership::PeerTimes{}),
           configuration(context),
-          gate(context),
+          crashes(context, store, directory),
+          gate(context, crashes),
           peers(context, directory, gate, configuration),
           freshness(context, store, configuration, directory),
           quotas(context, configuration, directory),
-          follower(context, store, configuration, directory, freshness),
-          ingress(context, configuration, directory, gate, freshness, quotas),
+          follower(context, store, configuration, directory, freshness, crashes),
+          ingress(context, configuration, directory, gate, freshness, quotas, crashes),
           calls(loop.io(), limits_for({}),
                 {[this](net::HttpRequest& request, net::CancelSignal& cancel) {
                      return ingress.handle(request, cancel);
@@ -111,6 +113,7 @@
     SidecarContext context;
     membership::PeerDirectory directory;
     ConfigurationHolder configuration;
+    CrashExchange crashes;
     LocalGate gate;
     PeerExchange peers;
     FreshnessKeeper freshness;
@@ -161,6 +164,10 @@
     const auto send = [this](const Endpoint& to, std::string_view bytes) { parts_->peers.send(to, bytes); };
     parts_->freshness.start(send);
     parts_->quotas.start(send);
+    parts_->crashes.start(send);
+    parts_->gate.set_crash_listener([this] { parts_->peers.announce(); });
+    parts_->peers.set_appearance_listener(
+        [this](const Endpoint& gossip) { parts_->crashes.on_peer_appeared(gossip); });
     parts_->peers.set_other_receiver([this](std::string_view bytes) { return receive_message(bytes); });
     parts_->follower.start([this] { parts_->peers.announce(); });
     net::EventLoop::spawn([this] { watch_settings(); });
@@ -216,6 +223,10 @@
 }
 
 bool Sidecar::receive_message(std::string_view bytes) {
+    if (const auto news = poison::decodeCrashNews(bytes)) {
+        parts_->crashes.on_news(*news);
+        return true;
+    }
     const auto message = tenancy::decode(bytes);
     if (!message) {
         return false;
--- a/src/sidecar/store_follower.cpp
+++ b/src/sidecar/store_follower.cpp
@@ -19,6 +19,8 @@
 using store::CallOutcome;
 using store::Freshness;
 
+/// All that the daemons keep lies below it.
+constexpr const char* kOwnPrefix = "anisehold/";
 constexpr const char* kMemberPrefix = "anisehold/members/";
 constexpr milliseconds kCallTimeout{1'500};
 /// Each watch is a priced call. A store that falls silent under it is noticed by the connection's probes.
@@ -209,16 +211,25 @@
 
 std::optional<std::vector<store::StoreItem>> StoreFollower::list_members(Freshness freshness) {
     std::vector<store::StoreItem> members;
+    std::vector<store::StoreItem> verdicts;
+    std::string after;
     bool more = true;
     while (more) {
-        const auto after = members.empty() ? std::string() : members.back().key;
-        auto page = store_.list(kMemberPrefix, after, freshness, call_deadline());
+        auto page = store_.list(kOwnPrefix, after, freshness, call_deadline());
         if (!note(page.outcome, "list peers") || page.outcome != CallOutcome::kDone) {
             return std::nullopt;
         }
         more = page.more && !page.items.empty();
-        std::move(page.items.begin(), page.items.end(), std::back_inserter(members));
+        for (auto& item : page.items) {
+            after = item.key;
+            if (item.key.starts_with(kMemberPrefix)) {
+                members.push_back(std::move(item));
+            } else if (item.key.starts_with(kVerdictPrefix)) {
+                verdicts.push_back(std::move(item));
+            }
+        }
     }
+    crashes_.on_stored(verdicts, watch_.role == WatchRole::appointed);
     return members;
 }
 
--- a/src/sidecar/store_follower.hpp
+++ b/src/sidecar/store_follower.hpp
@@ -12,6 +12,7 @@
 #include "discovery/watch_role.hpp"
 #include "membership/peer_directory.hpp"
 #include "sidecar/configuration_holder.hpp"
+#include "sidecar/crash_exchange.hpp"
 #include "sidecar/freshness_keeper.hpp"
 #include "sidecar/sidecar_context.hpp"
 #include "store/coordination_store.hpp"
@@ -26,12 +27,13 @@
 
     StoreFollower(SidecarContext& context, store::CoordinationStore& store,
                   ConfigurationHolder& configuration, membership::PeerDirectory& directory,
-                  FreshnessKeeper& freshness)
+                  FreshnessKeeper& freshness, CrashExchange& crashes)
         : context_(context),
           store_(store),
           configuration_(configuration),
           directory_(directory),
-          freshness_(freshness) {}
+          freshness_(freshness),
+          crashes_(crashes) {}
 
     /// Starts the fibers; `peers_found` is called after each list of peers was read.
     void start(PeersFound peers_found);
@@ -60,6 +62,8 @@
     void restore_missing();
     bool register_self();
     std::string own_key() const;
+    /// Lists all that the daemons keep in the store, with as many calls as members alone take; returns the
+    /// members.
     std::optional<std::vector<store::StoreItem>> list_members(store::Freshness freshness);
     /// Makes the members known; whether this daemon's own registration is among them.
     bool take_members(const std::vector<store::StoreItem>& members);
@@ -74,6 +78,7 @@
     ConfigurationHolder& configuration_;
     membership::PeerDirectory& directory_;
     FreshnessKeeper& freshness_;
+    CrashExchange& crashes_;
     PeersFound peers_found_;
     discovery::WatchState watch_;
     discovery::RegistrationAges ages_;
--- /dev/null
+++ b/src/sidecar/suspect_queue.cpp
@@ -0,0 +1,52 @@
+#include "sidecar/suspect_queue.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace anisehold::sidecar {
+namespace {
+
+/// How often a waiting suspect looks whether it was cleared, or condemned, meanwhile.
+constexpr milliseconds kLookPeriod{20};
+
+}  // namespace
+
+SuspectQueue::Turn::Turn(Turn&& other) noexcept
+    : queue_(std::exchange(other.queue_, nullptr)), crashes_(other.crashes_) {}
+
+SuspectQueue::Turn::~Turn() {
+    if (queue_ != nullptr) {
+        queue_->leave(crashes_);
+    }
+}
+
+std::optional<SuspectQueue::Turn> SuspectQueue::enter(const std::function<unsigned()>& crashes,
+                                                      TimePoint latest, net::CancelSignal* cancel) {
+    while (true) {
+        const auto known = crashes();
+        if (known == 0) {
+            return Turn();
+        }
+        if (poison::mayBegin(lane_, known)) {
+            poison::noteBegan(lane_, known);
+            return Turn(*this, known);
+        }
+        const auto now = TimePoint::clock::now();
+        if (now >= latest || (cancel != nullptr && cancel->cancelled())) {
+            return std::nullopt;
+        }
+        net::FiberEvent turn;
+        const auto place = waiting_.insert(waiting_.end(), &turn);
+        turn.wait_until(std::min<TimePoint>(latest, now + kLookPeriod));
+        waiting_.erase(place);
+    }
+}
+
+void SuspectQueue::leave(unsigned crashes) {
+    poison::noteEnded(lane_, crashes);
+    for (auto* waiting : waiting_) {
+        waiting->set();
+    }
+}
+
+}  // namespace anisehold::sidecar
--- /dev/null
+++ b/src/sidecar/suspect_queue.hpp
@@ -0,0 +1,46 @@
+/// @file
+/// Where suspects wait for their turn at one server.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <optional>
+
+#include "net/fiber_event.hpp"
+#include "net/http_types.hpp"
+#include "poison/suspect_lane.hpp"
+#include "protocol/time_types.hpp"
+
+namespace anisehold::sidecar {
+
+/// Lets a few suspects in at a time.
+class SuspectQueue {
+  public:
+    /// A suspect's turn, which ends with it. One of no suspect holds nothing.
+    class Turn {
+      public:
+        Turn() = default;
+        Turn(SuspectQueue& queue, unsigned crashes) : queue_(&queue), crashes_(crashes) {}
+        ~Turn();
+        Turn(Turn&& other) noexcept;
+        Turn& operator=(Turn&&) = delete;
+
+      private:
+        SuspectQueue* queue_ = nullptr;
+        unsigned crashes_ = 0;
+    };
+
+    /// Waits for a turn. `crashes` tells how many are known of the request, which may change meanwhile; a
+    /// request of which none is known goes on at once. Nothing if no turn came before `latest`, or the caller
+    /// left. Blocks the fiber.
+    std::optional<Turn> enter(const std::function<unsigned()>& crashes, TimePoint latest,
+                              net::CancelSignal* cancel);
+
+  private:
+    void leave(unsigned crashes);
+
+    poison::SuspectLane lane_;
+    std::list<net::FiberEvent*> waiting_;
+};
+
+}  // namespace anisehold::sidecar
