A start of a server is its name and when it began; refused heartbeats are told of once a minute

Cause: a server that was draining, had left or had crashed and came back under its name was taken for late, since its counts start anew. Change: `born` is read; a later start replaces all that is known (registry, gate, peers' records), an earlier one is late, also a leave. An entry that gives a known start another service is dropped. Also: a server counts as crashed only if its connections at rest have ended too; suspects are listed and lifted at the metrics address; GET and DELETE /suspects/. Not done: peers' load of an earlier start may stand for one answer; failures that a daemon saw itself fade as before.

--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -142,7 +142,8 @@
 
 bool PeerDirectory::has_same_servers(const Peer& peer, const PeerRecord& record) {
     const auto same_instance = [](const KnownServer& known, const ServerRecord& server) {
-        return known.server.instance == server.instance && known.server.service == server.service;
+        return known.server.instance == server.instance && known.server.born == server.born &&
+               known.server.service == server.service;
     };
     return peer.record.leaving == record.leaving &&
            std::equal(peer.servers.begin(), peer.servers.end(), record.servers.begin(), record.servers.end(),
--- a/src/membership/peer_record.cpp
+++ b/src/membership/peer_record.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 /// First byte of every datagram; another one means another layout.
-constexpr char kLayout = 'B';
+constexpr char kLayout = 'D';
 
 }  // namespace
 
--- a/src/membership/peer_record.hpp
+++ b/src/membership/peer_record.hpp
@@ -16,14 +16,15 @@
 
 /// The server beside a daemon, as its gate sees it.
 struct ServerRecord {
-    std::string instance;  ///< Of this start of the server; every start has another one.
+    std::string instance;  ///< A server that ended may come back under the same one.
     std::string service;
-    unsigned slots = 0;           ///< Requests that it works on at the same time.
-    unsigned in_flight = 0;       ///< Requests that the gate has running there.
-    unsigned queued = 0;          ///< Requests waiting at the gate.
-    unsigned limit = 0;           ///< Learned concurrency limit.
-    unsigned latency_us = 0;      ///< Moving average of its answers' time.
-    unsigned cold_ms = 0;         ///< How much longer it is slow from its start.
+    std::uint64_t born = 0;   ///< Tells its starts apart: the later one has the greater number; 0: untold.
+    unsigned slots = 0;       ///< Requests that it works on at the same time.
+    unsigned in_flight = 0;   ///< Requests that the gate has running there.
+    unsigned queued = 0;      ///< Requests waiting at the gate.
+    unsigned limit = 0;       ///< Learned concurrency limit.
+    unsigned latency_us = 0;  ///< Moving average of its answers' time.
+    unsigned cold_ms = 0;     ///< How much longer it is slow from its start.
     unsigned failed_percent = 0;  ///< Share of its latest requests that it failed.
     unsigned busy_percent = 0;    ///< Mean of `in_flight` over the last second or so, as a share of `limit`.
 
@@ -31,7 +32,7 @@
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
-        serialize_all(archive, instance, service, slots, in_flight, queued, limit, latency_us, cold_ms,
+        serialize_all(archive, instance, service, born, slots, in_flight, queued, limit, latency_us, cold_ms,
                       failed_percent, busy_percent);
     }
 };
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <charconv>
 #include <deque>
@@ -362,6 +363,11 @@
     return state_->server;
 }
 
+bool HttpClient::has_live_idle_connection() const {
+    return std::any_of(state_->idle.begin(), state_->idle.end(),
+                       [](const auto& connection) { return !is_stale(*connection); });
+}
+
 std::size_t HttpClient::open_connections() const {
     return state_->open;
 }
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -68,6 +68,8 @@
                                                    ExchangeProgress& progress, std::error_code& error);
 
     const Endpoint& server() const;
+    /// Whether a connection at rest is still open at the server's side, as far as that has been heard.
+    bool has_live_idle_connection() const;
     /// Connections that are open now, in use or idle.
     std::size_t open_connections() const;
 
--- a/src/poison/crash_news.cpp
+++ b/src/poison/crash_news.cpp
@@ -78,7 +78,7 @@
     if (bytes.empty() || bytes.front() != layout)
         return std::nullopt;
 
-    const auto news = unarchive_bytes<CrashNews> (bytes.substr (1));
+    auto news = unarchive_bytes<CrashNews> (bytes.substr (1));
 
     const auto hasTooManyCallers = [] (const SuspectNews& it) { return it.callers.size() > callersForAll; };
 
--- a/src/protocol/request_digest.hpp
+++ b/src/protocol/request_digest.hpp
@@ -19,7 +19,7 @@
     std::uint64_t high = 0;
     std::uint64_t low = 0;
 
-    auto operator<=>(const RequestDigest&) const = default;
+    bool operator==(const RequestDigest&) const = default;
     /// 32 lower-case hexadecimal digits.
     std::string text() const;
 
--- a/src/registration/server_registry.cpp
+++ b/src/registration/server_registry.cpp
@@ -10,29 +10,45 @@
 
 }  // namespace
 
+bool ServerRegistry::is_later_start(const Heartbeat& heartbeat) const {
+    const auto left = left_.find(heartbeat.instance);
+    return left != left_.end() && left->second.born < heartbeat.born;
+}
+
+RegistryChange ServerRegistry::take_new_start(TimePoint now, const Heartbeat& heartbeat) {
+    left_.erase(heartbeat.instance);
+    // A server with another's address has taken its place.
+    for (auto each = servers_.begin(); each != servers_.end();) {
+        if (each->second.heartbeat.address == heartbeat.address && each->first != heartbeat.instance) {
+            left_[each->first] = {now, each->second.heartbeat.born};
+            each = servers_.erase(each);
+        } else {
+            ++each;
+        }
+    }
+    servers_[heartbeat.instance] = {heartbeat, now, now + heartbeat.cold_remaining};
+    return heartbeat.draining ? RegistryChange::kDraining : RegistryChange::kAppeared;
+}
+
 RegistryChange ServerRegistry::on_heartbeat(TimePoint now, const Heartbeat& heartbeat) {
     if (left_.contains(heartbeat.instance)) {
-        return RegistryChange::kNone;
+        return is_later_start(heartbeat) ? take_new_start(now, heartbeat) : RegistryChange::kNone;
     }
     const auto found = servers_.find(heartbeat.instance);
-    const bool known = found != servers_.end();
-    if (known && !found->second.is_found && heartbeat.sequence <= found->second.heartbeat.sequence) {
-        return RegistryChange::kNone;
-    }
-    if (!known) {
-        // A server with another's address has taken its place.
-        for (auto each = servers_.begin(); each != servers_.end();) {
-            if (each->second.heartbeat.address == heartbeat.address) {
-                left_[each->first] = now;
-                each = servers_.erase(each);
-            } else {
-                ++each;
-            }
-        }
-        servers_[heartbeat.instance] = {heartbeat, now, now + heartbeat.cold_remaining};
-        return heartbeat.draining ? RegistryChange::kDraining : RegistryChange::kAppeared;
+    if (found == servers_.end()) {
+        return take_new_start(now, heartbeat);
     }
     const Heartbeat before = found->second.heartbeat;
+    const bool tells_start = heartbeat.born != ServerStart() && before.born != ServerStart();
+    if (tells_start && before.born != heartbeat.born) {
+        return before.born < heartbeat.born ? take_new_start(now, heartbeat) : RegistryChange::kNone;
+    }
+    const bool is_late = heartbeat.sequence <= before.sequence;
+    // A start serves one service: an entry that says otherwise is another writer's.
+    const bool is_foreign = tells_start && before.service != heartbeat.service;
+    if (!found->second.is_found && (is_late || is_foreign)) {
+        return RegistryChange::kNone;
+    }
     found->second = {heartbeat, now, now + heartbeat.cold_remaining};
     found->second.heartbeat.draining = before.draining || heartbeat.draining;
     if (!before.draining && heartbeat.draining) {
@@ -54,13 +70,18 @@
     return RegistryChange::kAppeared;
 }
 
-RegistryChange ServerRegistry::on_leave(TimePoint now, const std::string& instance) {
-    left_[instance] = now;
+RegistryChange ServerRegistry::on_leave(TimePoint now, const std::string& instance, ServerStart born) {
+    const auto found = servers_.find(instance);
+    const auto known = found == servers_.end() ? ServerStart() : found->second.heartbeat.born;
+    if (born != ServerStart() && born < known) {
+        return RegistryChange::kNone;
+    }
+    left_[instance] = {now, born == ServerStart() ? known : born};
     return servers_.erase(instance) > 0 ? RegistryChange::kLeft : RegistryChange::kNone;
 }
 
 std::vector<std::string> ServerRegistry::expire(TimePoint now, Duration silence, Duration found_silence) {
-    std::erase_if(left_, [&](const auto& entry) { return now - entry.second > kLeftRemembered; });
+    std::erase_if(left_, [&](const auto& entry) { return now - entry.second.at > kLeftRemembered; });
     std::vector<std::string> silent;
     std::erase_if(servers_, [&](const auto& entry) {
         const auto& server = entry.second;
--- a/src/registration/server_registry.hpp
+++ b/src/registration/server_registry.hpp
@@ -8,13 +8,19 @@
 #include <vector>
 
 #include "protocol/endpoint.hpp"
+#include "protocol/strong_id.hpp"
 #include "protocol/time_types.hpp"
 
 namespace anisehold::registration {
 
+/// Tells two starts of a server under one instance name apart: the later one has the greater number. The Unix
+/// time of the start, in milliseconds; 0 if the server doesn't tell it.
+using ServerStart = Strong<struct ServerStartTag, std::uint64_t>;
+
 /// What a server says of itself in each heartbeat.
 struct Heartbeat {
-    std::string instance;  ///< Unique for each start of a server.
+    std::string instance;  ///< A server that ended may come back under the same one.
+    ServerStart born;
     std::string service;
     Endpoint address;
     std::string zone;
@@ -28,7 +34,7 @@
 enum class RegistryChange {
     kNone,       ///< Late, or of a server that has left.
     kRefreshed,  ///< Nothing that others need to know at once.
-    kAppeared,   ///< A new server takes requests.
+    kAppeared,   ///< A new server takes requests, or a new start of a known one.
     kChanged,    ///< Slots or service differ.
     kDraining,   ///< It takes no new requests from now on.
     kLeft,
@@ -42,14 +48,16 @@
     bool is_found = false;  ///< It was asked for its health; its own heartbeat is awaited.
 };
 
-/// Keeps the newest state of each server. Draining and leaving are final for an instance. Pure.
+/// Keeps the newest state of each server. Draining and leaving are final for one start of it; a later start
+/// replaces all that was known, an earlier one is late. Pure.
 class ServerRegistry {
   public:
     RegistryChange on_heartbeat(TimePoint now, const Heartbeat& heartbeat);
     /// A server that said it was well when it was asked. Changes nothing if anything is known of the
     /// instance, or of its address.
     RegistryChange on_found(TimePoint now, const Heartbeat& found);
-    RegistryChange on_leave(TimePoint now, const std::string& instance);
+    /// `born`: of the start that leaves; none told means the one that is known.
+    RegistryChange on_leave(TimePoint now, const std::string& instance, ServerStart born = {});
     /// The server has crashed: nothing is known of it until it registers again. False if nothing was.
     bool on_crash(const std::string& instance) { return servers_.erase(instance) > 0; }
     /// Forgets servers that fell silent for `silence`, found ones without a heartbeat after `found_silence`,
@@ -64,8 +72,18 @@
     std::vector<RegisteredServer> ready_servers() const;
 
   private:
+    /// A start of a server that has left.
+    struct LeftServer {
+        TimePoint at;
+        ServerStart born;
+    };
+
+    /// Whether the heartbeat is of a start after the one that left.
+    bool is_later_start(const Heartbeat& heartbeat) const;
+    RegistryChange take_new_start(TimePoint now, const Heartbeat& heartbeat);
+
     std::map<std::string, RegisteredServer> servers_;
-    std::map<std::string, TimePoint> left_;
+    std::map<std::string, LeftServer> left_;
 };
 
 }  // namespace anisehold::registration
--- a/src/sidecar/crash_watch.cpp
+++ b/src/sidecar/crash_watch.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/crash_watch.hpp"
 
 #include <algorithm>
+#include <boost/fiber/operations.hpp>
 #include <unordered_map>
 
 #include "net/connect_probe.hpp"
@@ -11,25 +12,37 @@
 /// The server is on this machine: a port that nobody listens at answers within a millisecond. One that is
 /// short of processor time may let a connection wait.
 constexpr milliseconds kLookTimeout{100};
+constexpr milliseconds kLookAgain{5};
 
 }  // namespace
 
+bool CrashWatch::look() const {
+    const auto deadline = TimePoint::clock::now() + kLookTimeout;
+    bool refuses = net::refuses_connections(io_, client_.server(), deadline);
+    // The ends of the other connections may be on their way still.
+    while (refuses && client_.has_live_idle_connection() && TimePoint::clock::now() < deadline) {
+        boost::this_fiber::sleep_for(kLookAgain);
+        refuses = net::refuses_connections(io_, client_.server(), deadline);
+    }
+    return refuses && !client_.has_live_idle_connection();
+}
+
 bool CrashWatch::is_server_gone() {
     if (is_gone_) {
         return true;
     }
     if (look_) {
-        const auto look = look_;
-        look->ended.wait();
-        return look->refused;
+        const auto under_way = look_;
+        under_way->ended.wait();
+        return under_way->is_gone;
     }
-    const auto look = std::make_shared<Look>();
-    look_ = look;
-    look->refused = net::refuses_connections(io_, address_, TimePoint::clock::now() + kLookTimeout);
-    is_gone_ = look->refused;
+    const auto own = std::make_shared<Look>();
+    look_ = own;
+    own->is_gone = look();
+    is_gone_ = own->is_gone;
     look_.reset();
-    look->ended.set();
-    return look->refused;
+    own->ended.set();
+    return own->is_gone;
 }
 
 bool CrashWatch::take_report() {
@@ -48,6 +61,7 @@
         before = std::max(before, at_server.request.crashesBefore);
     }
     std::vector<poison::CrashedRun> unanswered;
+    unanswered.reserve(crashes_before.size());
     for (const auto& [request, before] : crashes_before) {
         unanswered.push_back({request, before});
     }
--- a/src/sidecar/crash_watch.hpp
+++ b/src/sidecar/crash_watch.hpp
@@ -24,14 +24,16 @@
 /// Watches one start of a server. Only the daemon beside a server knows what ran there when it ended.
 class CrashWatch {
   public:
-    CrashWatch(boost::asio::io_context& io, Endpoint address) : io_(io), address_(std::move(address)) {}
+    /// `client` holds the connections to the server.
+    CrashWatch(boost::asio::io_context& io, const net::HttpClient& client) : io_(io), client_(client) {}
 
     void began(std::uint64_t run, const ServerRun& at_server) { runs_[run] = at_server; }
     void ended(std::uint64_t run) { runs_.erase(run); }
 
     /// The connection of a run broke before any answer: finds out whether the server is gone. It is if it
-    /// refuses connections: one that loses an answer, resets some connections or is cut off doesn't. All runs
-    /// whose connections break together wait for one look. Blocks the fiber.
+    /// refuses connections and all those at rest have ended, too: one that loses an answer, resets some
+    /// connections, is cut off or has too many of them doesn't. All runs whose connections break together
+    /// wait for one look. Blocks the fiber.
     bool is_server_gone();
     /// What had been sent to the server and not answered. True for the caller that may report it: the first
     /// one after the server was found to be gone.
@@ -41,11 +43,13 @@
   private:
     struct Look {
         net::FiberEvent ended;
-        bool refused = false;
+        bool is_gone = false;
     };
 
+    bool look() const;
+
     boost::asio::io_context& io_;
-    Endpoint address_;
+    const net::HttpClient& client_;
     std::map<std::uint64_t, ServerRun> runs_;
     std::shared_ptr<Look> look_;
     bool is_gone_ = false;
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -76,8 +76,12 @@
 
 RegistryChange LocalGate::on_registration(TimePoint now, const RegistrationCall& call) {
     const auto& heartbeat = call.heartbeat;
-    const auto change =
-        call.leaves ? registry_.on_leave(now, heartbeat.instance) : registry_.on_heartbeat(now, heartbeat);
+    const auto change = call.leaves ? registry_.on_leave(now, heartbeat.instance, heartbeat.born)
+                                    : registry_.on_heartbeat(now, heartbeat);
+    if (change == RegistryChange::kAppeared) {
+        // Nothing that was learned of an earlier start holds for this one.
+        servers_.erase(heartbeat.instance);
+    }
     switch (change) {
         case RegistryChange::kChanged:
             resize_gate(heartbeat);
@@ -87,6 +91,7 @@
                                                  {"service", heartbeat.service},
                                                  {"address", heartbeat.address.text()},
                                                  {"slots", std::to_string(heartbeat.slots)},
+                                                 {"born", std::to_string(heartbeat.born.value)},
                                                  {"sequence", std::to_string(heartbeat.sequence)}});
             break;
         case RegistryChange::kDraining:
@@ -140,6 +145,7 @@
         membership::ServerRecord record;
         record.instance = heartbeat.instance;
         record.service = heartbeat.service;
+        record.born = heartbeat.born.value;
         record.slots = heartbeat.slots;
         record.limit = heartbeat.slots;
         record.cold_ms = static_cast<unsigned>(std::max(0LL, to_milliseconds(registered.cold_until - now)));
@@ -389,7 +395,7 @@
     const auto unanswered = server.crash.unanswered();
     std::string digests;
     for (std::size_t n = 0; n < std::min(unanswered.size(), kMostDigestsLogged); ++n) {
-        digests += (n > 0 ? " " : "") + unanswered[n].request.digest.text();
+        digests.append(n > 0 ? " " : "").append(unanswered[n].request.digest.text());
     }
     context_.metrics.count_server_crash(context_.settings.service);
     crashes_.on_crash(unanswered);
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -69,7 +69,7 @@
         Server(std::unique_ptr<admission::ConcurrencyLimit> limit, boost::asio::io_context& io,
                const Endpoint& address, const net::HttpPoolLimits& pool,
                const admission::GateOptions& options)
-            : gate(std::move(limit), options), client(io, address, pool), crash(io, address) {}
+            : gate(std::move(limit), options), client(io, address, pool), crash(io, client) {}
 
         admission::ServerGate gate;
         overload::UseMeter use;  ///< Of requests in flight.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -25,6 +25,8 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
+/// Where operators see and lift verdicts, at the metrics address.
+constexpr std::string_view kSuspectsPath = "/suspects/";
 constexpr const char* kJsonType = "application/json";
 constexpr const char* kTextType = "text/plain";
 
@@ -271,7 +273,9 @@
         if (problem.empty()) {
             return net::make_response(kNotFound, kTextType, "not found\n");
         }
-        log_event(Event::kHeartbeatRefused, {{"reason", problem}});
+        if (registration::take_refusal(refusals_, TimePoint::clock::now(), request.target)) {
+            log_event(Event::kHeartbeatRefused, {{"target", request.target}, {"reason", problem}});
+        }
         constexpr unsigned bad_request = 400;
         return net::make_response(bad_request, kTextType, problem + "\n");
     }
@@ -291,7 +295,11 @@
 }
 
 net::HttpResponse Sidecar::handle_metrics(net::HttpRequest& request) {
-    if (routing::path_of(request.target) != "/metrics") {
+    const auto path = routing::path_of(request.target);
+    if (path.starts_with(kSuspectsPath)) {
+        return handle_suspects(request.method, path.substr(kSuspectsPath.size()));
+    }
+    if (path != "/metrics") {
         return net::make_response(kNotFound, kTextType, "not found\n");
     }
     const auto now = TimePoint::clock::now();
@@ -303,6 +311,27 @@
     return net::make_response(kOk, kTextType, parts_->context.metrics.text());
 }
 
+net::HttpResponse Sidecar::handle_suspects(std::string_view method, std::string_view digest_text) {
+    if (method == "GET" && digest_text.empty()) {
+        std::string text;
+        for (const auto& each : parts_->crashes.remembered(TimePoint::clock::now())) {
+            text += each.digest.text() + " crashes=" + std::to_string(each.crashes) +
+                    (each.is_condemned ? " condemned for_s=" : " suspected for_s=") +
+                    std::to_string(to_milliseconds(each.ends_in) / 1000) + "\n";
+        }
+        return net::make_response(kOk, kTextType, text);
+    }
+    const auto digest = parse_request_digest(digest_text);
+    if (method != "DELETE" || !digest) {
+        constexpr unsigned bad_request = 400;
+        return net::make_response(bad_request, kTextType,
+                                  "GET " + std::string(kSuspectsPath) + " or DELETE " +
+                                      std::string(kSuspectsPath) + "DIGEST, 32 hexadecimal digits\n");
+    }
+    return parts_->crashes.lift(*digest) ? net::make_response(kOk, kTextType, "lifted\n")
+                                         : net::make_response(kNotFound, kTextType, "not remembered\n");
+}
+
 void Sidecar::find_server() {
     const auto found = ask_server_beside(parts_->context, *parts_->configuration.current());
     if (found && parts_->gate.on_found(TimePoint::clock::now(), *found) == RegistryChange::kAppeared) {
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -7,6 +7,7 @@
 
 #include "config/sidecar_settings.hpp"
 #include "net/event_loop.hpp"
+#include "registration/refusal_limit.hpp"
 #include "sidecar/wire_dialect.hpp"
 #include "store/coordination_store.hpp"
 
@@ -36,6 +37,8 @@
     net::HttpResponse handle_registration(net::HttpRequest& request);
     net::HttpResponse handle_readiness(net::HttpRequest& request);
     net::HttpResponse handle_metrics(net::HttpRequest& request);
+    /// Lists requests that crash servers, or lifts the verdict on one.
+    net::HttpResponse handle_suspects(std::string_view method, std::string_view digest_text);
     bool is_ready() const;
     bool is_busy() const;
     /// Waits until no request was in progress for a while, or `latest` has come.
@@ -48,6 +51,7 @@
     std::unique_ptr<Parts> parts_;
     std::string settings_file_;
     std::string settings_text_;
+    registration::RefusalLimit refusals_;
 };
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/wire_dialect.hpp
+++ b/src/sidecar/wire_dialect.hpp
@@ -38,7 +38,7 @@
 /// A server registers, or leaves.
 struct RegistrationCall {
     bool leaves = false;
-    registration::Heartbeat heartbeat;  ///< Only `instance` is set when it leaves.
+    registration::Heartbeat heartbeat;  ///< Only `instance` and `born` are set when it leaves.
 };
 
 /// What a server says of itself when it is asked for its health.
--- a/tests/unit/protocol/request_digest_test.cpp
+++ b/tests/unit/protocol/request_digest_test.cpp
@@ -1,7 +1,7 @@
 #include "protocol/request_digest.hpp"
 
 #include <catch2/catch.hpp>
-#include <set>
+#include <unordered_set>
 
 using namespace anisehold;
 
@@ -16,7 +16,7 @@
 }
 
 TEST_CASE("each trait of a request changes its digest, and parts don't run together", "[digest]") {
-    std::set<RequestDigest> digests{digest_of(kRequest)};
+    std::unordered_set<RequestDigest> digests{digest_of(kRequest)};
     digests.insert(digest_of({"PUT", "shop.example", "/read/2f", "body"}));
     digests.insert(digest_of({"GET", "other.example", "/read/2f", "body"}));
     digests.insert(digest_of({"GET", "shop.example", "/read/30", "body"}));
--- a/tests/unit/registration/server_registry_test.cpp
+++ b/tests/unit/registration/server_registry_test.cpp
@@ -128,3 +128,69 @@
     registry.on_heartbeat(kStart, heartbeat("a", 2, true));
     CHECK_FALSE(registry.serves("orders"));
 }
+
+namespace {
+
+Heartbeat started(std::uint64_t born, std::uint64_t sequence, bool draining = false) {
+    auto beat = heartbeat("a", sequence, draining);
+    beat.born = ServerStart(born);
+    return beat;
+}
+
+}  // namespace
+
+TEST_CASE("a server that left is back with its next start, whose counts start anew") {
+    ServerRegistry registry;
+    registry.on_heartbeat(kStart, started(1'000, 40));
+    CHECK(registry.on_leave(kStart, "a") == RegistryChange::kLeft);
+    CHECK(registry.on_heartbeat(kStart, started(1'000, 41)) == RegistryChange::kNone);
+    CHECK(registry.on_heartbeat(kStart, started(2'000, 1)) == RegistryChange::kAppeared);
+    CHECK(registry.find_ready("a") != nullptr);
+}
+
+TEST_CASE("a server that was draining is back with its next start") {
+    ServerRegistry registry;
+    registry.on_heartbeat(kStart, started(1'000, 40));
+    CHECK(registry.on_heartbeat(kStart, started(1'000, 41, true)) == RegistryChange::kDraining);
+    CHECK(registry.on_heartbeat(kStart, started(2'000, 1)) == RegistryChange::kAppeared);
+    CHECK(registry.find_ready("a") != nullptr);
+}
+
+TEST_CASE("a server that crashed and is back with sequence 1 isn't taken for late") {
+    ServerRegistry registry;
+    registry.on_heartbeat(kStart, started(1'000, 40));
+    CHECK(registry.on_heartbeat(kStart, started(2'000, 1)) == RegistryChange::kAppeared);
+    REQUIRE(registry.find_ready("a") != nullptr);
+    CHECK(registry.find_ready("a")->heartbeat.sequence == 1);
+}
+
+TEST_CASE("a late heartbeat or leave of an earlier start changes nothing") {
+    ServerRegistry registry;
+    registry.on_heartbeat(kStart, started(1'000, 1));
+    auto now_serving = started(2'000, 1);
+    now_serving.slots = 9;
+    registry.on_heartbeat(kStart, now_serving);
+    CHECK(registry.on_heartbeat(kStart, started(1'000, 50, true)) == RegistryChange::kNone);
+    CHECK(registry.on_leave(kStart, "a", ServerStart(1'000)) == RegistryChange::kNone);
+    REQUIRE(registry.find_ready("a") != nullptr);
+    CHECK(registry.find_ready("a")->heartbeat.slots == 9);
+    CHECK(registry.on_leave(kStart, "a", ServerStart(2'000)) == RegistryChange::kLeft);
+}
+
+TEST_CASE("an entry that gives a known start another service is another writer's") {
+    ServerRegistry registry;
+    registry.on_heartbeat(kStart, started(1'000, 1));
+    auto foreign = started(1'000, 2);
+    foreign.service = "nowhere";
+    CHECK(registry.on_heartbeat(kStart, foreign) == RegistryChange::kNone);
+    CHECK(registry.serves("orders"));
+}
+
+TEST_CASE("a server that crashed takes requests again with its next heartbeat") {
+    ServerRegistry registry;
+    registry.on_heartbeat(kStart, started(1'000, 40));
+    CHECK(registry.on_crash("a"));
+    CHECK_FALSE(registry.on_crash("a"));
+    CHECK(registry.find_ready("a") == nullptr);
+    CHECK(registry.on_heartbeat(kStart, started(2'000, 1)) == RegistryChange::kAppeared);
+}
