Ages count the time that a machine was suspended

Cause: all ages were taken on the steady clock, which stands still while a machine is suspended; proofs of keys, quota grants, registrations and records looked young after it. Change: TimePoint is of a clock over CLOCK_BOOTTIME; fibers' timers and Asio's run on the steady clock as before, converted at the three places that wait. An event tells both figures when a gap of 0.2 s or more is seen. Not tested with a suspended machine: only with both clocks given to the pure parts.

--- a/src/net/await_io.hpp
+++ b/src/net/await_io.hpp
@@ -44,7 +44,7 @@
         if (deadline == TimePoint::max() || state.result.timed_out) {
             state.waiter->suspend();
         } else {
-            state.waiter->wait_until(deadline);
+            state.waiter->wait_until(on_steady_clock(deadline));
         }
         state.suspended = false;
         if (!state.done && !state.result.timed_out && TimePoint::clock::now() >= deadline) {
--- a/src/net/fiber_event.hpp
+++ b/src/net/fiber_event.hpp
@@ -21,7 +21,7 @@
     /// Waits until the event is set or `deadline` has come; true if it is set.
     bool wait_until(TimePoint deadline) {
         std::unique_lock lock(mutex_);
-        return condition_.wait_until(lock, deadline, [this] { return set_; });
+        return condition_.wait_until(lock, on_steady_clock(deadline), [this] { return set_; });
     }
     void wait() {
         std::unique_lock lock(mutex_);
--- a/src/net/fiber_signal.hpp
+++ b/src/net/fiber_signal.hpp
@@ -20,7 +20,8 @@
     /// Waits until the signal is given or `deadline` has come, and takes the signal; true if it was given.
     bool wait_until(TimePoint deadline) {
         std::unique_lock lock(mutex_);
-        const bool was_given = condition_.wait_until(lock, deadline, [this] { return given_; });
+        const bool was_given =
+            condition_.wait_until(lock, on_steady_clock(deadline), [this] { return given_; });
         given_ = false;
         return was_given;
     }
--- a/src/net/frame_transport.cpp
+++ b/src/net/frame_transport.cpp
@@ -155,7 +155,7 @@
                                     boost::system::error_code& error) {
         auto stream = std::make_unique<Stream>(io);
         const auto address = boost::asio::ip::make_address(server.ip, error);
-        stream->expires_at(deadline);
+        stream->expires_at(on_steady_clock(deadline));
         if (!error) {
             error = await_io([&](auto handler) {
                         stream->async_connect(Tcp::endpoint(address, server.port), std::move(handler));
@@ -177,7 +177,7 @@
 
     std::optional<std::string> try_exchange(Stream& stream, std::string_view frame, TimePoint deadline,
                                             boost::system::error_code& error) const {
-        stream.expires_at(deadline);
+        stream.expires_at(on_steady_clock(deadline));
         error = write_frame(stream, frame);
         std::string reply;
         if (!error) {
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -39,6 +39,9 @@
                "The settings file changed and is in force."},
     EventEntry{Event::kSettingsRejected, Level::kError, "settings-rejected",
                "The settings file changed and has a mistake; the settings before stay in force."},
+    EventEntry{Event::kMachineSuspended, Level::kWarn, "machine-suspended",
+               "The machine stood still for `suspended_ms`, which its steady clock doesn't count; all that "
+               "this daemon knew has aged by that."},
     EventEntry{Event::kTableInForce, Level::kInfo, "table-in-force",
                "A table with a higher revision is in force."},
     EventEntry{Event::kTableRejected, Level::kError, "table-rejected",
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -23,6 +23,7 @@
     kStartFailed = 1004,
     kSettingsReloaded = 1005,
     kSettingsRejected = 1006,
+    kMachineSuspended = 1007,
     kTableInForce = 1101,
     kTableRejected = 1102,
     kStoreUnreachable = 1103,
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -342,10 +342,22 @@
 void Sidecar::watch_settings() {
     while (!parts_->context.stopping) {
         boost::this_fiber::sleep_for(kSettingsPeriod);
+        note_suspension();
         reload_settings();
     }
 }
 
+void Sidecar::note_suspension() {
+    const auto steady = std::chrono::steady_clock::now().time_since_epoch();
+    const auto now = TimePoint::clock::now();
+    if (const auto gap = observability::take_suspension(suspension_, now, steady)) {
+        log_event(Event::kMachineSuspended,
+                  {{"suspended_ms", std::to_string(to_milliseconds(*gap))},
+                   {"steady_ms", std::to_string(to_milliseconds(steady))},
+                   {"boot_ms", std::to_string(to_milliseconds(now.time_since_epoch()))}});
+    }
+}
+
 void Sidecar::reload_settings() {
     const auto text = read_text(settings_file_);
     if (text == settings_text_) {
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -7,6 +7,7 @@
 
 #include "config/sidecar_settings.hpp"
 #include "net/event_loop.hpp"
+#include "observability/suspension.hpp"
 #include "registration/refusal_limit.hpp"
 #include "sidecar/wire_dialect.hpp"
 #include "store/coordination_store.hpp"
@@ -47,11 +48,14 @@
     void find_server();
     void watch_settings();
     void reload_settings();
+    /// Logs that the machine was suspended since the last call.
+    void note_suspension();
 
     std::unique_ptr<Parts> parts_;
     std::string settings_file_;
     std::string settings_text_;
     registration::RefusalLimit refusals_;
+    observability::SuspensionWatch suspension_;
 };
 
 }  // namespace anisehold::sidecar
