--- a/lab/platform_server.cpp
+++ b/lab/platform_server.cpp
@@ -149,6 +149,16 @@
     control_.exchange(request, {TimePoint::clock::now() + kBeatTimeout}, progress, error);
 }
 
+unsigned PlatformServer::write_entry(const std::string& instance, const std::string& body) {
+    auto request = net::make_request("PUT", "/-/instances/" + instance, body);
+    request.fields.set("Content-Type", "application/json");
+    net::ExchangeProgress progress;
+    std::error_code error;
+    const auto response =
+        control_.exchange(request, {TimePoint::clock::now() + kBeatTimeout}, progress, error);
+    return response ? response->status : 0;
+}
+
 void PlatformServer::replace(const std::string& instance) {
     say_left();
     options_.instance = instance;
--- a/lab/platform_server.hpp
+++ b/lab/platform_server.hpp
@@ -69,6 +69,10 @@
 
     /// Says that it is draining; true once that is acknowledged.
     bool drain();
+    /// Says that it leaves.
+    void leave() { say_left(); }
+    /// Sends a heartbeat's call with any body, as another writer might; the status of the answer, or 0.
+    unsigned write_entry(const std::string& instance, const std::string& body);
     /// Goes over to another instance at the same address, as if a new server had been given it: the old one
     /// says that it left first.
     void replace(const std::string& instance);
--- a/src/poison/crash_news.cpp
+++ b/src/poison/crash_news.cpp
@@ -49,6 +49,9 @@
 
     for (const auto& [digest, suspect] : ledger.suspects)
     {
+        if (suspect.numCrashes < crashesToIsolate && now - suspect.latest > weakSuspectsTold)
+            continue;
+
         SuspectNews it{ digest, suspect.numCrashes, ageMs (now, suspect.latest), {} };
 
         for (const auto& caller : suspect.callers)
--- a/src/poison/crash_news.hpp
+++ b/src/poison/crash_news.hpp
@@ -74,6 +74,10 @@
  */
 inline constexpr std::size_t mostNews = 128;
 
+/** How long suspects of one crash are told of. All peers were told at once, and twice; nearly all of these
+   are harmless and don't come again, and a server may leave a hundred, 4 KB in each message. */
+inline constexpr seconds weakSuspectsTold{ 10 };
+
 /** What of the ledger is worth telling: those with the most crashes first, then the latest. */
 CrashNews newsOf (const CrashLedger&, TimePoint now);
 
--- a/tests/incidents/fatal_request_test.cpp
+++ b/tests/incidents/fatal_request_test.cpp
@@ -238,6 +238,35 @@
     CHECK (record->crashes.size() <= 3);
 }
 
+TEST_CASE ("an operator sees the verdict at any daemon, and lifts it for all", "[fatal]")
+{
+    SidecarFleet fleet (31'000, machines (false));
+    REQUIRE (fleet.start (configuration_text (1, { "front", "back" }, {})));
+    const auto record = observe (fleet);
+    Traffic traffic (fleet, 4);
+    run (traffic, seconds (4));
+    REQUIRE (record->crashes.size() >= 3);
+    std::string listed;
+    REQUIRE (fleet.eventually (telling,
+                               [&]
+                               {
+                                   listed = fleet.ask_operator_address (0, "GET", "/suspects/");
+                                   return listed.find ("crashes=3 condemned") != std::string::npos;
+                               }));
+    const auto digest = listed.substr (0, listed.find (' '));
+    const auto metrics = fleet.metrics_of (0);
+    CHECK (metrics.find ("anisehold_suspects{state=\"condemned\"} 1") != std::string::npos);
+    CHECK (fleet.ask_operator_address (0, "DELETE", "/suspects/x").empty());
+
+    // The new version of the service bears it.
+    for (std::size_t n = 0; n < fleet.size(); ++n)
+        fleet.machine (n).server->faults.fatal_target.clear();
+
+    CHECK_FALSE (traffic.request (fatalTarget));
+    CHECK (fleet.ask_operator_address (0, "DELETE", "/suspects/" + digest) == "lifted\n");
+    CHECK (fleet.eventually (telling, [&] { return traffic.request (fatalTarget); }));
+}
+
 TEST_CASE ("servers that crash of themselves condemn no request", "[fatal]")
 {
     SidecarFleet fleet (30'600, machines (false));
--- a/tests/unit/poison/crash_news_test.cpp
+++ b/tests/unit/poison/crash_news_test.cpp
@@ -9,126 +9,144 @@
 using namespace anisehold;
 using namespace anisehold::poison;
 
-namespace {
+namespace
+{
 
-const TimePoint start{seconds(1'000)};
-const CallerDigest shop{0xfedcba9876543210};
-const CallerDigest desk{2};
+const TimePoint start{ seconds (1'000) };
+const CallerDigest shop{ 0xfedcba9876543210 };
+const CallerDigest desk{ 2 };
 
-CrashLedger filledLedger() {
+CrashLedger filledLedger()
+{
     CrashLedger ledger;
-    noteCrashes(ledger, start, {{1, 1}, shop}, 1);
-    noteCrashes(ledger, start, {{2, 2}, shop}, 3);
-    noteCrashes(ledger, start, {{2, 2}, desk}, 3);
-    noteCleared(ledger, start, {{3, 3}, desk}, {});
+    noteCrashes (ledger, start, { { 1, 1 }, shop }, 1);
+    noteCrashes (ledger, start, { { 2, 2 }, shop }, 3);
+    noteCrashes (ledger, start, { { 2, 2 }, desk }, 3);
+    noteCleared (ledger, start, { { 3, 3 }, desk }, {});
     return ledger;
 }
 
-}  // namespace
+} // namespace
 
-TEST_CASE("news read back as they were written, the worst suspects first", "[poison]") {
-    const auto news = decodeCrashNews(encode(newsOf(filledLedger(), start + milliseconds(40))));
-    REQUIRE(news);
-    REQUIRE(news->suspects.size() == 2);
+TEST_CASE ("news read back as they were written, the worst suspects first", "[poison]")
+{
+    const auto news = decodeCrashNews (encode (newsOf (filledLedger(), start + milliseconds (40))));
+    REQUIRE (news);
+    REQUIRE (news->suspects.size() == 2);
     const auto& worst = news->suspects.front();
-    CHECK(worst.digest == RequestDigest{2, 2});
-    CHECK(worst.numCrashes == 3);
-    CHECK(worst.ageMs == 40);
-    REQUIRE(worst.callers.size() == 2);
-    CHECK(worst.callers[0].caller == shop.value);
-    CHECK(worst.callers[1].caller == desk.value);
-    CHECK(news->suspects[1].callers.size() == 1);
-    REQUIRE(news->cleared.size() == 1);
-    CHECK(news->cleared[0].digest == RequestDigest{3, 3});
-    CHECK(news->cleared[0].caller == desk.value);
-    CHECK(news->cleared[0].ageMs == 40);
+    CHECK (worst.digest == RequestDigest{ 2, 2 });
+    CHECK (worst.numCrashes == 3);
+    CHECK (worst.ageMs == 40);
+    REQUIRE (worst.callers.size() == 2);
+    CHECK (worst.callers[0].caller == shop.value);
+    CHECK (worst.callers[1].caller == desk.value);
+    CHECK (news->suspects[1].callers.size() == 1);
+    REQUIRE (news->cleared.size() == 1);
+    CHECK (news->cleared[0].digest == RequestDigest{ 3, 3 });
+    CHECK (news->cleared[0].caller == desk.value);
+    CHECK (news->cleared[0].ageMs == 40);
 }
 
-TEST_CASE("news are bounded, and greater ones are refused", "[poison]") {
+TEST_CASE ("suspects of one crash are told of for a short time, others longer", "[poison]")
+{
+    const auto news = newsOf (filledLedger(), start + weakSuspectsTold + milliseconds (1));
+    REQUIRE (news.suspects.size() == 1);
+    CHECK (news.suspects.front().numCrashes == 3);
+}
+
+TEST_CASE ("news are bounded, and greater ones are refused", "[poison]")
+{
     CrashLedger ledger;
 
     for (std::uint64_t n = 0; n < 2 * mostNews; ++n)
-        noteCrashes(ledger, start, {{1, n}, shop}, 1);
-
-    auto news = newsOf(ledger, start);
-    CHECK(news.suspects.size() == mostNews);
-    CHECK(decodeCrashNews(encode(news)));
-    news.suspects.push_back(news.suspects.front());
-    CHECK_FALSE(decodeCrashNews(encode(news)));
-    news = newsOf(filledLedger(), start);
-    news.suspects.front().callers.push_back({9});
-    CHECK_FALSE(decodeCrashNews(encode(news)));
+        noteCrashes (ledger, start, { { 1, n }, shop }, 1);
+
+    auto news = newsOf (ledger, start);
+    CHECK (news.suspects.size() == mostNews);
+    CHECK (decodeCrashNews (encode (news)));
+    news.suspects.push_back (news.suspects.front());
+    CHECK_FALSE (decodeCrashNews (encode (news)));
+    news = newsOf (filledLedger(), start);
+    news.suspects.front().callers.push_back ({ 9 });
+    CHECK_FALSE (decodeCrashNews (encode (news)));
 }
 
-TEST_CASE("bytes that are no news are refused, whatever they are", "[poison]") {
-    const auto whole = encode(newsOf(filledLedger(), start));
-    CHECK_FALSE(decodeCrashNews(""));
-    CHECK_FALSE(decodeCrashNews("T" + whole.substr(1)));
+TEST_CASE ("bytes that are no news are refused, whatever they are", "[poison]")
+{
+    const auto whole = encode (newsOf (filledLedger(), start));
+    CHECK_FALSE (decodeCrashNews (""));
+    CHECK_FALSE (decodeCrashNews ("T" + whole.substr (1)));
 
     for (std::size_t n = 1; n < whole.size(); ++n)
-        CHECK_FALSE(decodeCrashNews(whole.substr(0, n)));
+        CHECK_FALSE (decodeCrashNews (whole.substr (0, n)));
 
-    std::mt19937 random(1);
+    std::mt19937 random (1);
 
-    for (int n = 0; n < 5'000; ++n) {
+    for (int n = 0; n < 5'000; ++n)
+    {
         auto spoiled = whole;
-        const auto at = std::uniform_int_distribution<std::size_t>(1, whole.size() - 1)(random);
-        spoiled[at] = static_cast<char>(random());
-        const auto news = decodeCrashNews(spoiled);
+        const auto at = std::uniform_int_distribution<std::size_t> (1, whole.size() - 1) (random);
+        spoiled[at] = static_cast<char> (random());
+        const auto news = decodeCrashNews (spoiled);
         // What can't be told from news is still within the bounds.
-        CHECK((!news || news->suspects.size() <= mostNews));
+        CHECK ((! news || news->suspects.size() <= mostNews));
     }
 }
 
-TEST_CASE("a verdict reads back from the store, and nothing else does", "[poison]") {
-    const auto text = encode(StoredVerdict{3, 1'796'253'560'006, {shop, desk}});
-    const auto verdict = decodeStoredVerdict(text);
-    REQUIRE(verdict);
-    CHECK(verdict->numCrashes == 3);
-    CHECK(verdict->latestUnixMs == 1'796'253'560'006);
-    CHECK(verdict->callers == std::vector<CallerDigest>{shop, desk});
-    const auto refused = GENERATE(as<std::string>(), "", "3", "3 ", "3 17", "3 17 ", "3 17 x", "x 17 1",
-                                  "3 17 1 2 3", "3  17 1", "3 17 1 ", "-3 17 1", "3 99999999999999999999 1");
-    CAPTURE(refused);
-    CHECK_FALSE(decodeStoredVerdict(refused));
+TEST_CASE ("a verdict reads back from the store, and nothing else does", "[poison]")
+{
+    const auto text = encode (StoredVerdict{ 3, 1'796'253'560'006, { shop, desk } });
+    const auto verdict = decodeStoredVerdict (text);
+    REQUIRE (verdict);
+    CHECK (verdict->numCrashes == 3);
+    CHECK (verdict->latestUnixMs == 1'796'253'560'006);
+    CHECK (verdict->callers == std::vector<CallerDigest>{ shop, desk });
+    const auto refused = GENERATE (as<std::string>(), "", "3", "3 ", "3 17", "3 17 ", "3 17 x", "x 17 1",
+                                   "3 17 1 2 3", "3  17 1", "3 17 1 ", "-3 17 1", "3 99999999999999999999 1");
+    CAPTURE (refused);
+    CHECK_FALSE (decodeStoredVerdict (refused));
 }
 
-TEST_CASE("a few weak suspects run at once, and one strong one", "[poison]") {
+TEST_CASE ("a few weak suspects run at once, and one strong one", "[poison]")
+{
     SuspectLane lane;
 
-    for (unsigned n = 0; n < mostWeakSuspects; ++n) {
-        CHECK(mayBegin(lane, 1));
-        noteBegan(lane, 1);
+    for (unsigned n = 0; n < mostWeakSuspects; ++n)
+    {
+        CHECK (mayBegin (lane, 1));
+        noteBegan (lane, 1);
     }
 
-    CHECK_FALSE(mayBegin(lane, 1));
-    CHECK(mayBegin(lane, 2));
-    noteBegan(lane, 2);
-    CHECK_FALSE(mayBegin(lane, 3));
-    noteEnded(lane, 2);
-    CHECK(mayBegin(lane, 3));
-    noteEnded(lane, 1);
-    CHECK(mayBegin(lane, 1));
+    CHECK_FALSE (mayBegin (lane, 1));
+    CHECK (mayBegin (lane, 2));
+    noteBegan (lane, 2);
+    CHECK_FALSE (mayBegin (lane, 3));
+    noteEnded (lane, 2);
+    CHECK (mayBegin (lane, 3));
+    noteEnded (lane, 1);
+    CHECK (mayBegin (lane, 1));
 }
 
-TEST_CASE("all daemons send a suspect to the same server, and on to the same next one", "[poison]") {
-    std::vector<membership::KnownServer> servers(5);
+TEST_CASE ("all daemons send a suspect to the same server, and on to the same next one", "[poison]")
+{
+    std::vector<membership::KnownServer> servers (5);
     membership::ServiceView here;
     membership::ServiceView there;
 
-    for (std::size_t n = 0; n < servers.size(); ++n) {
-        servers[n].server.instance = "i-" + std::to_string(n);
-        (n < 2 ? here.near : here.far).push_back(&servers[n]);
-        (n < 2 ? there.far : there.near).push_back(&servers[n]);
+    for (std::size_t n = 0; n < servers.size(); ++n)
+    {
+        servers[n].server.instance = "i-" + std::to_string (n);
+        (n < 2 ? here.near : here.far).push_back (&servers[n]);
+        (n < 2 ? there.far : there.near).push_back (&servers[n]);
     }
 
-    const RequestDigest digest{4, 2};
-    const auto* first = chooseForSuspect(here, digest, {});
-    REQUIRE(first != nullptr);
-    CHECK(chooseForSuspect(there, digest, {}) == first);
-    const auto* second = chooseForSuspect(here, digest, {first->server.instance});
-    REQUIRE(second != nullptr);
-    CHECK(second != first);
-    CHECK(chooseForSuspect(there, digest, {first->server.instance}) == second);
-    CHECK(chooseForSuspect({}, digest, {}) == nullptr);
+    const RequestDigest digest{ 4, 2 };
+    const auto* first = chooseForSuspect (here, digest, {});
+    REQUIRE (first != nullptr);
+    CHECK (chooseForSuspect (there, digest, {}) == first);
+    const auto* second = chooseForSuspect (here, digest, { first->server.instance });
+    REQUIRE (second != nullptr);
+    CHECK (second != first);
+    CHECK (chooseForSuspect (there, digest, { first->server.instance }) == second);
+    CHECK (chooseForSuspect ({}, digest, {}) == nullptr);
 }
