One item of the store that can't be read no longer hides the others

Cause: an item without a field, or whose value isn't base64, made the whole listing or watch count as unanswered: a daemon that starts learned of no peer. Change: such items are left out and counted in a log line.

--- a/lab/platform_store.hpp
+++ b/lab/platform_store.hpp
@@ -33,6 +33,8 @@
 
     /// The operator's write; returns its revision.
     std::uint64_t put(const std::string& key, const std::string& value);
+    /// Another writer's item, whose value isn't base64.
+    void put_unreadable(const std::string& key) { store(key, "%%%", 0); }
     /// Drops all history, so that waiting and later watches from before get 410.
     void forget_history();
     /// Takes keys away; no call shows it.
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -70,6 +70,8 @@
                "The configuration was shown to be the newest: requests with keys are served again."},
     EventEntry{Event::kQuotaOwnerSilent, Level::kWarn, "quota-owner-silent",
                "The daemon that counts a tenant's requests didn't answer; another one is asked."},
+    EventEntry{Event::kStoreItemsRefused, Level::kWarn, "store-items-refused",
+               "Items of the store couldn't be read and were left out; the others hold."},
     EventEntry{Event::kHolderViewInForce, Level::kInfo, "holder-view-in-force",
                "This daemon uses a new claim holder view."},
     EventEntry{Event::kHolderViewChanged, Level::kInfo, "holder-view-changed",
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -38,6 +38,7 @@
     kKeysUnproven = 1112,
     kKeysProven = 1113,
     kQuotaOwnerSilent = 1114,
+    kStoreItemsRefused = 1115,
     kHolderViewInForce = 1201,
     kHolderViewChanged = 1202,
     kClaimsServing = 1203,
--- a/src/sidecar/store_follower.cpp
+++ b/src/sidecar/store_follower.cpp
@@ -59,6 +59,12 @@
     return served;
 }
 
+void StoreFollower::note_unreadable(std::size_t count, const char* purpose) {
+    if (count > 0) {
+        log_event(Event::kStoreItemsRefused, {{"call", purpose}, {"count", std::to_string(count)}});
+    }
+}
+
 void StoreFollower::pause(unsigned failures, milliseconds at_most) {
     constexpr unsigned most_doublings = 5;
     const auto longest = std::min(at_most, kFirstPause * (1U << std::min(failures, most_doublings)));
@@ -95,6 +101,7 @@
 std::uint64_t StoreFollower::watch_configuration(std::uint64_t watch_from) {
     const auto reply = store_.watch(context_.dialect.configuration_key(), watch_from, kLongestWatch);
     note(reply.outcome, "watch configuration");
+    note_unreadable(reply.unreadable, "watch configuration");
     for (const auto& item : reply.changed) {
         if (item.key == context_.dialect.configuration_key()) {
             configuration_.offer(item.value, ConfigurationSource::kStore);
@@ -219,6 +226,7 @@
         if (!note(page.outcome, "list peers") || page.outcome != CallOutcome::kDone) {
             return std::nullopt;
         }
+        note_unreadable(page.unreadable, "list peers");
         more = page.more && !page.items.empty();
         for (auto& item : page.items) {
             after = item.key;
--- a/src/sidecar/store_follower.hpp
+++ b/src/sidecar/store_follower.hpp
@@ -69,6 +69,8 @@
     bool take_members(const std::vector<store::StoreItem>& members);
     /// Removes registrations of machines that are gone for good.
     void remove_abandoned(const std::vector<discovery::Registration>& listing);
+    /// Logs items of another writer that couldn't be read.
+    static void note_unreadable(std::size_t count, const char* purpose);
     /// Logs a change between reachable and not, and returns whether the call was served.
     bool note(store::CallOutcome outcome, const char* purpose);
     void pause(unsigned failures, milliseconds at_most);
--- a/src/store/coordination_store.hpp
+++ b/src/store/coordination_store.hpp
@@ -44,13 +44,15 @@
 struct ListReply {
     CallOutcome outcome = CallOutcome::kUnknown;
     std::vector<StoreItem> items;
-    bool more = false;  ///< Another page starts after the last item.
+    std::size_t unreadable = 0;  ///< Items that aren't as the protocol has them; they are left out.
+    bool more = false;           ///< Another page starts after the last item.
     std::uint64_t store_revision = 0;
 };
 
 struct WatchReply {
     CallOutcome outcome = CallOutcome::kUnknown;
     std::vector<StoreItem> changed;    ///< Written items, oldest first.
+    std::size_t unreadable = 0;        ///< As in `ListReply`.
     std::uint64_t store_revision = 0;  ///< Where the next watch starts.
 };
 
--- a/tests/process/server_starts_test.cpp
+++ b/tests/process/server_starts_test.cpp
@@ -102,3 +102,18 @@
     CHECK (numTold == 2);
     CHECK (log.find ("sleeping") == std::string::npos);
 }
+
+TEST_CASE ("one item of the store that can't be read hides none of the others", "[starts]")
+{
+    SidecarFleet fleet (nextBasePort(), machines());
+    REQUIRE (fleet.start (configuration_text (1, { "front", "back" }, {})));
+    fleet.store().put_unreadable ("anisehold/members/0-another");
+    fleet.store().put_unreadable ("anisehold/verdicts/00");
+
+    // One that starts now learns of its peers by the listing alone.
+    fleet.kill (0);
+    fleet.start_sidecar (0);
+    CHECK (fleet.eventually (seconds (4), [&] { return fleet.is_ready (0) && isServed (fleet, "r"); }));
+    CHECK (fleet.eventually (settleTime, [&]
+                             { return fleet.log_of (0).find ("store-items-refused") != std::string::npos; }));
+}
