--- a/src/protocol/time_types.hpp
+++ b/src/protocol/time_types.hpp
@@ -16,7 +16,7 @@
     using period = std::chrono::nanoseconds::period;
     using duration = std::chrono::nanoseconds;
     using time_point = std::chrono::time_point<BootClock>;
-    static constexpr bool is_steady = true;
+    static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming): the standard's name.
 
     static time_point now() noexcept {
         timespec reading{};
--- a/src/registration/server_registry.cpp
+++ b/src/registration/server_registry.cpp
@@ -7,12 +7,26 @@
 
 /// How long an instance that left is remembered, so that a late heartbeat doesn't bring it back.
 constexpr seconds kLeftRemembered{600};
+/// A server that was displaced from its address and goes on to say that it is there, so many times, is: the
+/// entry that displaced it was another writer's. One or two may have been on their way when it ended.
+constexpr unsigned kHeartbeatsOfLiving = 3;
 
 }  // namespace
 
-bool ServerRegistry::is_later_start(const Heartbeat& heartbeat) const {
-    const auto left = left_.find(heartbeat.instance);
-    return left != left_.end() && left->second.born < heartbeat.born;
+bool ServerRegistry::is_back(const Heartbeat& heartbeat) {
+    const auto found = left_.find(heartbeat.instance);
+    if (found == left_.end()) {
+        return false;
+    }
+    auto& left = found->second;
+    if (left.born < heartbeat.born) {
+        return true;
+    }
+    const bool goes_on =
+        left.was_displaced && left.born == heartbeat.born && left.sequence < heartbeat.sequence;
+    left.heard_since += goes_on ? 1 : 0;
+    left.sequence = std::max(left.sequence, heartbeat.sequence);
+    return goes_on && left.heard_since >= kHeartbeatsOfLiving;
 }
 
 RegistryChange ServerRegistry::take_new_start(TimePoint now, const Heartbeat& heartbeat) {
@@ -20,7 +34,8 @@
     // A server with another's address has taken its place.
     for (auto each = servers_.begin(); each != servers_.end();) {
         if (each->second.heartbeat.address == heartbeat.address && each->first != heartbeat.instance) {
-            left_[each->first] = {now, each->second.heartbeat.born};
+            const auto& displaced = each->second.heartbeat;
+            left_[each->first] = {now, displaced.born, true, displaced.sequence, 0};
             each = servers_.erase(each);
         } else {
             ++each;
@@ -32,7 +47,7 @@
 
 RegistryChange ServerRegistry::on_heartbeat(TimePoint now, const Heartbeat& heartbeat) {
     if (left_.contains(heartbeat.instance)) {
-        return is_later_start(heartbeat) ? take_new_start(now, heartbeat) : RegistryChange::kNone;
+        return is_back(heartbeat) ? take_new_start(now, heartbeat) : RegistryChange::kNone;
     }
     const auto found = servers_.find(heartbeat.instance);
     if (found == servers_.end()) {
@@ -76,7 +91,7 @@
     if (born != ServerStart() && born < known) {
         return RegistryChange::kNone;
     }
-    left_[instance] = {now, born == ServerStart() ? known : born};
+    left_[instance] = {now, born == ServerStart() ? known : born, false, 0, 0};
     return servers_.erase(instance) > 0 ? RegistryChange::kLeft : RegistryChange::kNone;
 }
 
--- a/src/registration/server_registry.hpp
+++ b/src/registration/server_registry.hpp
@@ -76,10 +76,15 @@
     struct LeftServer {
         TimePoint at;
         ServerStart born;
+        /// Set if it never said so itself, but another one came to its address.
+        bool was_displaced = false;
+        std::uint64_t sequence = 0;  ///< Of its latest heartbeat, if it was displaced.
+        unsigned heard_since = 0;    ///< Heartbeats since then.
     };
 
-    /// Whether the heartbeat is of a start after the one that left.
-    bool is_later_start(const Heartbeat& heartbeat) const;
+    /// Whether the heartbeat is of a start after the one that left, or of one that is there after all. Counts
+    /// it.
+    bool is_back(const Heartbeat& heartbeat);
     RegistryChange take_new_start(TimePoint now, const Heartbeat& heartbeat);
 
     std::map<std::string, RegisteredServer> servers_;
--- a/tests/unit/registration/server_registry_test.cpp
+++ b/tests/unit/registration/server_registry_test.cpp
@@ -194,3 +194,24 @@
     CHECK(registry.find_ready("a") == nullptr);
     CHECK(registry.on_heartbeat(kStart, started(2'000, 1)) == RegistryChange::kAppeared);
 }
+
+TEST_CASE("a server that another writer's entry displaced is back when it goes on to say that it is there") {
+    ServerRegistry registry;
+    registry.on_heartbeat(kStart, heartbeat("living", 9));
+    CHECK(registry.on_heartbeat(kStart, heartbeat("made-up", 1)) == RegistryChange::kAppeared);
+    CHECK(registry.on_heartbeat(kStart + seconds(1), heartbeat("living", 10)) == RegistryChange::kNone);
+    CHECK(registry.on_heartbeat(kStart + seconds(2), heartbeat("living", 10)) == RegistryChange::kNone);
+    CHECK(registry.on_heartbeat(kStart + seconds(3), heartbeat("living", 11)) == RegistryChange::kNone);
+    CHECK(registry.on_heartbeat(kStart + seconds(4), heartbeat("living", 12)) == RegistryChange::kAppeared);
+    CHECK(registry.find_ready("living") != nullptr);
+    CHECK(registry.find_ready("made-up") == nullptr);
+}
+
+TEST_CASE("a server that said that it leaves stays gone, whatever comes of that start") {
+    ServerRegistry registry;
+    registry.on_heartbeat(kStart, heartbeat("a", 1));
+    registry.on_leave(kStart, "a");
+    for (std::uint64_t sequence = 2; sequence < 10; ++sequence) {
+        CHECK(registry.on_heartbeat(kStart, heartbeat("a", sequence)) == RegistryChange::kNone);
+    }
+}
