--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "observability/events.hpp"
+#include "sidecar/request_identity.hpp"
 
 namespace anisehold::sidecar {
 namespace {
@@ -120,9 +121,7 @@
     call.service = split_.next(*route, context_.random_unit());
     const auto allowed = client.time_left ? std::min(*client.time_left, route->timeout) : route->timeout;
     call.deadline = call.received + std::max(allowed - kAnswerMargin, milliseconds(1));
-    const auto host = request.fields.find("Host").value_or("");
-    call.identity = {digest_of({request.method, host, request.target, request.body.prefix}),
-                     caller_digest(context_.settings.service)};
+    call.identity = identity_of(request, context_.settings.service);
     if (crashes_.is_condemned(call.received, call.identity)) {
         return Failure{ErrorKind::kCrashesServers};
     }
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -6,6 +6,7 @@
 #include "admission/policy/fixed_limit.hpp"
 #include "admission/policy/knee_limit.hpp"
 #include "observability/events.hpp"
+#include "sidecar/request_identity.hpp"
 
 namespace anisehold::sidecar {
 namespace {
@@ -25,32 +26,10 @@
 constexpr double kPercent = 100;
 /// Weight of a new result in the share of failures.
 constexpr double kFailureSample = 0.1;
-/// A kept connection that breaks sooner than that after a request was sent had been forgotten by the server.
-constexpr milliseconds kInstantLoss{20};
-/// A non-repeatable request isn't sent on a connection that rested longer: the server may be closing it.
-constexpr milliseconds kFreshRest{2'000};
-/// How much longer than the request's own time an answer is waited for, so that the server's own one wins.
-constexpr milliseconds kAnswerSlack{20};
 constexpr std::size_t kMostConnections = 256;
 constexpr milliseconds kConnectTimeout{500};
 constexpr milliseconds kConnectionRest{8'000};
 constexpr milliseconds kSilenceInBody{60'000};
-/// Digests in one log line: 33 bytes each, and a server may have a hundred requests running when it ends.
-constexpr std::size_t kMostDigestsLogged = 32;
-
-RequestIdentity identity_of(const net::HttpRequest& request, const hop::HopRequest& call) {
-    const auto host = request.fields.find("Host").value_or("");
-    return {digest_of({request.method, host, request.target, request.body.prefix}),
-            caller_digest(call.caller)};
-}
-
-GateAnswer refusal(HopOutcome outcome, ErrorKind error, Duration retry_after) {
-    GateAnswer answer;
-    answer.result.outcome = outcome;
-    answer.result.error = error;
-    answer.result.retry_after = milliseconds(std::max(0LL, to_milliseconds(retry_after)));
-    return answer;
-}
 
 net::HttpPoolLimits pool_limits() {
     net::HttpPoolLimits limits;
@@ -74,6 +53,14 @@
 
 }  // namespace
 
+GateAnswer refusal(HopOutcome outcome, ErrorKind error, Duration retry_after) {
+    GateAnswer answer;
+    answer.result.outcome = outcome;
+    answer.result.error = error;
+    answer.result.retry_after = milliseconds(std::max(0LL, to_milliseconds(retry_after)));
+    return answer;
+}
+
 RegistryChange LocalGate::on_registration(TimePoint now, const RegistrationCall& call) {
     const auto& heartbeat = call.heartbeat;
     const auto change = call.leaves ? registry_.on_leave(now, heartbeat.instance, heartbeat.born)
@@ -196,7 +183,7 @@
     const auto arrived = TimePoint::clock::now();
     const auto deadline = arrived + call.remaining;
     const auto request_id = context_.dialect.read_client_call(request).id;
-    const auto identity = identity_of(request, call);
+    const auto identity = identity_of(request, call.caller);
     const auto* registered = registry_.find_ready(call.instance);
     if (registered == nullptr) {
         auto answer = refusal(HopOutcome::kNotSent, ErrorKind::kNoBackend, Duration::zero());
@@ -315,102 +302,6 @@
     return refusal(HopOutcome::kNotSent, ErrorKind::kQueueTimeout, decision.retry_after);
 }
 
-GateAnswer LocalGate::exchange(Server& server, net::HttpRequest& request, const hop::HopRequest& call,
-                               TimePoint deadline, net::CancelSignal* cancel,
-                               net::ExchangeProgress& progress) {
-    if (cancel != nullptr && cancel->check()) {
-        return refusal(HopOutcome::kNotSent, ErrorKind::kCancelled, Duration::zero());
-    }
-    const auto now = TimePoint::clock::now();
-    const auto request_id = context_.dialect.read_client_call(request).id;
-    const milliseconds time_left(std::max(1LL, to_milliseconds(deadline - now)));
-    context_.dialect.write_server_call(request, {call.instance, call.caller, time_left});
-    net::ExchangeOptions options{deadline + kAnswerSlack, cancel};
-    options.expected_echo = context_.dialect.echoed_field(request_id);
-    if (context_.has(Mechanism::kRestLimit)) {
-        options.longest_rest = connection::longestRest(server.rest, now);
-    }
-    if (call.at_most_once) {
-        options.longest_rest = std::min<Duration>(options.longest_rest, kFreshRest);
-    }
-    // A connection that breaks at once may still have brought the request to the server: whether it is sent
-    // again is the ingress's choice, which counts repeats.
-    std::error_code error;
-    auto response = send_once(server, request, options, progress, error);
-    if (!response) {
-        if (!progress.request_started) {
-            return refusal(HopOutcome::kNotSent, ErrorKind::kConnectFailed, Duration::zero());
-        }
-        const bool gave_up = cancel != nullptr && cancel->cancelled();
-        if (!gave_up && error != std::errc::timed_out) {
-            look_for_crash(server, call);
-        }
-        return refusal(HopOutcome::kUnknown, ErrorKind::kBackendFailed, Duration::zero());
-    }
-    GateAnswer answer;
-    switch (context_.dialect.nature_of(*response)) {
-        case AnswerNature::kNotRun:
-            return refusal(HopOutcome::kRefusedByServer, ErrorKind::kBackendRefused, server.latency);
-        case AnswerNature::kSpoiled:
-            return refusal(HopOutcome::kUnknown, ErrorKind::kBackendFailed, Duration::zero());
-        case AnswerNature::kGenuine:
-            answer.result.outcome = HopOutcome::kAnswered;
-            answer.response = std::move(response);
-    }
-    return answer;
-}
-
-std::optional<net::HttpResponse> LocalGate::send_once(Server& server, net::HttpRequest& request,
-                                                      const net::ExchangeOptions& options,
-                                                      net::ExchangeProgress& progress,
-                                                      std::error_code& error) const {
-    const auto sent = TimePoint::clock::now();
-    auto response = server.client.exchange(request, options, progress, error);
-    const auto now = TimePoint::clock::now();
-    const bool cancelled = options.cancel != nullptr && options.cancel->cancelled();
-    if (progress.connected) {
-        connection::noteConnected(server.reach);
-    } else if (!cancelled && error != std::errc::too_many_files_open) {
-        connection::noteConnectFailed(server.reach, now);
-    }
-    if (!response && !cancelled && progress.connection_reused && !progress.answer_started &&
-        now - sent < kInstantLoss) {
-        connection::noteLost(server.rest, now, progress.rested);
-        log_event(Event::kConnectionForgotten,
-                  {{"server", server.client.server().text()},
-                   {"rested_ms", std::to_string(to_milliseconds(progress.rested))},
-                   {"error", error.message()},
-                   {"longest_rest_ms",
-                    std::to_string(to_milliseconds(connection::longestRest(server.rest, now)))}});
-    }
-    return response;
-}
-
-void LocalGate::look_for_crash(Server& server, const hop::HopRequest& call) {
-    // One that said that it leaves ends as it should.
-    const auto* registered = registry_.find_ready(call.instance);
-    if (registered == nullptr || !server.crash.is_server_gone() || !server.crash.take_report()) {
-        return;
-    }
-    const auto unanswered = server.crash.unanswered();
-    std::string digests;
-    for (std::size_t n = 0; n < std::min(unanswered.size(), kMostDigestsLogged); ++n) {
-        digests.append(n > 0 ? " " : "").append(unanswered[n].request.digest.text());
-    }
-    context_.metrics.count_server_crash(context_.settings.service);
-    crashes_.on_crash(unanswered);
-    // Its next start registers anew, maybe under the same id; nothing of this one holds for it.
-    registry_.on_crash(call.instance);
-    servers_.erase(call.instance);
-    if (crash_listener_) {
-        crash_listener_();
-    }
-    log_event(Event::kServerCrashed, {{"server", call.instance},
-                                      {"service", context_.settings.service},
-                                      {"running", std::to_string(unanswered.size())},
-                                      {"digests", digests}});
-}
-
 void LocalGate::observe(Server& server, TimePoint started, TimePoint now, const GateAnswer& answer,
                         bool cancelled) {
     constexpr unsigned first_server_error = 500;
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -33,6 +33,10 @@
     std::optional<net::HttpResponse> response;
 };
 
+/// What a request gets that no server answered. `retry_after`: when room is expected, zero if that isn't
+/// known.
+GateAnswer refusal(hop::HopOutcome outcome, ErrorKind error, Duration retry_after);
+
 /// All requests for this machine's server pass here, so its state is known exactly.
 class LocalGate {
   public:
