Ways of keeping fatal requests from others, compared in a model; the fatal request of the test has one caller

The test sent the fatal request at machines of two services, so with two callers, where the design allows one crash more (a second caller's like request is tried once): three crashes at most would have failed now and then.

--- /dev/null
+++ b/tests/incidents/crash_model.cpp
@@ -0,0 +1,375 @@
+#include "tests/incidents/crash_model.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "poison/crash_ledger.hpp"
+#include "poison/suspect_lane.hpp"
+#include "poison/suspect_server.hpp"
+
+namespace anisehold::model
+{
+namespace
+{
+
+using poison::CrashedRun;
+using poison::CrashLedger;
+
+constexpr std::size_t numDaemons = 14;
+constexpr std::size_t numServers = 4;
+constexpr std::uint64_t numCallers = 4;
+constexpr milliseconds downTime{ 3'000 };
+constexpr milliseconds deadline{ 2'000 };
+constexpr int mostServers = 2;
+constexpr int mostTries = 2;
+constexpr std::uint64_t fatalNumber = 0;
+
+/** One request of a client, with all its tries. */
+struct Request
+{
+    std::uint64_t number = 0;
+    std::size_t daemon = 0;    /**< Where the present try came in. */
+    bool hasOneCaller = false; /**< Whatever the machine. */
+    int numTries = 1;
+    int numSent = 0; /**< In this try. */
+    std::vector<std::string> tried;
+    TimePoint began;
+    bool isOver = false;
+
+    bool isFatal() const { return number == fatalNumber; }
+    RequestIdentity identity() const
+    {
+        return { { 1, number }, CallerDigest (hasOneCaller ? numCallers : daemon % numCallers) };
+    }
+};
+
+using RequestPtr = std::shared_ptr<Request>;
+
+struct Run
+{
+    RequestPtr request;
+    unsigned crashesBefore = 0;
+    std::uint64_t id = 0;
+};
+
+struct Server
+{
+    std::string name;
+    bool isUp = true;
+    std::vector<Run> runs;
+    poison::SuspectLane lane;
+    std::deque<RequestPtr> waiting;
+};
+
+class Model
+{
+public:
+    Model (const CrashWays& waysToUse, const CrashDay& dayToPlay)
+        : ways (waysToUse),
+          day (dayToPlay),
+          random (dayToPlay.seed),
+          ledgers (numDaemons),
+          servers (numServers),
+          known (numServers)
+    {
+        for (std::size_t n = 0; n < numServers; ++n)
+            servers[n].name = known[n].server.instance = "i-" + std::to_string (n);
+    }
+
+    CrashResult play()
+    {
+        const auto end = now + day.length;
+        scheduleOrdinary();
+
+        if (day.hasFatalRequest)
+            scheduleFatal();
+
+        if (day.selfCrashGap > Duration::zero())
+            scheduleSelfCrash();
+
+        while (! events.empty() && events.begin()->first < end)
+        {
+            auto it = events.begin();
+            now = it->first;
+            const auto action = std::move (it->second);
+            events.erase (it);
+            action();
+        }
+
+        return result;
+    }
+
+private:
+    double draw (double least, double most)
+    {
+        return std::uniform_real_distribution<double> (least, most) (random);
+    }
+    std::size_t drawIndex (std::size_t size)
+    {
+        return std::uniform_int_distribution<std::size_t> (0, size - 1) (random);
+    }
+    static Duration ofMilliseconds (double ms) { return microseconds (static_cast<long long> (1'000 * ms)); }
+    void after (Duration time, std::function<void()> action)
+    {
+        events.emplace (now + time, std::move (action));
+    }
+
+    void scheduleOrdinary()
+    {
+        after (ofMilliseconds (std::exponential_distribution<double> (day.ratePerS / 1'000) (random)),
+               [this]
+               {
+                   ++result.numOrdinary;
+                   come (++lastNumber);
+                   scheduleOrdinary();
+               });
+    }
+
+    void scheduleFatal()
+    {
+        after (ofMilliseconds (draw (500, 3'000)),
+               [this]
+               {
+                   come (fatalNumber);
+                   scheduleFatal();
+               });
+    }
+
+    void scheduleSelfCrash()
+    {
+        after (day.selfCrashGap,
+               [this]
+               {
+                   crash (servers[drawIndex (numServers)]);
+                   scheduleSelfCrash();
+               });
+    }
+
+    void come (std::uint64_t number)
+    {
+        auto request = std::make_shared<Request>();
+        request->number = number;
+        request->daemon = drawIndex (numDaemons);
+        request->hasOneCaller = request->isFatal() && day.hasOneCaller;
+        request->began = now;
+        send (request);
+    }
+
+    unsigned crashesOf (std::size_t daemon, const RequestIdentity& identity) const
+    {
+        return ways.remembers ? poison::crashesOf (ledgers[daemon], now, identity) : 0;
+    }
+
+    bool isCondemned (std::size_t daemon, const RequestIdentity& identity) const
+    {
+        return ways.remembers && (poison::isCondemned (ledgers[daemon], now, identity) ||
+                                  crashesOf (daemon, identity) >= ways.toCondemn);
+    }
+
+    Server* choose (const Request& request)
+    {
+        membership::ServiceView view;
+
+        for (std::size_t n = 0; n < numServers; ++n)
+        {
+            if (servers[n].isUp)
+                view.near.push_back (&known[n]);
+        }
+
+        const bool isSuspect = crashesOf (request.daemon, request.identity()) > 0;
+        const membership::KnownServer* chosen = nullptr;
+
+        if (isSuspect && ways.sendsToOneServer)
+            chosen = poison::chooseForSuspect (view, request.identity().digest, request.tried);
+        else
+        {
+            std::vector<const membership::KnownServer*> left;
+            std::copy_if (view.near.begin(), view.near.end(), std::back_inserter (left),
+                          [&] (const auto* it)
+                          {
+                              return std::find (request.tried.begin(), request.tried.end(),
+                                                it->server.instance) == request.tried.end();
+                          });
+            chosen = left.empty() ? nullptr : left[drawIndex (left.size())];
+        }
+
+        return chosen == nullptr ? nullptr : &servers[static_cast<std::size_t> (chosen - known.data())];
+    }
+
+    void send (const RequestPtr& request)
+    {
+        const auto identity = request->identity();
+
+        if (isCondemned (request->daemon, identity))
+        {
+            result.numFalseVerdicts += request->isFatal() ? 0 : 1;
+            return endTry (request);
+        }
+
+        auto* server = request->numSent < mostServers ? choose (*request) : nullptr;
+
+        if (server == nullptr)
+            return endTry (request);
+
+        ++request->numSent;
+        request->tried.push_back (server->name);
+        begin (*server, request);
+    }
+
+    std::size_t gateOf (const Server& server) const
+    {
+        return static_cast<std::size_t> (&server - servers.data());
+    }
+
+    void begin (Server& server, const RequestPtr& request)
+    {
+        const auto identity = request->identity();
+        const auto crashes =
+            std::max (crashesOf (gateOf (server), identity), crashesOf (request->daemon, identity));
+
+        if (crashes > 0 && ways.limitsSuspects)
+        {
+            if (! poison::mayBegin (server.lane, crashes))
+                return server.waiting.push_back (request);
+
+            poison::noteBegan (server.lane, crashes);
+        }
+
+        const auto id = ++lastRun;
+        server.runs.push_back ({ request, crashes, id });
+        const auto time = ofMilliseconds (request->isFatal() ? draw (40, 90) : draw (60, 120));
+        after (time, [this, &server, id] { end (server, id); });
+    }
+
+    void end (Server& server, std::uint64_t id)
+    {
+        const auto it = std::find_if (server.runs.begin(), server.runs.end(),
+                                      [&] (const Run& run) { return run.id == id; });
+
+        if (it == server.runs.end())
+            return;
+
+        if (it->request->isFatal())
+        {
+            ++result.numCrashes;
+            return crash (server);
+        }
+
+        const auto run = *it;
+        server.runs.erase (it);
+        leaveLane (server, run);
+        run.request->isOver = true;
+        result.longest = std::max (result.longest, now - run.request->began);
+
+        if (run.crashesBefore > 0)
+            tell (gateOf (server), [this, identity = run.request->identity()] (CrashLedger& ledger)
+                  { poison::noteCleared (ledger, now, identity, {}); });
+    }
+
+    void leaveLane (Server& server, const Run& run)
+    {
+        if (run.crashesBefore == 0 || ! ways.limitsSuspects)
+            return;
+
+        poison::noteEnded (server.lane, run.crashesBefore);
+        auto waiting = std::move (server.waiting);
+        server.waiting.clear();
+
+        for (const auto& it : waiting)
+            begin (server, it);
+    }
+
+    /** At once to the daemon itself, later to the others. */
+    void tell (std::size_t from, const std::function<void (CrashLedger&)>& news)
+    {
+        news (ledgers[from]);
+        after (ways.telling,
+               [this, from, news]
+               {
+                   for (std::size_t n = 0; n < numDaemons; ++n)
+                   {
+                       if (n != from)
+                           news (ledgers[n]);
+                   }
+               });
+    }
+
+    void crash (Server& server)
+    {
+        if (! server.isUp)
+            return;
+
+        server.isUp = false;
+        const auto runs = std::move (server.runs);
+        const auto waiting = std::move (server.waiting);
+        server.runs.clear();
+        server.waiting.clear();
+        server.lane = {};
+        after (downTime, [&server] { server.isUp = true; });
+        std::vector<CrashedRun> crashed;
+
+        for (const auto& it : runs)
+            crashed.push_back ({ it.request->identity(), it.crashesBefore });
+
+        for (const auto& it : poison::blamed (crashed))
+            tell (gateOf (server), [this, it] (CrashLedger& ledger)
+                  { poison::noteCrashes (ledger, now, it.request, it.crashesBefore + 1); });
+
+        for (const auto& it : runs)
+        {
+            // The result tells the daemon near the caller.
+            const auto identity = it.request->identity();
+            poison::noteCrashes (ledgers[it.request->daemon], now, identity,
+                                 poison::crashesOf (ledgers[gateOf (server)], now, identity));
+            after (milliseconds (1), [this, request = it.request] { send (request); });
+        }
+
+        for (const auto& it : waiting)
+            after (milliseconds (1), [this, it] { send (it); });
+    }
+
+    /** The client comes back once, at once, at another machine. */
+    void endTry (const RequestPtr& request)
+    {
+        const bool comesBack = request->numTries < mostTries && now - request->began < deadline;
+
+        if (! comesBack)
+        {
+            result.numFailed += request->isFatal() ? 0 : 1;
+            return;
+        }
+
+        ++request->numTries;
+        request->numSent = 0;
+        request->tried.clear();
+        request->daemon = drawIndex (numDaemons);
+        after (milliseconds (5), [this, request] { send (request); });
+    }
+
+    CrashWays ways;
+    CrashDay day;
+    std::mt19937 random;
+    TimePoint now{ seconds (1'000) };
+    std::multimap<TimePoint, std::function<void()>> events;
+    std::vector<CrashLedger> ledgers;
+    std::vector<Server> servers;
+    std::vector<membership::KnownServer> known;
+    std::uint64_t lastNumber = fatalNumber;
+    std::uint64_t lastRun = 0;
+    CrashResult result;
+};
+
+} // namespace
+
+CrashResult playDay (const CrashWays& ways, const CrashDay& day)
+{
+    return Model (ways, day).play();
+}
+
+} // namespace anisehold::model
