What a daemon is told of a request counts as another caller's no more; the gauge of suspects falls back to none

Cause, seen in reading the diff: the number of crashes that goes along with a request was taken in as this caller's, also where all of it was another caller's, so that the second caller's request was condemned without its trial. Change: only a longer chain than the one known is taken in.

--- a/src/sidecar/crash_exchange.cpp
+++ b/src/sidecar/crash_exchange.cpp
@@ -89,7 +89,8 @@
 }
 
 void CrashExchange::on_told(const RequestIdentity& request, unsigned crashes) {
-    if (crashes > 0) {
+    // What is known already may be another caller's alone: told again it would count as this one's.
+    if (crashes > crashes_of(TimePoint::clock::now(), request)) {
         raise(request, crashes, Duration::zero(), "daemon");
     }
 }
@@ -190,10 +191,10 @@
         boost::this_fiber::sleep_for(std::chrono::duration_cast<Duration>(period));
         const auto now = TimePoint::clock::now();
         poison::expire(ledger_, now);
+        set_metrics(now);
         if (ledger_.suspects.empty() && ledger_.cleared.empty()) {
             continue;
         }
-        set_metrics(now);
         const auto peers = directory_.addresses();
         if (!peers.empty()) {
             const auto chosen =
