--- a/src/protocol/request_digest.cpp
+++ b/src/protocol/request_digest.cpp
@@ -5,6 +5,8 @@
 #include <array>
 #include <charconv>
 
+#include "protocol/message_digest.hpp"
+
 namespace anisehold {
 namespace {
 
@@ -45,7 +47,7 @@
 }
 
 CallerDigest caller_digest(std::string_view service) {
-    return CallerDigest(XXH3_64bits(service.data(), service.size()));
+    return CallerDigest(digest64(service));
 }
 
 RequestDigest digest_of(const RequestTraits& traits) {
@@ -55,7 +57,7 @@
         const std::uint64_t length = part.size();
         head.append(reinterpret_cast<const char*>(&length), sizeof length).append(part);
     }
-    const auto seed = XXH3_64bits(head.data(), head.size());
+    const auto seed = digest64(head);
     const auto head_digest = XXH3_128bits(head.data(), head.size());
     const auto body_digest = XXH3_128bits_withSeed(traits.body.data(), traits.body.size(), seed);
     return {head_digest.high64 ^ body_digest.high64, head_digest.low64 ^ body_digest.low64};
--- a/src/sidecar/crash_exchange.cpp
+++ b/src/sidecar/crash_exchange.cpp
@@ -5,6 +5,7 @@
 
 #include "net/event_loop.hpp"
 #include "observability/events.hpp"
+#include "sidecar/store_call.hpp"
 
 namespace anisehold::sidecar {
 namespace {
@@ -17,7 +18,6 @@
 constexpr milliseconds kLeastGap{200};
 /// Each daemon tells one peer so often, while it has anything to tell.
 constexpr milliseconds kTellOnePeriod{1'000};
-constexpr milliseconds kCallTimeout{1'500};
 constexpr milliseconds kStorePause{500};
 
 std::string verdict_key(const RequestDigest& digest) {
@@ -30,10 +30,6 @@
     return std::chrono::duration_cast<milliseconds>(now).count();
 }
 
-TimePoint call_deadline() {
-    return TimePoint::clock::now() + kCallTimeout;
-}
-
 }  // namespace
 
 void CrashExchange::start(Send send) {
@@ -151,7 +147,7 @@
         const milliseconds age(std::max<std::int64_t>(0, unix_milliseconds() - verdict->latestUnixMs));
         const bool is_over = age > poison::condemnationTime(verdict->numCrashes) + poison::suspicionLifetime;
         if (is_over && may_remove) {
-            store_.remove(item.key, item.revision, call_deadline());
+            store_.remove(item.key, item.revision, store_call_deadline());
         }
         for (const auto caller : verdict->callers) {
             if (!is_over) {
@@ -214,7 +210,7 @@
         encode(poison::StoredVerdict{found->second.numCrashes, unix_milliseconds(), found->second.callers});
     auto outcome = store::CallOutcome::kUnknown;
     while (outcome != store::CallOutcome::kDone && is_condemned(TimePoint::clock::now(), request)) {
-        outcome = store_.write({{key, value}}, call_deadline()).outcome;
+        outcome = store_.write({{key, value}}, store_call_deadline()).outcome;
         log_event(
             Event::kVerdictStored,
             {{"key", key}, {"verdict", value}, {"outcome", std::string(store::call_outcome_name(outcome))}});
@@ -225,10 +221,10 @@
 }
 
 void CrashExchange::remove_verdict(const RequestDigest& digest) {
-    const auto found = store_.read(verdict_key(digest), store::Freshness::kLatest, call_deadline());
+    const auto found = store_.read(verdict_key(digest), store::Freshness::kLatest, store_call_deadline());
     auto outcome = found.outcome;
     if (outcome == store::CallOutcome::kDone) {
-        outcome = store_.remove(verdict_key(digest), found.item.revision, call_deadline()).outcome;
+        outcome = store_.remove(verdict_key(digest), found.item.revision, store_call_deadline()).outcome;
     }
     log_event(Event::kVerdictStored, {{"key", verdict_key(digest)},
                                       {"verdict", "removed"},
--- a/src/sidecar/store_follower.cpp
+++ b/src/sidecar/store_follower.cpp
@@ -8,6 +8,7 @@
 
 #include "net/event_loop.hpp"
 #include "observability/events.hpp"
+#include "sidecar/store_call.hpp"
 
 namespace anisehold::sidecar {
 namespace {
@@ -22,7 +23,6 @@
 /// All that the daemons keep lies below it.
 constexpr const char* kOwnPrefix = "anisehold/";
 constexpr const char* kMemberPrefix = "anisehold/members/";
-constexpr milliseconds kCallTimeout{1'500};
 /// Each watch is a priced call. A store that falls silent under it is noticed by the connection's probes.
 constexpr milliseconds kLongestWatch{25'000};
 /// Peers answer the first record of a new process within this time: before, it can't rank its zone.
@@ -35,10 +35,6 @@
 /// A watch can wait longer: another zone's watcher is served sooner, or the store serves nobody.
 constexpr milliseconds kLongestWatchPause{3'000};
 
-TimePoint call_deadline() {
-    return TimePoint::clock::now() + kCallTimeout;
-}
-
 }  // namespace
 
 void StoreFollower::start(PeersFound peers_found) {
@@ -74,7 +70,7 @@
 
 std::uint64_t StoreFollower::read_configuration(Freshness freshness) {
     const auto asked = TimePoint::clock::now();
-    const auto reply = store_.read(context_.dialect.configuration_key(), freshness, call_deadline());
+    const auto reply = store_.read(context_.dialect.configuration_key(), freshness, store_call_deadline());
     if (!note(reply.outcome, "read configuration")) {
         return 0;
     }
@@ -199,7 +195,7 @@
     if (missing.empty()) {
         return;
     }
-    const auto written = store_.write(missing, call_deadline());
+    const auto written = store_.write(missing, store_call_deadline());
     log_event(Event::kRegistrationsRestored,
               {{"count", std::to_string(missing.size())},
                {"first", missing.front().key},
@@ -212,7 +208,7 @@
 
 bool StoreFollower::register_self() {
     const auto written =
-        store_.write({{own_key(), context_.settings.advertised_gossip.text()}}, call_deadline());
+        store_.write({{own_key(), context_.settings.advertised_gossip.text()}}, store_call_deadline());
     return note(written.outcome, "register") && written.outcome == CallOutcome::kDone;
 }
 
@@ -222,7 +218,7 @@
     std::string after;
     bool more = true;
     while (more) {
-        auto page = store_.list(kOwnPrefix, after, freshness, call_deadline());
+        auto page = store_.list(kOwnPrefix, after, freshness, store_call_deadline());
         if (!note(page.outcome, "list peers") || page.outcome != CallOutcome::kDone) {
             return std::nullopt;
         }
@@ -268,7 +264,7 @@
         return;
     }
     for (const auto& registration : abandoned) {
-        const auto removed = store_.remove(registration.key, registration.revision, call_deadline());
+        const auto removed = store_.remove(registration.key, registration.revision, store_call_deadline());
         log_event(
             Event::kRegistrationAbandoned,
             {{"key", registration.key}, {"outcome", std::string(store::call_outcome_name(removed.outcome))}});
