--- a/src/poison/crash_ledger.hpp
+++ b/src/poison/crash_ledger.hpp
@@ -29,7 +29,8 @@
 inline constexpr unsigned crashesToIsolate = 2;
 /** Callers whose request crashed servers from which on it is the same for all callers. */
 inline constexpr std::size_t callersForAll = 2;
-/** How long a suspect is remembered after its latest crash. One that isn't sent again costs 60 bytes only. */
+/** How long a suspect is remembered after its latest crash. One that isn't sent again costs its entry only.
+ */
 inline constexpr seconds suspicionLifetime{ 600 };
 /** How long a caller's request counts as harmless after a server answered it, against late news: those of a
     peer that was cut off for some seconds. */
@@ -38,6 +39,7 @@
     bear it; each trial that crashes a server makes the next time six times as long. */
 inline constexpr seconds firstCondemnation{ 600 };
 inline constexpr int condemnationGrowth = 6;
+/** A day: a service that is mended at all is mended by then, or an operator lifts the verdict. */
 inline constexpr seconds longestCondemnation{ 86'400 };
 /** Most suspects of one daemon; a hundred may run at a server when it ends. */
 inline constexpr std::size_t mostSuspects = 4'096;
--- a/src/poison/crash_news.hpp
+++ b/src/poison/crash_news.hpp
@@ -70,7 +70,8 @@
     }
 };
 
-/** Most suspects, and most cleared requests, of one message: 40 and 28 bytes each for one caller, some 9 KB.
+/** Most suspects, and most cleared requests, of one message: 40 and 28 bytes each for one caller, some 9 KB,
+ * worked out.
  */
 inline constexpr std::size_t mostNews = 128;
 
--- a/src/poison/suspect_lane.hpp
+++ b/src/poison/suspect_lane.hpp
@@ -15,7 +15,7 @@
 
 /** Suspects of one crash that run at one server at once. The more, the more are left after a second crash;
    the fewer, the longer the harmless ones wait: at a crash with 30 running, three servers left and 90 ms of
-   work, 4 make the last one wait 0.2 s, 1 makes it wait 0.8 s. */
+   work, 4 make the last one wait 0.2 s, 1 makes it wait 0.8 s, worked out. */
 inline constexpr unsigned mostWeakSuspects = 4;
 
 /** What runs now. */
--- a/src/sidecar/crash_exchange.cpp
+++ b/src/sidecar/crash_exchange.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds kLeastGap{200};
 /// Each daemon tells one peer so often, while it has anything to tell.
 constexpr milliseconds kTellOnePeriod{1'000};
+/// Pause before a verdict that the store didn't take is written again. Two calls a second of one daemon are a
+/// two hundredth of what a store takes that bears 400 writing calls a second.
 constexpr milliseconds kStorePause{500};
 
 std::string verdict_key(const RequestDigest& digest) {
--- a/src/sidecar/crash_watch.cpp
+++ b/src/sidecar/crash_watch.cpp
@@ -9,9 +9,10 @@
 namespace anisehold::sidecar {
 namespace {
 
-/// The server is on this machine: a port that nobody listens at answers within a millisecond. One that is
-/// short of processor time may let a connection wait.
+/// The server is on this machine, where a port that nobody listens at refuses without a way to go. A machine
+/// that is short of processor time may let the look wait.
 constexpr milliseconds kLookTimeout{100};
+/// How soon the other connections are looked at again while their ends may be on their way.
 constexpr milliseconds kLookAgain{5};
 
 }  // namespace
--- a/tests/incidents/fatal_request_test.cpp
+++ b/tests/incidents/fatal_request_test.cpp
@@ -1,7 +1,7 @@
-/** What was seen: the four servers of one service ended, one after the other, within half a second; again as
+/** What was seen: the four servers of one service ended, one after the other, within a second or so; again as
    soon as they were back, twelve times in eighty seconds, and while they were gone every request for the
-   service was refused. Other services were untouched. 16 and 18 servers had ended under one request, which
-   was sent to servers 7 and 10 times more than allowed.
+   service was refused. Other services were untouched. Under each of two requests 16 and 18 servers ended,
+   and they were sent to servers 7 and 10 times more after the third.
 
     Order of events: a request comes, and its server ends 40 ms later; with it all that it was running. The
     daemon near the caller takes the broken connection for a failed attempt and sends the request to a second
