Tests: a failed run keeps the output of each of its processes

Three of the four known failures could not be traced: a fleet's folder was written over by the next run, a restarted process wrote over the output of the killed one, and stand-ins and clients wrote nothing of single requests. Each fleet has a folder of its own now, which stays if its test case fails; an earlier process's output is renamed; servers write when they begin and answer a request, clients what they sent and got, and the daemons of a fleet write the answer to each call. Ports can be shifted by the environment.

The form of time in log lines moved out of the event log, so that stand-ins write the same.

--- a/lab/backend.cpp
+++ b/lab/backend.cpp
@@ -5,6 +5,7 @@
 
 #include "lab/answer_body.hpp"
 #include "lab/control.hpp"
+#include "lab/stand_in_log.hpp"
 #include "protocol/call_context.hpp"
 
 namespace anisehold::lab {
@@ -103,7 +104,13 @@
     if (kind == nullptr) {
         return json_answer(404, {{"error", "no such kind"}});
     }
-    return run(*kind, request, cancel);
+    auto response = run(*kind, request, cancel);
+    log_step("answered", request_id_of(request),
+             {{"kind", kind->name},
+              {"status", std::to_string(response.status)},
+              {"not_run", response.fields.find(header::kNotRun) ? "yes" : "no"},
+              {"body", response.status == kOk ? "" : response.body.prefix}});
+    return response;
 }
 
 net::HttpResponse Backend::control(net::HttpRequest& request) {
@@ -205,6 +212,7 @@
     Counts& count = counts_[kind.name][request_id];
     const SlotLease lease(*this);
     ++count.started;
+    log_step("started", request_id, {{"kind", kind.name}, {"count", std::to_string(count.started)}});
     if (!work(kind, cancel)) {
         return refuse("cancelled");
     }
@@ -253,6 +261,7 @@
     net::ExchangeProgress progress;
     std::error_code error;
     auto response = caller_.call(kind.service, request, {deadline, &cancel}, progress, error);
+    log_call_result("nested-answer", request_id_of(parent), kind.name, response, error);
     if (!response) {
         return progress.request_started ? NestedOutcome::kFailed : NestedOutcome::kNotRun;
     }
--- a/lab/load.cpp
+++ b/lab/load.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include "lab/answer_body.hpp"
+#include "lab/stand_in_log.hpp"
 #include "net/event_loop.hpp"
 #include "protocol/call_context.hpp"
 #include "protocol/message_digest.hpp"
@@ -128,7 +129,9 @@
     }
     net::ExchangeProgress progress;
     std::error_code error;
+    log_step("sent", id, {{"kind", kind.name}});
     auto response = caller_.call(kind.service, request, {deadline, nullptr}, progress, error);
+    log_call_result("client-answer", id, kind.name, response, error);
     if (delay > milliseconds(0)) {
         boost::this_fiber::sleep_for(delay);
     }
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -11,6 +11,7 @@
 #include "net/event_loop.hpp"
 #include "soak/round.hpp"
 #include "tests/support/fleet.hpp"
+#include "tests/support/run_folder.hpp"
 
 namespace anisehold::soak
 {
@@ -39,7 +40,10 @@
               << (result.broken.empty() ? ", no promise broken" : ", BROKEN") << "\n";
 
     if (result.broken.empty())
+    {
+        testing::remove_run_folders (testing::take_run_folders());
         return promisesHeld;
+    }
 
     for (const auto& it : result.plan)
         std::cout << "  fault: " << describe (it) << "\n";
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -9,14 +9,13 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <chrono>
-#include <ctime>
 #include <memory>
 #include <nlohmann/json.hpp>
 
 #include "logging/json_line.hpp"
 #include "logging/line_budget.hpp"
+#include "logging/utc_time.hpp"
 #include "observability/bounded_output.hpp"
 
 namespace anisehold::observability {
@@ -43,20 +42,6 @@
     return "info";
 }
 
-std::string utc_now() {
-    const auto now = std::chrono::system_clock::now();
-    const std::time_t whole_seconds = std::chrono::system_clock::to_time_t(now);
-    const auto millis =
-        std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
-    std::tm parts{};
-    gmtime_r(&whole_seconds, &parts);
-    std::array<char, 32> text{};
-    const auto length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-    std::string fraction = std::to_string(1000 + millis);
-    fraction.front() = '.';
-    return std::string(text.data(), length) + fraction + "Z";
-}
-
 /// The one logger of the process and its ring of recent events.
 class EventLog {
   public:
@@ -100,7 +85,7 @@
             return;
         }
         auto line = logging::beginLine();
-        logging::appendField(line, "time", utc_now());
+        logging::appendField(line, "time", logging::utcText(std::chrono::system_clock::now()));
         logging::appendField(line, "level", level_name(level));
         logging::appendField(line, "event", number);
         logging::appendField(line, "name", name);
--- a/tests/integration/main.cpp
+++ b/tests/integration/main.cpp
@@ -3,6 +3,29 @@
 #include <iostream>
 
 #include "tests/support/fleet.hpp"
+#include "tests/support/run_folder.hpp"
+
+namespace {
+
+/// Keeps the processes' output of each test case that failed, and says where it is.
+struct RunFolderListener : Catch::TestEventListenerBase {
+    using TestEventListenerBase::TestEventListenerBase;
+
+    void testCaseEnded(const Catch::TestCaseStats& stats) override {
+        const auto folders = anisehold::testing::take_run_folders();
+        if (stats.totals.assertions.allPassed()) {
+            anisehold::testing::remove_run_folders(folders);
+            return;
+        }
+        for (const auto& folder : folders) {
+            std::cout << "output of the processes: " << folder << std::endl;
+        }
+    }
+};
+
+}  // namespace
+
+CATCH_REGISTER_LISTENER(RunFolderListener)
 
 int main(int argc, char** argv) {
     // The fibers of this thread need their loop before anything else.
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -1,6 +1,5 @@
 #include "tests/support/fleet.hpp"
 
-#include <sys/stat.h>
 #include <sys/wait.h>
 
 #include <algorithm>
@@ -8,12 +7,12 @@
 #include <boost/process/args.hpp>
 #include <boost/process/io.hpp>
 #include <csignal>
-#include <cstdio>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
 #include "net/http_client.hpp"
+#include "tests/support/run_folder.hpp"
 
 namespace anisehold::testing {
 namespace {
@@ -39,10 +38,9 @@
     : options_(std::move(options)),
       deployment_file_(std::string(ANISEHOLD_SOURCE_DIR) + "/lab/deployments/" + options_.deployment +
                        ".toml"),
-      next_port_(options_.base_port) {
+      next_port_(shifted_port(options_.base_port)) {
     deployment_ = lab::load_deployment(deployment_file_).value_or(lab::Deployment{});
-    run_folder_ = std::string(ANISEHOLD_BINARY_DIR) + "/run-" + std::to_string(options_.base_port);
-    mkdir(run_folder_.c_str(), 0755);
+    run_folder_ = make_run_folder(std::to_string(options_.base_port));
     plan();
 }
 
@@ -97,7 +95,8 @@
 
 void Fleet::start_process(const std::string& name, const std::string& program,
                           const std::vector<std::string>& arguments) {
-    std::remove(out_file(name).c_str());
+    keep_earlier_output(out_file(name));
+    keep_earlier_output(log_file(name));
     const std::string path = std::string(ANISEHOLD_BINARY_DIR) + "/" + program;
     process::child child(path, process::args(arguments),
                          process::std_in<process::null, process::std_out> out_file(name),
@@ -264,6 +263,8 @@
             "--claims-window-ms=60000",
             "--backends-initial-limit=8",
             "--lab-enabled=true",
+            // The answer to each call, too: a failed run is traced from these lines.
+            "--log-level=debug",
         };
         if (!without.empty()) {
             arguments.push_back("--lab-without=" + without);
@@ -337,6 +338,8 @@
         if (!counts || !counts->at("kinds").contains(kind)) {
             continue;
         }
+        std::ofstream(run_folder_ + "/executions-" + kind + ".jsonl", std::ios::app)
+            << json{{"server", place.name}, {"requests", counts->at("kinds").at(kind)}}.dump() << "\n";
         for (const auto& [request_id, count] : counts->at("kinds").at(kind).items()) {
             total.started[request_id] += count.at("started").get<unsigned>();
             total.committed[request_id] += count.at("committed").get<unsigned>();
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -3,7 +3,6 @@
 #include <signal.h>
 
 #include <boost/fiber/operations.hpp>
-#include <boost/filesystem.hpp>
 #include <boost/process/args.hpp>
 #include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
@@ -11,7 +10,9 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
+#include "logging/utc_time.hpp"
 #include "tests/support/fleet.hpp"
+#include "tests/support/run_folder.hpp"
 
 namespace anisehold::testing {
 namespace {
@@ -61,12 +62,10 @@
         .dump();
 }
 
-SidecarFleet::SidecarFleet(std::uint16_t base_port, const std::vector<SidecarMachinePlan>& plans)
-    : store_endpoint_(local(base_port)) {
-    const auto folder = boost::filesystem::temp_directory_path() /
-                        boost::filesystem::unique_path("anisehold-sidecars-%%%%-%%%%");
-    boost::filesystem::create_directories(folder);
-    folder_ = folder.string();
+SidecarFleet::SidecarFleet(std::uint16_t unshifted_port, const std::vector<SidecarMachinePlan>& plans)
+    : store_endpoint_(local(shifted_port(unshifted_port))) {
+    const auto base_port = store_endpoint_.port;
+    folder_ = make_run_folder("sidecars-" + std::to_string(base_port));
     auto& io = Fleet::loop().io();
     store_ = std::make_unique<lab::PlatformStore>(io);
     std::uint16_t first_port = base_port;
@@ -148,6 +147,8 @@
 void SidecarFleet::start_sidecar(std::size_t index) {
     auto& machine = *machines_.at(index);
     namespace process = boost::process;
+    keep_earlier_output(machine.log_file);
+    keep_earlier_output(machine.log_file + ".err");
     machine.child =
         process::child(std::string(ANISEHOLD_BINARY_DIR) + "/anisehold",
                        process::args(std::vector<std::string>{"sidecar", "--config", machine.settings_file}),
@@ -208,7 +209,8 @@
     }
     net::ExchangeProgress progress;
     std::error_code error;
-    const auto deadline = TimePoint::clock::now() + client_request.time_left + kFetchTimeout;
+    const auto sent = TimePoint::clock::now();
+    const auto deadline = sent + client_request.time_left + kFetchTimeout;
     auto response = client.exchange(request, {deadline}, progress, error);
     ClientAnswer answer;
     if (response) {
@@ -216,6 +218,10 @@
         answer.fields = response->fields;
         answer.body = net::read_whole(response->body, net::kLargestFetchedText, error).value_or("");
     }
+    std::ofstream(folder_ + "/clients.log", std::ios::app)
+        << logging::utcText(std::chrono::system_clock::now()) << " " << machines_.at(machine)->name << " "
+        << client_request.id << " " << client_request.target << " status " << answer.status << " after "
+        << to_milliseconds(TimePoint::clock::now() - sent) << " ms\n";
     return answer;
 }
 
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -79,7 +79,7 @@
 /// The processes are ended by the destructor.
 class SidecarFleet {
   public:
-    SidecarFleet(std::uint16_t base_port, const std::vector<SidecarMachinePlan>& plans);
+    SidecarFleet(std::uint16_t unshifted_port, const std::vector<SidecarMachinePlan>& plans);
     ~SidecarFleet();
     SidecarFleet(const SidecarFleet&) = delete;
     SidecarFleet& operator=(const SidecarFleet&) = delete;
