--- a/tests/integration/claims_proof_test.cpp
+++ b/tests/integration/claims_proof_test.cpp
@@ -25,6 +25,40 @@
 
 }  // namespace
 
+// What was seen: a payment was begun at two servers, though its key was granted once. In the failing run the
+// daemon that had won the key was frozen for three seconds and sent the payment to a server when it went on,
+// with 72 ms of its time left. The server worked for 72 ms, found that no time was left for its own call, and
+// answered 503 with "Anisehold-Not-Run". The daemon believed it and sent the payment, whose time was up, to a
+// second server, which began it, too.
+//
+// Cause: a server's "not run" was taken for a proof that the call may go to another server and that its key
+// is free again, also where the server had begun; and a call was sent without a look at whether its time was
+// up.
+//
+// Evidence: "started" of one request in the logs of two servers, the first followed by "answered" with status
+// 503, not_run yes and the body "nested call refused"; claims and holders were as they should be. The test
+// below brings the same about at once: the servers of the nested call are slow, so that daemons refuse it.
+TEST_CASE("claims: a server that began a request and then refuses it is the only one that begins it",
+          "[proof][claims]") {
+    Fleet fleet(proof_options("cooperative", 22'550));
+    REQUIRE(fleet.start());
+    start_triplets(fleet, "8000");
+    Fleet::pause(milliseconds(1'500));
+    for (const auto& place : fleet.backends_of("registry")) {
+        fleet.set_faults(place.listen, {{"slow_factor", 12.0}});
+    }
+    finish_triplets(fleet);
+    const auto executions = fleet.executions("pay-dues");
+    unsigned begun_again = 0;
+    for (const auto& [id, count] : executions.started) {
+        begun_again += count > 1 ? 1 : 0;
+    }
+    INFO(begun_again << " of " << executions.started.size() << " keys were begun more than once");
+    CHECK(executions.started.size() > 200);
+    CHECK(largest(executions.started) == 1);
+    CHECK(largest(executions.committed) == 1);
+}
+
 TEST_CASE("claims: one key sent through three zones at once runs exactly once", "[proof][claims]") {
     Fleet fleet(proof_options("cooperative", 22'500));
     REQUIRE(fleet.start());
