Net: a request whose time is up isn't sent

Callers: a payment was begun at two servers. Both began it after its deadline: a daemon was frozen for 3 s, as long as the row's time, with the key granted to it before; when it went on it wrote the payment to a server, and 80 ms later to a second one. An exchange looked at its deadline while it waited for the answer, never before it wrote.

An exchange whose deadline is over ends before the first byte and gives its connection back. That holds for callers' daemons, gates and sidecars alike, which share the client. At the table daemon such a call gets queue-timeout, and neither server nor gate is blamed for it.

--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -162,7 +162,8 @@
     const auto now = TimePoint::clock::now();
     if (!response) {
         auto result = failure_result(progress, call, *admission);
-        if (result.error != ErrorKind::kCancelled) {
+        const bool was_tried = progress.request_started || !progress.connected;
+        if (result.error != ErrorKind::kCancelled && was_tried) {
             registry_.on_outcome(now, server, routing::ServerOutcome::kFailure);
             if (registry_.is_ejected(now, server)) {
                 observability::log_event(observability::Event::kServerEjected, {{"server", server.text()}});
@@ -225,13 +226,15 @@
     ErrorKind kind = ErrorKind::kBackendFailed;
     if (cancelled) {
         kind = ErrorKind::kCancelled;
+    } else if (timed_out && progress.connected && !progress.request_started) {
+        kind = ErrorKind::kQueueTimeout;
     } else if (!progress.request_started || !knows_truth) {
         kind = ErrorKind::kConnectFailed;
     } else if (timed_out) {
         kind = ErrorKind::kDeadlineExceeded;
     }
-    const auto report =
-        admission.end(timed_out && !cancelled ? SampleOutcome::kTimeout : SampleOutcome::kIgnored);
+    const bool server_was_late = timed_out && !cancelled && kind != ErrorKind::kQueueTimeout;
+    const auto report = admission.end(server_was_late ? SampleOutcome::kTimeout : SampleOutcome::kIgnored);
     auto result = CallResult::failure(kind, retry_after::kNoServer);
     if (!progress.request_started) {
         result.execution = Execution::kNotRun;
--- a/src/daemon/handles/server_route.cpp
+++ b/src/daemon/handles/server_route.cpp
@@ -113,6 +113,10 @@
     if (call.cancel != nullptr && call.cancel->cancelled()) {
         return CallResult::failure(ErrorKind::kCancelled);
     }
+    if (progress.connected && !progress.request_started) {
+        // Its time was up before anything was sent; that says nothing of the gate.
+        return CallResult::failure(ErrorKind::kQueueTimeout, retry_after::kNoServer);
+    }
     if (!progress.request_started) {
         membership_.mark_unreachable(gate.id);
         return CallResult::failure(ErrorKind::kConnectFailed, retry_after::kNoServer);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -162,6 +162,13 @@
         error = make_error_code(ErrorKind::kCancelled);
         return std::nullopt;
     }
+    if (TimePoint::clock::now() >= options.deadline) {
+        // Nobody would wait for the answer, and what was sent might be run: a process that stood still finds the
+        // time of its waiting calls up when it goes on.
+        lease.finish(true);
+        error = std::make_error_code(std::errc::timed_out);
+        return std::nullopt;
+    }
     CancelSubscription subscription(options.cancel, [&stream = lease->stream] { stream.abort(); });
     lease->stream.reads_expire_at(options.deadline);
     lease->stream.writes_expire_at(options.deadline);
