Gate of the table daemon: a server's "not run" proves nothing once it may have begun

Callers: a payment was begun at two servers of `anisehold serve`, and while servers further down lacked capacity at up to twelve. One of the attempts was answered, the work of the others was lost where the least was left.

Cause: an answer of 5xx with Anisehold-Not-Run was taken for proof that the server hadn't begun; the call went to the next server and the claim was released. Servers say it also where they gave up under work, since they had changed nothing.

The rule stands at the gate, which every call passes.

--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -91,6 +91,16 @@
     std::shared_ptr<Admission> admission_;
 };
 
+void log_doubted_refusal(const Call& call, const retry::ServerRefusal& refusal) {
+    observability::log_routine(observability::Event::kRefusalDoubted,
+                               {{"request_id", call.context.root_id},
+                                {"service", call.service},
+                                {"row", call.route.row.name},
+                                {"made_calls", refusal.made_calls ? "yes" : "no"},
+                                {"held_ms", std::to_string(to_milliseconds(refusal.held))},
+                                {"time_is_up", refusal.time_is_up ? "yes" : "no"}});
+}
+
 }  // namespace
 
 GateService::GateService(DaemonContext& context, MembershipService& /*membership*/,
@@ -158,6 +168,7 @@
     auto request = server_request(call);
     net::ExchangeProgress progress;
     std::error_code error;
+    const auto sent = TimePoint::clock::now();
     auto response = gate->client.exchange(request, {call.deadline, call.cancel}, progress, error);
     const auto now = TimePoint::clock::now();
     if (!response) {
@@ -180,13 +191,13 @@
         }
         registry_.mark_leaving(now, server);
     }
-    auto result = answer_result(std::move(*response), call, admission);
+    auto result = answer_result(std::move(*response), call, admission, now - sent);
     result.server_leaving = says_leaving;
     return result;
 }
 
 CallResult GateService::answer_result(net::HttpResponse response, const Call& call,
-                                      const std::shared_ptr<Admission>& admission) {
+                                      const std::shared_ptr<Admission>& admission, Duration held) {
     for (const auto name : {header::kError, header::kExecution, header::kGateReport, header::kContext}) {
         response.fields.remove(name);
     }
@@ -195,7 +206,14 @@
     if (refused) {
         const auto report = admission->end(SampleOutcome::kShed);
         const auto& overloaded = report.overloaded_service.empty() ? call.service : report.overloaded_service;
-        auto result = CallResult::refusal(ErrorKind::kBackendRefused, overloaded, retry_after_of(response));
+        const retry::ServerRefusal refusal{report.made_calls, held, TimePoint::clock::now() >= call.deadline};
+        const bool may_have_begun = !call.route.row.repeatable && context_.has(Mechanism::kOutcomeTruth) &&
+                                    !retry::proves_not_begun(refusal);
+        if (may_have_begun) {
+            log_doubted_refusal(call, refusal);
+        }
+        const auto kind = may_have_begun ? ErrorKind::kOutcomeUnknown : ErrorKind::kBackendRefused;
+        auto result = CallResult::refusal(kind, overloaded, retry_after_of(response));
         result.retries_used = report.used;
         result.nested_ran = report.nested_ran;
         return result;
--- a/src/daemon/gate_service.hpp
+++ b/src/daemon/gate_service.hpp
@@ -11,6 +11,7 @@
 #include "daemon/membership_service.hpp"
 #include "daemon/server_gates.hpp"
 #include "retry/retry_ledger.hpp"
+#include "retry/server_refusal.hpp"
 #include "routing/backend_registry.hpp"
 
 namespace anisehold::daemon {
@@ -42,8 +43,9 @@
 
     CallResult run(const std::shared_ptr<GateEntry>& gate, Call& call, const Endpoint& server,
                    std::uint64_t id);
+    /// `held`: how long the server had the call before its answer came.
     CallResult answer_result(net::HttpResponse response, const Call& call,
-                             const std::shared_ptr<Admission>& admission);
+                             const std::shared_ptr<Admission>& admission, Duration held);
     CallResult failure_result(const net::ExchangeProgress& progress, const Call& call, Admission& admission);
     net::HttpRequest server_request(Call& call) const;
 
--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -82,6 +82,8 @@
                "The server beside this daemon said that it is well, before its first heartbeat came."},
     EventEntry{Event::kServerCrashed, Level::kWarn, "server-crashed",
                "The server beside this daemon ended while requests ran there; `running` of them, by digest."},
+    EventEntry{Event::kRefusalDoubted, Level::kWarn, "refusal-doubted",
+               "A server said that it didn't run a call that may not be repeated, but may have begun it."},
     EventEntry{Event::kContextRefused, Level::kWarn, "context-refused",
                "A call brought a context that is forged, malformed or of an ended call."},
     EventEntry{Event::kIngressCall, Level::kInfo, "ingress-call",
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -57,6 +57,7 @@
     kHeartbeatRefused = 1407,
     kServerFound = 1408,
     kServerCrashed = 1409,
+    kRefusalDoubted = 1410,
     kContextRefused = 1501,
     kIngressCall = 1601,
     kGateCall = 1602,
--- a/src/retry/retry_ledger.cpp
+++ b/src/retry/retry_ledger.cpp
@@ -101,6 +101,7 @@
     report.used = ledger.terms.allowance - ledger.remaining;
     report.overloaded_service = ledger.overloaded_service;
     report.nested_time = ledger.nested_time;
+    report.made_calls = !ledger.nested.empty();
     report.nested_ran = std::any_of(ledger.nested.begin(), ledger.nested.end(), [](const auto& entry) {
         return entry.second.may_have_run || entry.second.ever_ran;
     });
--- a/src/retry/retry_ledger.hpp
+++ b/src/retry/retry_ledger.hpp
@@ -78,6 +78,7 @@
 struct LedgerReport {
     unsigned used = 0;               ///< Loans not yet returned count as used.
     std::string overloaded_service;  ///< That refused a nested call or one below it; empty if none did.
+    bool made_calls = false;         ///< Nested calls came in, refused ones too: the call had been begun.
     bool nested_ran = false;         ///< A nested call may have run.
     Duration nested_time{};          ///< Time spent in nested calls.
 };
--- a/tests/integration/claims_proof_test.cpp
+++ b/tests/integration/claims_proof_test.cpp
@@ -25,19 +25,24 @@
 
 }  // namespace
 
-// What was seen: a payment was begun at two servers, though its key was granted once. In the failing run the
-// daemon that had won the key was frozen for three seconds and sent the payment to a server when it went on,
-// with 72 ms of its time left. The server worked for 72 ms, found that no time was left for its own call, and
-// answered 503 with "Anisehold-Not-Run". The daemon believed it and sent the payment, whose time was up, to a
-// second server, which began it, too.
+// What was seen: a payment was begun at two servers, though its key was granted once.
+//
+// Order of events in one failing run: the daemon that had won the key was frozen for three seconds, as long
+// as the payment's time, and sent it to a server when it went on. The server worked for 72 ms, found no time
+// left for its own call, and answered 503 with "Anisehold-Not-Run". The daemon believed it and sent the
+// payment to a second server. In another run the payment's own call was refused with home-unreachable while
+// the daemon that accounts for it was frozen; the server said "not run" after 555 ms, and the payment ran at
+// the next server.
 //
 // Cause: a server's "not run" was taken for a proof that the call may go to another server and that its key
 // is free again, also where the server had begun; and a call was sent without a look at whether its time was
 // up.
 //
 // Evidence: "started" of one request in the logs of two servers, the first followed by "answered" with status
-// 503, not_run yes and the body "nested call refused"; claims and holders were as they should be. The test
-// below brings the same about at once: the servers of the nested call are slow, so that daemons refuse it.
+// 503, not_run yes and the body "nested call refused"; all other attempts with the key got
+// duplicate-in-progress, so the claims were as they should be. The test below brings the same about at once:
+// the servers of the nested call are slow, so that daemons refuse it. 315 of 443 keys were begun more than
+// once before the repair, one at twelve servers.
 TEST_CASE("claims: a server that began a request and then refuses it is the only one that begins it",
           "[proof][claims]") {
     Fleet fleet(proof_options("cooperative", 22'550));
--- a/tests/unit/retry/retry_ledger_test.cpp
+++ b/tests/unit/retry/retry_ledger_test.cpp
@@ -99,6 +99,19 @@
     CHECK(ledger.close(at_ms(0), "call").nested_ran);
 }
 
+TEST_CASE("the report tells whether the call made nested calls, refused ones too") {
+    RetryLedger ledger;
+    ledger.open("call", terms(2));
+    CHECK_FALSE(ledger.close(at_ms(0), "call").made_calls);
+    ledger.open("call", terms(2));
+    auto refused = settlement(ledger.draw(at_ms(0), {"call", 1, true}), 1, 0);
+    refused.not_run = true;
+    ledger.settle(refused);
+    const auto report = ledger.close(at_ms(0), "call");
+    CHECK(report.made_calls);
+    CHECK_FALSE(report.nested_ran);
+}
+
 TEST_CASE("calls that ended or were never here are told apart") {
     RetryLedger ledger;
     CHECK(ledger.draw(at_ms(0), {"call", 1, true}).verdict == DrawVerdict::kUnknownCall);
--- /dev/null
+++ b/tests/unit/retry/server_refusal_test.cpp
@@ -0,0 +1,14 @@
+#include "retry/server_refusal.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace anisehold;
+using namespace anisehold::retry;
+
+TEST_CASE("a refusal proves that a call wasn't begun only where nothing speaks of work") {
+    CHECK(proves_not_begun({false, milliseconds(0), false}));
+    CHECK(proves_not_begun({false, kLongestRefusal, false}));
+    CHECK_FALSE(proves_not_begun({false, kLongestRefusal + microseconds(1), false}));
+    CHECK_FALSE(proves_not_begun({true, milliseconds(1), false}));
+    CHECK_FALSE(proves_not_begun({false, milliseconds(1), true}));
+}
