Net: a request that ran out of time says so

Beast's time-out was handed on as it was and compares equal to no std::errc (printed: boost.beast:1 == 110). The two places in the sidecar that ask for std::errc::timed_out never saw it: a request that ran out of time at a peer made that peer unreachable until its next record, a second at most, and each one at the own server was followed by a look whether the server had crashed.

The client turns it into std::errc::timed_out in one place.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -109,6 +109,13 @@
     return {};
 }
 
+/// The error that callers compare with: Beast's own time-out equals no `std::errc`, and a request that ran
+/// out of time would be taken for a broken connection.
+std::error_code without_library(const std::error_code& failure) {
+    static const std::error_code beast_timeout = boost::system::error_code(beast::error::timeout);
+    return failure == beast_timeout ? std::make_error_code(std::errc::timed_out) : failure;
+}
+
 /// Reads up to `buffered_bytes` of the body. A longer one keeps the connection until it has been read.
 std::error_code receive_body(HttpConnectionLease& lease, std::unique_ptr<ResponseParser> parser,
                              std::size_t buffered_bytes, Duration longest_pause, Body& body) {
@@ -163,8 +170,8 @@
         return std::nullopt;
     }
     if (TimePoint::clock::now() >= options.deadline) {
-        // Nobody would wait for the answer, and what was sent might be run: a process that stood still finds the
-        // time of its waiting calls up when it goes on.
+        // Nobody would wait for the answer, and what was sent might be run: a process that stood still finds
+        // the time of its waiting calls up when it goes on.
         lease.finish(true);
         error = std::make_error_code(std::errc::timed_out);
         return std::nullopt;
@@ -185,7 +192,7 @@
                                response.body);
     }
     if (failure) {
-        error = failure;
+        error = without_library(failure);
         return std::nullopt;
     }
     return response;
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -65,7 +65,8 @@
     /// of a larger body is read through the response, which keeps the connection for that long.
     /// Returns nothing and sets `error` when no whole header, or only part of a small body, came:
     /// `ErrorKind::kCancelled` if it was cancelled before it was sent, `kBackendFailed` for the answer to
-    /// another request, `too_many_files_open` for a full pool, else what the system or Beast reported.
+    /// another request, `too_many_files_open` for a full pool, `timed_out` when the deadline came first, also
+    /// before anything was sent, else what the system or Beast reported.
     std::optional<HttpResponse> exchange(HttpRequest& request, const ExchangeOptions& options,
                                          ExchangeProgress& progress, std::error_code& error);
 
