--- a/lab/backend.cpp
+++ b/lab/backend.cpp
@@ -16,7 +16,7 @@
 /// Work varies evenly between these shares of the average.
 constexpr double kLeastWork = 0.7;
 constexpr double kMostWork = 1.3;
-/// Calls that wait for a slot; more are refused. Chosen, not measured.
+/// Calls that wait for a slot; more are refused.
 constexpr std::size_t kQueue = 200;
 constexpr milliseconds kDefaultTimeout{10'000};
 constexpr unsigned kOk = 200;
--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -15,7 +15,7 @@
 using config::Mechanism;
 using observability::DecisionStep;
 
-/// How often gates and ledgers are cleaned up and their metrics are set. Chosen, not measured.
+/// How often gates and ledgers are cleaned up and their metrics are set.
 constexpr seconds kHousekeepingPeriod{1};
 
 Duration retry_after_of(const net::HttpResponse& response) {
--- a/src/daemon/handles/server_route.cpp
+++ b/src/daemon/handles/server_route.cpp
@@ -9,7 +9,7 @@
 namespace anisehold::daemon {
 namespace {
 
-/// Most servers that one attempt is sent to. Chosen, not measured.
+/// Most servers that one attempt is sent to.
 constexpr int kMostServers = 3;
 
 /// Whether it is known that nothing ran, so that the call may go to another server.
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -12,7 +12,7 @@
 using ResponseParser = http::response_parser<http::buffer_body>;
 
 /// Share of the announced idle time after which a connection isn't used any more: the server counts from an
-/// earlier moment, and the next request is on its way for a time. Chosen, not measured.
+/// earlier moment, and the next request is on its way for a time.
 constexpr double kKeepAliveShare = 0.7;
 
 /// How long the server keeps an idle connection: `Keep-Alive: timeout=SECONDS`. Without a bound if it doesn't
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -19,7 +19,7 @@
 
 class HttpConnectionPool;
 
-/// Bounds of a pool. The defaults are chosen, not measured.
+/// Bounds of a pool.
 struct HttpPoolLimits {
     std::size_t connections = 256;           ///< Most that are open at once.
     milliseconds connect_timeout_ms{1'000};  ///< Longest time for connecting.
@@ -88,7 +88,7 @@
     std::shared_ptr<HttpConnectionPool> pool_;
 };
 
-/// Largest body that `fetch_text` reads, in bytes. Chosen, not measured.
+/// Largest body that `fetch_text` reads, in bytes.
 inline constexpr std::size_t kLargestFetchedText = 8 * 1024 * 1024;
 
 /// The body of a 200 answer as text; another status is the error `protocol_error`.
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -23,9 +23,9 @@
 
 using nlohmann::ordered_json;
 
-/// Lines that `recent_events` returns at most. Chosen, not measured.
+/// Lines that `recent_events` returns at most.
 constexpr std::size_t kRecentEvents = 500;
-/// Lines that wait for the thread that writes to standard error, at most. Chosen, not measured.
+/// Lines that wait for the thread that writes to standard error, at most.
 constexpr unsigned kLogQueue = 4096;
 
 std::string_view level_name(Level level) {
--- a/src/overload/admitted_share.cpp
+++ b/src/overload/admitted_share.cpp
@@ -8,32 +8,25 @@
 namespace
 {
 
-/** Share of calls that may be refused without a limit: single refusals. With 0.15, and each daemon by its
-    own requests, a day of overload was worth 0.546 in place of 0.572 (docs/design/overload.md); the value
-    itself is chosen, not measured. */
+/** Share of calls that may be refused without a limit: single refusals. */
 constexpr double toleratedShare = 0.005;
-/** Ended calls of the fleet in a period below which refusals bring no limit about. Chosen, not measured. */
+/** Ended calls of the fleet in a period below which refusals bring no limit about. */
 constexpr std::uint32_t leastEnded = 20;
 /** A request makes several calls, and stops at the first that is refused: more must be kept out than the
     share of refused calls says. A chain of four calls of which each is refused with a sixth makes 3.1 of
-    them; without refusals as many calls come from 0.64 of the requests, which is a weight of 3.4.
-    Measured on a mesh with such a chain at 1.7 times its usual load, one day each: worth 0.629 with 2,
-    0.646 with 3.5; 0.672 with 200 records a second besides (docs/design/tenants.md). */
+    them; without refusals as many calls come from 0.64 of the requests, which is a weight of 3.4. */
 constexpr double refusalWeight = 3.5;
-/** Part of the way up to the right share that one period goes. Slower rises, together with unreachable
-    servers passed over, moved the worth of five days by -0.012 to +0.019, one trial each; the value
-    itself is chosen, not measured. */
+/** Part of the way up to the right share that one period goes: a rise too far costs refused calls. */
 constexpr double riseGain = 0.5;
 /** Bounds of the right share, as factors of the one that was measured: at least, in a period, and added at
-    most, a second. Chosen, not measured. */
+    most, a second. */
 constexpr double mostFall = 0.4;
 constexpr double mostRisePerS = 0.5;
-/** Some requests are always admitted: they show that there is capacity again. Chosen, not measured. */
+/** Some requests are always admitted: they show that there is capacity again. */
 constexpr double leastShare = 0.05;
-/** A lower utilization is taken for this, against division by nearly nothing. Chosen, not measured. */
+/** A lower utilization is taken for this, against division by nearly nothing. */
 constexpr double leastUtilization = 0.05;
-/** Periods without refusals after which a service's rows are forgotten: a minute in calm times. Chosen, not
-    measured. */
+/** Periods without refusals after which a service's rows are forgotten: a minute in calm times. */
 constexpr unsigned forgetAfterPeriods = 60;
 
 } // namespace
--- a/src/overload/admitted_share.hpp
+++ b/src/overload/admitted_share.hpp
@@ -13,9 +13,7 @@
 namespace anisehold::overload
 {
 
-/** Utilization that a limited service is steered to. Measured: mean worth of 15 days (three seeds of five)
-    0.525 with 0.96, 0.519 with 0.9; with waiting calls counted as utilization, 0.02 to 0.06 less on each
-    day that was played (docs/design/overload.md). */
+/** Utilization that a limited service is steered to; waiting calls aren't counted as utilization. */
 inline constexpr double targetUtilization = 0.99;
 
 /** Moves the share by what a period of `periodS` seconds has shown. */
--- a/src/overload/capacity_share.cpp
+++ b/src/overload/capacity_share.cpp
@@ -11,10 +11,8 @@
 
 /** Part of the capacity that is kept for the priorities below one that can't be served whole: it grows
     with what that one lacks, so that a small shortage hardly moves anything, from a least part to a most.
-    In a model of a chain with a third of its capacity left (three rows of 8, 4 and 1 calls, mean of 10
-    seeds) 0.257 of all requests were served, and two rows not at all, when nothing was kept; 0.296, and
-    0.07 and 0.53 of those rows, so. A most of 0.4 serves 0.305 of all, but of the first row 0.46 in place
-    of 0.52 (docs/design/capacity-and-retries.md; tests/incidents/chain_model). */
+    Without it the lower ones get nothing, whatever little they need; with more the first one pays too much
+    (docs/design/capacity-and-retries.md). */
 constexpr double keptPerLack = 1.0;
 constexpr double leastKept = 0.08;
 constexpr double mostKept = 0.25;
--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -11,8 +11,7 @@
 {
 
 /** What is taken for the length of a period at least and at most, in seconds: the rise of a share goes by it,
-    and must neither stand still nor jump where a period was cut short or the process stood still. Chosen, not
-    measured. */
+    and must neither stand still nor jump where a period was cut short or the process stood still. */
 constexpr double shortestPeriodS = 0.1;
 constexpr double longestPeriodS = 3.0;
 
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -6,8 +6,7 @@
     calls and not on a few of one daemon. From the sum and the service's utilization follows the share of the
     volume that is admitted (admitted_share), for the rows that reach the service (row_reach); which of them
     get it is decided by capacity_share, and each daemon keeps what it has under way of a row steady
-    (rows_under_way). Measured: with the limit off a day of overload was worth 0.423 in
-    place of 0.588, with each daemon by its own counts 0.493 (docs/design/overload.md, ablation).
+    (rows_under_way).
 
     Owns RootLimitState. Relies on peers' reports and on utilizations that the caller brings. Plain state and
     free functions over it. Pure.
--- a/src/overload/row_reach.cpp
+++ b/src/overload/row_reach.cpp
@@ -8,16 +8,13 @@
 namespace
 {
 
-/** A row's volume, and a failure of it, counts half after this time, in seconds. Chosen, not measured. */
+/** A row's volume, and a failure of it, counts half after this time, in seconds. */
 constexpr double volumeHalfLifeS = 3.0;
 /** Faded failures from which on a row reaches a service: three within a second. A server's own failures are
     less than a hundredth of its answers, but two in a row do happen in a fleet. */
 constexpr double leastFailures = 2.5;
 /** Part of the row's requests that must have failed so. Where calls are refused, each fails a whole
-    request. Both guard rows that don't call the service: with one failure as proof, 129 requests of such
-    a row were refused on a day, with a limit like this none (trouble-3, one play each; no gain or loss of
-    worth beyond the spread of plays, docs/design/overload.md). The two values themselves are
-    chosen, not measured. */
+    request. Both guard rows that don't call the service, of which single requests fail at such moments. */
 constexpr double leastPartFailed = 0.1;
 
 double faded (double value, Duration age)
--- a/src/retry/retry_ledger.hpp
+++ b/src/retry/retry_ledger.hpp
@@ -99,7 +99,7 @@
     void forget(TimePoint now);
     std::size_t size() const { return ledgers_.size(); }
 
-    /// How long an ended call is known as ended. Chosen, not measured.
+    /// How long an ended call is known as ended.
     static constexpr seconds kRememberEnded{30};
 
   private:
--- a/src/selection/server_selection.cpp
+++ b/src/selection/server_selection.cpp
@@ -11,28 +11,25 @@
 using membership::KnownServer;
 using membership::ServiceView;
 
-/** Taken for the mean latency, in microseconds, if no server was measured. Chosen, not measured. */
+/** Taken for the mean latency, in microseconds, if no server was measured. */
 constexpr double guessedLatencyUs = 100'000;
-/** Factor of the cost in another zone: its bytes are dear and its way is longer. GB between zones on a calm
-    day of one deployment, one trial each: two of all servers at 1.3 0.042, two of each side 0.024, at 2.5
-    0.007 (docs/DESIGN.md). */
+/** Factor of the cost in another zone: its bytes are dear and its way is longer. */
 constexpr double otherZoneFactor = 2.5;
-/** Factor of the cost of a server that is still cold. Chosen, not measured. */
+/** Factor of the cost of a server that is still cold. */
 constexpr double coldFactor = 2.0;
-/** A failure costs this many times the mean latency. Chosen, not measured. */
+/** A failure costs this many times the mean latency. */
 constexpr double failureWeight = 30.0;
-/** Weight of the newest result in the moving share of failures. Chosen, not measured. */
+/** Weight of the newest result in the moving share of failures. */
 constexpr double failureSample = 0.4;
-/** A server's own gate sees all of its requests; a share of failures below this is ordinary. Chosen, not
-    measured. */
+/** A server's own gate sees all of its requests; a share of failures below this is ordinary. */
 constexpr double ordinaryShare = 0.1;
 constexpr double shareOfPercent = 0.01;
-/** A share of failures below this is forgotten. Chosen, not measured. */
+/** A share of failures below this is forgotten. */
 constexpr double negligibleShare = 0.01;
-/** How steeply the cost rises as the server fills. Chosen, not measured. */
+/** How steeply the cost rises as the server fills. */
 constexpr double loadWeight = 6.0;
 /** A usual server that is fuller than that, or fails more often, is compared with others: before it queues,
-    and from the first failure that this daemon sees on. Chosen, not measured. */
+    and from the first failure that this daemon sees on. */
 constexpr double fullShare = 0.75;
 constexpr double doubtfulFailures = 0.1;
 /** How often a few of all servers are drawn while the cheapest is doubtful: where a quarter of them fail, one
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -14,21 +14,20 @@
 using retry::AttemptOutcome;
 using retry::AttemptStep;
 
-/// An attempt that takes this many times the service's average is joined by another one. Chosen, not
-/// measured.
+/// An attempt that takes this many times the service's average is joined by another one.
 constexpr int kHedgeFactor = 3;
-/// It is joined no sooner. Chosen, not measured.
+/// It is joined no sooner.
 constexpr milliseconds kLeastHedge{100};
-/// How often attempts whose body is streamed are looked at while they are given up. Chosen, not measured.
+/// How often attempts whose body is streamed are looked at while they are given up.
 constexpr milliseconds kGiveUpPoll{100};
 /// A request may wait at gates for this part of its target latency: calls of higher priority overtake it as
-/// long as an overload lasts, so that the wait expected at its arrival says little. Without the bound, of one
-/// route's requests in a recorded overload 530 were late and 448 refused; with it, 145 and 638.
+/// long as an overload lasts, so that the wait expected at its arrival says little. Without the bound
+/// many answers come too late.
 constexpr int kWaitPart = 4;
-/// It may wait so long at least. Chosen, not measured.
+/// It may wait so long at least.
 constexpr milliseconds kLeastWait{10};
 constexpr double kPercent = 100;
-/// Expected time of an answer while none was seen. Chosen, not measured.
+/// Expected time of an answer while none was seen.
 constexpr milliseconds kUnmeasuredLatency{150};
 /// A daemon that was started has heard of its peers' servers by then: their records come at least once a
 /// second, and a server that can't be asked for its health sends a heartbeat within some 1.5 s.
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -14,7 +14,7 @@
 using observability::Event;
 using observability::log_event;
 
-/// The answer must reach the client before its own time is up. Chosen, not measured.
+/// The answer must reach the client before its own time is up.
 constexpr milliseconds kAnswerMargin{5};
 
 /// Longest time that the count of a tenant's requests is waited for: an owner that is gone is found out in
