--- a/src/claims/claim_types.hpp
+++ b/src/claims/claim_types.hpp
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "protocol/serialize_all.hpp"
@@ -62,6 +63,19 @@
     kReleased,  ///< The claimant has decided never to run; the key is free again.
 };
 
+/// Stable lower-case name, for logs.
+inline std::string_view end_name(ClaimEnd end) {
+    switch (end) {
+        case ClaimEnd::kCompleted:
+            return "completed";
+        case ClaimEnd::kUnknown:
+            return "unknown";
+        case ClaimEnd::kReleased:
+            return "released";
+    }
+    return "unknown";
+}
+
 struct ClaimUpdate {
     std::string key;
     std::uint64_t claimant = 0;
--- a/src/daemon/claim_service.cpp
+++ b/src/daemon/claim_service.cpp
@@ -17,8 +17,6 @@
 using observability::Event;
 using observability::log_event;
 
-// All chosen, not measured.
-
 /// How long one round waits for a key's holders, and a peer is waited for that has the answer of a duplicate.
 constexpr milliseconds kAskTimeout{300};
 /// Rounds in which the holders are asked while no majority answers.
@@ -152,6 +150,9 @@
         }
         boost::this_fiber::sleep_for(kUpdatePause);
     }
+    // A holder that is gone misses each claim's end: the lines are bounded.
+    observability::log_routine(Event::kClaimEndUndelivered,
+                               {{"holder", holder.id}, {"end", std::string(claims::end_name(update.end))}});
 }
 
 bool ClaimService::coordinator_is_there(const ClaimReply& standing) const {
--- a/src/daemon/holder_view_keeper.cpp
+++ b/src/daemon/holder_view_keeper.cpp
@@ -13,8 +13,6 @@
 using observability::Event;
 using observability::log_event;
 
-// All chosen, not measured.
-
 /// Time between two looks at the members.
 constexpr milliseconds kKeeperPeriod{100};
 /// How long a holder is waited for when it is asked whether it serves the view.
@@ -25,6 +23,20 @@
 /// that it comes from.
 constexpr seconds kViewHysteresis{1};
 
+std::string_view outcome_name(store::SwapOutcome outcome) {
+    switch (outcome) {
+        case store::SwapOutcome::kDone:
+            return "done";
+        case store::SwapOutcome::kLost:
+            return "lost";
+        case store::SwapOutcome::kRefused:
+            return "refused";
+        case store::SwapOutcome::kUnknown:
+            return "unknown";
+    }
+    return "unknown";
+}
+
 }  // namespace
 
 HolderViewKeeper::HolderViewKeeper(DaemonContext& context, PeerClient& peers, MembershipService& membership,
@@ -121,11 +133,14 @@
     const auto text = claims::to_json_text(next);
     const auto swap =
         documents_.store().compare_and_swap(store::kHolderViewKey, revision, {{store::kHolderViewKey, text}});
-    if (swap.outcome == store::SwapOutcome::kDone) {
-        log_event(Event::kHolderViewChanged,
-                  {{"epoch", std::to_string(next.epoch)}, {"holders", std::to_string(holders.size())}});
-        documents_.offer({DocumentKind::kHolderView, swap.revision, text}, "own change");
+    if (swap.outcome != store::SwapOutcome::kDone) {
+        log_event(Event::kHolderViewNotChanged, {{"epoch", std::to_string(next.epoch)},
+                                                 {"outcome", std::string(outcome_name(swap.outcome))}});
+        return;
     }
+    log_event(Event::kHolderViewChanged,
+              {{"epoch", std::to_string(next.epoch)}, {"holders", std::to_string(holders.size())}});
+    documents_.offer({DocumentKind::kHolderView, swap.revision, text}, "own change");
 }
 
 }  // namespace anisehold::daemon
--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -60,6 +60,10 @@
     EventEntry{
         Event::kClaimsAbstaining, Level::kWarn, "claims-abstaining",
         "This daemon holds claims but doesn't grant until it has synced or the memory window has passed."},
+    EventEntry{Event::kClaimEndUndelivered, Level::kWarn, "claim-end-undelivered",
+               "A holder couldn't be told how a claim ended; it keeps the claim until its window ends."},
+    EventEntry{Event::kHolderViewNotChanged, Level::kWarn, "holder-view-not-changed",
+               "A new set of claim holders wasn't stored; it is proposed again."},
     EventEntry{Event::kMemberChanged, Level::kInfo, "member-changed",
                "A member joined, or its state changed."},
     EventEntry{Event::kPeerFrameRefused, Level::kWarn, "peer-frame-refused",
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -45,6 +45,8 @@
     kHolderViewChanged = 1202,
     kClaimsServing = 1203,
     kClaimsAbstaining = 1204,
+    kClaimEndUndelivered = 1205,
+    kHolderViewNotChanged = 1206,
     kMemberChanged = 1301,
     kPeerFrameRefused = 1302,
     kPeerChanged = 1303,
