--- a/tests/support/run_folder.cpp
+++ b/tests/support/run_folder.cpp
@@ -19,8 +19,8 @@
 
 std::string make_run_folder(const std::string& name) {
     static unsigned number = 0;
-    auto folder = std::string(ANISEHOLD_BINARY_DIR) + "/runs/" + name + "-" + std::to_string(getpid()) +
-                        "-" + std::to_string(++number);
+    auto folder = std::string(ANISEHOLD_BINARY_DIR) + "/runs/" + name + "-" + std::to_string(getpid()) + "-" +
+                  std::to_string(++number);
     boost::filesystem::create_directories(folder);
     folders_made().push_back(folder);
     return folder;
