--- a/src/selection/return_trial.hpp
+++ b/src/selection/return_trial.hpp
@@ -3,10 +3,10 @@
     While a server gets no requests, nothing new is learned of it: its failures fade, but its last latency
    stays, and by both together it could stay too dear for as long as others have free slots. So one request
    that may be repeated goes to it at a set time after its last failure, whatever it is expected to cost; a
-   success ends that, a failure begins the time anew. One at a time: without it all requests returned together
-   once the failures had faded.
+   success ends that, a failure begins the time anew. One at a time, since all would return together once the
+   failures have faded.
 
-    Owns nothing; relies on SelectionState for when a trial is due. Pure.
+    Owns nothing: whoever chooses servers keeps ReturnTrials and notes the ends of requests. Pure.
 */
 #pragma once
 
--- a/src/selection/server_selection.hpp
+++ b/src/selection/server_selection.hpp
@@ -70,7 +70,7 @@
     measured. A server that fails fast must not look cheap, nor one that nobody has tried dear. */
 double expectedCost (const SelectionState&, TimePoint now, const membership::KnownServer&, double meanUs);
 
-/** A server that wasn't chosen, though it isn't loaded: this daemon saw it fail. */
+/** A server that this daemon saw fail, and that wasn't chosen. */
 struct PassedOver
 {
     const membership::KnownServer* server = nullptr;
