Server rate limits: what a server names is read at its gate, and told

Callers saw a server that had named 12.3 requests a second get 146 in 4 s. Nothing in the logs or metrics says that a limit was named: no line reads the header, it passes through to the caller. So the hypotheses (nobody reads it, each daemon counts for itself, a burst breaks it) can't be told apart by our own output.

Changes: the adapter reads the two notices of a server's answer, its rate limit and its leaving; the gate keeps the limit and writes an event when it becomes known, moves or ends (server-rate-limit) and when it can't be read (server-limit-malformed). Nothing is enforced yet.

--- a/src/admission/server_gate.hpp
+++ b/src/admission/server_gate.hpp
@@ -15,6 +15,7 @@
 #include <vector>
 
 #include "admission/concurrency_limit.hpp"
+#include "admission/server_rate.hpp"
 #include "protocol/time_types.hpp"
 
 namespace anisehold::admission {
@@ -74,6 +75,9 @@
     void abandon(std::uint64_t id);
 
     GateLoad load() const;
+    /// The rate that the server takes, as far as its answers name one.
+    ServerRate& rate() { return rate_; }
+    const ServerRate& rate() const { return rate_; }
     /// The least important priority that would not be refused now.
     unsigned admitted_priority() const;
     /// Replaces the limit strategy, keeping all calls.
@@ -103,6 +107,7 @@
 
     std::unique_ptr<ConcurrencyLimit> limit_;
     GateOptions options_;
+    ServerRate rate_;
     std::vector<Waiting> queue_;
     std::unordered_map<std::uint64_t, Running> running_;
     std::map<std::string, unsigned> running_by_row_;
--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -93,6 +93,13 @@
         "A server that failed gets no requests of this daemon: it would cost more than the chosen one."},
     EventEntry{Event::kServerTried, Level::kInfo, "server-tried",
                "A server that failed gets one request that may be repeated, to find out whether it is back."},
+    EventEntry{
+        Event::kServerRateLimit, Level::kInfo, "server-rate-limit",
+        "The requests a second that the server beside this daemon takes (`per_s`) became known, moved or "
+        "ended; `source` says from whom it is known, `age_ms` when it was last named before."},
+    EventEntry{Event::kServerLimitMalformed, Level::kWarn, "server-limit-malformed",
+               "A server names a number of requests a second that can't be read; what was known of its limit "
+               "stays."},
     EventEntry{Event::kContextRefused, Level::kWarn, "context-refused",
                "A call brought a context that is forged, malformed or of an ended call."},
     EventEntry{Event::kIngressCall, Level::kInfo, "ingress-call",
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -62,6 +62,8 @@
     kRefusalDoubted = 1410,
     kServerPassedOver = 1411,
     kServerTried = 1412,
+    kServerRateLimit = 1413,
+    kServerLimitMalformed = 1414,
     kContextRefused = 1501,
     kIngressCall = 1601,
     kGateCall = 1602,
--- a/src/sidecar/gate_server.hpp
+++ b/src/sidecar/gate_server.hpp
@@ -15,9 +15,11 @@
 #include "net/http_client.hpp"
 #include "overload/time_weighted_mean.hpp"
 #include "protocol/request_digest.hpp"
+#include "registration/server_registry.hpp"
 #include "selection/failure_share.hpp"
 #include "sidecar/attempt_outcome.hpp"
 #include "sidecar/crash_watch.hpp"
+#include "sidecar/rate_lines.hpp"
 #include "sidecar/suspect_queue.hpp"
 
 namespace anisehold::sidecar {
@@ -45,9 +47,12 @@
 /// All that is kept of one start of a server.
 struct GateServer {
     GateServer(std::unique_ptr<admission::ConcurrencyLimit> limit, boost::asio::io_context& io,
-               const Endpoint& address, const net::HttpPoolLimits& pool,
+               const registration::Heartbeat& heartbeat, const net::HttpPoolLimits& pool,
                const admission::GateOptions& options)
-        : gate(std::move(limit), options), client(io, address, pool), crash(io, client) {}
+        : gate(std::move(limit), options),
+          client(io, heartbeat.address, pool),
+          crash(io, client),
+          rate_lines(heartbeat.instance) {}
 
     admission::ServerGate gate;
     overload::TimeWeightedMean running;  ///< Requests in flight.
@@ -59,6 +64,7 @@
     selection::FailureShare failures;
     connection::IdleLimit idle_limit;  ///< Of kept connections.
     connection::ConnectBackoff backoff;
+    RateLines rate_lines;
 };
 
 /// Asks the server's gate (`admission::ServerGate`) for a slot and waits for it; what the request is refused
--- a/src/sidecar/gate_servers.cpp
+++ b/src/sidecar/gate_servers.cpp
@@ -145,7 +145,7 @@
     const auto& heartbeat = registered->heartbeat;
     auto& server = servers_[instance];
     if (!server) {
-        server = std::make_shared<GateServer>(make_limit(heartbeat.slots), context_.io, heartbeat.address,
+        server = std::make_shared<GateServer>(make_limit(heartbeat.slots), context_.io, heartbeat,
                                               server_pool_limits(), gate_options());
     }
     return server;
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -114,6 +114,9 @@
     if (end.has_broken) {
         look_for_crash(server, run.call.instance);
     }
+    if (end.notice) {
+        take_notice(server, *end.notice, end.sent);
+    }
     server.crash.ended(run.id);
     --running_;
     running_retries_ -= run.call.retry_percent;
@@ -124,6 +127,18 @@
     return std::move(end.answer);
 }
 
+void LocalGate::take_notice(GateServer& server, const ServerNotice& notice, TimePoint sent) {
+    const auto now = TimePoint::clock::now();
+    if (notice.has_malformed_limit) {
+        server.rate_lines.on_malformed();
+        return;
+    }
+    auto& rate = server.gate.rate();
+    const auto age = rate.age(now);
+    const auto change = rate.on_answer(now, sent, notice.rate_limit);
+    server.rate_lines.on_change(now, rate, {change, RateSource::kAnswer, age});
+}
+
 void LocalGate::look_for_crash(GateServer& server, const std::string& instance) {
     // One that said that it leaves ends as it should.
     if (!servers_.is_ready(instance) || !server.crash.is_server_gone() || !server.crash.take_report()) {
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -65,6 +65,8 @@
                             TimePoint started);
     /// Sends it to the server, and counts it as running meanwhile.
     GateAnswer run_at_server(GateServer& server, const GateRun& run, net::HttpRequest& request);
+    /// Takes in what the answer to a request that was sent at `sent` says of the server.
+    static void take_notice(GateServer& server, const ServerNotice& notice, TimePoint sent);
     /// The connection of a request broke: reports the server's crash, if that was the cause. Blocks the
     /// fiber.
     void look_for_crash(GateServer& server, const std::string& instance);
--- /dev/null
+++ b/src/sidecar/rate_lines.cpp
@@ -0,0 +1,76 @@
+#include "sidecar/rate_lines.hpp"
+
+#include <array>
+#include <cstdio>
+
+#include "observability/events.hpp"
+
+namespace anisehold::sidecar {
+namespace {
+
+using admission::RateChange;
+using observability::Event;
+using observability::log_event;
+
+/// Time between two lines of one kind.
+constexpr seconds kLinePause{1};
+
+std::string_view name_of(RateChange change) {
+    switch (change) {
+        case RateChange::kNone:
+            return "none";
+        case RateChange::kBegan:
+            return "began";
+        case RateChange::kMoved:
+            return "moved";
+        case RateChange::kEnded:
+            return "ended";
+    }
+    return "none";
+}
+
+std::string_view name_of(RateSource source) {
+    switch (source) {
+        case RateSource::kAnswer:
+            return "answer";
+        case RateSource::kCaller:
+            return "caller";
+        case RateSource::kHealth:
+            return "health";
+    }
+    return "answer";
+}
+
+/// In requests a second; empty without a limit.
+std::string text_of(const std::optional<admission::RequestRate>& rate) {
+    std::array<char, 32> text{};
+    if (rate) {
+        std::snprintf(text.data(), text.size(), "%g", admission::per_second(*rate));
+    }
+    return text.data();
+}
+
+}  // namespace
+
+void RateLines::on_change(TimePoint now, const admission::ServerRate& rate, const RateMove& move) {
+    const bool is_move = move.change == RateChange::kMoved;
+    if (move.change == RateChange::kNone || (is_move && now < next_move_)) {
+        return;
+    }
+    next_move_ = now + kLinePause;
+    log_event(Event::kServerRateLimit, {{"server", instance_},
+                                        {"change", std::string(name_of(move.change))},
+                                        {"per_s", text_of(rate.limit())},
+                                        {"source", std::string(name_of(move.source))},
+                                        {"age_ms", std::to_string(to_milliseconds(move.age))}});
+}
+
+void RateLines::on_malformed() {
+    if (has_told_malformed_) {
+        return;
+    }
+    has_told_malformed_ = true;
+    log_event(Event::kServerLimitMalformed, {{"server", instance_}});
+}
+
+}  // namespace anisehold::sidecar
--- a/src/sidecar/server_exchange.cpp
+++ b/src/sidecar/server_exchange.cpp
@@ -63,18 +63,21 @@
     return response;
 }
 
-GateAnswer answer_of(const SidecarContext& context, const GateServer& server, net::HttpResponse response) {
-    GateAnswer answer;
-    switch (context.dialect.nature_of(response)) {
-        case AnswerNature::kNotRun:
-            return without_answer(HopOutcome::kRefusedByServer, ErrorKind::kBackendRefused, server.latency);
-        case AnswerNature::kSpoiled:
-            return without_answer(HopOutcome::kUnknown, ErrorKind::kBackendFailed);
-        case AnswerNature::kGenuine:
-            answer.result.outcome = HopOutcome::kAnswered;
-            answer.response = std::move(response);
+ServerExchangeEnd end_of(const SidecarContext& context, const GateServer& server,
+                         net::HttpResponse response) {
+    const auto nature = context.dialect.nature_of(response);
+    if (nature == AnswerNature::kSpoiled) {
+        return {without_answer(HopOutcome::kUnknown, ErrorKind::kBackendFailed)};
     }
-    return answer;
+    ServerExchangeEnd end;
+    end.notice = context.dialect.read_notice(response);
+    if (nature == AnswerNature::kNotRun) {
+        end.answer = without_answer(HopOutcome::kRefusedByServer, ErrorKind::kBackendRefused, server.latency);
+        return end;
+    }
+    end.answer.result.outcome = HopOutcome::kAnswered;
+    end.answer.response = std::move(response);
+    return end;
 }
 
 }  // namespace
@@ -90,7 +93,9 @@
     std::error_code error;
     auto response = send_once(server, request, options_for(context, server, run, now), run, error);
     if (response) {
-        return {answer_of(context, server, std::move(*response))};
+        auto end = end_of(context, server, std::move(*response));
+        end.sent = now;
+        return end;
     }
     if (!run.progress.request_started) {
         return {without_answer(HopOutcome::kNotSent, ErrorKind::kConnectFailed)};
--- a/src/sidecar/server_exchange.hpp
+++ b/src/sidecar/server_exchange.hpp
@@ -13,6 +13,8 @@
 struct ServerExchangeEnd {
     GateAnswer answer;
     bool has_broken = false;  ///< The connection ended before the answer and in time: the server may be gone.
+    std::optional<ServerNotice> notice{};  ///< What the server's answer says of it.
+    TimePoint sent{};                      ///< When the request was sent.
 };
 
 /// Sends a request that was admitted, once. Without an answer: `kCancelled` if the caller had left before,
--- a/src/sidecar/wire_dialect.hpp
+++ b/src/sidecar/wire_dialect.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "admission/server_rate.hpp"
 #include "net/http_types.hpp"
 #include "protocol/time_types.hpp"
 #include "registration/server_registry.hpp"
@@ -35,6 +36,13 @@
     kSpoiled,  ///< Not what a server sends; the request may have run.
 };
 
+/// What a server says of itself in an answer, whatever the request.
+struct ServerNotice {
+    std::optional<admission::RequestRate> rate_limit;  ///< The rate that it takes from all daemons together.
+    bool has_malformed_limit = false;  ///< It names one that can't be read: nothing is known of its limit.
+    bool is_leaving = false;           ///< It ends soon and takes no new requests.
+};
+
 /// A server registers, or leaves.
 struct RegistrationCall {
     bool leaves = false;
@@ -67,6 +75,8 @@
     /// for a request that belongs to none.
     virtual void write_tenant(net::HttpRequest& request, const tenancy::TenantName& tenant) const = 0;
     virtual AnswerNature nature_of(const net::HttpResponse& response) const = 0;
+    /// Nothing if another server than the one that was meant may have written the answer.
+    virtual std::optional<ServerNotice> read_notice(const net::HttpResponse& response) const = 0;
     /// The header line of the request that a server echoes in every answer.
     virtual net::HeaderField echoed_field(const std::string& request_id) const = 0;
     virtual void write_retry_after(net::HttpResponse& response, milliseconds retry_after) const = 0;
--- a/tests/unit/platform/dialect_test.cpp
+++ b/tests/unit/platform/dialect_test.cpp
@@ -228,3 +228,47 @@
         CHECK(problem.find("secret") == std::string::npos);
     }
 }
+
+namespace {
+
+std::optional<sidecar::ServerNotice> notice_of(const std::vector<net::HeaderField>& fields,
+                                               unsigned status = 200) {
+    auto response = answer(status, true);
+    for (const auto& field : fields) {
+        response.fields.add(field.name, field.value);
+    }
+    return Dialect().read_notice(response);
+}
+
+}  // namespace
+
+TEST_CASE("a server's rate limit is read in thousandths of a request a second") {
+    CHECK_FALSE(notice_of({})->rate_limit);
+    CHECK(notice_of({{"server-limit", "11.5"}})->rate_limit == admission::RequestRate(11'500));
+    CHECK(notice_of({{"Server-Limit", "0"}})->rate_limit == admission::RequestRate(0));
+    CHECK(notice_of({{"Server-Limit", "0.5"}}, 503)->rate_limit == admission::RequestRate(500));
+    CHECK(notice_of({{"Server-Limit", "900000000000"}})->rate_limit == admission::RequestRate(4'294'967'295));
+}
+
+TEST_CASE("a rate limit that can't be read is neither a limit nor the end of one") {
+    for (const char* text : {"", "many", "-1", "-0", "+5", "inf", "nan", "1e999", "1e3", "0x10",
+                             "11.5 a second", "11,5", "11;12"}) {
+        const auto notice = notice_of({{"Server-Limit", text}});
+        CHECK_FALSE(notice->rate_limit);
+        CHECK(notice->has_malformed_limit);
+    }
+    for (const auto& [first, second] :
+         std::vector<std::pair<std::string, std::string>>{{"5", "6"}, {"5", "x"}, {"x", "5"}, {"5", "5"}}) {
+        const auto doubled =
+            notice_of({{"Server-Limit", first}, {"Server-Limit", second}, {"Server-Limit", "7"}});
+        CHECK_FALSE(doubled->rate_limit);
+        CHECK(doubled->has_malformed_limit);
+    }
+}
+
+TEST_CASE("only the server that was meant says something of itself") {
+    CHECK(notice_of({{"Server-Leaving", "1"}})->is_leaving);
+    CHECK_FALSE(notice_of({{"Server-Leaving", "0"}})->is_leaving);
+    CHECK_FALSE(notice_of({{"Server-Limit", "5"}})->is_leaving);
+    CHECK_FALSE(notice_of({{"Server-Leaving", "1"}, {"Server-Limit", "5"}}, 421));
+}
