--- a/lab/platform_server.cpp
+++ b/lab/platform_server.cpp
@@ -178,8 +178,19 @@
     return true;
 }
 
+void PlatformServer::write_notice(net::HttpResponse& response) const {
+    if (!faults.rate_limit.empty()) {
+        response.fields.set("Server-Limit", faults.rate_limit);
+    }
+    if (faults.says_leaving) {
+        response.fields.set("Server-Leaving", "1");
+    }
+}
+
 net::HttpResponse PlatformServer::answer_health() const {
-    auto response = net::make_response(draining_ ? kUnavailable : kOk, "text/plain", "");
+    const bool is_well = !draining_ && !faults.says_leaving;
+    auto response = net::make_response(is_well ? kOk : kUnavailable, "text/plain", "");
+    write_notice(response);
     response.fields.set("Instance-Id", options_.instance);
     response.fields.set("Server-Load", std::to_string(running_) + ",0," + std::to_string(options_.slots));
     return response;
@@ -189,6 +200,7 @@
                                          const std::string& body) const {
     auto response = net::make_response(status, "text/plain", body);
     response.fields.set("Request-Id", faults.answers_another ? "another" : id);
+    write_notice(response);
     return response;
 }
 
--- a/lab/platform_server.hpp
+++ b/lab/platform_server.hpp
@@ -57,6 +57,8 @@
     bool forgets_signature = false;  ///< Answers without its signature.
     bool answers_another = false;    ///< Answers with another request's id.
     bool hangs = false;              ///< Takes requests and answers nothing.
+    std::string rate_limit;          ///< Named as it stands in all answers, unless it is empty.
+    bool says_leaving = false;       ///< All answers say that it leaves; its heartbeats don't.
     /// A request whose target holds this text ends the server that begins it; none does if it is empty.
     std::string fatal_target;
 };
@@ -107,6 +109,8 @@
     bool is_fatal(const std::string& target) const;
     net::HttpResponse answer(unsigned status, const std::string& id, const std::string& body) const;
     net::HttpResponse answer_health() const;
+    /// Adds what the server says of itself in every answer.
+    void write_notice(net::HttpResponse& response) const;
     bool make_calls(const std::string& id, TimePoint deadline);
     bool send_heartbeat(bool draining);
     void deregister();
