Server rate limits: a gate sends a server no more than the rate that it names

What callers saw: nothing; each read was served. A server in need that had named 12.3 requests a second got 146 in 4 s from machines that had passed that on, 79 are allowed.

Cause: what a server says of itself in an answer had no reader.

Change: `admission/server_rate` keeps the limit in force and a token bucket of it; the gate admits by slots and by rate from its one queue, so that priority and age decide who gets the room, and refuses at once what isn't due while its caller waits. A fiber lets waiting requests go as they are due. Daemons that got a server's answers remember its limit (`membership/server_notices`) and tell it with each request (a field of the hop header, left out where there is none), which a gate takes that was restarted, until the server's next answer; so does the health answer at a start. Gates report as their limit what the rate keeps running, so that the choice of servers and the limit of root requests count that room. A limit that can't be read neither begins one nor ends the one before. One request in four seconds is sent whatever the limit, or its end would never be known.

Why it works: only the daemon beside a server reaches it, so all that is sent passes one count; each machine that is bound by the limit carries it to a gate that lost it.

--- a/src/admission/server_gate.cpp
+++ b/src/admission/server_gate.cpp
@@ -31,15 +31,16 @@
 ArrivalDecision ServerGate::arrive(TimePoint now, const GateCall& call) {
     ArrivalDecision decision;
     const Waiting newcomer{call, now};
-    // No waiting call has a slot: each end of a call admits all that have.
-    if (has_slot_for(call)) {
+    if (runs_at_once(now, call)) {
         start(now, call);
         return decision;
     }
     const std::size_t position = position_of(newcomer);
-    const Duration wait = expected_wait(position);
-    decision.retry_after = std::max<Duration>(expected_wait(queue_.size()), retry_after::kLeastAtGate);
-    if (now + wait + time_to_run() > call.deadline) {
+    const Duration rate_wait = rate_.wait(now, position);
+    const Duration wait = std::max(expected_wait(position), rate_wait);
+    decision.retry_after = std::max<Duration>(
+        {expected_wait(queue_.size()), rate_.wait(now, queue_.size()), retry_after::kLeastAtGate});
+    if (now + wait + time_to_run() > call.deadline || now + rate_wait > call.latest_start) {
         decision.verdict = GateVerdict::kRefused;
         return decision;
     }
@@ -87,7 +88,7 @@
         auto best = queue_.end();
         for (auto each = queue_.begin(); each != queue_.end(); ++each) {
             const bool better = best == queue_.end() || goes_before(*each, *best);
-            if (better && has_slot_for(each->call)) {
+            if (better && has_slot_for(each->call) && rate_.may_send(now)) {
                 best = each;
             }
         }
@@ -105,6 +106,15 @@
     std::erase_if(queue_, [&](const Waiting& waiting) { return waiting.call.id == id; });
 }
 
+std::optional<TimePoint> ServerGate::next_release(TimePoint now) const {
+    return queue_.empty() || !is_held_by_rate() ? std::nullopt : std::optional(now + rate_.wait(now, 0));
+}
+
+unsigned ServerGate::usable_limit(TimePoint now) const {
+    const auto limit = limit_->limit();
+    return std::min(limit, rate_.concurrency(now, hold_time_).value_or(limit));
+}
+
 GateLoad ServerGate::load() const {
     return {static_cast<unsigned>(running_.size()), static_cast<unsigned>(queue_.size()), limit_->limit()};
 }
@@ -120,6 +130,11 @@
     return worst;
 }
 
+bool ServerGate::runs_at_once(TimePoint now, const GateCall& call) const {
+    // Without a rate no waiting call has a slot: each end of a call admits all that have.
+    return has_slot_for(call) && (!rate_.limit() || (queue_.empty() && rate_.may_send(now)));
+}
+
 bool ServerGate::has_slot_for(const GateCall& call) const {
     if (running_.size() + 1 > limit_->limit()) {
         return false;
@@ -148,6 +163,7 @@
 }
 
 void ServerGate::start(TimePoint now, const GateCall& call) {
+    rate_.on_sent(now);
     double& pass = passes_[call.row];
     // A row that was idle doesn't come with credit from that time.
     pass = std::max(pass, current_pass_) + 1.0 / call.row_weight;
--- a/src/admission/server_gate.hpp
+++ b/src/admission/server_gate.hpp
@@ -31,6 +31,7 @@
     unsigned row_limit = 0;  ///< Most calls of the row in flight at this server; 0 for no limit.
     TimePoint root_started;  ///< As far as this daemon knows.
     TimePoint deadline;
+    TimePoint latest_start = TimePoint::max();  ///< Its caller doesn't wait longer at this gate.
 };
 
 /// kRefused: overloaded.
@@ -58,10 +59,11 @@
 
 /// Decides which calls run at one server.
 ///
-/// A call that comes is admitted if fewer run than the limit, and fewer of its row than the row's. Else it is
-/// refused at once if it isn't expected to be served before its deadline; else it waits. If the queue is
-/// full, the last in order is refused in favour of a better one. The order: priority, then calls whose root
-/// has had work done, then rows by weight (stride scheduling), then the oldest root.
+/// A call that comes is admitted if fewer run than the limit, and fewer of its row than the row's, and the
+/// server's rate allows one more. Else it is refused at once if it isn't expected to be served before its
+/// deadline, or to be due by the rate while its caller waits; else it waits. If the queue is full, the last
+/// in order is refused in favour of a better one. The order: priority, then calls whose root has had work
+/// done, then rows by weight (stride scheduling), then the oldest root.
 class ServerGate {
   public:
     ServerGate(std::unique_ptr<ConcurrencyLimit> limit, GateOptions options);
@@ -71,10 +73,19 @@
     /// Ends a dispatched call. Returns the waiting calls that run now.
     std::vector<std::uint64_t> finish(TimePoint now, std::uint64_t id, SampleOutcome outcome,
                                       Duration nested_time);
+    /// Starts the waiting calls that the server's rate lets run now; returns their ids.
+    std::vector<std::uint64_t> release(TimePoint now) { return admit_waiting(now); }
+    /// When the next waiting call is due; nothing if none waits for the rate alone.
+    std::optional<TimePoint> next_release(TimePoint now) const;
     /// Takes a waiting call out (its caller has gone or its time is up).
     void abandon(std::uint64_t id);
 
     GateLoad load() const;
+    /// Most calls that run at the same time under both limits: the slots, and the rate with the time that a
+    /// call takes.
+    unsigned usable_limit(TimePoint now) const;
+    /// Whether calls wait, or are refused, because of the server's rate: slots are free.
+    bool is_held_by_rate() const { return rate_.limit() && running_.size() < limit_->limit(); }
     /// The rate that the server takes, as far as its answers name one.
     ServerRate& rate() { return rate_; }
     const ServerRate& rate() const { return rate_; }
@@ -95,6 +106,8 @@
     };
 
     bool has_slot_for(const GateCall& call) const;
+    /// A waiting call may be due that nobody has released yet: it goes first.
+    bool runs_at_once(TimePoint now, const GateCall& call) const;
     bool goes_before(const Waiting& left, const Waiting& right) const;
     void start(TimePoint now, const GateCall& call);
     /// Starts all waiting calls that have a slot, the first in order first; returns their ids.
--- a/src/admission/server_rate.hpp
+++ b/src/admission/server_rate.hpp
@@ -7,22 +7,13 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <optional>
 
-#include "protocol/strong_id.hpp"
+#include "protocol/request_rate.hpp"
 #include "protocol/time_types.hpp"
 
 namespace anisehold::admission {
 
-/// Thousandths of a request a second.
-using RequestRate = Strong<struct RequestRateTag, std::uint32_t>;
-
-inline double per_second(RequestRate rate) {
-    constexpr double units_per_request = 1'000;
-    return rate.value / units_per_request;
-}
-
 /// What an answer, or a caller's report, changed.
 enum class RateChange { kNone, kBegan, kMoved, kEnded };
 
--- a/src/explain/request_trace.cpp
+++ b/src/explain/request_trace.cpp
@@ -28,7 +28,7 @@
 bool isServerChange (const LogLine& line)
 {
     return line.name == "peer-changed" || line.name == "server-silent" || line.name == "server-leaving" ||
-           line.name == "server-registered";
+           line.name == "server-registered" || line.name == "server-rate-limit";
 }
 
 std::vector<LogLine> linesOf (const std::vector<LogLine>& lines, const std::string& requestId)
--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -56,6 +56,23 @@
     return !fields.contains(name) || read(fields, name, number);
 }
 
+/// A rate is left out where there is none, as nearly always.
+bool read(const Fields& fields, std::string_view name, std::optional<RequestRate>& rate) {
+    RequestRate value;
+    if (!fields.contains(name)) {
+        return true;
+    }
+    const bool readable = read(fields, name, value.value);
+    rate = readable ? std::optional(value) : std::nullopt;
+    return readable;
+}
+
+void append(std::string& text, std::string_view name, const std::optional<RequestRate>& rate) {
+    if (rate) {
+        append(text, name, std::uint64_t{rate->value});
+    }
+}
+
 void append_unless_zero(std::string& text, std::string_view name, unsigned value) {
     if (value != 0) {
         append(text, name, value);
@@ -87,6 +104,7 @@
     append(text, "once", request.at_most_once ? 1 : 0);
     append(text, "repeat_percent", request.retry_percent);
     append_unless_zero(text, "crashes", request.crashes);
+    append(text, "rate_limit", request.rate_limit);
     const bool is_plain = request.row.find_first_of(kReserved) == std::string::npos;
     append(text, "row", std::string_view(is_plain ? request.row : std::string()));
     return text;
@@ -104,6 +122,7 @@
     append(text, "latency_us", result.latency_us);
     append(text, "failed_percent", result.failed_percent);
     append_unless_zero(text, "crashes", result.crashes);
+    append(text, "rate_limit", result.rate_limit);
     append(text, "overloaded", std::string_view(result.overloaded_service));
     return text;
 }
@@ -119,7 +138,8 @@
         read(fields, "row", request.row) && read(fields, "priority", request.priority) &&
         read(fields, "remaining_ms", remaining_ms) && read(fields, "longest_wait_ms", longest_wait_ms) &&
         read(fields, "once", once) && read(fields, "repeat_percent", request.retry_percent) &&
-        read_unless_zero(fields, "crashes", request.crashes) && request.retry_percent <= kMostPercent;
+        read_unless_zero(fields, "crashes", request.crashes) &&
+        read(fields, "rate_limit", request.rate_limit) && request.retry_percent <= kMostPercent;
     if (!whole) {
         return std::nullopt;
     }
@@ -142,6 +162,7 @@
                        read(fields, "limit", result.limit) && read(fields, "latency_us", result.latency_us) &&
                        read(fields, "failed_percent", result.failed_percent) &&
                        read_unless_zero(fields, "crashes", result.crashes) &&
+                       read(fields, "rate_limit", result.rate_limit) &&
                        read(fields, "overloaded", result.overloaded_service);
     const auto kind = error_kind_from_name(error);
     if (!whole || !kind) {
--- a/src/hop/hop_header.hpp
+++ b/src/hop/hop_header.hpp
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "protocol/error_kind.hpp"
+#include "protocol/request_rate.hpp"
 #include "protocol/time_types.hpp"
 
 namespace anisehold::hop {
@@ -29,6 +30,8 @@
     unsigned retry_percent = 0;    ///< How likely it is a retry, or made by a run that is one; 0 to 100.
     std::string row;  ///< The route and the request's rank; empty if it can't be written in a header line.
     unsigned crashes = 0;  ///< Servers in a row that are known to have crashed under it.
+    /// The rate limit that the sender last heard of the server, for a gate that was restarted.
+    std::optional<RequestRate> rate_limit{};
 };
 
 /// What became of the request at the gate.
@@ -48,6 +51,7 @@
     unsigned in_flight = 0;                       ///< Requests that run at the server.
     unsigned queued = 0;                          ///< Requests that wait at the gate.
     unsigned limit = 0;                           ///< Most requests that the gate lets run.
+    std::optional<RequestRate> rate_limit;        ///< That the server named, if any.
     unsigned latency_us = 0;                      ///< Time that the server takes for a request.
     unsigned failed_percent = 0;                  ///< Share of the server's latest requests that it failed.
     unsigned crashes = 0;  ///< Servers in a row that are known at the gate to have crashed under it.
--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -100,6 +100,9 @@
     EventEntry{Event::kServerLimitMalformed, Level::kWarn, "server-limit-malformed",
                "A server names a number of requests a second that can't be read; what was known of its limit "
                "stays."},
+    EventEntry{Event::kServerRateRefused, Level::kWarn, "server-rate-refused",
+               "So many requests were refused since the last such line, since the server takes only `per_s` "
+               "a second."},
     EventEntry{Event::kContextRefused, Level::kWarn, "context-refused",
                "A call brought a context that is forged, malformed or of an ended call."},
     EventEntry{Event::kIngressCall, Level::kInfo, "ingress-call",
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -64,6 +64,7 @@
     kServerTried = 1412,
     kServerRateLimit = 1413,
     kServerLimitMalformed = 1414,
+    kServerRateRefused = 1415,
     kContextRefused = 1501,
     kIngressCall = 1601,
     kGateCall = 1602,
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -34,6 +34,12 @@
                 "Crashes of the server beside this daemon while requests ran there, by service."},
     MetricEntry{"anisehold_suspects", "gauge",
                 "Requests that ran at servers when these crashed, by state: condemned or suspected."},
+    MetricEntry{
+        "anisehold_server_rate_limit", "gauge",
+        "Requests a second that the server beside this daemon says it takes, by service; +Inf without a "
+        "limit."},
+    MetricEntry{"anisehold_rate_refusals_total", "counter",
+                "Requests refused because a server takes only so many a second, by service."},
 };
 
 /// The help text of a metric of the catalogue.
@@ -81,6 +87,8 @@
     prometheus::Gauge& table_revision = gauge("anisehold_table_revision").Add({});
     prometheus::Family<prometheus::Counter>& server_crashes = counter("anisehold_server_crashes_total");
     prometheus::Family<prometheus::Gauge>& suspects = gauge("anisehold_suspects");
+    prometheus::Family<prometheus::Gauge>& server_rates = gauge("anisehold_server_rate_limit");
+    prometheus::Family<prometheus::Counter>& rate_refusals = counter("anisehold_rate_refusals_total");
 };
 
 std::span<const MetricEntry> metric_catalogue() {
@@ -132,6 +140,14 @@
     families_->server_crashes.Add({{"service", service}}).Increment();
 }
 
+void Metrics::set_server_rate(const std::string& service, double per_second) {
+    families_->server_rates.Add({{"service", service}}).Set(per_second);
+}
+
+void Metrics::count_rate_refusal(const std::string& service) {
+    families_->rate_refusals.Add({{"service", service}}).Increment();
+}
+
 void Metrics::set_suspects(std::string_view state, std::size_t count) {
     families_->suspects.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -48,6 +48,9 @@
     void count_gossip_bytes(std::size_t sent, std::size_t received);
     void set_gate(const std::string& server, const GateMetrics& gate);
     void set_members(std::string_view state, std::size_t count);
+    /// The rate that the server of this service takes, in requests a second; infinity if it names none.
+    void set_server_rate(const std::string& service, double per_second);
+    void count_rate_refusal(const std::string& service);
     void count_server_crash(const std::string& service);
     void set_suspects(std::string_view state, std::size_t count);
     void set_table_revision(std::uint64_t revision);
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -192,6 +192,7 @@
     hop_call.at_most_once = !may_retry(call.terms.retry);
     hop_call.crashes = crashes_.crashes_of(attempt.started, call.identity);
     hop_call.row = call.row;
+    hop_call.rate_limit = context_.notices.rate_of(attempt.server.server);
     return hop_call;
 }
 
@@ -203,7 +204,12 @@
         own ? gate_.run(std::move(request), hop_call, &attempt.cancel, attempt.progress)
             : hops_.run(attempt.server, std::move(request), hop_call, &attempt.cancel, attempt.progress);
     attempt.ended = true;
+    const auto& result = attempt.answer.result;
     const auto now = TimePoint::clock::now();
+    // What became of a request elsewhere says nothing of the server's limit.
+    if (result.rate_limit || result.outcome == hop::HopOutcome::kAnswered) {
+        context_.notices.on_rate(now, attempt.server.server, result.rate_limit);
+    }
     chooser_.on_ended(
         now, attempt.server.server.instance,
         {attempt.cancel.cancelled(), is_server_failure(attempt.answer), now - attempt.started, slow_after});
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/endpoints.hpp"
 
+#include <limits>
 #include <string>
 
 #include "observability/events.hpp"
@@ -105,6 +106,9 @@
     const auto now = TimePoint::clock::now();
     for (const auto& server : parts_.gate.servers().records(now)) {
         metrics.set_gate(server.instance, {server.in_flight, server.queued, server.limit});
+        const auto rate = parts_.gate.servers().rate_limit(server.instance);
+        metrics.set_server_rate(server.service,
+                                rate ? per_second(*rate) : std::numeric_limits<double>::infinity());
     }
     metrics.set_members("alive", parts_.directory.reachable_count(now));
     metrics.set_table_revision(parts_.configuration.version());
--- a/src/sidecar/gate_server.cpp
+++ b/src/sidecar/gate_server.cpp
@@ -1,8 +1,11 @@
 #include "sidecar/gate_server.hpp"
 
 #include <algorithm>
+#include <boost/fiber/operations.hpp>
 #include <cmath>
 
+#include "net/event_loop.hpp"
+
 namespace anisehold::sidecar {
 namespace {
 
@@ -13,6 +16,8 @@
 /// Weight of a new result in the share of failures, from 0 to 1. Chosen, not measured.
 constexpr double kFailureSample = 0.1;
 constexpr double kPercent = 100;
+/// Timers are no finer than this.
+constexpr milliseconds kLeastReleasePause{1};
 
 void wake(GateServer& server, std::uint64_t run, bool admitted) {
     const auto found = server.waiters.find(run);
@@ -22,8 +27,33 @@
     }
 }
 
+/// Has waiting requests started as the server's rate allows, until none waits for that.
+void release_by_rate(GateServer& server) {
+    if (server.is_releasing || !server.gate.next_release(TimePoint::clock::now())) {
+        return;
+    }
+    server.is_releasing = true;
+    net::EventLoop::spawn([kept = server.shared_from_this()] {
+        auto next = kept->gate.next_release(TimePoint::clock::now());
+        while (next) {
+            const auto pause = std::max<Duration>(*next - TimePoint::clock::now(), kLeastReleasePause);
+            boost::this_fiber::sleep_for(pause);
+            const auto now = TimePoint::clock::now();
+            release_waiting(*kept, now);
+            next = kept->gate.next_release(now);
+        }
+        kept->is_releasing = false;
+    });
+}
+
 }  // namespace
 
+void release_waiting(GateServer& server, TimePoint now) {
+    for (const auto admitted : server.gate.release(now)) {
+        wake(server, admitted, true);
+    }
+}
+
 std::optional<GateAnswer> wait_for_slot(GateServer& server, const GateRun& run) {
     const auto now = TimePoint::clock::now();
     admission::GateCall gate_call;
@@ -31,6 +61,7 @@
     gate_call.priority = run.call.priority;
     gate_call.root_started = now;
     gate_call.deadline = run.deadline;
+    gate_call.latest_start = now + run.call.longest_wait;
     const auto decision = server.gate.arrive(now, gate_call);
     if (decision.evicted) {
         wake(server, *decision.evicted, false);
@@ -43,6 +74,7 @@
     }
     const auto waiter = std::make_shared<GateWaiter>();
     server.waiters[run.id] = waiter;
+    release_by_rate(server);
     {
         const net::CancelSubscription subscription(run.cancel, [waiter] { waiter->decided.set(); });
         if (!run.is_cancelled()) {
@@ -61,6 +93,7 @@
     for (const auto admitted : server.gate.finish(now, run, sample, Duration::zero())) {
         wake(server, admitted, true);
     }
+    release_by_rate(server);
 }
 
 void note_end(GateServer& server, TimePoint started, TimePoint now, const GateAnswer& answer,
@@ -89,17 +122,18 @@
 
 void fill_load(const GateServer& server, hop::HopResult& result) {
     const auto load = server.gate.load();
+    const auto now = TimePoint::clock::now();
     result.in_flight = load.in_flight;
     result.queued = load.queued;
-    result.limit = load.limit;
-    result.failed_percent =
-        static_cast<unsigned>(kPercent * selection::shareOf(server.failures, TimePoint::clock::now()));
+    result.limit = server.gate.usable_limit(now);
+    result.rate_limit = server.gate.rate().limit();
+    result.failed_percent = static_cast<unsigned>(kPercent * selection::shareOf(server.failures, now));
     result.latency_us =
         static_cast<unsigned>(std::chrono::duration_cast<std::chrono::microseconds>(server.latency).count());
 }
 
 unsigned busy_percent(const GateServer& server, TimePoint now) {
-    const double busy = overload::meanOf(server.running, now) / std::max(1U, server.gate.load().limit);
+    const double busy = overload::meanOf(server.running, now) / std::max(1U, server.gate.usable_limit(now));
     return static_cast<unsigned>(std::lround(busy * kPercent));
 }
 
--- a/src/sidecar/gate_server.hpp
+++ b/src/sidecar/gate_server.hpp
@@ -45,7 +45,7 @@
 };
 
 /// All that is kept of one start of a server.
-struct GateServer {
+struct GateServer : std::enable_shared_from_this<GateServer> {
     GateServer(std::unique_ptr<admission::ConcurrencyLimit> limit, boost::asio::io_context& io,
                const registration::Heartbeat& heartbeat, const net::HttpPoolLimits& pool,
                const admission::GateOptions& options)
@@ -65,6 +65,7 @@
     connection::IdleLimit idle_limit;  ///< Of kept connections.
     connection::ConnectBackoff backoff;
     RateLines rate_lines;
+    bool is_releasing = false;  ///< A fiber starts the waiting requests as the server's rate allows.
 };
 
 /// Asks the server's gate (`admission::ServerGate`) for a slot and waits for it; what the request is refused
@@ -75,6 +76,9 @@
 /// Frees the slot of a request that was admitted, and wakes those that run now.
 void free_slot(GateServer& server, TimePoint now, std::uint64_t run, admission::SampleOutcome sample);
 
+/// Starts the waiting requests that the server's rate lets run now: its limit has moved or ended.
+void release_waiting(GateServer& server, TimePoint now);
+
 /// Takes in what the end of a request that began at `started` shows of the server's latency and failures.
 void note_end(GateServer& server, TimePoint started, TimePoint now, const GateAnswer& answer, bool cancelled);
 
--- a/src/sidecar/gate_servers.cpp
+++ b/src/sidecar/gate_servers.cpp
@@ -123,6 +123,11 @@
     return records;
 }
 
+std::optional<RequestRate> GateServers::rate_limit(const std::string& instance) const {
+    const auto found = servers_.find(instance);
+    return found == servers_.end() ? std::nullopt : found->second->gate.rate().limit();
+}
+
 admission::GateOptions GateServers::gate_options() const {
     admission::GateOptions options;
     options.queue_per_limit = kQueuePerLimit;
--- a/src/sidecar/gate_servers.hpp
+++ b/src/sidecar/gate_servers.hpp
@@ -35,6 +35,8 @@
     bool serves(const std::string& service) const { return registry_.serves(service); }
     /// The server, if it takes new requests; null otherwise.
     std::shared_ptr<GateServer> find(const std::string& instance);
+    /// The rate that the server's answers name, if they do.
+    std::optional<RequestRate> rate_limit(const std::string& instance) const;
     /// The servers that take requests, for peers.
     std::vector<membership::ServerRecord> records(TimePoint now) const;
 
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -51,6 +51,9 @@
         context_.origins.on_server(arrived, true);
     }
     crashes_.on_reported_crashes(run.identity, call.crashes);
+    if (call.rate_limit) {
+        take_reported_rate(*server, *call.rate_limit, RateSource::kCaller);
+    }
     const auto turn = take_turn(*server, run);
     auto refused = admit(*server, run, turn.has_value());
     const auto started = TimePoint::clock::now();
@@ -87,7 +90,18 @@
     if (context_.has(Mechanism::kConnectBackoff) && !connection::takeAttempt(server.backoff, run.arrived)) {
         return without_answer(HopOutcome::kNotSent, ErrorKind::kConnectFailed);
     }
-    return wait_for_slot(server, run);
+    auto refused = wait_for_slot(server, run);
+    if (refused && !run.is_cancelled() && server.gate.is_held_by_rate()) {
+        note_rate_refusal(server);
+    }
+    return refused;
+}
+
+void LocalGate::note_rate_refusal(GateServer& server) const {
+    const auto now = TimePoint::clock::now();
+    server.gate.rate().on_refused(now);
+    server.rate_lines.on_refused(now, server.gate.rate());
+    context_.metrics.count_rate_refusal(context_.settings.service);
 }
 
 GateAnswer LocalGate::run_admitted(GateServer& server, const GateRun& run, net::HttpRequest& request,
@@ -137,6 +151,22 @@
     const auto age = rate.age(now);
     const auto change = rate.on_answer(now, sent, notice.rate_limit);
     server.rate_lines.on_change(now, rate, {change, RateSource::kAnswer, age});
+    if (change != admission::RateChange::kNone) {
+        release_waiting(server, now);
+    }
+}
+
+void LocalGate::take_reported_rate(GateServer& server, RequestRate rate, RateSource source) {
+    const auto now = TimePoint::clock::now();
+    const auto change = server.gate.rate().on_report(now, rate);
+    server.rate_lines.on_change(now, server.gate.rate(), {change, source, Duration::zero()});
+}
+
+void LocalGate::on_health(const HealthAnswer& health) {
+    const auto server = health.rate_limit ? servers_.find(health.instance) : nullptr;
+    if (server) {
+        take_reported_rate(*server, *health.rate_limit, RateSource::kHealth);
+    }
 }
 
 void LocalGate::look_for_crash(GateServer& server, const std::string& instance) {
@@ -193,7 +223,8 @@
                 {"time_left_ms", std::to_string(run.call.remaining.count())},
                 {"in_flight", std::to_string(result.in_flight)},
                 {"queued", std::to_string(result.queued)},
-                {"limit", std::to_string(result.limit)}});
+                {"limit", std::to_string(result.limit)},
+                {"per_s", rate_text(result.rate_limit)}});
 }
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -10,7 +10,8 @@
 ///  3. Was it condemned meanwhile? suspects/crash_ledger; `kCrashesServers`. Asked before 2 gives its
 ///  refusal.
 ///  4. Can the server be connected to? connection/connect_backoff; `kConnectFailed`.
-///  5. Is there a slot, at once or soon? admission/server_gate; `kOverloaded`, `kQueueTimeout`.
+///  5. Is there a slot, and does the server's rate allow one more, at once or soon? admission/server_gate,
+///  admission/server_rate; `kOverloaded`, `kQueueTimeout`.
 ///  6. Does the server still take requests? registration/server_registry; `kNoBackend`.
 ///  7. Is the caller still there? sidecar/server_exchange; `kCancelled`.
 ///
@@ -47,6 +48,9 @@
     GateAnswer run(net::HttpRequest request, const hop::HopRequest& call, net::CancelSignal* cancel,
                    net::ExchangeProgress& progress);
 
+    /// The server beside was asked for its health, and registered.
+    void on_health(const HealthAnswer& health);
+
     /// The servers beside: they register here, and peers are sent their state.
     GateServers& servers() { return servers_; }
     const GateServers& servers() const { return servers_; }
@@ -60,6 +64,8 @@
     std::optional<SuspectQueue::Turn> take_turn(GateServer& server, const GateRun& run) const;
     /// What the request is refused with before it is admitted. Blocks the fiber.
     std::optional<GateAnswer> admit(GateServer& server, const GateRun& run, bool has_turn) const;
+    /// A request was refused because of the server's rate.
+    void note_rate_refusal(GateServer& server) const;
     /// Runs a request that was admitted, and frees its slot. Blocks the fiber.
     GateAnswer run_admitted(GateServer& server, const GateRun& run, net::HttpRequest& request,
                             TimePoint started);
@@ -67,6 +73,8 @@
     GateAnswer run_at_server(GateServer& server, const GateRun& run, net::HttpRequest& request);
     /// Takes in what the answer to a request that was sent at `sent` says of the server.
     static void take_notice(GateServer& server, const ServerNotice& notice, TimePoint sent);
+    /// Takes in a limit that somebody else knows, which counts until the server itself has answered.
+    static void take_reported_rate(GateServer& server, RequestRate rate, RateSource source);
     /// The connection of a request broke: reports the server's crash, if that was the cause. Blocks the
     /// fiber.
     void look_for_crash(GateServer& server, const std::string& instance);
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -113,6 +113,7 @@
         const auto now = TimePoint::clock::now();
         gate_.servers().expire(now);
         directory_.expire(now);
+        context_.notices.expire(now);
         end_limit_period(now);
         // Half a near period early rather than half late.
         if (now - announced_ + periods.near / 2 >= periods.far) {
--- a/src/sidecar/rate_lines.cpp
+++ b/src/sidecar/rate_lines.cpp
@@ -41,17 +41,16 @@
     return "answer";
 }
 
-/// In requests a second; empty without a limit.
-std::string text_of(const std::optional<admission::RequestRate>& rate) {
+}  // namespace
+
+std::string rate_text(const std::optional<RequestRate>& rate) {
     std::array<char, 32> text{};
     if (rate) {
-        std::snprintf(text.data(), text.size(), "%g", admission::per_second(*rate));
+        std::snprintf(text.data(), text.size(), "%g", per_second(*rate));
     }
     return text.data();
 }
 
-}  // namespace
-
 void RateLines::on_change(TimePoint now, const admission::ServerRate& rate, const RateMove& move) {
     const bool is_move = move.change == RateChange::kMoved;
     if (move.change == RateChange::kNone || (is_move && now < next_move_)) {
@@ -60,11 +59,24 @@
     next_move_ = now + kLinePause;
     log_event(Event::kServerRateLimit, {{"server", instance_},
                                         {"change", std::string(name_of(move.change))},
-                                        {"per_s", text_of(rate.limit())},
+                                        {"per_s", rate_text(rate.limit())},
                                         {"source", std::string(name_of(move.source))},
                                         {"age_ms", std::to_string(to_milliseconds(move.age))}});
 }
 
+void RateLines::on_refused(TimePoint now, const admission::ServerRate& rate) {
+    ++refused_;
+    if (now < next_refusal_) {
+        return;
+    }
+    next_refusal_ = now + kLinePause;
+    log_event(Event::kServerRateRefused, {{"server", instance_},
+                                          {"refused", std::to_string(refused_)},
+                                          {"per_s", rate_text(rate.limit())},
+                                          {"age_ms", std::to_string(to_milliseconds(rate.age(now)))}});
+    refused_ = 0;
+}
+
 void RateLines::on_malformed() {
     if (has_told_malformed_) {
         return;
--- a/src/sidecar/server_probe.cpp
+++ b/src/sidecar/server_probe.cpp
@@ -13,8 +13,8 @@
 
 }  // namespace
 
-std::optional<registration::Heartbeat> ask_server_beside(const SidecarContext& context,
-                                                         const routing::Configuration& configuration) {
+std::optional<HealthAnswer> ask_server_beside(const SidecarContext& context,
+                                              const routing::Configuration& configuration) {
     const auto& settings = context.settings;
     const auto terms = configuration.services.find(settings.service);
     if (settings.server.port == 0 || terms == configuration.services.end() ||
@@ -27,16 +27,16 @@
     std::error_code error;
     const auto response =
         client.exchange(request, {TimePoint::clock::now() + kProbeTimeout}, progress, error);
-    const auto health = response ? context.dialect.read_health(*response) : std::nullopt;
-    if (!health) {
-        return std::nullopt;
-    }
+    return response ? context.dialect.read_health(*response) : std::nullopt;
+}
+
+registration::Heartbeat heartbeat_of(const SidecarContext& context, const HealthAnswer& health) {
     registration::Heartbeat found;
-    found.instance = health->instance;
-    found.service = settings.service;
-    found.address = settings.server;
-    found.zone = settings.zone;
-    found.slots = health->slots.value_or(kUnknownSlots);
+    found.instance = health.instance;
+    found.service = context.settings.service;
+    found.address = context.settings.server;
+    found.zone = context.settings.zone;
+    found.slots = health.slots.value_or(kUnknownSlots);
     return found;
 }
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -165,9 +165,14 @@
 }
 
 void Sidecar::find_server() {
-    const auto found = ask_server_beside(parts_->context, *parts_->configuration.current());
-    if (found &&
-        parts_->gate.servers().on_found(TimePoint::clock::now(), *found) == RegistryChange::kAppeared) {
+    const auto health = ask_server_beside(parts_->context, *parts_->configuration.current());
+    if (!health) {
+        return;
+    }
+    const auto found = heartbeat_of(parts_->context, *health);
+    const auto change = parts_->gate.servers().on_found(TimePoint::clock::now(), found);
+    parts_->gate.on_health(*health);
+    if (change == RegistryChange::kAppeared) {
         parts_->peers.announce();
     }
 }
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -10,6 +10,7 @@
 #include "admission/origin_estimator.hpp"
 #include "config/sidecar_settings.hpp"
 #include "discovery/watch_role.hpp"
+#include "membership/server_notices.hpp"
 #include "observability/metrics.hpp"
 #include "protocol/time_types.hpp"
 #include "sidecar/overload_tracker.hpp"
@@ -85,6 +86,8 @@
     admission::OriginEstimator origins;
     /// Which services are without capacity. Fed by the attempts, the gate and reports of peers.
     OverloadTracker overload;
+    /// What servers said of themselves in answers. Fed by the attempts.
+    membership::ServerNotices notices;
     StopState stop;
     StoreStanding store;
 
--- a/src/sidecar/wire_dialect.hpp
+++ b/src/sidecar/wire_dialect.hpp
@@ -7,8 +7,8 @@
 #include <string>
 #include <string_view>
 
-#include "admission/server_rate.hpp"
 #include "net/http_types.hpp"
+#include "protocol/request_rate.hpp"
 #include "protocol/time_types.hpp"
 #include "registration/server_registry.hpp"
 #include "routing/configuration.hpp"
@@ -38,7 +38,7 @@
 
 /// What a server says of itself in an answer, whatever the request.
 struct ServerNotice {
-    std::optional<admission::RequestRate> rate_limit;  ///< The rate that it takes from all daemons together.
+    std::optional<RequestRate> rate_limit;  ///< The rate that it takes from all daemons together.
     bool has_malformed_limit = false;  ///< It names one that can't be read: nothing is known of its limit.
     bool is_leaving = false;           ///< It ends soon and takes no new requests.
 };
@@ -52,7 +52,8 @@
 /// What a server says of itself when it is asked for its health.
 struct HealthAnswer {
     std::string instance;
-    std::optional<unsigned> slots;  ///< Requests that it works on at the same time, where it says so.
+    std::optional<unsigned> slots;          ///< Requests that it works on at the same time, where it says so.
+    std::optional<RequestRate> rate_limit;  ///< Where it names one.
 };
 
 /// A configuration document, or what is wrong with it.
--- a/tests/unit/explain/request_trace_test.cpp
+++ b/tests/unit/explain/request_trace_test.cpp
@@ -94,12 +94,14 @@
 {
     const std::vector<LogLine> lines{
         line ("00.000", "b", "server-silent", R"("server":"i-1")"),
+        line ("00.500", "b", "server-rate-limit", R"("server":"i-1","per_s":"5")"),
         line ("01.000", "b", "server-silent", R"("server":"i-9")"),
         line ("02.000", "a", "ingress-call",
               R"("request_id":"r1","attempts":"i-1:unknown/x","outcome":"outcome-unknown")")
     };
     const auto steps = traceRequest (lines, "r1");
-    CHECK (relevancesOf (steps) == std::vector{ Relevance::serverChange, Relevance::own });
+    CHECK (relevancesOf (steps) ==
+           std::vector{ Relevance::serverChange, Relevance::serverChange, Relevance::own });
 }
 
 TEST_CASE ("only lines that can matter are read", "[explain]")
--- a/tests/unit/hop/hop_header_test.cpp
+++ b/tests/unit/hop/hop_header_test.cpp
@@ -19,6 +19,21 @@
     CHECK(received->row == "route/2");
 }
 
+TEST_CASE("a rate limit survives the encoding, and is left out where there is none") {
+    HopRequest request;
+    HopResult result;
+    CHECK(encode(request).find("rate") == std::string::npos);
+    CHECK(encode(result).find("rate") == std::string::npos);
+    CHECK_FALSE(decode_hop_request(encode(request))->rate_limit);
+    for (const std::uint32_t rate : {0U, 11'500U}) {
+        request.rate_limit = RequestRate(rate);
+        result.rate_limit = RequestRate(rate);
+        CHECK(decode_hop_request(encode(request))->rate_limit == RequestRate(rate));
+        CHECK(decode_hop_result(encode(result))->rate_limit == RequestRate(rate));
+    }
+    CHECK_FALSE(decode_hop_result(encode(result) + ";rate_limit=many"));
+}
+
 TEST_CASE("a row that would break its header line is left out") {
     HopRequest sent;
     for (const auto* row : {"a;once=1", "a\r\nX: y"}) {
--- /dev/null
+++ b/tests/unit/membership/server_notices_test.cpp
@@ -0,0 +1,45 @@
+#include "membership/server_notices.hpp"
+
+#include <catch2/catch.hpp>
+
+using namespace anisehold;
+using namespace anisehold::membership;
+
+namespace {
+
+const TimePoint kNow = TimePoint() + seconds(1'000);
+
+ServerRecord server(const std::string& instance, std::uint64_t born = 0) {
+    ServerRecord record;
+    record.instance = instance;
+    record.born = born;
+    return record;
+}
+
+}  // namespace
+
+TEST_CASE("a server's rate is known until it answers without one") {
+    ServerNotices notices;
+    CHECK_FALSE(notices.rate_of(server("a")));
+    notices.on_rate(kNow, server("a", 5), RequestRate(11'500));
+    CHECK(notices.rate_of(server("a", 5)) == RequestRate(11'500));
+    CHECK(notices.rate_of(server("a")) == RequestRate(11'500));
+    CHECK_FALSE(notices.rate_of(server("b", 5)));
+    notices.on_rate(kNow, server("a", 5), std::nullopt);
+    CHECK_FALSE(notices.rate_of(server("a", 5)));
+}
+
+TEST_CASE("a new start of a server begins without a rate") {
+    ServerNotices notices;
+    notices.on_rate(kNow, server("a", 5), RequestRate(11'500));
+    CHECK_FALSE(notices.rate_of(server("a", 6)));
+}
+
+TEST_CASE("servers that are gone are forgotten") {
+    ServerNotices notices;
+    notices.on_rate(kNow, server("a"), RequestRate(1));
+    notices.expire(kNow + seconds(599));
+    CHECK(notices.rate_of(server("a")));
+    notices.expire(kNow + seconds(601));
+    CHECK_FALSE(notices.rate_of(server("a")));
+}
--- a/tests/unit/platform/dialect_test.cpp
+++ b/tests/unit/platform/dialect_test.cpp
@@ -244,10 +244,10 @@
 
 TEST_CASE("a server's rate limit is read in thousandths of a request a second") {
     CHECK_FALSE(notice_of({})->rate_limit);
-    CHECK(notice_of({{"server-limit", "11.5"}})->rate_limit == admission::RequestRate(11'500));
-    CHECK(notice_of({{"Server-Limit", "0"}})->rate_limit == admission::RequestRate(0));
-    CHECK(notice_of({{"Server-Limit", "0.5"}}, 503)->rate_limit == admission::RequestRate(500));
-    CHECK(notice_of({{"Server-Limit", "900000000000"}})->rate_limit == admission::RequestRate(4'294'967'295));
+    CHECK(notice_of({{"server-limit", "11.5"}})->rate_limit == RequestRate(11'500));
+    CHECK(notice_of({{"Server-Limit", "0"}})->rate_limit == RequestRate(0));
+    CHECK(notice_of({{"Server-Limit", "0.5"}}, 503)->rate_limit == RequestRate(500));
+    CHECK(notice_of({{"Server-Limit", "900000000000"}})->rate_limit == RequestRate(4'294'967'295));
 }
 
 TEST_CASE("a rate limit that can't be read is neither a limit nor the end of one") {
--- a/tests/unit/wire/catalogue_golden_test.cpp
+++ b/tests/unit/wire/catalogue_golden_test.cpp
@@ -136,6 +136,8 @@
     metrics.count_server_crash("orders");
     metrics.set_suspects("condemned", 7);
     metrics.set_table_revision(8);
+    metrics.set_server_rate("orders", 11.5);
+    metrics.count_rate_refusal("orders");
     golden::check("catalogue_metrics_text.txt", sorted_lines(metrics.text()));
 }
 
