Leaving by answers: a machine that passed one on sends that server nothing more

What callers saw: nothing. A server whose answers say that it leaves goes on getting requests while its heartbeats say ready.

Cause: as with the rate limit, nobody read it; only a heartbeat could make a server leave.

Change: the gate hands the notice to `registration/server_registry`, where it is what a draining heartbeat is, final for that start, and told to peers at once. It outlasts a silence of the server, after which a heartbeat used to make a draining server a new one. The daemon of the caller remembers it by instance and start (`membership/server_notices`) and leaves such a server out of what it chooses from, whatever the records of peers say: the daemon beside the server may have been restarted, and hears heartbeats that say ready.

--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -123,6 +123,7 @@
     append(text, "failed_percent", result.failed_percent);
     append_unless_zero(text, "crashes", result.crashes);
     append(text, "rate_limit", result.rate_limit);
+    append_unless_zero(text, "leaves", result.server_leaves ? 1 : 0);
     append(text, "overloaded", std::string_view(result.overloaded_service));
     return text;
 }
@@ -155,15 +156,16 @@
     std::string outcome;
     std::string error;
     std::uint32_t retry_after_ms = 0;
-    const bool whole = read(fields, "outcome", outcome) && read(fields, "error", error) &&
-                       read(fields, "retry_after_ms", retry_after_ms) &&
-                       read(fields, "instance", result.instance) &&
-                       read(fields, "in_flight", result.in_flight) && read(fields, "queued", result.queued) &&
-                       read(fields, "limit", result.limit) && read(fields, "latency_us", result.latency_us) &&
-                       read(fields, "failed_percent", result.failed_percent) &&
-                       read_unless_zero(fields, "crashes", result.crashes) &&
-                       read(fields, "rate_limit", result.rate_limit) &&
-                       read(fields, "overloaded", result.overloaded_service);
+    unsigned leaves = 0;
+    const bool whole =
+        read(fields, "outcome", outcome) && read(fields, "error", error) &&
+        read(fields, "retry_after_ms", retry_after_ms) && read(fields, "instance", result.instance) &&
+        read(fields, "in_flight", result.in_flight) && read(fields, "queued", result.queued) &&
+        read(fields, "limit", result.limit) && read(fields, "latency_us", result.latency_us) &&
+        read(fields, "failed_percent", result.failed_percent) &&
+        read_unless_zero(fields, "crashes", result.crashes) &&
+        read(fields, "rate_limit", result.rate_limit) && read_unless_zero(fields, "leaves", leaves) &&
+        read(fields, "overloaded", result.overloaded_service);
     const auto kind = error_kind_from_name(error);
     if (!whole || !kind) {
         return std::nullopt;
@@ -173,6 +175,7 @@
             result.outcome = static_cast<HopOutcome>(index);
             result.error = *kind;
             result.retry_after = milliseconds(retry_after_ms);
+            result.server_leaves = leaves != 0;
             return result;
         }
     }
--- a/src/hop/hop_header.hpp
+++ b/src/hop/hop_header.hpp
@@ -52,6 +52,7 @@
     unsigned queued = 0;                          ///< Requests that wait at the gate.
     unsigned limit = 0;                           ///< Most requests that the gate lets run.
     std::optional<RequestRate> rate_limit;        ///< That the server named, if any.
+    bool server_leaves = false;                   ///< The server's answer says that it ends soon.
     unsigned latency_us = 0;                      ///< Time that the server takes for a request.
     unsigned failed_percent = 0;                  ///< Share of the server's latest requests that it failed.
     unsigned crashes = 0;  ///< Servers in a row that are known at the gate to have crashed under it.
--- a/src/membership/server_notices.cpp
+++ b/src/membership/server_notices.cpp
@@ -1,5 +1,7 @@
 #include "membership/server_notices.hpp"
 
+#include <algorithm>
+
 namespace anisehold::membership {
 namespace {
 
@@ -10,20 +12,40 @@
 
 void ServerNotices::on_rate(TimePoint now, const ServerRecord& server, std::optional<RequestRate> rate) {
     if (rate) {
-        notices_[server.instance] = {server.born, rate, now};
+        rates_[server.instance] = {{server.born, now}, *rate};
     } else {
-        notices_.erase(server.instance);
+        rates_.erase(server.instance);
     }
 }
 
 std::optional<RequestRate> ServerNotices::rate_of(const ServerRecord& server) const {
-    const auto found = notices_.find(server.instance);
-    return found != notices_.end() && is_same_start(found->second, server) ? found->second.rate
-                                                                           : std::nullopt;
+    const auto found = rates_.find(server.instance);
+    if (found == rates_.end()) {
+        return std::nullopt;
+    }
+    const auto born = found->second.start.born;
+    const bool is_same = born == 0 || server.born == 0 || born == server.born;
+    return is_same ? std::optional(found->second.rate) : std::nullopt;
+}
+
+void ServerNotices::on_leaving(TimePoint now, const ServerRecord& server) {
+    auto& start = leaving_[server.instance];
+    start = {std::max(start.born, server.born), now};
+}
+
+bool ServerNotices::is_leaving(const ServerRecord& server) {
+    const auto found = leaving_.find(server.instance);
+    if (found == leaving_.end()) {
+        return false;
+    }
+    auto& born = found->second.born;
+    born = born == 0 ? server.born : born;
+    return server.born <= born;
 }
 
 void ServerNotices::expire(TimePoint now) {
-    std::erase_if(notices_, [&](const auto& entry) { return now - entry.second.heard > kRemembered; });
+    std::erase_if(rates_, [&](const auto& entry) { return now - entry.second.start.heard > kRemembered; });
+    std::erase_if(leaving_, [&](const auto& entry) { return now - entry.second.heard > kRemembered; });
 }
 
 }  // namespace anisehold::membership
--- a/src/membership/server_notices.hpp
+++ b/src/membership/server_notices.hpp
@@ -1,6 +1,6 @@
 /// @file
 /// What servers said of themselves in the answers that this daemon got. Their own daemons may have forgotten
-/// it: those restart. Owns the latest notice of each start of a server; relies on being told of answers.
+/// it: those restart. Owns the latest notices of each start of a server; relies on being told of answers.
 /// Pure.
 #pragma once
 
@@ -15,28 +15,37 @@
 
 namespace anisehold::membership {
 
-/// By instance and start. A start that isn't known is taken for the one that is.
+/// By instance and start. Where a start isn't known, it is taken for the one that is.
 class ServerNotices {
   public:
     /// The server answered, and takes this rate; nothing if it named none.
     void on_rate(TimePoint now, const ServerRecord& server, std::optional<RequestRate> rate);
     /// The rate that it named last.
     std::optional<RequestRate> rate_of(const ServerRecord& server) const;
+
+    /// The server said that it leaves. Final for its start.
+    void on_leaving(TimePoint now, const ServerRecord& server);
+    /// Whether it said so. If its start wasn't known then, it is remembered as the one that is asked for.
+    bool is_leaving(const ServerRecord& server);
+    /// Whether any server said so.
+    bool has_leaving() const { return !leaving_.empty(); }
+
     /// Forgets servers of which nothing was heard for long.
     void expire(TimePoint now);
 
   private:
-    struct Notice {
-        std::uint64_t born = 0;  ///< Of the start; 0: unknown.
-        std::optional<RequestRate> rate;
+    /// A start of a server, and when it said something.
+    struct Start {
+        std::uint64_t born = 0;  ///< 0: unknown.
         TimePoint heard;
     };
+    struct NamedRate {
+        Start start;
+        RequestRate rate;
+    };
 
-    static bool is_same_start(const Notice& notice, const ServerRecord& server) {
-        return notice.born == 0 || server.born == 0 || notice.born == server.born;
-    }
-
-    std::map<std::string, Notice> notices_;
+    std::map<std::string, NamedRate> rates_;
+    std::map<std::string, Start> leaving_;
 };
 
 }  // namespace anisehold::membership
--- a/src/registration/server_registry.cpp
+++ b/src/registration/server_registry.cpp
@@ -87,6 +87,15 @@
     return RegistryChange::kAppeared;
 }
 
+RegistryChange ServerRegistry::on_leaving_answer(const std::string& instance) {
+    const auto found = servers_.find(instance);
+    if (found == servers_.end() || found->second.heartbeat.draining) {
+        return RegistryChange::kNone;
+    }
+    found->second.heartbeat.draining = true;
+    return RegistryChange::kDraining;
+}
+
 RegistryChange ServerRegistry::on_leave(TimePoint now, const std::string& instance, ServerStart born) {
     const auto found = servers_.find(instance);
     const auto known = found == servers_.end() ? ServerStart() : found->second.heartbeat.born;
@@ -102,11 +111,17 @@
     std::vector<std::string> silent;
     std::erase_if(servers_, [&](const auto& entry) {
         const auto& server = entry.second;
-        const bool expired = now - server.heard > (server.is_found ? found_silence : silence);
-        if (expired) {
-            silent.push_back(entry.first);
+        const bool is_draining = server.heartbeat.draining;
+        const bool expired = now - server.heard > (server.is_found && !is_draining ? found_silence : silence);
+        if (!expired) {
+            return false;
+        }
+        silent.push_back(entry.first);
+        // Its later heartbeats may say that it is ready.
+        if (is_draining) {
+            left_[entry.first] = {now, server.heartbeat.born, false, server.heartbeat.sequence, 0};
         }
-        return expired;
+        return true;
     });
     return silent;
 }
--- a/src/registration/server_registry.hpp
+++ b/src/registration/server_registry.hpp
@@ -58,6 +58,8 @@
     /// A server that said it was well when it was asked. Changes nothing if anything is known of the
     /// instance, or of its address.
     RegistryChange on_found(TimePoint now, const Heartbeat& found);
+    /// The server says in its answers that it ends soon, whatever its heartbeats say. Final, as draining is.
+    RegistryChange on_leaving_answer(const std::string& instance);
     /// `born`: of the start that leaves; 0 means the one that is known.
     RegistryChange on_leave(TimePoint now, const std::string& instance, ServerStart born = {});
     /// The server has crashed: nothing is known of it until it registers again. False if nothing was.
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -210,6 +210,9 @@
     if (result.rate_limit || result.outcome == hop::HopOutcome::kAnswered) {
         context_.notices.on_rate(now, attempt.server.server, result.rate_limit);
     }
+    if (result.server_leaves) {
+        context_.notices.on_leaving(now, attempt.server.server);
+    }
     chooser_.on_ended(
         now, attempt.server.server.instance,
         {attempt.cancel.cancelled(), is_server_failure(attempt.answer), now - attempt.started, slow_after});
--- a/src/sidecar/gate_servers.cpp
+++ b/src/sidecar/gate_servers.cpp
@@ -78,6 +78,15 @@
     return change;
 }
 
+bool GateServers::on_leaving_answer(const std::string& instance) {
+    if (registry_.on_leaving_answer(instance) == RegistryChange::kNone) {
+        return false;
+    }
+    log_event(Event::kServerLeaving,
+              {{"server", instance}, {"service", context_.settings.service}, {"source", "answer"}});
+    return true;
+}
+
 void GateServers::on_crash(const std::string& instance) {
     // Its next start registers anew, maybe under the same id.
     registry_.on_crash(instance);
--- a/src/sidecar/gate_servers.hpp
+++ b/src/sidecar/gate_servers.hpp
@@ -25,6 +25,8 @@
     registration::RegistryChange on_registration(TimePoint now, const RegistrationCall& call);
     /// The server beside was asked for its health and is well.
     registration::RegistryChange on_found(TimePoint now, const registration::Heartbeat& found);
+    /// The server says in an answer that it leaves; true if that is new.
+    bool on_leaving_answer(const std::string& instance);
     /// The server has crashed: nothing that is known of it holds any more.
     void on_crash(const std::string& instance);
     /// Drops servers that fell silent.
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -129,7 +129,8 @@
         look_for_crash(server, run.call.instance);
     }
     if (end.notice) {
-        take_notice(server, *end.notice, end.sent);
+        take_notice(server, run.call.instance, *end.notice, end.sent);
+        end.answer.result.server_leaves = end.notice->is_leaving;
     }
     server.crash.ended(run.id);
     --running_;
@@ -141,8 +142,12 @@
     return std::move(end.answer);
 }
 
-void LocalGate::take_notice(GateServer& server, const ServerNotice& notice, TimePoint sent) {
+void LocalGate::take_notice(GateServer& server, const std::string& instance, const ServerNotice& notice,
+                            TimePoint sent) {
     const auto now = TimePoint::clock::now();
+    if (notice.is_leaving && servers_.on_leaving_answer(instance)) {
+        change_listener_();
+    }
     if (notice.has_malformed_limit) {
         server.rate_lines.on_malformed();
         return;
@@ -178,9 +183,7 @@
     context_.metrics.count_server_crash(context_.settings.service);
     crashes_.on_crash(unanswered);
     servers_.on_crash(instance);
-    if (crash_listener_) {
-        crash_listener_();
-    }
+    change_listener_();
     log_event(Event::kServerCrashed, {{"server", instance},
                                       {"service", context_.settings.service},
                                       {"running", std::to_string(unanswered.size())},
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -40,8 +40,8 @@
     LocalGate(SidecarContext& context, CrashExchange& crashes)
         : context_(context), crashes_(crashes), servers_(context) {}
 
-    /// `listener` is called when the server beside has crashed.
-    void set_crash_listener(std::function<void()> listener) { crash_listener_ = std::move(listener); }
+    /// `listener` is called when the server beside has crashed, or says in an answer that it leaves.
+    void set_change_listener(std::function<void()> listener) { change_listener_ = std::move(listener); }
 
     /// Runs a request at the server that `call` names, or refuses it. Blocks the fiber; meanwhile `progress`
     /// shows whether the server may have been sent anything.
@@ -72,7 +72,8 @@
     /// Sends it to the server, and counts it as running meanwhile.
     GateAnswer run_at_server(GateServer& server, const GateRun& run, net::HttpRequest& request);
     /// Takes in what the answer to a request that was sent at `sent` says of the server.
-    static void take_notice(GateServer& server, const ServerNotice& notice, TimePoint sent);
+    void take_notice(GateServer& server, const std::string& instance, const ServerNotice& notice,
+                     TimePoint sent);
     /// Takes in a limit that somebody else knows, which counts until the server itself has answered.
     static void take_reported_rate(GateServer& server, RequestRate rate, RateSource source);
     /// The connection of a request broke: reports the server's crash, if that was the cause. Blocks the
@@ -84,7 +85,7 @@
     SidecarContext& context_;
     CrashExchange& crashes_;
     GateServers servers_;
-    std::function<void()> crash_listener_;
+    std::function<void()> change_listener_ = [] {};
     std::uint64_t next_id_ = 1;
     std::size_t in_flight_ = 0;
     unsigned running_ = 0;          ///< Requests at the server.
--- a/src/sidecar/server_chooser.cpp
+++ b/src/sidecar/server_chooser.cpp
@@ -98,9 +98,32 @@
 
 membership::ServiceView ServerChooser::candidates(const std::string& service, TimePoint now) {
     auto view = directory_.servers_of(now, service);
+    add_own_servers(view, service, now);
+    if (context_.notices.has_leaving()) {
+        drop_leaving(view);
+    }
+    return view;
+}
+
+void ServerChooser::drop_leaving(membership::ServiceView& view) {
+    const auto leaves = [this](const auto* known) { return context_.notices.is_leaving(known->server); };
+    const auto drop = [&](std::vector<const membership::KnownServer*>& servers, std::size_t& usual) {
+        const auto usual_end = servers.begin() + static_cast<std::ptrdiff_t>(usual);
+        usual -= static_cast<std::size_t>(std::count_if(servers.begin(), usual_end, leaves));
+        std::erase_if(servers, leaves);
+    };
+    drop(view.near, view.usual_near);
+    drop(view.far, view.usual_far);
+    if (view.own != nullptr && leaves(view.own)) {
+        view.own = nullptr;
+    }
+}
+
+void ServerChooser::add_own_servers(membership::ServiceView& view, const std::string& service,
+                                    TimePoint now) {
     own_servers_.clear();
     if (!gate_.servers().serves(service)) {
-        return view;
+        return;
     }
     for (auto& own : gate_.servers().records(now)) {
         if (own.service == service) {
@@ -112,7 +135,6 @@
         view.near.push_back(&own);
         view.own = &own;
     }
-    return view;
 }
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/server_chooser.hpp
+++ b/src/sidecar/server_chooser.hpp
@@ -35,8 +35,12 @@
     void on_ended(TimePoint now, const std::string& instance, const selection::AttemptEnd& end);
 
   private:
-    /// Servers beside peers, and the one beside this daemon. Holds until the next call.
+    /// Servers beside peers, and the one beside this daemon, that haven't said that they leave. Holds until
+    /// the next call.
     membership::ServiceView candidates(const std::string& service, TimePoint now);
+    /// What a server said in an answer binds this daemon, whatever the record of its peer says.
+    void drop_leaving(membership::ServiceView& view);
+    void add_own_servers(membership::ServiceView& view, const std::string& service, TimePoint now);
 
     /// A server that failed and is due to be tried again, by a request that was sent to none so far.
     const membership::KnownServer* take_trial(TimePoint now, const membership::ServiceView& view);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -123,7 +123,7 @@
     parts_->proofs.start(send);
     parts_->quotas.start(send);
     parts_->crashes.start(send);
-    parts_->gate.set_crash_listener([this] { parts_->peers.announce(); });
+    parts_->gate.set_change_listener([this] { parts_->peers.announce(); });
     parts_->peers.set_appearance_listener(
         [this](const Endpoint& gossip) { parts_->crashes.on_peer_appeared(gossip); });
     parts_->peers.set_other_receiver(
--- a/tests/unit/hop/hop_header_test.cpp
+++ b/tests/unit/hop/hop_header_test.cpp
@@ -34,6 +34,14 @@
     CHECK_FALSE(decode_hop_result(encode(result) + ";rate_limit=many"));
 }
 
+TEST_CASE("that a server leaves survives the encoding, and is left out otherwise") {
+    HopResult result;
+    CHECK(encode(result).find("leaves") == std::string::npos);
+    CHECK_FALSE(decode_hop_result(encode(result))->server_leaves);
+    result.server_leaves = true;
+    CHECK(decode_hop_result(encode(result))->server_leaves);
+}
+
 TEST_CASE("a row that would break its header line is left out") {
     HopRequest sent;
     for (const auto* row : {"a;once=1", "a\r\nX: y"}) {
--- a/tests/unit/membership/server_notices_test.cpp
+++ b/tests/unit/membership/server_notices_test.cpp
@@ -43,3 +43,25 @@
     notices.expire(kNow + seconds(601));
     CHECK_FALSE(notices.rate_of(server("a")));
 }
+
+TEST_CASE("a server that said that it leaves does so for good, but its next start doesn't") {
+    ServerNotices notices;
+    CHECK_FALSE(notices.has_leaving());
+    notices.on_leaving(kNow, server("a", 5));
+    CHECK(notices.has_leaving());
+    CHECK(notices.is_leaving(server("a", 5)));
+    CHECK(notices.is_leaving(server("a", 4)));
+    CHECK(notices.is_leaving(server("a")));
+    CHECK_FALSE(notices.is_leaving(server("a", 6)));
+    CHECK_FALSE(notices.is_leaving(server("b", 5)));
+    notices.expire(kNow + seconds(601));
+    CHECK_FALSE(notices.is_leaving(server("a", 5)));
+}
+
+TEST_CASE("a start that wasn't known when it left is the first that is named after it") {
+    ServerNotices notices;
+    notices.on_leaving(kNow, server("a"));
+    CHECK(notices.is_leaving(server("a")));
+    CHECK(notices.is_leaving(server("a", 5)));
+    CHECK_FALSE(notices.is_leaving(server("a", 6)));
+}
--- a/tests/unit/registration/server_registry_test.cpp
+++ b/tests/unit/registration/server_registry_test.cpp
@@ -215,3 +215,28 @@
         CHECK(registry.on_heartbeat(kStart, heartbeat("a", sequence)) == RegistryChange::kNone);
     }
 }
+
+TEST_CASE("leaving by an answer is final, whatever the heartbeats say and however late they come") {
+    ServerRegistry registry;
+    CHECK(registry.on_leaving_answer("a") == RegistryChange::kNone);
+    registry.on_heartbeat(kStart, heartbeat("a", 1));
+    CHECK(registry.on_leaving_answer("a") == RegistryChange::kDraining);
+    CHECK(registry.on_leaving_answer("a") == RegistryChange::kNone);
+    registry.on_heartbeat(kStart, heartbeat("a", 2));
+    CHECK(registry.find_ready("a") == nullptr);
+    CHECK(registry.expire(kStart + seconds(10), seconds(3), seconds(1)).size() == 1);
+    CHECK(registry.on_heartbeat(kStart + seconds(10), heartbeat("a", 3)) == RegistryChange::kNone);
+    CHECK(registry.find_ready("a") == nullptr);
+}
+
+TEST_CASE("a later start of a server that left by an answer serves") {
+    ServerRegistry registry;
+    auto first = heartbeat("a", 1);
+    first.born = ServerStart(100);
+    registry.on_heartbeat(kStart, first);
+    registry.on_leaving_answer("a");
+    auto second = heartbeat("a", 1);
+    second.born = ServerStart(200);
+    CHECK(registry.on_heartbeat(kStart, second) == RegistryChange::kAppeared);
+    CHECK(registry.find_ready("a") != nullptr);
+}
