Soak: servers that name limits and leave by answers, series of signals and configurations, kept connections

Two new promises, limit-is-kept and leaving-is-final, are checked from what clients were answered and servers got. Clients use one connection until the daemon or its process ends it. `--zones`, `--faults` and `--port` make larger rounds.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -1,6 +1,7 @@
 #include "soak/fault_injector.hpp"
 
 #include <algorithm>
+#include <array>
 #include <boost/fiber/operations.hpp>
 
 #include "net/event_loop.hpp"
@@ -17,6 +18,19 @@
 constexpr double lostShare = 0.5;
 /** Links that reset do so again after this time. */
 constexpr milliseconds resetPeriod{ 100 };
+/** Time between two signals, or two configurations, of a series. */
+constexpr milliseconds seriesPeriod{ 300 };
+
+/** A rate limit as the server writes it, and what it means. */
+struct ServerLimit
+{
+    const char* text;
+    double perS;
+};
+
+constexpr std::array<ServerLimit, 4> serverLimits{
+    { { "3", 3 }, { "0.5", 0.5 }, { "11.5", 11.5 }, { "0", 0 } }
+};
 
 bool strikesLinks (FaultKind kind)
 {
@@ -25,7 +39,8 @@
 
 bool strikesServer (FaultKind kind)
 {
-    return kind >= FaultKind::serverDeclines && kind <= FaultKind::serverReplaced;
+    return (kind >= FaultKind::serverDeclines && kind <= FaultKind::serverReplaced) ||
+           kind == FaultKind::serverLimited || kind == FaultKind::serverLeaving;
 }
 
 } // namespace
@@ -75,6 +90,9 @@
     const auto ends = loadStarted + fault.at + fault.lasts;
     struckUntil[machine] = std::max (struckUntil[machine], ends + options.aftermath);
 
+    if (strikesProcess (fault.kind) || strikesLinks (fault.kind))
+        checker.onMachineStruck (machine, ends, strikesProcess (fault.kind));
+
     if (strikesProcess (fault.kind))
         strikeProcess (fault.kind, machine, ends);
     else if (strikesLinks (fault.kind))
@@ -101,6 +119,12 @@
         return;
     }
 
+    if (kind == FaultKind::processSignalled)
+    {
+        signalInSeries (machine, ends);
+        return;
+    }
+
     if (kind == FaultKind::processKilled)
         fleet.kill (machine);
     else
@@ -117,6 +141,22 @@
     fleet.start_sidecar (machine);
 }
 
+void FaultInjector::signalInSeries (std::size_t machine, TimePoint ends)
+{
+    for (std::size_t n = 0; TimePoint::clock::now() < ends; ++n)
+    {
+        fleet.reload (machine);
+
+        if (n == 1 || n == 2)
+        {
+            fleet.kill (machine);
+            fleet.start_sidecar (machine);
+        }
+
+        boost::this_fiber::sleep_for (seriesPeriod);
+    }
+}
+
 void FaultInjector::strikeLinks (FaultKind kind, std::size_t machine, TimePoint ends)
 {
     auto& set = links[machine];
@@ -163,6 +203,18 @@
         return;
     }
 
+    if (kind == FaultKind::serverLimited)
+    {
+        limitServer (machine, ends);
+        return;
+    }
+
+    if (kind == FaultKind::serverLeaving)
+    {
+        leaveByAnswers (machine, ends);
+        return;
+    }
+
     auto& faults = fleet.machine (machine).server->faults;
     auto& flag = kind == FaultKind::serverDeclines       ? faults.declines
                  : kind == FaultKind::serverLosesAnswers ? faults.loses_answers
@@ -187,6 +239,25 @@
     server.replace ("i-" + std::to_string (machine) + "-" + std::to_string (++replacements));
 }
 
+void FaultInjector::limitServer (std::size_t machine, TimePoint ends)
+{
+    auto& server = *fleet.machine (machine).server;
+    const auto& limit = serverLimits.at (numLimited++ % serverLimits.size());
+    checker.onLimitNamed (InstanceId (server.instance()), limit.perS, TimePoint::clock::now(), ends);
+    server.faults.rate_limit = limit.text;
+    boost::this_fiber::sleep_until (ends);
+    server.faults.rate_limit.clear();
+}
+
+void FaultInjector::leaveByAnswers (std::size_t machine, TimePoint ends)
+{
+    auto& server = *fleet.machine (machine).server;
+    server.faults.says_leaving = true;
+    boost::this_fiber::sleep_until (ends);
+    server.replace ("i-" + std::to_string (machine) + "-" + std::to_string (++replacements));
+    server.faults.says_leaving = false;
+}
+
 void FaultInjector::changeConfiguration()
 {
     fleet.configure (options.configuration (++version));
@@ -203,6 +274,12 @@
     else if (kind == FaultKind::configurationChanged)
         changeConfiguration();
 
+    while (kind == FaultKind::configurationsInSeries && TimePoint::clock::now() < ends)
+    {
+        changeConfiguration();
+        boost::this_fiber::sleep_for (seriesPeriod);
+    }
+
     auto& flag = kind == FaultKind::storeLosesAnswers ? store.faults.loses_answers
                  : kind == FaultKind::storeSilent     ? store.faults.is_silent
                                                       : store.faults.refuses;
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -57,7 +57,10 @@
     void strikeProcess (FaultKind, std::size_t machine, TimePoint ends);
     void strikeLinks (FaultKind, std::size_t machine, TimePoint ends);
     void strikeServer (FaultKind, std::size_t machine, TimePoint ends);
+    void signalInSeries (std::size_t machine, TimePoint ends);
     void replaceServer (std::size_t machine, TimePoint ends);
+    void limitServer (std::size_t machine, TimePoint ends);
+    void leaveByAnswers (std::size_t machine, TimePoint ends);
     void strikeStore (FaultKind, TimePoint ends);
 
     testing::SidecarFleet& fleet;
@@ -68,6 +71,7 @@
     TimePoint loadStarted;
     unsigned version = 1; /**< Of the configuration that was put last. */
     std::size_t replacements = 0;
+    std::size_t numLimited = 0;
 };
 
 } // namespace anisehold::soak
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -23,20 +23,19 @@
 constexpr int notStarted = 3;
 
 /** Runs one round in this process and prints what it showed. */
-int playRound (std::uint64_t seed)
+int playRound (const RoundOptions& options)
 {
-    RoundOptions options;
-    options.seed = seed;
     const auto result = runRound (options);
 
     if (! result.started)
     {
-        std::cout << "seed " << seed << ": the fleet did not start; logs in " << result.logFolder << "\n";
+        std::cout << "seed " << options.seed << ": the fleet did not start; logs in " << result.logFolder
+                  << "\n";
         return notStarted;
     }
 
-    std::cout << "seed " << seed << ": " << result.plan.size() << " faults, " << result.numServed << " of "
-              << result.numSent << " requests served, after the faults " << result.servedAfterFaults
+    std::cout << "seed " << options.seed << ": " << result.plan.size() << " faults, " << result.numServed
+              << " of " << result.numSent << " requests served, after the faults " << result.servedAfterFaults
               << (result.broken.empty() ? ", no promise broken" : ", BROKEN") << "\n";
 
     if (result.broken.empty())
@@ -56,10 +55,13 @@
 }
 
 /** Each round has a process of its own, so that nothing of one reaches the next. */
-int playInChild (const std::string& program, std::uint64_t seed)
+int playInChild (const std::string& program, const RoundOptions& options)
 {
     namespace process = boost::process;
-    process::child child (program, process::args ({ "--round", std::to_string (seed) }));
+    process::child child (program, process::args ({ "--round", std::to_string (options.seed), "--zones",
+                                                    std::to_string (options.numZones), "--faults",
+                                                    std::to_string (options.numFaults), "--port",
+                                                    std::to_string (options.basePort) }));
     child.wait();
     return child.exit_code();
 }
@@ -90,17 +92,20 @@
     return numBroken == 0 ? promisesHeld : promisesBroken;
 }
 
-int playSeeds (const std::string& program, const std::vector<std::uint64_t>& seeds)
+int playSeeds (const std::string& program, RoundOptions options, const std::vector<std::uint64_t>& seeds)
 {
     std::size_t numBroken = 0;
 
     for (const auto seed : seeds)
-        numBroken += playInChild (program, seed) == promisesHeld ? 0 : 1;
+    {
+        options.seed = seed;
+        numBroken += playInChild (program, options) == promisesHeld ? 0 : 1;
+    }
 
     return report (seeds.size(), numBroken);
 }
 
-int playFresh (const std::string& program, seconds duration)
+int playFresh (const std::string& program, RoundOptions options, seconds duration)
 {
     std::random_device random;
     const auto ends = TimePoint::clock::now() + duration;
@@ -110,7 +115,8 @@
     while (TimePoint::clock::now() < ends)
     {
         ++numRounds;
-        numBroken += playInChild (program, random()) == promisesHeld ? 0 : 1;
+        options.seed = random();
+        numBroken += playInChild (program, options) == promisesHeld ? 0 : 1;
     }
 
     return report (numRounds, numBroken);
@@ -121,22 +127,26 @@
 int run (int argc, char** argv)
 {
     CLI::App app{ "Random faults against real processes on loopback" };
-    std::uint64_t round = 0;
+    RoundOptions options;
     long long duration = 120;
     std::string seedFile;
-    auto* roundOption = app.add_option ("--round", round, "Plays this seed only, in this process");
+    auto* roundOption = app.add_option ("--round", options.seed, "Plays this seed only, in this process");
     auto* fileOption =
         app.add_option ("--seeds", seedFile, "Plays the seeds of a file")->check (CLI::ExistingFile);
     app.add_option ("--seconds", duration, "Plays fresh seeds for this long")->check (CLI::PositiveNumber);
+    app.add_option ("--zones", options.numZones, "Zones of the fleet, of three machines each")
+        ->check (CLI::Range (1, 40));
+    app.add_option ("--faults", options.numFaults, "Faults that are drawn")->check (CLI::Range (0, 200));
+    app.add_option ("--port", options.basePort, "First port of the fleet");
     CLI11_PARSE (app, argc, argv);
 
     if (*roundOption)
-        return playRound (round);
+        return playRound (options);
 
     if (*fileOption)
-        return playSeeds (argv[0], readSeeds (seedFile));
+        return playSeeds (argv[0], options, readSeeds (seedFile));
 
-    return playFresh (argv[0], seconds (duration));
+    return playFresh (argv[0], options, seconds (duration));
 }
 
 } // namespace anisehold::soak
--- a/soak/plan.hpp
+++ b/soak/plan.hpp
@@ -44,11 +44,17 @@
     serverConfused,     /**< Its answers bear another request's id. */
     serverHangs,        /**< It takes requests and keeps silent. */
     serverReplaced,     /**< It leaves in good order, and another one takes its address. */
-    configurationChanged
+    configurationChanged,
+    serverLimited,    /**< All its answers name a rate limit. */
+    serverLeaving,    /**< All its answers say that it leaves, its heartbeats don't; another one follows. */
+    processSignalled, /**< SIGHUP again and again, and two kills with a start at once. */
+    configurationsInSeries /**< New versions, quicker than they spread. */
 };
 
 /** Number of the kinds above. */
-inline constexpr std::size_t numFaultKinds = static_cast<std::size_t> (FaultKind::configurationChanged) + 1;
+inline constexpr std::size_t numFaultKinds = static_cast<std::size_t> (FaultKind::configurationsInSeries) + 1;
+/** The first of the kinds that every plan has one fault of. */
+inline constexpr FaultKind firstConstantKind = FaultKind::serverLimited;
 
 /** The kind's name in reports. */
 std::string_view nameOf (FaultKind);
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -2,16 +2,17 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdlib>
 
 namespace anisehold::soak
 {
 namespace
 {
 
-constexpr std::array<std::string_view, 13> promiseNames{
-    "runs-once",       "refused-never-runs", "answer-is-own",     "nothing-unasked", "right-service",
-    "bounded-servers", "drained-is-left",    "answered-in-time",  "recovers",        "stays-alive",
-    "tenant-is-set",   "key-is-hidden",      "revoked-is-refused"
+constexpr std::array<std::string_view, 15> promiseNames{
+    "runs-once",       "refused-never-runs", "answer-is-own",      "nothing-unasked", "right-service",
+    "bounded-servers", "drained-is-left",    "answered-in-time",   "recovers",        "stays-alive",
+    "tenant-is-set",   "key-is-hidden",      "revoked-is-refused", "limit-is-kept",   "leaving-is-final"
 };
 
 constexpr unsigned statusOk = 200;
@@ -23,12 +24,33 @@
     return std::find (promisingStatuses.begin(), promisingStatuses.end(), status) != promisingStatuses.end();
 }
 
+/** A limit must hold from so long after it was first named on. */
+constexpr seconds limitContact{ 3 };
+constexpr seconds limitWindow{ 4 };
+constexpr double limitFactor = 1.5;
+constexpr double limitSlack = 5;
+/** A machine is bound by what it passed on from so long after it on. */
+constexpr milliseconds limitTold{ 500 };
+
 /** Calls that servers make themselves bear this mark in their id and aren't known in advance. */
 bool isNestedCall (const RequestId& id)
 {
     return id.value.find (":call-") != std::string::npos;
 }
 
+/** Where a call began that a server made: its id holds the server's, and that its machine. */
+std::size_t machineOfNestedCall (const RequestId& id)
+{
+    constexpr std::string_view mark = ":call-i-";
+    return std::strtoul (id.value.c_str() + id.value.rfind (mark) + mark.size(), nullptr, 10);
+}
+
+/** The instance that signed the answer. */
+InstanceId signerOf (const ReceivedAnswer& answer)
+{
+    return InstanceId (answer.signature.substr (0, answer.signature.find ('.')));
+}
+
 } // namespace
 
 std::string_view nameOf (Promise promise)
@@ -59,6 +81,7 @@
     if (isNestedCall (arrival.id))
     {
         checkTenant ({}, arrival);
+        checkLimit (machineOfNestedCall (arrival.id), arrival);
         return;
     }
 
@@ -71,6 +94,8 @@
     }
 
     auto& request = it->second;
+    checkLimit (request.sent.machine, arrival);
+    checkLeaving (request.sent, arrival);
 
     if (arrival.target != request.sent.target)
         report (Promise::nothingUnasked, arrival.id.value + " as " + arrival.target);
@@ -114,6 +139,7 @@
 void PromiseChecker::onAnswer (const ReceivedAnswer& answer)
 {
     auto& request = requests[answer.id];
+    takeNotices (request, answer);
 
     if (answer.status == statusOk)
     {
@@ -125,6 +151,75 @@
         request.refusedWith = answer.status;
 }
 
+void PromiseChecker::takeNotices (const Request& request, const ReceivedAnswer& answer)
+{
+    const auto machine = request.sent.machine;
+
+    if (answer.signature.empty() || answer.at < struckUntil[machine])
+        return;
+
+    const Pair pair{ machine, signerOf (answer) };
+
+    if (answer.namesLimit)
+        toldLimit.emplace (pair, answer.at);
+
+    if (answer.saysLeaving)
+        toldLeaving.emplace (pair, answer.at);
+}
+
+void PromiseChecker::checkLimit (std::size_t machine, const Arrival& arrival)
+{
+    const auto named = limits.find (arrival.instance);
+    const auto told = toldLimit.find ({ machine, arrival.instance });
+
+    if (named == limits.end() || told == toldLimit.end())
+        return;
+
+    auto& limit = named->second;
+    const bool isInForce = arrival.at >= limit.from + limitContact && arrival.at < limit.until;
+
+    if (! isInForce || arrival.at < told->second + limitTold)
+        return;
+
+    limit.arrivals.push_back (arrival.at);
+
+    while (limit.arrivals.front() <= arrival.at - limitWindow)
+        limit.arrivals.pop_front();
+
+    const auto allowed = limitFactor * limit.perS * static_cast<double> (limitWindow.count()) + limitSlack;
+    const auto got = static_cast<double> (limit.arrivals.size());
+
+    if (got <= allowed || limit.isBroken)
+        return;
+
+    limit.isBroken = true;
+    report (Promise::limitIsKept, arrival.instance.value + " with " + std::to_string (limit.perS) +
+                                      " a second got more than " + std::to_string (allowed) + " in 4 s");
+}
+
+void PromiseChecker::checkLeaving (const SentRequest& sent, const Arrival& arrival)
+{
+    const auto told = toldLeaving.find ({ sent.machine, arrival.instance });
+
+    if (told != toldLeaving.end() && sent.at > told->second + drainTimeout)
+        report (Promise::leavingIsFinal, sent.id.value + " at " + arrival.instance.value);
+}
+
+void PromiseChecker::onLimitNamed (const InstanceId& instance, double perS, TimePoint from, TimePoint until)
+{
+    limits[instance] = { perS, from, until, {}, false };
+}
+
+void PromiseChecker::onMachineStruck (std::size_t machine, TimePoint until, bool isProcess)
+{
+    const auto isOfMachine = [&] (const auto& it) { return it.first.first == machine; };
+    struckUntil[machine] = std::max (struckUntil[machine], until);
+    std::erase_if (toldLimit, isOfMachine);
+
+    if (isProcess)
+        std::erase_if (toldLeaving, isOfMachine);
+}
+
 void PromiseChecker::onLeaveAcknowledged (const InstanceId& instance, TimePoint at)
 {
     left.emplace (instance, at);
--- a/soak/promises.hpp
+++ b/soak/promises.hpp
@@ -4,9 +4,11 @@
 */
 #pragma once
 
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "protocol/strong_id.hpp"
@@ -33,7 +35,9 @@
     staysAlive,       /**< A process ended by itself. */
     tenantIsSet,      /**< A server got another tenant than its key's. */
     keyIsHidden,      /**< A server was shown the caller's key. */
-    revokedIsRefused  /**< It ran although its key had been taken away long before it was sent. */
+    revokedIsRefused, /**< It ran although its key had been taken away long before it was sent. */
+    limitIsKept, /**< A server got more than the rate that it named, from machines that had passed that on. */
+    leavingIsFinal /**< It reached a server long after its machine had passed on that this one leaves. */
 };
 
 /** The promise's name in reports. */
@@ -56,6 +60,7 @@
     std::string tenant{};        /**< That holds its key; empty without one. */
     bool usesRevokedKey = false; /**< Its key is one that is taken away in the course of the round. */
     TimePoint at{};
+    std::size_t machine = 0; /**< Where its client sent it. */
 };
 
 /** What its client got. */
@@ -66,6 +71,9 @@
     std::string echoedId;
     std::string signature;
     std::string body;
+    bool namesLimit = false;  /**< Its server names a rate limit in it. */
+    bool saysLeaving = false; /**< Its server says in it that it leaves. */
+    TimePoint at{};
 };
 
 /** What a server saw of it. */
@@ -99,6 +107,11 @@
     /** The store acknowledged that the key of `usesRevokedKey` was taken away. */
     void onKeyTakenAway (TimePoint at) { keyTakenAway = at; }
     void onLeaveAcknowledged (const InstanceId&, TimePoint at);
+    /** The server names a rate limit, in requests a second, in [`from`, `until`). */
+    void onLimitNamed (const InstanceId&, double perS, TimePoint from, TimePoint until);
+    /** The machine's process or links are disturbed until then: what it had passed on binds it no more. A cut
+        alone excuses nothing from a server's leaving. */
+    void onMachineStruck (std::size_t machine, TimePoint until, bool isProcess);
     void report (Promise, std::string detail);
 
     /** Checks what only the end can tell: that what was refused never ran. */
@@ -117,6 +130,21 @@
         unsigned refusedWith = 0; /**< Status that promised that it has not run; 0: none. */
     };
 
+    /** A machine and a server. */
+    using Pair = std::pair<std::size_t, InstanceId>;
+
+    struct NamedLimit
+    {
+        double perS = 0;
+        TimePoint from;
+        TimePoint until;
+        std::deque<TimePoint> arrivals; /**< Those that count, of the last window. */
+        bool isBroken = false;
+    };
+
+    void takeNotices (const Request&, const ReceivedAnswer&);
+    void checkLimit (std::size_t machine, const Arrival&);
+    void checkLeaving (const SentRequest&, const Arrival&);
     void checkSuccess (const Request&, const ReceivedAnswer&);
     void checkTenant (const SentRequest&, const Arrival&);
 
@@ -125,6 +153,10 @@
     TimePoint keyTakenAway = TimePoint::max();
     std::map<RequestId, Request> requests;
     std::map<InstanceId, TimePoint> left;
+    std::map<InstanceId, NamedLimit> limits;
+    std::map<Pair, TimePoint> toldLimit;   /**< When the machine passed on such an answer first. */
+    std::map<Pair, TimePoint> toldLeaving; /**< The same. */
+    std::map<std::size_t, TimePoint> struckUntil;
     std::vector<BrokenPromise> found;
     std::size_t served = 0;
 };
--- a/soak/round.cpp
+++ b/soak/round.cpp
@@ -30,14 +30,16 @@
 constexpr std::size_t clientsPerMachine = 2;
 constexpr unsigned statusOk = 200;
 
-/** Two machines of each service; "front" calls "back", "pay" runs at most once and calls "back" too. */
-std::vector<testing::SidecarMachinePlan> machinePlans()
+/** A machine of each service in each zone; "front" calls "back", "pay" runs at most once and calls "back"
+ * too. */
+std::vector<testing::SidecarMachinePlan> machinePlans (std::size_t numZones)
 {
     const std::vector<lab::NestedCall> calls{ { "back.example", "/back/call" } };
     std::vector<testing::SidecarMachinePlan> plans;
 
-    for (const char* zone : { "z1", "z2" })
+    for (std::size_t n = 1; n <= numZones; ++n)
     {
+        const auto zone = "z" + std::to_string (n);
         plans.push_back ({ zone, "front", calls, 16, milliseconds (10), true });
         plans.push_back ({ zone, "pay", calls, 16, milliseconds (10), true });
         plans.push_back ({ zone, "back", {}, 32, milliseconds (5), true });
@@ -87,7 +89,7 @@
 public:
     explicit Round (const RoundOptions& optionsToUse)
         : options (optionsToUse),
-          fleet (options.basePort, machinePlans()),
+          fleet (options.basePort, machinePlans (options.numZones)),
           checker (drainTimeout, fleet.machine (0).key_revocation),
           injector (fleet, checker, { drainTimeout, requestTime, [this] (unsigned version) {
                                          return configuration (version, holdsLastKey);
@@ -154,6 +156,8 @@
     void runClient (std::size_t machine, std::size_t client)
     {
         static const std::vector<std::string> services{ "front", "pay", "back" };
+        // Its connection is used until the daemon or its process ends it.
+        auto connection = fleet.client_of (machine);
 
         for (std::size_t n = 0; ! isOver; ++n)
         {
@@ -168,13 +172,15 @@
             sent.tenant = key.tenant;
             sent.usesRevokedKey = &key == &clientKeys().back();
             sent.at = TimePoint::clock::now();
-            sendOne (machine, sent, key.key);
+            sent.machine = machine;
+            sendOne (connection, sent, key.key);
             boost::this_fiber::sleep_for (clientPause);
         }
     }
 
-    void sendOne (std::size_t machine, const SentRequest& sent, const std::string& key)
+    void sendOne (net::HttpClient& connection, const SentRequest& sent, const std::string& key)
     {
+        const auto machine = sent.machine;
         checker.onSent (sent);
         // A key that was taken away is refused for good, as it should be.
         const bool counts = isWatched && ! sent.usesRevokedKey;
@@ -183,10 +189,12 @@
         testing::ClientRequest request{ sent.mayRepeat ? "GET" : "POST", sent.service + ".example",
                                         sent.target, sent.id.value, requestTime };
         request.fields.add ("Authorization", "Bearer " + key);
-        const auto got = fleet.send (machine, request);
+        const auto got = fleet.send_over (machine, connection, request);
         const auto taken = TimePoint::clock::now() - started;
         checker.onAnswer ({ sent.id, got.status, std::string (got.fields.find ("Request-Id").value_or ("")),
-                            std::string (got.fields.find ("Server-Signature").value_or ("")), got.body });
+                            std::string (got.fields.find ("Server-Signature").value_or ("")), got.body,
+                            got.fields.find ("Server-Limit").has_value(),
+                            got.fields.find ("Server-Leaving").has_value(), TimePoint::clock::now() });
 
         if (wasSound && ! injector.isStruck (machine) && taken > requestTime + answerSlack)
             checker.report (Promise::answeredInTime,
--- a/soak/round.hpp
+++ b/soak/round.hpp
@@ -17,6 +17,7 @@
     std::uint64_t seed = 1;
     std::uint16_t basePort = 28'000;
     std::size_t numFaults = 16;
+    std::size_t numZones = 2; /**< With three machines each. */
     milliseconds faultsEnd{ 10'000 };
 };
 
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -198,8 +198,17 @@
            });
 }
 
-ClientAnswer SidecarFleet::send(std::size_t machine, const ClientRequest& client_request) {
-    net::HttpClient client(Fleet::loop().io(), machines_.at(machine)->calls);
+net::HttpClient SidecarFleet::client_of(std::size_t machine) const {
+    return net::HttpClient(Fleet::loop().io(), machines_.at(machine)->calls);
+}
+
+ClientAnswer SidecarFleet::send(std::size_t machine, const ClientRequest& request) {
+    auto client = client_of(machine);
+    return send_over(machine, client, request);
+}
+
+ClientAnswer SidecarFleet::send_over(std::size_t machine, net::HttpClient& client,
+                                     const ClientRequest& client_request) {
     auto request = net::make_request(client_request.method, client_request.target);
     request.fields.set("Host", client_request.host);
     request.fields.set("Request-Id", client_request.id);
@@ -244,6 +253,10 @@
     ::kill(machines_.at(machine)->child.id(), SIGTERM);
 }
 
+void SidecarFleet::reload(std::size_t machine) {
+    ::kill(machines_.at(machine)->child.id(), SIGHUP);
+}
+
 void SidecarFleet::freeze(std::size_t machine) {
     ::kill(machines_.at(machine)->child.id(), SIGSTOP);
 }
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -96,11 +96,16 @@
     std::size_t size() const { return machines_.size(); }
 
     ClientAnswer send(std::size_t machine, const ClientRequest& request);
+    /// Sends over the connections that the client keeps to the machine.
+    ClientAnswer send_over(std::size_t machine, net::HttpClient& client, const ClientRequest& request);
+    net::HttpClient client_of(std::size_t machine) const;
     bool is_ready(std::size_t machine);
     /// Puts a configuration into the store.
     void configure(const std::string& configuration);
     void kill(std::size_t machine);
     void terminate(std::size_t machine);
+    /// Says that the settings file has changed.
+    void reload(std::size_t machine);
     /// Stops the process where it stands, and lets it go on.
     void freeze(std::size_t machine);
     void thaw(std::size_t machine);
--- a/tests/unit/soak/promises_test.cpp
+++ b/tests/unit/soak/promises_test.cpp
@@ -202,3 +202,109 @@
     checker.onArrival (arrivalOf (payment, one));
     checkOnly (checker, Promise::revokedIsRefused);
 }
+
+namespace
+{
+
+constexpr double limitPerS = 2;
+const TimePoint named = TimePoint (seconds (100));
+
+/** A checker of a server with a limit of two a second, named from 100 s on, and of as many requests at
+ * machine 4. */
+PromiseChecker limitedChecker (std::size_t numRequests)
+{
+    PromiseChecker checker (milliseconds (500), seconds (3));
+    checker.onLimitNamed (one, limitPerS, named, named + seconds (20));
+
+    for (std::size_t n = 0; n < numRequests; ++n)
+    {
+        SentRequest sent{ RequestId ("l" + std::to_string (n)), "back", "/back/1", true, 2 };
+        sent.machine = 4;
+        checker.onSent (sent);
+    }
+
+    return checker;
+}
+
+/** The first request's answer, which names what is given. */
+ReceivedAnswer answerWith (bool namesLimit, bool saysLeaving)
+{
+    return { RequestId ("l0"), 200, "l0", "i-1.l0", "back /back/1", namesLimit, saysLeaving, named };
+}
+
+void arrive (PromiseChecker& checker, std::size_t request, TimePoint at)
+{
+    checker.onArrival ({ RequestId ("l" + std::to_string (request)), one, "back", "/back/1", true, at });
+}
+
+/** Requests 50 ms apart, from so long after the naming on. */
+void arriveMany (PromiseChecker& checker, std::size_t numRequests, seconds after)
+{
+    for (std::size_t n = 0; n < numRequests; ++n)
+        arrive (checker, n, named + after + milliseconds (50 * n));
+}
+
+constexpr std::size_t numAllowed = 17;
+
+} // namespace
+
+TEST_CASE ("more than a server's limit from machines that were told is seen", "[soak]")
+{
+    const auto numBeyond = GENERATE (0U, 1U);
+    const auto numRequests = numAllowed + numBeyond;
+    auto checker = limitedChecker (numRequests);
+    checker.onAnswer (answerWith (true, false));
+    arriveMany (checker, numRequests, seconds (4));
+    CHECK (checker.broken().size() == numBeyond);
+}
+
+TEST_CASE ("what a limit doesn't bind isn't held against it", "[soak]")
+{
+    auto checker = limitedChecker (60);
+
+    SECTION ("nobody was told") {}
+    SECTION ("the machine was struck since")
+    {
+        checker.onAnswer (answerWith (true, false));
+        checker.onMachineStruck (4, named + seconds (1), false);
+    }
+    SECTION ("it was named a moment ago")
+    {
+        checker.onAnswer (answerWith (true, false));
+        arriveMany (checker, 30, seconds (1));
+        CHECK (checker.broken().empty());
+        return;
+    }
+
+    arriveMany (checker, 60, seconds (4));
+    CHECK (checker.broken().empty());
+}
+
+TEST_CASE ("a request sent long after the machine was told of a leaving is seen", "[soak]")
+{
+    PromiseChecker checker (milliseconds (500), seconds (3));
+    SentRequest sent{ RequestId ("l0"), "back", "/back/1", true, 2 };
+    sent.machine = 4;
+    sent.at = named + milliseconds (600);
+    checker.onSent (sent);
+    bool isBound = true;
+
+    SECTION ("in touch")
+    {
+        checker.onAnswer (answerWith (false, true));
+    }
+    SECTION ("cut off since")
+    {
+        checker.onAnswer (answerWith (false, true));
+        checker.onMachineStruck (4, named + milliseconds (100), false);
+    }
+    SECTION ("restarted since")
+    {
+        checker.onAnswer (answerWith (false, true));
+        checker.onMachineStruck (4, named + milliseconds (100), true);
+        isBound = false;
+    }
+
+    arrive (checker, 0, named + milliseconds (700));
+    CHECK (checker.broken().size() == (isBound ? 1 : 0));
+}
