Server rate limits: a refusal without a limit doesn't end the one in force

A server that is full may answer that it ran nothing without saying more. Taken for the end of its limit, such refusals would let it have all that its slots allow, at the moment at which it is least able to. Only an answer to a request that ran ends a limit now; a refusal that names one is still taken at its word.

--- a/lab/platform_server.cpp
+++ b/lab/platform_server.cpp
@@ -222,6 +222,10 @@
     }
     if (declined) {
         auto refusal = answer(kUnavailable, id, "");
+        if (faults.refusals_are_bare) {
+            refusal.fields.remove("Server-Limit");
+            refusal.fields.remove("Server-Leaving");
+        }
         refusal.fields.set("Not-Executed", "1");
         return refusal;
     }
--- a/lab/platform_server.hpp
+++ b/lab/platform_server.hpp
@@ -58,6 +58,7 @@
     bool answers_another = false;    ///< Answers with another request's id.
     bool hangs = false;              ///< Takes requests and answers nothing.
     std::string rate_limit;          ///< Named as it stands in all answers, unless it is empty.
+    bool refusals_are_bare = false;  ///< Refusals say nothing of the server beyond that they ran nothing.
     bool says_leaving = false;       ///< All answers say that it leaves; its heartbeats don't.
     /// A request whose target holds this text ends the server that begins it; none does if it is empty.
     std::string fatal_target;
--- a/src/admission/server_gate.hpp
+++ b/src/admission/server_gate.hpp
@@ -2,8 +2,8 @@
 /// The gate of one server: which calls run there now, which wait, and which are refused.
 ///
 /// All calls to a server pass its one gate, so it counts what is in flight exactly. It owns that count, the
-/// queue and the server's mean times; the limit comes from a ConcurrencyLimit. It relies on its caller for
-/// the clock, and to end or abandon each call once. Pure.
+/// queue, the server's rate (server_rate) and its mean times; the limit comes from a ConcurrencyLimit. It
+/// relies on its caller for the clock, and to end or abandon each call once. Pure.
 #pragma once
 
 #include <cstdint>
--- a/src/membership/peer_record.hpp
+++ b/src/membership/peer_record.hpp
@@ -23,7 +23,7 @@
     unsigned slots = 0;       ///< Requests that it works on at the same time.
     unsigned in_flight = 0;   ///< Requests that the gate has running there.
     unsigned queued = 0;      ///< Requests waiting at the gate.
-    unsigned limit = 0;       ///< Learned concurrency limit.
+    unsigned limit = 0;       ///< Most requests that run there at the same time, by its slots and its rate.
     unsigned latency_us = 0;  ///< Moving average of its answers' time.
     unsigned cold_ms = 0;     ///< How much longer it is slow from its start.
     unsigned failed_percent = 0;  ///< Share of its latest requests that it failed.
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -129,7 +129,7 @@
         look_for_crash(server, run.call.instance);
     }
     if (end.notice) {
-        take_notice(server, run.call.instance, *end.notice, end.sent);
+        take_notice(server, run.call.instance, end);
         end.answer.result.server_leaves = end.notice->is_leaving;
     }
     server.crash.ended(run.id);
@@ -142,8 +142,8 @@
     return std::move(end.answer);
 }
 
-void LocalGate::take_notice(GateServer& server, const std::string& instance, const ServerNotice& notice,
-                            TimePoint sent) {
+void LocalGate::take_notice(GateServer& server, const std::string& instance, const ServerExchangeEnd& end) {
+    const auto& notice = *end.notice;
     const auto now = TimePoint::clock::now();
     if (notice.is_leaving && servers_.on_leaving_answer(instance)) {
         change_listener_();
@@ -152,9 +152,13 @@
         server.rate_lines.on_malformed();
         return;
     }
+    // A server that is full may refuse without naming its limit.
+    if (!notice.rate_limit && end.answer.result.outcome != HopOutcome::kAnswered) {
+        return;
+    }
     auto& rate = server.gate.rate();
     const auto age = rate.age(now);
-    const auto change = rate.on_answer(now, sent, notice.rate_limit);
+    const auto change = rate.on_answer(now, end.sent, notice.rate_limit);
     server.rate_lines.on_change(now, rate, {change, RateSource::kAnswer, age});
     if (change != admission::RateChange::kNone) {
         release_waiting(server, now);
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -29,6 +29,7 @@
 #include "sidecar/attempt_outcome.hpp"
 #include "sidecar/crash_exchange.hpp"
 #include "sidecar/gate_servers.hpp"
+#include "sidecar/server_exchange.hpp"
 #include "sidecar/sidecar_context.hpp"
 
 namespace anisehold::sidecar {
@@ -71,9 +72,8 @@
                             TimePoint started);
     /// Sends it to the server, and counts it as running meanwhile.
     GateAnswer run_at_server(GateServer& server, const GateRun& run, net::HttpRequest& request);
-    /// Takes in what the answer to a request that was sent at `sent` says of the server.
-    void take_notice(GateServer& server, const std::string& instance, const ServerNotice& notice,
-                     TimePoint sent);
+    /// Takes in what the server's answer says of the server.
+    void take_notice(GateServer& server, const std::string& instance, const ServerExchangeEnd& end);
     /// Takes in a limit that somebody else knows, which counts until the server itself has answered.
     static void take_reported_rate(GateServer& server, RequestRate rate, RateSource source);
     /// The connection of a request broke: reports the server's crash, if that was the cause. Blocks the
--- a/tests/incidents/server_limit_test.cpp
+++ b/tests/incidents/server_limit_test.cpp
@@ -205,6 +205,25 @@
     CHECK (log.find ("server-limit-malformed", told + 1) == std::string::npos);
 }
 
+TEST_CASE ("refusals that don't name a limit don't end it", "[limit]")
+{
+    LimitedFleet it;
+    it.name (0, "5");
+    it.back (0).faults.refusals_are_bare = true;
+    const auto named = TimePoint::clock::now();
+    it.load.start (gap);
+
+    // Most answers are refusals, and the few others may be overtaken by them.
+    for (int n = 0; n < 16; ++n)
+    {
+        it.back (0).faults.declines = n % 4 != 0;
+        boost::this_fiber::sleep_for (milliseconds (500));
+    }
+
+    it.load.stop();
+    it.checkLimit (0, 5, named);
+}
+
 TEST_CASE ("a limit outlasts restarts and a freeze of the daemon beside the server", "[limit-restarts]")
 {
     LimitedFleet it;
