--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -242,7 +242,7 @@
 void FaultInjector::limitServer (std::size_t machine, TimePoint ends)
 {
     auto& server = *fleet.machine (machine).server;
-    const auto& limit = serverLimits.at (numLimited++ % serverLimits.size());
+    const auto& limit = serverLimits.at (machine % serverLimits.size());
     checker.onLimitNamed (InstanceId (server.instance()), limit.perS, TimePoint::clock::now(), ends);
     server.faults.rate_limit = limit.text;
     boost::this_fiber::sleep_until (ends);
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -71,7 +71,6 @@
     TimePoint loadStarted;
     unsigned version = 1; /**< Of the configuration that was put last. */
     std::size_t replacements = 0;
-    std::size_t numLimited = 0;
 };
 
 } // namespace anisehold::soak
