Scaffolding for the features that a capacity shortage calls for

Deployments that must bear the loss of a zone run with part of their capacity gone and with peers that go silent.

- Setting tolerate.zones (0 by default) enables the mechanisms; each has a name in lab.without.
- A record may carry a shortage report behind its other fields.
Decoders read only the fields that they know, so records without a report keep their bytes and older processes still read records with one.
- Golden files: added lines and one new file.
The mechanisms are listed as off where the setting is 0.

--- a/src/config/mechanisms.cpp
+++ b/src/config/mechanisms.cpp
@@ -38,7 +38,14 @@
                               Entry{Mechanism::kStartupServerProbe, "server-probe"},
                               Entry{Mechanism::kStartupServerWait, "server-wait"},
                               Entry{Mechanism::kKeyFreshness, "key-proof"},
-                              Entry{Mechanism::kQuotas, "quotas"}};
+                              Entry{Mechanism::kQuotas, "quotas"},
+                              Entry{Mechanism::kSlotReservation, "slot-reservation"},
+                              Entry{Mechanism::kCapacityForecast, "capacity-forecast"},
+                              Entry{Mechanism::kGateRetryBudget, "gate-retry-budget"},
+                              Entry{Mechanism::kCallAttribution, "call-attribution"},
+                              Entry{Mechanism::kCallerFairness, "caller-fairness"},
+                              Entry{Mechanism::kReturningCallers, "returning-callers"},
+                              Entry{Mechanism::kServerSpeed, "server-speed"}};
 static_assert(kEntries.size() == static_cast<std::size_t>(Mechanism::kCount));
 
 }  // namespace
@@ -70,4 +77,14 @@
     }
 }
 
+void MechanismSet::disable_shortage_mechanisms() {
+    constexpr std::array shortage_mechanisms{Mechanism::kSlotReservation, Mechanism::kCapacityForecast,
+                                             Mechanism::kGateRetryBudget, Mechanism::kCallAttribution,
+                                             Mechanism::kCallerFairness,  Mechanism::kReturningCallers,
+                                             Mechanism::kServerSpeed};
+    for (const auto mechanism : shortage_mechanisms) {
+        enabled_.reset(static_cast<std::size_t>(mechanism));
+    }
+}
+
 }  // namespace anisehold::config
--- a/src/config/mechanisms.hpp
+++ b/src/config/mechanisms.hpp
@@ -44,6 +44,15 @@
     kStartupServerWait,       ///< Off: after a start, requests fail immediately if no server is known yet.
     kKeyFreshness,            ///< Off: requests with keys are served regardless of the configuration's age.
     kQuotas,                  ///< Off: tenant quotas aren't enforced.
+    // The following are off unless the deployment must bear the loss of a zone (`tolerate.zones`).
+    kSlotReservation,   ///< Off: a request is sent to a gate before the gate has a slot for it.
+    kCapacityForecast,  ///< Off: the limit of root requests follows refusals and utilization only.
+    kGateRetryBudget,   ///< Off: each daemon spends its own part of the retry budget, first come, first
+                        ///< served.
+    kCallAttribution,   ///< Off: a server's calls aren't related to the requests that they are made for.
+    kCallerFairness,    ///< Off: capacity isn't divided among zones and tenants.
+    kReturningCallers,  ///< Off: a request that was refused before has no precedence.
+    kServerSpeed,       ///< Off: the present speed that servers state is ignored.
     kCount,
 };
 
@@ -54,7 +63,7 @@
 /// All names as one text, for error messages.
 std::string mechanism_names();
 
-/// The enabled mechanisms. Outside the lab all mechanisms are enabled.
+/// The enabled mechanisms. Outside the lab all mechanisms that the deployment calls for are enabled.
 class MechanismSet {
   public:
     MechanismSet() { enabled_.set(); }
@@ -62,6 +71,9 @@
     /// checked earlier.
     explicit MechanismSet(const std::vector<std::string>& without);
 
+    /// Disables the mechanisms for deployments that must bear the loss of a zone.
+    void disable_shortage_mechanisms();
+
     bool has(Mechanism mechanism) const { return enabled_.test(static_cast<std::size_t>(mechanism)); }
 
   private:
--- a/src/config/sidecar_settings.cpp
+++ b/src/config/sidecar_settings.cpp
@@ -78,6 +78,19 @@
         return found == "true";
     }
 
+    void whole_number(std::string_view name, unsigned& value) {
+        const auto found = find(name);
+        if (found.empty()) {
+            return;
+        }
+        const auto parsed = parse_number<unsigned>(found);
+        if (parsed) {
+            value = *parsed;
+        } else {
+            add_error(name, "isn't a whole number from 0");
+        }
+    }
+
     void number(std::string_view name, double& value) {
         const auto found = find(name);
         if (found.empty()) {
@@ -140,7 +153,11 @@
     if (!reader.flag("tenants.strict", true)) {
         settings.key_revocation = milliseconds(0);
     }
+    reader.whole_number("tolerate.zones", settings.tolerated_zone_losses);
     reader.mechanisms_without("lab.without", settings.mechanisms);
+    if (settings.tolerated_zone_losses == 0) {
+        settings.mechanisms.disable_shortage_mechanisms();
+    }
     return result;
 }
 
--- a/src/config/sidecar_settings.hpp
+++ b/src/config/sidecar_settings.hpp
@@ -40,7 +40,11 @@
     /// Maximum time for which a revoked key may still be accepted after the store acknowledged the
     /// revocation; 0 for no bound.
     milliseconds key_revocation{0};
-    MechanismSet mechanisms;  ///< All mechanisms except those that the lab switches off.
+    /// Number of zones whose loss the deployment must bear. Above 0, capacity may be short at any time and
+    /// peers may fall silent, so the mechanisms for a shortage are enabled.
+    unsigned tolerated_zone_losses = 0;
+    /// The mechanisms that the deployment calls for, except those that the lab switches off.
+    MechanismSet mechanisms;
 };
 
 /// Result of loading settings; valid only if `errors` is empty.
--- a/src/membership/peer_record.hpp
+++ b/src/membership/peer_record.hpp
@@ -15,6 +15,9 @@
 
 namespace anisehold::membership {
 
+/// `ServerRecord::slow_percent` of a server that works at its usual speed.
+inline constexpr unsigned kUsualSpeed = 100;
+
 /// A daemon's local server, as its gate sees it.
 struct ServerRecord {
     std::string instance;  ///< May be reused by a restarted server.
@@ -29,6 +32,10 @@
     unsigned failed_percent = 0;   ///< Share of recent requests that the server failed.
     unsigned busy_percent = 0;     ///< Mean of `in_flight` over the last second or so, as a share of `limit`.
 
+    // Sent in the record's shortage report.
+    unsigned slow_percent = kUsualSpeed;  ///< Present duration of work as a share of the usual one.
+    unsigned declined_percent = 0;        ///< Share of arrivals that the server declines whatever its load.
+
     bool operator==(const ServerRecord&) const = default;
 
     template <typename Archive>
@@ -38,6 +45,31 @@
     }
 };
 
+/// What the gate of one server observes beyond its load.
+struct ServerCondition {
+    std::string instance;
+    unsigned slow_percent = kUsualSpeed;
+    unsigned declined_percent = 0;
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        serialize_all(archive, instance, slow_percent, declined_percent);
+    }
+};
+
+/// Additional report of a daemon in a deployment that must bear the loss of a zone. Follows the other fields
+/// of a record, and is omitted when it is empty, so that records of other deployments keep their bytes.
+struct ShortageReport {
+    std::vector<ServerCondition> servers;  ///< Servers that differ from the defaults.
+
+    bool empty() const { return servers.empty(); }
+
+    template <typename Archive>
+    void serialize(Archive& archive, unsigned /*version*/) {
+        serialize_all(archive, servers);
+    }
+};
+
 /// State of one daemon. Sent only by the daemon itself, never forwarded by others.
 struct PeerRecord {
     std::string name;
@@ -53,6 +85,7 @@
     std::vector<std::string> client_routes;  ///< Routes that the sender knows are called by clients.
     std::vector<ServerRecord> servers;       ///< Servers that accept requests; at most a few.
     std::vector<overload::ServicePressure> pressures;  ///< Services short of capacity.
+    ShortageReport shortage;  ///< Except `servers`, which `encode` and `decode_peer_record` copy.
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
--- a/src/protocol/message_archive.hpp
+++ b/src/protocol/message_archive.hpp
@@ -82,14 +82,15 @@
     return std::move(stream).str();
 }
 
-/// Decodes a message; empty if the bytes are malformed.
+/// Decodes the message at the start of the bytes and removes it from them; empty if it is malformed.
 template <typename Message>
-std::optional<Message> unarchive_bytes(std::string_view bytes) {
+std::optional<Message> unarchive_prefix(std::string_view& bytes) {
     try {
         BytesBuffer buffer(bytes);
         BoundedArchive archive(buffer);
         Message message;
         archive >> message;
+        bytes.remove_prefix(bytes.size() - buffer.remaining());
         return message;
     } catch (const std::exception&) {
         // Archive, length and allocation errors all mean that the content is not a valid message.
@@ -97,4 +98,10 @@
     }
 }
 
+/// Decodes a message; empty if the bytes are malformed.
+template <typename Message>
+std::optional<Message> unarchive_bytes(std::string_view bytes) {
+    return unarchive_prefix<Message>(bytes);
+}
+
 }  // namespace anisehold
--- a/tests/unit/config/sidecar_settings_test.cpp
+++ b/tests/unit/config/sidecar_settings_test.cpp
@@ -77,3 +77,18 @@
     REQUIRE(wrong.errors.size() == 1);
     CHECK(wrong.errors.front().place == "f.toml advertise.gossip");
 }
+
+TEST_CASE("the mechanisms for a shortage are on only where the loss of a zone must be borne") {
+    const auto without_zones = load_sidecar_settings("f.toml", kGood);
+    CHECK_FALSE(without_zones.settings.mechanisms.has(Mechanism::kSlotReservation));
+    CHECK_FALSE(without_zones.settings.mechanisms.has(Mechanism::kServerSpeed));
+    CHECK(without_zones.settings.mechanisms.has(Mechanism::kQuotas));
+    const auto with_zone = load_sidecar_settings(
+        "f.toml", kGood + "[tolerate]\nzones = \"1\"\n[lab]\nwithout = \"server-speed\"\n");
+    REQUIRE(with_zone.errors.empty());
+    CHECK(with_zone.settings.mechanisms.has(Mechanism::kSlotReservation));
+    CHECK_FALSE(with_zone.settings.mechanisms.has(Mechanism::kServerSpeed));
+    const auto wrong = load_sidecar_settings("f.toml", kGood + "[tolerate]\nzones = \"-1\"\n");
+    REQUIRE(wrong.errors.size() == 1);
+    CHECK(wrong.errors.front().text() == "f.toml tolerate.zones: isn't a whole number from 0");
+}
--- a/tests/unit/wire/datagram_golden_test.cpp
+++ b/tests/unit/wire/datagram_golden_test.cpp
@@ -82,6 +82,30 @@
                        });
 }
 
+TEST_CASE("a peer's record with a shortage report keeps its bytes", "[golden]") {
+    auto record = full_record();
+    record.servers.front().slow_percent = 250;
+    record.servers.front().declined_percent = 55;
+    golden::check_dump("peer-record-shortage.txt", {{"conditions of servers", encode(record)}},
+                       [](const std::string& bytes) {
+                           const auto decoded = membership::decode_peer_record(bytes);
+                           return decoded ? encode(*decoded) : "not decoded";
+                       });
+    const auto decoded = membership::decode_peer_record(encode(record));
+    REQUIRE(decoded);
+    CHECK(decoded->servers == record.servers);
+}
+
+TEST_CASE("a record whose shortage report is cut off is refused") {
+    auto record = full_record();
+    const auto plain = encode(record);
+    record.servers.front().slow_percent = 250;
+    const auto extended = encode(record);
+    REQUIRE(extended.size() > plain.size() + 1);
+    CHECK(membership::decode_peer_record(extended));
+    CHECK_FALSE(membership::decode_peer_record(std::string_view(extended).substr(0, plain.size() + 1)));
+}
+
 TEST_CASE("the fields of a previously written peer record are decoded", "[golden]") {
     const auto samples = golden::dumped_in("peer-record.txt");
     REQUIRE(samples.size() == 3);
--- a/tests/unit/wire/settings_golden_test.cpp
+++ b/tests/unit/wire/settings_golden_test.cpp
@@ -90,7 +90,8 @@
          << " ms\nrepeat ratio: " << settings.retry_ratio << "\nrepeat extra: " << settings.retry_extra
          << "\nrepeat window: " << settings.retry_window.count()
          << " ms\nkey revocation: " << settings.key_revocation.count()
-         << " ms\nlog level: " << SidecarSettings::kLogLevel << "\nwithout:" << text_of(settings.mechanisms)
+         << " ms\ntolerated zone losses: " << settings.tolerated_zone_losses
+         << "\nlog level: " << SidecarSettings::kLogLevel << "\nwithout:" << text_of(settings.mechanisms)
          << "\n"
          << text_of(result.errors);
     return text.str();
@@ -125,6 +126,7 @@
         {"bounds.budgetWindow", "9s"},
         {"bounds.revocation", "2.5s"},
         {"bounds.strictRevocation", "true"},
+        {"faultTolerance.zones", "1"},
     };
     return fields;
 }
@@ -169,6 +171,8 @@
 [tenants]
 revocation = "3s"
 strict = "true"
+[tolerate]
+zones = "1"
 [lab]
 without = "hedging  quotas"
 )";
@@ -201,6 +205,8 @@
 [tenants]
 revocation = "1m"
 strict = "yes"
+[tolerate]
+zones = "none"
 [lab]
 without = "hedging magic"
 )";
