--- a/scripts/check-style.sh
+++ b/scripts/check-style.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks the format of all sources and runs the linter over them.
+# Checks the format of all sources, and runs the linter over those that changed since their last clean verdict.
 # usage: check-style.sh BUILD_FOLDER (configured, for the compile commands)
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -10,5 +10,4 @@
 echo "format: ${#sources[@]} files clean"
 
 mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep '\.cpp$' | grep -v '^tests/unit/main.cpp$')
-printf '%s\n' "${units[@]}" | xargs -P 8 -n 2 clang-tidy --quiet -p "$build" 2> >(grep -v 'warnings generated' >&2)
-echo "lint: ${#units[@]} files clean"
+python3 scripts/lint-changed.py "$build" "${units[@]}"
--- a/scripts/install-dependencies.sh
+++ b/scripts/install-dependencies.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 
 packages=(
-    g++ cmake ninja-build ccache make git
+    g++ cmake ninja-build ccache make git python3
     libboost-dev libboost-fiber-dev libboost-context-dev libboost-serialization-dev libboost-filesystem-dev
     libcli11-dev liblog4cplus-dev catch2 nlohmann-json3-dev libtomlplusplus-dev
     prometheus-cpp-dev libxxhash-dev libssl-dev
