Reserve a slot at the gate before a request is sent

A request that is queued at a gate counts as sent: when that daemon is killed, paused or partitioned meanwhile, nobody can tell that it has not run, and its caller gets 502 or 504.

- src/reservation: the gate's table of grants and places, and the state of a caller's reservation, both pure.
- ServerGate holds the place of a grant, admits a few reservations ahead of free slots, and lets a committed request precede the queue.
- New fields in Anisehold-Hop and its result, omitted unless used.
- Requests that must not run twice and go to another machine, and requests to a nearly full server, reserve first.
- All of it only while the mechanism slot-reservation is on.

--- a/src/admission/server_gate.cpp
+++ b/src/admission/server_gate.cpp
@@ -15,6 +15,11 @@
 /// A call is only started if its remaining time is at least this many mean service times: the work for a call
 /// that times out is wasted.
 constexpr double kRunMargin = 1.5;
+/// Reservations are admitted ahead of free slots up to this fraction of the limit. With requests of 25 ms a
+/// server of 65 slots frees a slot every 0.4 ms, and a grant and its request take 2 to 3 ms between zones, so
+/// 5 to 8 slots would stay idle. A limit below the divisor gets none: a request would wait for long.
+constexpr unsigned kReservationsAheadDivisor = 8;
+constexpr unsigned kMaxReservationsAhead = 16;
 
 Duration moving_average(Duration average, Duration sample) {
     if (average == Duration::zero()) {
@@ -81,18 +86,65 @@
     return admit_waiting(now);
 }
 
+CommitVerdict ServerGate::commit(TimePoint now, std::uint64_t reserved, std::uint64_t id) {
+    auto node = running_.extract(reserved);
+    node.key() = id;
+    auto& running = running_.insert(std::move(node)).position->second;
+    if (committed_.empty() && executing() < limit_->limit()) {
+        execute(now, running);
+        return CommitVerdict::kRuns;
+    }
+    committed_.push_back(id);
+    return CommitVerdict::kWaits;
+}
+
+std::vector<std::uint64_t> ServerGate::free_reserved(TimePoint now, std::uint64_t id) {
+    const auto found = running_.find(id);
+    if (found == running_.end() || !found->second.is_reserved) {
+        return {};
+    }
+    --running_by_row_[found->second.row];
+    --reserved_;
+    running_.erase(found);
+    std::erase(committed_, id);
+    return admit_waiting(now);
+}
+
+void ServerGate::execute(TimePoint now, Running& running) {
+    --reserved_;
+    running.is_reserved = false;
+    running.started = now;
+    running.in_flight = static_cast<unsigned>(executing());
+}
+
+std::vector<std::uint64_t> ServerGate::start_committed(TimePoint now) {
+    std::vector<std::uint64_t> started;
+    while (!committed_.empty() && executing() < limit_->limit()) {
+        started.push_back(committed_.front());
+        execute(now, running_.at(committed_.front()));
+        committed_.pop_front();
+    }
+    return started;
+}
+
+unsigned ServerGate::reservations_ahead() const {
+    return std::min(limit_->limit() / kReservationsAheadDivisor, kMaxReservationsAhead);
+}
+
 std::vector<std::uint64_t> ServerGate::admit_waiting(TimePoint now) {
-    std::vector<std::uint64_t> admitted;
+    auto admitted = start_committed(now);
     bool has_found = true;
     while (has_found) {
+        // The first call in order is chosen before its slot is checked: a reservation, which needs no free
+        // slot, must not overtake a call that needs one.
         auto best = queue_.end();
         for (auto each = queue_.begin(); each != queue_.end(); ++each) {
             const bool better = best == queue_.end() || precedes(*each, *best);
-            if (better && has_slot_for(each->call) && rate_.may_send(now)) {
+            if (better && has_row_slot_for(each->call)) {
                 best = each;
             }
         }
-        has_found = best != queue_.end();
+        has_found = best != queue_.end() && has_slot_for(best->call) && rate_.may_send(now);
         if (has_found) {
             admitted.push_back(best->call.id);
             start(now, best->call);
@@ -116,7 +168,9 @@
 }
 
 GateLoad ServerGate::load() const {
-    return {static_cast<unsigned>(running_.size()), static_cast<unsigned>(queue_.size()), limit_->limit()};
+    // Reservations ahead of free slots don't count as use of the limit.
+    const auto in_use = std::min(running_.size(), std::max<std::size_t>(executing(), limit_->limit()));
+    return {static_cast<unsigned>(in_use), static_cast<unsigned>(queue_.size()), limit_->limit()};
 }
 
 unsigned ServerGate::admitted_priority() const {
@@ -132,13 +186,25 @@
 
 bool ServerGate::starts_at_once(TimePoint now, const GateCall& call) const {
     // Without a rate limit no waiting call has a slot, since finish() starts all waiting calls that have one.
+    if (call.is_reservation && position_of({call, now}) > 0) {
+        return false;
+    }
     return has_slot_for(call) && (!rate_.limit() || (queue_.empty() && rate_.may_send(now)));
 }
 
 bool ServerGate::has_slot_for(const GateCall& call) const {
-    if (running_.size() + 1 > limit_->limit()) {
+    if (running_.size() >=
+        limit_->limit() + (reserved_ > 0 || call.is_reservation ? reservations_ahead() : 0)) {
+        return false;
+    }
+    const bool needs_free_slot = !call.is_reservation;
+    if (needs_free_slot && executing() + committed_.size() >= limit_->limit()) {
         return false;
     }
+    return has_row_slot_for(call);
+}
+
+bool ServerGate::has_row_slot_for(const GateCall& call) const {
     if (call.row_limit == 0) {
         return true;
     }
@@ -169,8 +235,9 @@
     pass = std::max(pass, current_pass_) + 1.0 / call.row_weight;
     current_pass_ = std::max(current_pass_, pass - 1.0 / call.row_weight);
     ++running_by_row_[call.row];
-    const auto in_flight = static_cast<unsigned>(running_.size() + 1);
-    running_[call.id] = Running{call.row, now, in_flight};
+    const auto in_flight = static_cast<unsigned>(executing() + 1);
+    running_[call.id] = Running{call.row, now, in_flight, call.is_reservation};
+    reserved_ += call.is_reservation ? 1 : 0;
 }
 
 std::size_t ServerGate::position_of(const Waiting& newcomer) const {
--- a/src/admission/server_gate.hpp
+++ b/src/admission/server_gate.hpp
@@ -8,6 +8,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -33,6 +34,8 @@
     TimePoint root_started;  ///< Start time of the root request as known to this daemon.
     TimePoint deadline;
     TimePoint latest_start = TimePoint::max();  ///< The caller stops waiting at this gate at this time.
+    /// The call only reserves a slot; its request arrives later (`ServerGate::commit`) or never.
+    bool is_reservation = false;
 };
 
 /// Decision on an arriving call; kRefused means that the server is overloaded.
@@ -45,6 +48,12 @@
     TimePoint give_up_at;                  ///< If queued: latest start that can meet the deadline.
 };
 
+/// Decision on a request that arrives for a reserved slot.
+enum class CommitVerdict {
+    kRuns,   ///< The request starts now.
+    kWaits,  ///< No slot is free at this moment; the request precedes all waiting calls.
+};
+
 /// Snapshot of the gate for reports and status pages.
 struct GateLoad {
     unsigned in_flight = 0;
@@ -66,6 +75,10 @@
 /// queued. If the queue is full, the last call in order is refused in favor of one with precedence. Calls are
 /// ordered by priority, then calls of root requests in progress, then rows by weight (stride scheduling),
 /// then the oldest root request.
+///
+/// An admitted reservation occupies a place without running. A few reservations are admitted ahead of free
+/// slots, so that slots don't stay idle while the requests are on their way; a request that arrives for such
+/// a place precedes all waiting calls. No call overtakes a waiting call with precedence that way.
 class ServerGate {
   public:
     ServerGate(std::unique_ptr<ConcurrencyLimit> limit, GateOptions options);
@@ -82,12 +95,20 @@
     /// Removes a waiting call whose caller has left or whose time is up.
     void abandon(std::uint64_t id);
 
+    /// The request of the admitted reservation `reserved` has arrived, and is called `id` from now on.
+    CommitVerdict commit(TimePoint now, std::uint64_t reserved, std::uint64_t id);
+    /// Frees the place of an admitted reservation, or of a committed request that still waits for its slot;
+    /// returns the ids of the waiting calls that start now.
+    std::vector<std::uint64_t> free_reserved(TimePoint now, std::uint64_t id);
+
     GateLoad load() const;
     /// Maximum concurrency under both limits: the number of slots, and the server's rate times the time that
     /// a call holds a slot.
     unsigned usable_limit(TimePoint now) const;
     /// Whether slots are free, so that calls wait or are refused because of the server's rate alone.
     bool is_rate_limited() const { return rate_.limit() && running_.size() < limit_->limit(); }
+    /// Number of reservations that are admitted ahead of free slots.
+    unsigned reservations_ahead() const;
     /// The server's rate limit, as named in its responses.
     ServerRate& rate() { return rate_; }
     const ServerRate& rate() const { return rate_; }
@@ -105,9 +126,18 @@
         std::string row;
         TimePoint started;
         unsigned in_flight = 0;
+        bool is_reserved = false;  ///< The request has not arrived, or waits for its slot.
     };
 
     bool has_slot_for(const GateCall& call) const;
+    /// Whether the limit of the call's row allows one more call.
+    bool has_row_slot_for(const GateCall& call) const;
+    /// Number of calls that run at the server.
+    std::size_t executing() const { return running_.size() - reserved_; }
+    /// Starts a committed request.
+    void execute(TimePoint now, Running& running);
+    /// Starts the committed requests that have a slot; returns their ids.
+    std::vector<std::uint64_t> start_committed(TimePoint now);
     /// Whether the call starts without queuing. A waiting call that the rate allows but that has not been
     /// released yet takes precedence.
     bool starts_at_once(TimePoint now, const GateCall& call) const;
@@ -125,7 +155,9 @@
     GateOptions options_;
     ServerRate rate_;
     std::vector<Waiting> queue_;
-    std::unordered_map<std::uint64_t, Running> running_;
+    std::unordered_map<std::uint64_t, Running> running_;  // Including reserved places.
+    std::size_t reserved_ = 0;                            // Places in running_ that are reserved.
+    std::deque<std::uint64_t> committed_;                 // Reserved places whose requests wait for a slot.
     std::map<std::string, unsigned> running_by_row_;
     std::map<std::string, double>
         passes_;  // Stride scheduling: number of started calls of each row over the row's weight.
--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -13,8 +13,8 @@
 constexpr std::string_view kReserved = ";\r\n";
 
 /// Names in the order of the enum.
-constexpr std::array<std::string_view, 4> kOutcomeNames{"answered", "not-sent", "refused-by-server",
-                                                        "unknown"};
+constexpr std::array<std::string_view, 6> kOutcomeNames{"answered", "not-sent", "refused-by-server",
+                                                        "unknown",  "granted",  "waiting"};
 
 using Fields = std::map<std::string_view, std::string_view>;
 
@@ -52,7 +52,8 @@
 }
 
 /// Reads a number that is omitted when it is 0, the usual case.
-bool read_unless_zero(const Fields& fields, std::string_view name, unsigned& number) {
+template <typename Number>
+bool read_unless_zero(const Fields& fields, std::string_view name, Number& number) {
     return !fields.contains(name) || read(fields, name, number);
 }
 
@@ -73,7 +74,7 @@
     }
 }
 
-void append_unless_zero(std::string& text, std::string_view name, unsigned value) {
+void append_unless_zero(std::string& text, std::string_view name, std::uint64_t value) {
     if (value != 0) {
         append(text, name, value);
     }
@@ -88,6 +89,38 @@
     return true;
 }
 
+void append_reservation(std::string& text, const HopRequest& request) {
+    append_unless_zero(text, "reserve", request.reserve ? 1 : 0);
+    append_unless_zero(text, "ticket", request.ticket);
+    append_unless_zero(text, "grant", request.grant);
+    append_unless_zero(text, "withdraw", request.withdraw);
+}
+
+void append_reservation(std::string& text, const HopResult& result) {
+    append_unless_zero(text, "ticket", result.ticket);
+    append_unless_zero(text, "grant", result.grant);
+    append_unless_zero(text, "grant_ms", static_cast<std::uint64_t>(result.grant_time.count()));
+}
+
+bool read_reservation(const Fields& fields, HopRequest& request) {
+    unsigned reserve = 0;
+    const bool whole = read_unless_zero(fields, "reserve", reserve) &&
+                       read_unless_zero(fields, "ticket", request.ticket) &&
+                       read_unless_zero(fields, "grant", request.grant) &&
+                       read_unless_zero(fields, "withdraw", request.withdraw);
+    request.reserve = reserve != 0;
+    return whole;
+}
+
+bool read_reservation(const Fields& fields, HopResult& result) {
+    std::uint32_t grant_ms = 0;
+    const bool whole = read_unless_zero(fields, "ticket", result.ticket) &&
+                       read_unless_zero(fields, "grant", result.grant) &&
+                       read_unless_zero(fields, "grant_ms", grant_ms);
+    result.grant_time = milliseconds(grant_ms);
+    return whole;
+}
+
 }  // namespace
 
 std::string_view outcome_name(HopOutcome outcome) {
@@ -107,6 +140,7 @@
     append(text, "rate_limit", request.rate_limit);
     const bool is_plain = request.row.find_first_of(kReserved) == std::string::npos;
     append(text, "row", std::string_view(is_plain ? request.row : std::string()));
+    append_reservation(text, request);
     return text;
 }
 
@@ -125,6 +159,7 @@
     append(text, "rate_limit", result.rate_limit);
     append_unless_zero(text, "leaves", result.server_leaves ? 1 : 0);
     append(text, "overloaded", std::string_view(result.overloaded_service));
+    append_reservation(text, result);
     return text;
 }
 
@@ -141,7 +176,7 @@
                        read(fields, "repeat_percent", request.retry_percent) &&
                        read_unless_zero(fields, "crashes", request.crashes) &&
                        read(fields, "rate_limit", request.rate_limit) && request.retry_percent <= kMaxPercent;
-    if (!whole) {
+    if (!whole || !read_reservation(fields, request)) {
         return std::nullopt;
     }
     request.remaining = milliseconds(remaining_ms);
@@ -167,7 +202,7 @@
         read(fields, "rate_limit", result.rate_limit) && read_unless_zero(fields, "leaves", leaves) &&
         read(fields, "overloaded", result.overloaded_service);
     const auto kind = error_kind_from_name(error);
-    if (!whole || !kind) {
+    if (!whole || !kind || !read_reservation(fields, result)) {
         return std::nullopt;
     }
     for (std::size_t index = 0; index < kOutcomeNames.size(); ++index) {
--- a/src/hop/hop_header.hpp
+++ b/src/hop/hop_header.hpp
@@ -32,6 +32,11 @@
     unsigned crashes = 0;  ///< Consecutive servers that crashed executing the request.
     /// The server's rate limit last seen by the sender, for a gate that was restarted.
     std::optional<RequestRate> rate_limit{};
+    // Slot reservation (src/reservation). All are omitted when they are false or 0.
+    bool reserve = false;        ///< The message asks for a slot; it carries no request.
+    std::uint64_t ticket = 0;    ///< With `reserve`: renews the place in the queue with this number.
+    std::uint64_t grant = 0;     ///< The request takes the slot that was granted under this number.
+    std::uint64_t withdraw = 0;  ///< The message gives the grant or place with this number back.
 };
 
 /// Outcome of the request at the gate.
@@ -40,6 +45,8 @@
     kNotSent,          ///< Rejected at the gate; nothing was sent to the server.
     kRefusedByServer,  ///< The server declared that it executed nothing.
     kUnknown,          ///< The request may have been executed; the message is not a response of the server.
+    kGranted,          ///< Reply to a reservation: a slot is held for the request.
+    kWaiting,          ///< Reply to a reservation: it waits in the queue, and must be renewed.
 };
 
 /// The gate's report with every response: the outcome and its server's load.
@@ -58,6 +65,10 @@
     unsigned crashes = 0;  ///< Consecutive servers that crashed executing the request, as known at the gate.
     /// Set if the server failed and a call that it made was meanwhile rejected for overload.
     std::string overloaded_service;
+    // Slot reservation (src/reservation). All are omitted when they are 0.
+    std::uint64_t ticket = 0;    ///< If waiting: the number of the place in the queue.
+    std::uint64_t grant = 0;     ///< If granted: the number of the grant; 0 if the gate needs no reservation.
+    milliseconds grant_time{0};  ///< If granted: validity of the grant from the gate's decision on.
 };
 
 std::string encode(const HopRequest& request);
--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -103,6 +103,14 @@
     EventEntry{Event::kServerRateRefused, Level::kWarn, "server-rate-refused",
                "So many requests were refused since the last such line, since the server takes only `per_s` "
                "a second."},
+    EventEntry{
+        Event::kReservationExpired, Level::kInfo, "reservation-expired",
+        "So many grants and places in the queue of this daemon's server ended since the last such line "
+        "without a request or a renewal of their callers."},
+    EventEntry{
+        Event::kGateSilent, Level::kWarn, "gate-silent",
+        "A peer's gate did not reply to reservations, so many since the last such line; their requests "
+        "have not run there."},
     EventEntry{Event::kContextRefused, Level::kWarn, "context-refused",
                "A call brought a context that is forged, malformed or of an ended call."},
     EventEntry{Event::kIngressCall, Level::kInfo, "ingress-call",
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -40,6 +40,9 @@
         "limit."},
     MetricEntry{"anisehold_rate_refusals_total", "counter",
                 "Requests refused because a server takes only so many a second, by service."},
+    MetricEntry{"anisehold_reservations_total", "counter",
+                "Slot reservations, by result: granted, refused or timed-out as seen by the caller's daemon; "
+                "withdrawn or expired as seen by the gate."},
 };
 
 std::string help_of(std::string_view name) {
@@ -88,6 +91,7 @@
     prometheus::Family<prometheus::Gauge>& suspects = gauge("anisehold_suspects");
     prometheus::Family<prometheus::Gauge>& server_rates = gauge("anisehold_server_rate_limit");
     prometheus::Family<prometheus::Counter>& rate_refusals = counter("anisehold_rate_refusals_total");
+    prometheus::Family<prometheus::Counter>& reservations = counter("anisehold_reservations_total");
 };
 
 std::span<const MetricEntry> metric_catalogue() {
@@ -147,6 +151,10 @@
     families_->rate_refusals.Add({{"service", service}}).Increment();
 }
 
+void Metrics::count_reservation(std::string_view result) {
+    families_->reservations.Add({{"result", std::string(result)}}).Increment();
+}
+
 void Metrics::set_suspects(std::string_view state, std::size_t count) {
     families_->suspects.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -52,6 +52,8 @@
     /// none.
     void set_server_rate(const std::string& service, double per_second);
     void count_rate_refusal(const std::string& service);
+    /// Counts an ended reservation: "granted", "refused", "timed-out", "withdrawn" or "expired".
+    void count_reservation(std::string_view result);
     void count_server_crash(const std::string& service);
     void set_suspects(std::string_view state, std::size_t count);
     void set_table_revision(std::uint64_t revision);
--- a/src/retry/attempt_plan.cpp
+++ b/src/retry/attempt_plan.cpp
@@ -41,7 +41,8 @@
         return AttemptStep::kWait;
     }
     if (reached_ == 0) {
-        const bool in_time = launched_ == 0 || now < terms_.refuse_unsent_at;
+        const bool in_time =
+            launched_ == 0 || now < terms_.refuse_unsent_at || (replaces_silent_gate_ && time_to_retry);
         const bool may_launch = another_server && in_time && launched_ < kMaxUnsentAttempts;
         return may_launch ? AttemptStep::kLaunch : AttemptStep::kRefuse;
     }
@@ -86,6 +87,7 @@
     ++launched_;
     ++running_;
     last_launch_ = now;
+    replaces_silent_gate_ = false;
 }
 
 void AttemptPlan::on_outcome(AttemptOutcome outcome) {
--- a/src/retry/attempt_plan.hpp
+++ b/src/retry/attempt_plan.hpp
@@ -70,6 +70,10 @@
         on_outcome(was_sent ? AttemptOutcome::kUnknown : AttemptOutcome::kNotSent);
     }
 
+    /// The gate of the attempt that ended last gave no reply to a reservation. The request may go to one more
+    /// server after `refuse_unsent_at`: it has waited in no queue.
+    void on_silent_gate() { replaces_silent_gate_ = true; }
+
     /// The reason to give to the budget for the next retry.
     RetryReason retry_reason() const;
 
@@ -89,6 +93,7 @@
     unsigned failed_answers_ = 0;
     bool answered_ = false;
     bool retry_refused_ = false;
+    bool replaces_silent_gate_ = false;
     TimePoint last_launch_;
 };
 
--- a/src/sidecar/attempt_outcome.cpp
+++ b/src/sidecar/attempt_outcome.cpp
@@ -31,6 +31,8 @@
             return admission::SampleOutcome::kShed;
         case HopOutcome::kNotSent:
         case HopOutcome::kUnknown:
+        case HopOutcome::kGranted:
+        case HopOutcome::kWaiting:
             return admission::SampleOutcome::kIgnored;
     }
     return admission::SampleOutcome::kIgnored;
@@ -45,6 +47,8 @@
         case HopOutcome::kRefusedByServer:
             return AttemptOutcome::kRefusedByServer;
         case HopOutcome::kUnknown:
+        case HopOutcome::kGranted:  // Replies to reservations are never outcomes of a request.
+        case HopOutcome::kWaiting:
             return AttemptOutcome::kUnknown;
     }
     return AttemptOutcome::kUnknown;
@@ -52,7 +56,8 @@
 
 bool is_server_failure(const GateAnswer& answer) {
     const auto outcome = answer.result.outcome;
-    return outcome == HopOutcome::kUnknown || outcome == HopOutcome::kRefusedByServer;
+    return answer.gate_was_silent || outcome == HopOutcome::kUnknown ||
+           outcome == HopOutcome::kRefusedByServer;
 }
 
 ErrorKind error_for_caller(ErrorKind error, bool may_have_run) {
--- a/src/sidecar/attempt_outcome.hpp
+++ b/src/sidecar/attempt_outcome.hpp
@@ -19,6 +19,7 @@
 struct GateAnswer {
     hop::HopResult result;
     std::optional<net::HttpResponse> response;  ///< Set if and only if the outcome is `kAnswered`.
+    bool gate_was_silent = false;  ///< The gate gave no reply to a reservation; the request was not sent.
 };
 
 /// Result of a request without a response of a server. `retry_after`: time until capacity is expected, zero
@@ -37,9 +38,9 @@
 /// Outcome for the attempt plan of the request.
 retry::AttemptOutcome outcome_of(const GateAnswer& answer);
 
-/// Whether the attempt counts as a failure in server selection: no complete response arrived, or the server
-/// refused the request. A response with a status of 500 or above is complete; the gate counts it in the
-/// server's failure share.
+/// Whether the attempt counts as a failure in server selection: no complete response arrived, the server's
+/// gate was silent to a reservation, or the server refused the request. A response with a status of 500 or
+/// above is complete; the gate counts it in the server's failure share.
 bool is_server_failure(const GateAnswer& answer);
 
 /// The error returned to the caller: `error`, unless its statement on whether the request ran contradicts
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -203,11 +203,9 @@
 
 void CallAttempts::send(const std::shared_ptr<AttemptSet>& attempt_set, Attempt& attempt,
                         const hop::HopRequest& hop_call, bool streamed, Duration slow_after) {
-    auto request = streamed ? std::move(attempt_set->request) : copy_of(attempt_set->request);
-    const bool is_local = attempt.server.peer == context_.settings.name;
-    attempt.answer =
-        is_local ? gate_.run(std::move(request), hop_call, &attempt.cancel, attempt.progress)
-                 : hops_.run(attempt.server, std::move(request), hop_call, &attempt.cancel, attempt.progress);
+    auto released = hop_call;
+    auto refusal = reserve_if_needed(attempt, released);
+    attempt.answer = refusal ? std::move(*refusal) : transmit(*attempt_set, attempt, released, streamed);
     attempt.ended = true;
     const auto& result = attempt.answer.result;
     const auto now = TimePoint::clock::now();
@@ -224,6 +222,26 @@
     attempt_set->changed.notify();
 }
 
+GateAnswer CallAttempts::transmit(AttemptSet& attempt_set, Attempt& attempt, const hop::HopRequest& hop_call,
+                                  bool streamed) {
+    auto request = streamed ? std::move(attempt_set.request) : copy_of(attempt_set.request);
+    const bool is_local = attempt.server.peer == context_.settings.name;
+    return is_local
+               ? gate_.run(std::move(request), hop_call, &attempt.cancel, attempt.progress)
+               : hops_.run(attempt.server, std::move(request), hop_call, &attempt.cancel, attempt.progress);
+}
+
+std::optional<GateAnswer> CallAttempts::reserve_if_needed(Attempt& attempt, hop::HopRequest& hop_call) {
+    if (!context_.has(Mechanism::kSlotReservation)) {
+        return std::nullopt;
+    }
+    const auto& load = attempt.server.server;
+    const bool is_local = attempt.server.peer == context_.settings.name;
+    const bool reserves = reservation::needsReservation(
+        {hop_call.at_most_once, is_local, hop_call.crashes > 0, load.in_flight, load.queued, load.limit});
+    return reserves ? hops_.reserve(attempt.server, hop_call, &attempt.cancel) : std::nullopt;
+}
+
 void CallAttempts::process_outcomes(IncomingCall& call, RequestState& state) {
     for (const auto& attempt : state.attempt_set->attempts) {
         if (attempt->ended && !attempt->processed) {
@@ -237,6 +255,9 @@
     attempt->processed = true;
     const auto outcome = outcome_of(attempt->answer);
     state.plan.on_outcome(outcome);
+    if (attempt->answer.gate_was_silent) {
+        state.plan.on_silent_gate();
+    }
     const auto& result = attempt->answer.result;
     const bool answered = attempt->answer.response.has_value();
     if (answered) {
--- a/src/sidecar/call_attempts.hpp
+++ b/src/sidecar/call_attempts.hpp
@@ -100,6 +100,12 @@
     /// Sends the attempt; runs in the attempt's own fiber.
     void send(const std::shared_ptr<AttemptSet>& attempt_set, Attempt& attempt,
               const hop::HopRequest& hop_call, bool streamed, Duration slow_after);
+    /// Sends the request of the attempt to the server's gate. Blocks the fiber.
+    GateAnswer transmit(AttemptSet& attempt_set, Attempt& attempt, const hop::HopRequest& hop_call,
+                        bool streamed);
+    /// Reserves a slot at the server's gate if the request needs one (src/reservation). Returns the refusal,
+    /// after which the request has not run there, or nothing if the request may be sent with `hop_call`.
+    std::optional<GateAnswer> reserve_if_needed(Attempt& attempt, hop::HopRequest& hop_call);
     /// Passes the outcomes of ended attempts to the plan.
     void process_outcomes(IncomingCall& call, RequestState& state);
     void process_outcome(IncomingCall& call, RequestState& state, const std::shared_ptr<Attempt>& attempt);
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -46,6 +46,9 @@
     if (!call) {
         return parts_.ingress.reject(ErrorKind::kBadRequest);
     }
+    if (call->reserve || call->withdraw != 0) {
+        return answer_reservation(*call, cancel);
+    }
     request.fields.remove(hop::kRequestHeader);
     net::ExchangeProgress progress;
     auto answer = parts_.gate.run(std::move(request), *call, &cancel, progress);
@@ -54,6 +57,13 @@
     return response;
 }
 
+net::HttpResponse Endpoints::answer_reservation(const hop::HopRequest& call, net::CancelSignal& cancel) {
+    const auto answer = parts_.gate.reserve(call, &cancel);
+    auto response = text_response(kOk, "");
+    response.fields.set(hop::kResultHeader, encode(answer.result));
+    return response;
+}
+
 net::HttpResponse Endpoints::answer_configuration(std::string_view target) const {
     return target == kConfigurationPath && parts_.configuration.version() != 0
                ? json_response(parts_.configuration.text())
--- a/src/sidecar/endpoints.hpp
+++ b/src/sidecar/endpoints.hpp
@@ -47,6 +47,8 @@
     net::HttpResponse handle_admin(const net::HttpRequest& request);
 
   private:
+    /// Handles a message about a reservation. Blocks the fiber for at most `reservation::maxReplyDelay`.
+    net::HttpResponse answer_reservation(const hop::HopRequest& call, net::CancelSignal& cancel);
     net::HttpResponse answer_configuration(std::string_view target) const;
     bool is_ready() const;
     net::HttpResponse handle_metrics();
--- a/src/sidecar/gate_server.cpp
+++ b/src/sidecar/gate_server.cpp
@@ -19,7 +19,14 @@
 /// Minimum pause between releases; timers have no finer resolution.
 constexpr milliseconds kMinReleasePause{1};
 
+}  // namespace
+
 void wake(GateServer& server, std::uint64_t run, bool admitted) {
+    if (admitted) {
+        reservation::onAdmitted(server.reservations, TimePoint::clock::now(), run);
+    } else {
+        reservation::onEvicted(server.reservations, run);
+    }
     const auto found = server.waiters.find(run);
     if (found != server.waiters.end()) {
         found->second->admitted = admitted;
@@ -27,7 +34,6 @@
     }
 }
 
-/// Starts waiting requests as the server's rate limit allows, until none waits for the rate.
 void release_by_rate(GateServer& server) {
     if (server.is_releasing || !server.gate.next_release(TimePoint::clock::now())) {
         return;
@@ -46,8 +52,6 @@
     });
 }
 
-}  // namespace
-
 void release_waiting(GateServer& server, TimePoint now) {
     for (const auto admitted : server.gate.release(now)) {
         wake(server, admitted, true);
--- a/src/sidecar/gate_server.hpp
+++ b/src/sidecar/gate_server.hpp
@@ -16,6 +16,7 @@
 #include "overload/time_weighted_mean.hpp"
 #include "protocol/request_digest.hpp"
 #include "registration/server_registry.hpp"
+#include "reservation/grant_table.hpp"
 #include "selection/failure_share.hpp"
 #include "sidecar/attempt_outcome.hpp"
 #include "sidecar/crash_watch.hpp"
@@ -66,8 +67,16 @@
     connection::ConnectBackoff backoff;
     RateLines rate_lines;
     bool is_releasing = false;  ///< Whether a fiber is releasing waiting requests at the server's rate limit.
+    reservation::GrantTable reservations;
+    bool is_expiring = false;  ///< Whether a fiber ends the reservations whose time is up.
 };
 
+/// Tells a waiting request or reservation that it has a slot, or that it was refused in favor of another.
+void wake(GateServer& server, std::uint64_t run, bool admitted);
+
+/// Starts waiting requests as the server's rate limit allows, until none waits for the rate.
+void release_by_rate(GateServer& server);
+
 /// Requests a slot from the server's gate (`admission::ServerGate`) and waits for it. Returns the refusal, if
 /// any: `kOverloaded` if the request may not wait, `kQueueTimeout` if no slot became free in time or the
 /// caller disconnected. Blocks the fiber.
--- a/src/sidecar/hop_client.hpp
+++ b/src/sidecar/hop_client.hpp
@@ -5,9 +5,12 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <system_error>
 
 #include "membership/peer_directory.hpp"
 #include "net/http_client.hpp"
+#include "reservation/caller_reservation.hpp"
 #include "sidecar/attempt_outcome.hpp"
 #include "sidecar/sidecar_context.hpp"
 
@@ -24,7 +27,32 @@
     GateAnswer run(const membership::KnownServer& server, net::HttpRequest request,
                    const hop::HopRequest& call, net::CancelSignal* cancel, net::ExchangeProgress& progress);
 
+    /// Reserves a slot for the request at the gate of `server` (src/reservation), and waits for it for at
+    /// most `call.max_wait`. Returns nothing if the request may be sent now: `call` then holds the grant and
+    /// the remaining times. Otherwise returns the refusal, and the request has not run there: the gate's own,
+    /// or `kConnectFailed` if the gate is silent or unreachable. Blocks the fiber.
+    std::optional<GateAnswer> reserve(const membership::KnownServer& server, hop::HopRequest& call,
+                                      net::CancelSignal* cancel);
+
   private:
+    /// One reservation and the caller's view of it.
+    struct Reservation {
+        const membership::KnownServer& server;
+        hop::HopRequest& call;
+        net::CancelSignal* cancel;
+        reservation::CallerReservation state;
+        TimePoint started;
+    };
+
+    /// Sends one message of the reservation and applies the reply to its state. Returns the refusal, if any.
+    std::optional<GateAnswer> ask(Reservation& reservation);
+    /// Translates a missing reply to the state and to a refusal.
+    GateAnswer on_no_reply(Reservation& reservation, const std::error_code& error);
+    /// Gives a grant back, without waiting for the reply.
+    void withdraw(const membership::KnownServer& server, const hop::HopRequest& call, std::uint64_t grant);
+    /// Logs the number of silent gates, at most once a second.
+    void log_silent_gate(const membership::KnownServer& server);
+
     struct Connections {
         std::uint64_t boot_id = 0;  ///< Connections to an earlier process of the peer are unusable.
         std::shared_ptr<net::HttpClient> client;
@@ -35,6 +63,8 @@
     SidecarContext& context_;
     membership::PeerDirectory& directory_;
     std::map<std::string, Connections> connections_;
+    TimePoint next_silence_line_;
+    unsigned silent_gates_ = 0;  ///< Reservations without a reply since the last line.
 };
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "observability/events.hpp"
+#include "sidecar/gate_reservations.hpp"
 #include "sidecar/request_identity.hpp"
 #include "sidecar/server_exchange.hpp"
 
@@ -57,6 +58,9 @@
     }
     const auto turn = wait_for_turn(*server, run);
     auto refused = admit(*server, run, turn.has_value());
+    if (refused && call.grant != 0) {
+        withdraw_reservation(*server, call.grant);
+    }
     const auto started = TimePoint::clock::now();
     record_in_flight(*server, started);
     auto answer = refused ? std::move(*refused) : run_admitted(*server, run, request, started);
@@ -92,13 +96,58 @@
         !connection::acquireAttempt(server.backoff, run.arrived)) {
         return make_failure(HopOutcome::kNotSent, ErrorKind::kConnectFailed);
     }
-    auto refused = wait_for_slot(server, run);
+    auto refused = run.call.grant != 0 ? take_granted_slot(server, run) : wait_for_slot(server, run);
     if (refused && !run.is_cancelled() && server.gate.is_rate_limited()) {
         record_rate_refusal(server);
     }
     return refused;
 }
 
+bool LocalGate::may_grant(const std::string& instance) const {
+    return servers_.is_ready(instance) && !context_.stop.is_leaving();
+}
+
+GateAnswer LocalGate::reserve(const hop::HopRequest& call, net::CancelSignal* cancel) {
+    // A grant without a number tells a caller whose settings were reloaded earlier to send its request
+    // directly.
+    auto answer = make_failure(HopOutcome::kGranted, ErrorKind::kNoBackend);
+    const auto server = servers_.find(call.instance);
+    if (!server) {
+        answer.result.outcome = HopOutcome::kNotSent;
+    } else if (call.withdraw != 0) {
+        withdraw_reservation(*server, call.withdraw);
+        context_.metrics.count_reservation("withdrawn");
+        answer.result.outcome = HopOutcome::kNotSent;
+    } else if (context_.has(Mechanism::kSlotReservation)) {
+        answer = reserve_at(*server, call, cancel);
+    }
+    answer.result.instance = call.instance;
+    if (server) {
+        fill_load(*server, answer.result);
+    }
+    return answer;
+}
+
+GateAnswer LocalGate::reserve_at(GateServer& server, const hop::HopRequest& call, net::CancelSignal* cancel) {
+    if (call.rate_limit) {
+        apply_reported_rate(server, *call.rate_limit, RateSource::kCaller);
+    }
+    auto answer = may_grant(call.instance)
+                      ? reserve_slot(server, {call, next_id_++, cancel, context_.random, context_.metrics})
+                      : make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
+    // The server or this daemon may have begun to leave while the reservation waited.
+    const auto held = std::max(answer.result.grant, answer.result.ticket);
+    if (held != 0 && !may_grant(call.instance)) {
+        withdraw_reservation(server, held);
+        answer = make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
+    }
+    const bool left = cancel != nullptr && cancel->cancelled();
+    if (answer.result.outcome == HopOutcome::kNotSent && !left && server.gate.is_rate_limited()) {
+        record_rate_refusal(server);
+    }
+    return answer;
+}
+
 void LocalGate::record_rate_refusal(GateServer& server) const {
     const auto now = TimePoint::clock::now();
     server.gate.rate().on_refused(now);
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -11,7 +11,8 @@
 ///     over a timeout in 2.
 ///  4. Can the server be connected to? connection/connect_backoff; `kConnectFailed`.
 ///  5. Is a slot free, and does the server's rate limit allow the request, now or soon?
-///     admission/server_gate, admission/server_rate; `kOverloaded`, `kQueueTimeout`.
+///     admission/server_gate, admission/server_rate; `kOverloaded`, `kQueueTimeout`. A request with a grant
+///     takes its reserved slot instead (reservation/grant_table); `kQueueTimeout` if the grant has ended.
 ///  6. Does the server still accept requests? registration/server_registry; `kNoBackend`.
 ///  7. Is the caller still connected? sidecar/server_exchange; `kCancelled`.
 ///
@@ -50,6 +51,11 @@
     GateAnswer run(net::HttpRequest request, const hop::HopRequest& call, net::CancelSignal* cancel,
                    net::ExchangeProgress& progress);
 
+    /// Handles a message about a reservation (src/reservation): asks for a slot, renews a place in the queue,
+    /// or gives one back. Refuses when the server or this daemon is leaving. Blocks the fiber for at most
+    /// `reservation::maxReplyDelay`.
+    GateAnswer reserve(const hop::HopRequest& call, net::CancelSignal* cancel);
+
     /// Processes the health response of the local server, after it has been registered.
     void on_health(const HealthAnswer& health);
 
@@ -67,6 +73,10 @@
     std::optional<SuspectQueue::Turn> wait_for_turn(GateServer& server, const GateRun& run) const;
     /// Runs checks 3 to 5; returns the refusal, if any. Blocks the fiber.
     std::optional<GateAnswer> admit(GateServer& server, const GateRun& run, bool has_turn) const;
+    /// Asks for a slot or renews a place. Blocks the fiber.
+    GateAnswer reserve_at(GateServer& server, const hop::HopRequest& call, net::CancelSignal* cancel);
+    /// Whether reservations at the server are accepted.
+    bool may_grant(const std::string& instance) const;
     /// Records that a request was refused because of the server's rate limit.
     void record_rate_refusal(GateServer& server) const;
     /// Runs an admitted request and frees its slot. Blocks the fiber.
