--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -105,6 +105,7 @@
     append(text, "repeat_percent", request.retry_percent);
     append_unless_zero(text, "crashes", request.crashes);
     append(text, "rate_limit", request.rate_limit);
+    append_unless_zero(text, "retry", request.is_retry ? 1 : 0);
     const bool is_plain = request.row.find_first_of(kReserved) == std::string::npos;
     append(text, "row", std::string_view(is_plain ? request.row : std::string()));
     return text;
@@ -123,6 +124,7 @@
     append(text, "failed_percent", result.failed_percent);
     append_unless_zero(text, "crashes", result.crashes);
     append(text, "rate_limit", result.rate_limit);
+    append_unless_zero(text, "declined_percent", result.declined_percent);
     append_unless_zero(text, "leaves", result.server_leaves ? 1 : 0);
     append(text, "overloaded", std::string_view(result.overloaded_service));
     return text;
@@ -134,19 +136,22 @@
     std::uint32_t remaining_ms = 0;
     std::uint32_t longest_wait_ms = 0;
     unsigned once = 0;
+    unsigned retry = 0;
     const bool whole = read(fields, "instance", request.instance) && read(fields, "caller", request.caller) &&
                        read(fields, "row", request.row) && read(fields, "priority", request.priority) &&
                        read(fields, "remaining_ms", remaining_ms) &&
                        read(fields, "longest_wait_ms", longest_wait_ms) && read(fields, "once", once) &&
                        read(fields, "repeat_percent", request.retry_percent) &&
                        read_unless_zero(fields, "crashes", request.crashes) &&
-                       read(fields, "rate_limit", request.rate_limit) && request.retry_percent <= kMaxPercent;
+                       read(fields, "rate_limit", request.rate_limit) &&
+                       read_unless_zero(fields, "retry", retry) && request.retry_percent <= kMaxPercent;
     if (!whole) {
         return std::nullopt;
     }
     request.remaining = milliseconds(remaining_ms);
     request.max_wait = milliseconds(longest_wait_ms);
     request.at_most_once = once != 0;
+    request.is_retry = retry != 0;
     return request;
 }
 
@@ -165,7 +170,8 @@
         read(fields, "failed_percent", result.failed_percent) &&
         read_unless_zero(fields, "crashes", result.crashes) &&
         read(fields, "rate_limit", result.rate_limit) && read_unless_zero(fields, "leaves", leaves) &&
-        read(fields, "overloaded", result.overloaded_service);
+        read_unless_zero(fields, "declined_percent", result.declined_percent) &&
+        result.declined_percent <= kMaxPercent && read(fields, "overloaded", result.overloaded_service);
     const auto kind = error_kind_from_name(error);
     if (!whole || !kind) {
         return std::nullopt;
--- a/src/hop/hop_header.hpp
+++ b/src/hop/hop_header.hpp
@@ -32,6 +32,9 @@
     unsigned crashes = 0;  ///< Consecutive servers that crashed executing the request.
     /// The server's rate limit last seen by the sender, for a gate that was restarted.
     std::optional<RequestRate> rate_limit{};
+    /// The caller's daemon sends the request again, and the gate may refuse the retry (retry/gate_budget). A
+    /// first attempt of a run that is a retry isn't.
+    bool is_retry = false;
 };
 
 /// Outcome of the request at the gate.
@@ -55,6 +58,7 @@
     bool server_leaves = false;                   ///< The server's response announces its shutdown.
     unsigned latency_us = 0;                      ///< The server's response time.
     unsigned failed_percent = 0;                  ///< Share of recent requests that the server failed.
+    unsigned declined_percent = 0;  ///< Share of arrivals that the server declines whatever its load.
     unsigned crashes = 0;  ///< Consecutive servers that crashed executing the request, as known at the gate.
     /// Set if the server failed and a call that it made was meanwhile rejected for overload.
     std::string overloaded_service;
--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -163,6 +163,7 @@
             known.server.limit = server.limit;
             known.server.latency_us = server.latency_us;
             known.server.failed_percent = server.failed_percent;
+            known.server.declined_percent = server.declined_percent;
         }
     }
 }
--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -103,6 +103,13 @@
     EventEntry{Event::kServerRateRefused, Level::kWarn, "server-rate-refused",
                "So many requests were refused since the last such line, since the server takes only `per_s` "
                "a second."},
+    EventEntry{Event::kServerDeclining, Level::kWarn, "server-declining",
+               "The server beside this daemon began or ceased (`state`) to decline a share of its arrivals, "
+               "whatever its load."},
+    EventEntry{
+        Event::kRetryLimitMoved, Level::kInfo, "retry-limit-moved",
+        "The servers of a service decline a share of their arrivals, or no longer do; the retries that "
+        "they may still get (`retries_per_s`) limit the requests that are let in (`let_in`)."},
     EventEntry{Event::kContextRefused, Level::kWarn, "context-refused",
                "A call brought a context that is forged, malformed or of an ended call."},
     EventEntry{Event::kIngressCall, Level::kInfo, "ingress-call",
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -40,6 +40,11 @@
         "limit."},
     MetricEntry{"anisehold_rate_refusals_total", "counter",
                 "Requests refused because a server takes only so many a second, by service."},
+    MetricEntry{"anisehold_gate_retries_total", "counter",
+                "Retries that reached the gate of a server, by service, rank and result."},
+    MetricEntry{
+        "anisehold_declined_share", "gauge",
+        "Share of arrivals that the server beside this daemon declines whatever its load, by service."},
 };
 
 std::string help_of(std::string_view name) {
@@ -88,6 +93,8 @@
     prometheus::Family<prometheus::Gauge>& suspects = gauge("anisehold_suspects");
     prometheus::Family<prometheus::Gauge>& server_rates = gauge("anisehold_server_rate_limit");
     prometheus::Family<prometheus::Counter>& rate_refusals = counter("anisehold_rate_refusals_total");
+    prometheus::Family<prometheus::Counter>& gate_retries = counter("anisehold_gate_retries_total");
+    prometheus::Family<prometheus::Gauge>& declined_shares = gauge("anisehold_declined_share");
 };
 
 std::span<const MetricEntry> metric_catalogue() {
@@ -155,6 +162,18 @@
     families_->table_revision.Set(static_cast<double>(revision));
 }
 
+void Metrics::count_gate_retry(const std::string& service, unsigned rank, bool granted) {
+    families_->gate_retries
+        .Add({{"service", service},
+              {"rank", std::to_string(rank)},
+              {"result", granted ? "granted" : "refused"}})
+        .Increment();
+}
+
+void Metrics::set_declined_share(const std::string& service, double share) {
+    families_->declined_shares.Add({{"service", service}}).Set(share);
+}
+
 std::string Metrics::text() const {
     return prometheus::TextSerializer().Serialize(families_->registry.Collect());
 }
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -55,6 +55,10 @@
     void count_server_crash(const std::string& service);
     void set_suspects(std::string_view state, std::size_t count);
     void set_table_revision(std::uint64_t revision);
+    /// Counts a retry that the gate granted or refused; `rank`: the priority by which it decided.
+    void count_gate_retry(const std::string& service, unsigned rank, bool granted);
+    /// Sets the share of arrivals that the service's server declines whatever its load.
+    void set_declined_share(const std::string& service, double share);
 
     /// The metrics in the text format for scraping.
     std::string text() const;
--- a/src/overload/pressure_report.cpp
+++ b/src/overload/pressure_report.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "overload/retry_capacity.hpp"
+
 namespace anisehold::overload
 {
 namespace
@@ -126,7 +128,8 @@
 
     for (const auto& [name, service] : state.services)
     {
-        if (service.rows.empty() && service.admittedShare >= 1 && ! service.isRefusing)
+        if (service.rows.empty() && service.admittedShare >= 1 && ! service.isRefusing &&
+            ! isDeclining (state, name))
             continue;
 
         reports.push_back (ownCounts (state, name, service));
--- a/src/overload/pressure_report.hpp
+++ b/src/overload/pressure_report.hpp
@@ -27,8 +27,8 @@
 void recordPeerReport (RootLimitState&, TimePoint now, const std::string& peer,
                        const std::vector<ServicePressure>&);
 
-/** Returns this daemon's report: services that some row is known to reach, that recently refused calls, or
-    whose admitted share is below 1. */
+/** Returns this daemon's report: services that some row is known to reach, that recently refused calls, that
+    decline a share of their arrivals, or whose admitted share is below 1. */
 std::vector<ServicePressure> ownReport (const RootLimitState&);
 
 /** The fleet's counts for one service in a period. */
--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "overload/capacity_share.hpp"
+#include "overload/retry_capacity.hpp"
 #include "overload/rows_under_way.hpp"
 
 namespace anisehold::overload
@@ -99,6 +100,9 @@
 
 bool isUnderPressure (const RootLimitState& state)
 {
+    if (! state.retryCapacity.services.empty())
+        return true;
+
     return std::any_of (state.services.begin(), state.services.end(),
                         [] (const auto& it) { return it.second.admittedShare < 1 || it.second.isRefusing; });
 }
@@ -117,6 +121,7 @@
         admitted = std::min (admitted, share == shares.end() ? 1.0 : share->second);
     }
 
+    admitted = std::min (admitted, retryLimitedShare (state, row.name));
     const auto volume = state.rows.find (row.name);
     return 1 - (volume == state.rows.end() ? admitted : correctedShare (volume->second, admitted));
 }
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -44,7 +44,8 @@
     of this daemon. */
 std::vector<AdmittedShareChange> endPeriod (RootLimitState&, TimePoint now, const Utilizations&);
 
-/** Whether an admitted share is below 1 or calls were recently refused; reports should then be more
+/** Whether an admitted share is below 1, a service declines a share of its arrivals, or calls were recently
+    refused; reports should then be more
     frequent. The first refusal has this effect at once, so that the limit responds to a sudden overload
     within the shorter period. */
 bool isUnderPressure (const RootLimitState&);
--- a/src/overload/root_limit_state.hpp
+++ b/src/overload/root_limit_state.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "overload/retry_capacity_state.hpp"
 #include "overload/service_pressure.hpp"
 #include "protocol/time_types.hpp"
 
@@ -82,6 +83,7 @@
     TimePoint periodEnded;         /**< End of the last period. */
     std::map<std::string, ServiceState> services;
     std::map<std::string, RowVolume> rows;
+    RetryCapacityState retryCapacity; /**< Updated by retry_capacity. */
 };
 
 } // namespace anisehold::overload
--- a/src/overload/work_estimate.cpp
+++ b/src/overload/work_estimate.cpp
@@ -69,6 +69,13 @@
     it.ended += 1;
 }
 
+void recordRunDeclined (WorkEstimate& work, TimePoint now, const std::string& row)
+{
+    advance (work, now);
+    auto& it = work.rows[row];
+    it.inFlight -= it.inFlight > 0 ? 1 : 0;
+}
+
 void recordCallMade (WorkEstimate& work, TimePoint now, const std::string& called)
 {
     advance (work, now);
--- a/src/overload/work_estimate.hpp
+++ b/src/overload/work_estimate.hpp
@@ -47,6 +47,9 @@
 /** Records that the server finished a request of `row`, successfully or not. */
 void recordRunEnded (WorkEstimate&, TimePoint now, const std::string& row);
 
+/** Records that the server declined a request of `row` that had been recorded as started. */
+void recordRunDeclined (WorkEstimate&, TimePoint now, const std::string& row);
+
 /** Records that the server made a call of row `called`. */
 void recordCallMade (WorkEstimate&, TimePoint now, const std::string& called);
 
--- a/src/retry/attempt_plan.cpp
+++ b/src/retry/attempt_plan.cpp
@@ -19,7 +19,16 @@
 }  // namespace
 
 bool AttemptPlan::retry_allowed(bool another_server) const {
-    return another_server && !retry_refused_ && reached_ + running_ < terms_.max_servers;
+    return another_server && !retry_refused_ && attempts_left();
+}
+
+bool AttemptPlan::attempts_left() const {
+    if (!terms_.repeats_declined) {
+        return reached_ + running_ < terms_.max_servers;
+    }
+    const unsigned may_have_run = reached_ - declined_ + running_;
+    return !retries_exhausted_ && may_have_run < terms_.max_servers && reached_ + running_ < kMaxSends &&
+           launched_ < kMaxUnsentAttempts;
 }
 
 AttemptStep AttemptPlan::next(TimePoint now, bool another_server) const {
@@ -64,8 +73,7 @@
     if (running_ == 0) {
         return std::min<TimePoint>(terms_.deadline, now + kServerPoll);
     }
-    const bool may_hedge =
-        terms_.may_hedge && terms_.may_retry && !retry_refused_ && reached_ + running_ < terms_.max_servers;
+    const bool may_hedge = terms_.may_hedge && terms_.may_retry && !retry_refused_ && attempts_left();
     if (!may_hedge) {
         return terms_.deadline;
     }
@@ -104,6 +112,7 @@
             break;
         case AttemptOutcome::kRefusedByServer:
             ++reached_;
+            ++declined_;
             break;
         case AttemptOutcome::kUnknown:
             ++unknown_;
--- a/src/retry/attempt_plan.hpp
+++ b/src/retry/attempt_plan.hpp
@@ -23,8 +23,15 @@
     /// Server discovery may still be incomplete until this time, so a request without a server waits.
     TimePoint servers_known_at = TimePoint::min();
     bool may_hedge = true;  ///< Disabled only in the lab.
+    /// A declined attempt has not run, so it may be sent again, also to a server that was tried before. Set
+    /// if the servers' gates grant retries (retry/gate_budget).
+    bool repeats_declined = false;
 };
 
+/// Maximum number of sends of one request that reach a server, if declined attempts are repeated. At a
+/// declined share of 0.55 a call then fails with a probability of 0.03.
+inline constexpr unsigned kMaxSends = 6;
+
 /// How one attempt ended.
 enum class AttemptOutcome {
     kAnswered,         ///< A complete, successful response.
@@ -56,7 +63,8 @@
   public:
     explicit AttemptPlan(AttemptTerms terms) : terms_(terms) {}
 
-    /// Returns the next step. `another_server`: a server is available that has not been tried.
+    /// Returns the next step. `another_server`: a server is available that has not been tried, or, if
+    /// declined attempts are repeated, one that has declined the request.
     AttemptStep next(TimePoint now, bool another_server) const;
     /// After `kWait`: when to call `next` again if no event occurs before.
     TimePoint wait_until(TimePoint now) const;
@@ -64,6 +72,8 @@
     void on_launched(TimePoint now);
     /// The budget had no retry; no other retry is requested until an attempt has ended.
     void on_retry_refused() { retry_refused_ = true; }
+    /// The gate of a server refused a retry: the request is not retried again.
+    void on_retries_exhausted() { retries_exhausted_ = true; }
     void on_outcome(AttemptOutcome outcome);
     /// An attempt was cancelled before it ended. An attempt that had not begun to be sent is never sent.
     void on_cancelled(bool was_sent) {
@@ -74,11 +84,17 @@
     RetryReason retry_reason() const;
 
     unsigned running() const { return running_; }
+    /// Whether a further server may be tried; otherwise only servers that have declined the request.
+    bool may_reach_another_server(unsigned reached_servers) const {
+        return reached_servers < terms_.max_servers;
+    }
     /// Whether the request may have run.
     bool may_have_run() const { return unknown_ > 0 || failed_answers_ > 0 || running_ > 0; }
 
   private:
     bool retry_allowed(bool another_server) const;
+    /// Whether the number of attempts so far allows another one.
+    bool attempts_left() const;
     bool waits_for_server(TimePoint now, bool another_server) const;
 
     AttemptTerms terms_;
@@ -88,7 +104,9 @@
     unsigned unknown_ = 0;
     unsigned failed_answers_ = 0;
     bool answered_ = false;
+    unsigned declined_ = 0;  ///< Attempts of `reached_` that did not run.
     bool retry_refused_ = false;
+    bool retries_exhausted_ = false;
     TimePoint last_launch_;
 };
 
--- a/src/retry/window_budget.cpp
+++ b/src/retry/window_budget.cpp
@@ -44,6 +44,12 @@
     return std::max(1.0, terms_.burst_share * terms_.ratio * counts.requests.total);
 }
 
+void WindowBudget::record_retry(TimePoint now, const std::string& service) {
+    auto& counts = services_[service];
+    drop_old(now, counts);
+    add(counts.retries, now, 1);
+}
+
 bool WindowBudget::try_retry(TimePoint now, const std::string& service, std::size_t members,
                              RetryReason reason) {
     auto& counts = services_[service];
--- a/src/retry/window_budget.hpp
+++ b/src/retry/window_budget.hpp
@@ -60,6 +60,9 @@
     /// Takes one retry; false if the budget has none left. `members` is the number of daemons in the fleet.
     bool try_retry(TimePoint now, const std::string& service, std::size_t members, RetryReason reason);
 
+    /// Records a retry that the gate of the server has granted instead.
+    void record_retry(TimePoint now, const std::string& service);
+
     void set_terms(const WindowBudgetTerms& terms) { terms_ = terms; }
 
   private:
--- a/src/selection/server_selection.cpp
+++ b/src/selection/server_selection.cpp
@@ -50,7 +50,9 @@
 
     const auto it = state.failures.find (server.instance);
     const double seen = it == state.failures.end() ? 0 : currentShare (it->second, now);
-    return std::max (seen, shareOfPercent * server.failed_percent - toleratedShare);
+    const double failed = std::max (seen, shareOfPercent * server.failed_percent - toleratedShare);
+    const double declined = shareOfPercent * server.declined_percent - state.commonDeclined;
+    return std::max (failed, declined - toleratedShare);
 }
 
 /** Returns the scale of a failure's cost: the mean latency of the service's servers, in microseconds. */
@@ -176,6 +178,44 @@
         state.failures.erase (instance);
 }
 
+double lowestDeclinedShare (const ServiceView& view)
+{
+    double lowest = 1;
+
+    for (const auto* list : { &view.local, &view.remote })
+        for (const auto* it : *list)
+            lowest = std::min (lowest, shareOfPercent * it->server.declined_percent);
+
+    return view.empty() ? 0 : lowest;
+}
+
+const KnownServer* chooseAmong (const SelectionState& state, TimePoint now, const ServiceView& view,
+                                const std::set<std::string>& instances)
+{
+    const double meanUs = failureScaleUs (view);
+    const KnownServer* best = nullptr;
+    double lowestCost = std::numeric_limits<double>::max();
+
+    for (const auto* list : { &view.local, &view.remote })
+    {
+        for (const auto* it : *list)
+        {
+            if (! instances.contains (it->server.instance))
+                continue;
+
+            const double cost = expectedCost (state, now, *it, meanUs);
+
+            if (best == nullptr || cost < lowestCost)
+            {
+                best = it;
+                lowestCost = cost;
+            }
+        }
+    }
+
+    return best;
+}
+
 double expectedCost (const SelectionState& state, TimePoint now, const KnownServer& known, double meanUs)
 {
     const auto& server = known.server;
--- a/src/selection/server_selection.hpp
+++ b/src/selection/server_selection.hpp
@@ -14,6 +14,7 @@
 #pragma once
 
 #include <functional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -44,8 +45,20 @@
     std::unordered_map<std::string, unsigned> inFlight; /**< Requests of this daemon that are in flight. */
     std::unordered_map<std::string, FailureShare> failures;
     SelectionRules rules{};
+    /** Lowest share of arrivals, from 0 to 1, that a server of the service at hand declines whatever its
+       load. A server is avoided only for what it declines beyond this share: with all servers declining
+       alike, nothing is gained by avoiding one. Set before each choice. */
+    double commonDeclined = 0;
 };
 
+/** Returns the lowest share of arrivals that a server of the view declines. */
+double lowestDeclinedShare (const membership::ServiceView&);
+
+/** Returns the cheapest of the view's servers named in `instances`; null if there is none. */
+const membership::KnownServer* chooseAmong (const SelectionState&, TimePoint now,
+                                            const membership::ServiceView&,
+                                            const std::set<std::string>& instances);
+
 /** Records that a request was sent to the server. */
 void recordSent (SelectionState&, const std::string& instance);
 
--- a/src/sidecar/attempt_outcome.cpp
+++ b/src/sidecar/attempt_outcome.cpp
@@ -52,7 +52,12 @@
 
 bool is_server_failure(const GateAnswer& answer) {
     const auto outcome = answer.result.outcome;
-    return outcome == HopOutcome::kUnknown || outcome == HopOutcome::kRefusedByServer;
+    return outcome == HopOutcome::kUnknown ||
+           (outcome == HopOutcome::kRefusedByServer && !is_declined(answer));
+}
+
+bool is_declined(const GateAnswer& answer) {
+    return answer.result.outcome == HopOutcome::kRefusedByServer && answer.result.declined_percent > 0;
 }
 
 ErrorKind error_for_caller(ErrorKind error, bool may_have_run) {
--- a/src/sidecar/attempt_outcome.hpp
+++ b/src/sidecar/attempt_outcome.hpp
@@ -38,10 +38,15 @@
 retry::AttemptOutcome outcome_of(const GateAnswer& answer);
 
 /// Whether the attempt counts as a failure in server selection: no complete response arrived, or the server
-/// refused the request. A response with a status of 500 or above is complete; the gate counts it in the
-/// server's failure share.
+/// refused the request. A server that declines a share of its arrivals whatever its load is compared by that
+/// share instead (selection/server_selection). A response with a status of 500 or above is complete; the gate
+/// counts it in the server's failure share.
 bool is_server_failure(const GateAnswer& answer);
 
+/// Whether the server refused the request while its gate believed that it declines a share of its arrivals
+/// whatever its load.
+bool is_declined(const GateAnswer& answer);
+
 /// The error returned to the caller: `error`, unless its statement on whether the request ran contradicts
 /// `may_have_run`.
 ErrorKind error_for_caller(ErrorKind error, bool may_have_run);
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 #include "net/event_loop.hpp"
@@ -86,6 +87,7 @@
       started_(TimePoint::clock::now()) {}
 
 void CallAttempts::apply_settings() {
+    gate_.apply_settings();
     budget_.set_terms(budget_terms(context_.settings));
 }
 
@@ -106,8 +108,7 @@
     while (active) {
         process_outcomes(call, state);
         const auto now = TimePoint::clock::now();
-        const auto* server = chooser_.choose(now, call.service, call.identity, state.tried,
-                                             state.plan.running(), state.may_retry);
+        const auto* server = choose_server(call, state, now);
         step = state.plan.next(now, server != nullptr);
         const bool sends = step == AttemptStep::kLaunch || step == AttemptStep::kLaunchRetry;
         if (sends && crashes_.is_condemned(now, call.identity)) {
@@ -140,6 +141,7 @@
         measured.count() > 0 ? std::chrono::duration_cast<Duration>(measured) : Duration(kDefaultLatency);
     terms.hedge_after = std::max<Duration>(kMinHedgeDelay, kHedgeFactor * average);
     terms.may_hedge = context_.has(Mechanism::kHedging);
+    terms.repeats_declined = context_.has(Mechanism::kGateRetryBudget) && request.body.whole();
     return terms;
 }
 
@@ -147,15 +149,13 @@
                            const KnownServer* server, TimePoint now) {
     switch (step) {
         case AttemptStep::kLaunch:
-            launch(call, state, *server, state.inherited_retry);
+            launch(call, state, *server, state.inherited_retry, false);
             state.plan.on_launched(now);
             return true;
         case AttemptStep::kLaunchRetry:
-            if (context_.has(Mechanism::kRetries) &&
-                budget_.try_retry(now, call.service, directory_.known_count() + 1,
-                                  state.plan.retry_reason())) {
+            if (context_.has(Mechanism::kRetries) && allows_retry(call, state, now)) {
                 context_.metrics.count_retry(call.service);
-                launch(call, state, *server, 1);
+                launch(call, state, *server, 1, true);
                 state.plan.on_launched(now);
             } else {
                 state.plan.on_retry_refused();
@@ -169,12 +169,63 @@
     }
 }
 
+const KnownServer* CallAttempts::choose_server(const IncomingCall& call, const RequestState& state,
+                                               TimePoint now) {
+    const auto choose_untried = [&] {
+        return chooser_.choose(now, call.service, call.identity, state.tried, state.plan.running(),
+                               state.may_retry);
+    };
+    if (!state.repeats_declined) {
+        return choose_untried();
+    }
+    std::set<std::string> reached;
+    std::set<std::string> declined;
+    for (const auto& attempt : state.attempt_set->attempts) {
+        const auto outcome = attempt->answer.result.outcome;
+        if (!attempt->ended || outcome != hop::HopOutcome::kNotSent) {
+            reached.insert(attempt->server.server.instance);
+        }
+        if (attempt->ended && outcome == hop::HopOutcome::kRefusedByServer) {
+            declined.insert(attempt->server.server.instance);
+        } else {
+            declined.erase(attempt->server.server.instance);
+        }
+    }
+    const auto* untried = state.plan.may_reach_another_server(static_cast<unsigned>(reached.size()))
+                              ? choose_untried()
+                              : nullptr;
+    return untried != nullptr ? untried : chooser_.choose_again(now, call.service, call.identity, declined);
+}
+
+bool CallAttempts::allows_retry(const IncomingCall& call, const RequestState& state, TimePoint now) {
+    const auto reason = state.plan.retry_reason();
+    // The gate decides on retries of attempts without a response, and records them here when they have
+    // reached a server.
+    if (state.repeats_declined && reason == retry::RetryReason::kNoAnswer) {
+        return true;
+    }
+    return budget_.try_retry(now, call.service, directory_.known_count() + 1, reason);
+}
+
+void CallAttempts::record_gate_decision(const IncomingCall& call, RequestState& state,
+                                        const Attempt& attempt) {
+    const auto& result = attempt.answer.result;
+    if (attempt.asks_gate && result.outcome != hop::HopOutcome::kNotSent) {
+        budget_.record_retry(TimePoint::clock::now(), call.service);
+    }
+    if (result.outcome == hop::HopOutcome::kNotSent && result.error == ErrorKind::kRetriesExhausted) {
+        state.plan.on_retries_exhausted();
+    }
+}
+
 void CallAttempts::launch(const IncomingCall& call, RequestState& state, const KnownServer& server,
-                          double retry) {
+                          double retry, bool is_retry) {
     const auto& attempt_set = state.attempt_set;
     const auto attempt = std::make_shared<Attempt>();
     attempt->server = server;
     attempt->started = TimePoint::clock::now();
+    attempt->is_retry = is_retry && context_.has(Mechanism::kGateRetryBudget);
+    attempt->asks_gate = attempt->is_retry && state.plan.retry_reason() == retry::RetryReason::kNoAnswer;
     attempt_set->attempts.push_back(attempt);
     state.tried.push_back(server.server.instance);
     chooser_.on_sent(server.server.instance);
@@ -194,6 +245,7 @@
     hop_call.max_wait =
         std::max(kMinGateWait, milliseconds(to_milliseconds(gate_wait_deadline(call) - attempt.started)));
     hop_call.retry_percent = static_cast<unsigned>(std::lround(retry * kPercent));
+    hop_call.is_retry = attempt.is_retry;
     hop_call.at_most_once = !may_retry(call.terms.retry);
     hop_call.crashes = crashes_.crashes_of(attempt.started, call.identity);
     hop_call.row = call.row;
@@ -221,9 +273,21 @@
     chooser_.on_ended(
         now, attempt.server.server.instance,
         {attempt.cancel.cancelled(), is_server_failure(attempt.answer), now - attempt.started, slow_after});
+    record_declined(attempt, now);
     attempt_set->changed.notify();
 }
 
+void CallAttempts::record_declined(const Attempt& attempt, TimePoint now) {
+    const auto& result = attempt.answer.result;
+    const auto outcome = result.outcome;
+    const bool reached =
+        outcome == hop::HopOutcome::kAnswered || outcome == hop::HopOutcome::kRefusedByServer;
+    if (reached && context_.has(Mechanism::kGateRetryBudget)) {
+        context_.overload.on_declined_share(now, attempt.server.server.service,
+                                            {result.instance, result.declined_percent, result.latency_us});
+    }
+}
+
 void CallAttempts::process_outcomes(IncomingCall& call, RequestState& state) {
     for (const auto& attempt : state.attempt_set->attempts) {
         if (attempt->ended && !attempt->processed) {
@@ -237,6 +301,7 @@
     attempt->processed = true;
     const auto outcome = outcome_of(attempt->answer);
     state.plan.on_outcome(outcome);
+    record_gate_decision(call, state, *attempt);
     const auto& result = attempt->answer.result;
     const bool answered = attempt->answer.response.has_value();
     if (answered) {
--- a/src/sidecar/call_attempts.hpp
+++ b/src/sidecar/call_attempts.hpp
@@ -48,7 +48,8 @@
     /// 4. before sending, checks whether the request has been condemned (`kCrashesServers`) or its caller has
     ///    disconnected (`kCancelled`);
     /// 5. before a retry, asks the budget (`retry::WindowBudget`); without budget the request waits for its
-    ///    pending attempts.
+    ///    pending attempts. With `kGateRetryBudget` the server's gate decides instead (retry/gate_budget),
+    ///    and on hedges as well; after its refusal the request is not retried again.
     AttemptsResult run(IncomingCall& call, net::HttpRequest& request, net::CancelSignal& cancel);
     /// Applies changed settings.
     void apply_settings();
@@ -61,6 +62,8 @@
         net::ExchangeProgress progress;
         GateAnswer answer;
         TimePoint started;
+        bool is_retry = false;   ///< The server's gate may refuse the attempt as a retry.
+        bool asks_gate = false;  ///< Only the gate decides on the retry.
         bool ended = false;
         bool processed = false;  ///< Whether the outcome has been passed to the plan.
     };
@@ -73,10 +76,14 @@
     /// State of one request while it has attempts.
     struct RequestState {
         explicit RequestState(const retry::AttemptTerms& terms)
-            : plan(terms), may_retry(terms.may_retry), slow_after(terms.hedge_after) {}
+            : plan(terms),
+              may_retry(terms.may_retry),
+              repeats_declined(terms.repeats_declined),
+              slow_after(terms.hedge_after) {}
 
         retry::AttemptPlan plan;
-        bool may_retry;  ///< Whether the request may be sent again although it may have run.
+        bool may_retry;         ///< Whether the request may be sent again although it may have run.
+        bool repeats_declined;  ///< Gates decide on retries, and declined attempts are repeated.
         /// Time without a response after which a server counts as slow for this request.
         Duration slow_after;
         std::shared_ptr<AttemptSet> attempt_set = std::make_shared<AttemptSet>();
@@ -90,12 +97,23 @@
 
     retry::AttemptTerms terms_of(const IncomingCall& call, const net::HttpRequest& request,
                                  TimePoint now) const;
+    /// Chooses the server of the next attempt: one that has not been tried, or one that has declined the
+    /// request if no other server may be tried.
+    const membership::KnownServer* choose_server(const IncomingCall& call, const RequestState& state,
+                                                 TimePoint now);
+    /// Whether this daemon's own budget allows the retry, or leaves the decision to the gate.
+    bool allows_retry(const IncomingCall& call, const RequestState& state, TimePoint now);
+    /// Processes what the gate decided on an attempt that is a retry.
+    void record_gate_decision(const IncomingCall& call, RequestState& state, const Attempt& attempt);
+    /// Reports the declined share of the server to the overload tracker.
+    void record_declined(const Attempt& attempt, TimePoint now);
     /// Executes the step of the plan. Returns false if it was the last one.
     bool advance(const IncomingCall& call, RequestState& state, retry::AttemptStep step,
                  const membership::KnownServer* server, TimePoint now);
-    /// Starts an attempt. `retry` in [0, 1]: probability that it counts as a retry at its service.
+    /// Starts an attempt. `retry` in [0, 1]: probability that it counts as a retry at its service;
+    /// `is_retry`: this daemon sends the request again, so that the attempt can be refused as a retry.
     void launch(const IncomingCall& call, RequestState& state, const membership::KnownServer& server,
-                double retry);
+                double retry, bool is_retry);
     hop::HopRequest hop_request_of(const IncomingCall& call, const Attempt& attempt, double retry) const;
     /// Sends the attempt; runs in the attempt's own fiber.
     void send(const std::shared_ptr<AttemptSet>& attempt_set, Attempt& attempt,
--- a/src/sidecar/gate_server.cpp
+++ b/src/sidecar/gate_server.cpp
@@ -5,6 +5,7 @@
 #include <cmath>
 
 #include "net/event_loop.hpp"
+#include "observability/events.hpp"
 
 namespace anisehold::sidecar {
 namespace {
@@ -110,13 +111,25 @@
     const auto& result = answer.result;
     const bool refused_at_gate =
         result.outcome == HopOutcome::kNotSent && result.error != ErrorKind::kConnectFailed;
-    // A failure caused by a downstream overload says nothing about this server.
-    if (cancelled || refused_at_gate || !result.overloaded_service.empty()) {
+    // A failure caused by a downstream overload says nothing about this server. The share of arrivals that it
+    // declines whatever its load is reported separately.
+    if (cancelled || refused_at_gate || !result.overloaded_service.empty() || is_declined(answer)) {
         return;
     }
     selection::recordResult(server.failures, now, !good, kFailureSampleWeight);
 }
 
+void log_decline_change(const std::string& instance, const GateServer& server, TimePoint now,
+                        admission::DeclineChange change) {
+    if (change == admission::DeclineChange::kNone) {
+        return;
+    }
+    observability::log_event(observability::Event::kServerDeclining,
+                             {{"server", instance},
+                              {"state", change == admission::DeclineChange::kBegan ? "begin" : "end"},
+                              {"share", std::to_string(admission::current_declined(server.declined, now))}});
+}
+
 void record_in_flight(GateServer& server, TimePoint now) {
     overload::recordValue(server.running, now, server.gate.load().in_flight);
 }
@@ -128,6 +141,7 @@
     result.queued = load.queued;
     result.limit = server.gate.usable_limit(now);
     result.rate_limit = server.gate.rate().limit();
+    result.declined_percent = admission::declined_percent(server.declined, now);
     result.failed_percent = static_cast<unsigned>(kPercent * selection::currentShare(server.failures, now));
     result.latency_us =
         static_cast<unsigned>(std::chrono::duration_cast<std::chrono::microseconds>(server.latency).count());
--- a/src/sidecar/gate_server.hpp
+++ b/src/sidecar/gate_server.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <unordered_map>
 
+#include "admission/declined_share.hpp"
 #include "admission/server_gate.hpp"
 #include "connection/connect_backoff.hpp"
 #include "connection/idle_limit.hpp"
@@ -62,6 +63,7 @@
     std::unordered_map<std::uint64_t, std::shared_ptr<GateWaiter>> waiters;
     Duration latency{};  ///< Moving average of the response time.
     selection::FailureShare failures;
+    admission::DeclinedShare declined;
     connection::IdleLimit idle_limit;  ///< Maximum idle time of kept connections.
     connection::ConnectBackoff backoff;
     RateLines rate_lines;
@@ -83,6 +85,10 @@
 void record_end(GateServer& server, TimePoint started, TimePoint now, const GateAnswer& answer,
                 bool cancelled);
 
+/// Logs that the server began or ceased to decline a share of its arrivals.
+void log_decline_change(const std::string& instance, const GateServer& server, TimePoint now,
+                        admission::DeclineChange change);
+
 /// Records the current number of requests in flight.
 void record_in_flight(GateServer& server, TimePoint now);
 
--- a/src/sidecar/gate_servers.cpp
+++ b/src/sidecar/gate_servers.cpp
@@ -100,6 +100,9 @@
     for (const auto& instance : silent) {
         log_event(Event::kServerSilent, {{"server", instance}});
     }
+    for (auto& [instance, server] : servers_) {
+        log_decline_change(instance, *server, now, admission::expire_declined(server->declined, now));
+    }
     std::erase_if(servers_, [&](const auto& entry) {
         return registry_.find_ready(entry.first) == nullptr && entry.second.use_count() == 1;
     });
@@ -125,6 +128,7 @@
             record.limit = load.limit;
             record.latency_us = load.latency_us;
             record.failed_percent = load.failed_percent;
+            record.declined_percent = load.declined_percent;
             record.busy_percent = busy_percent(*found->second, now);
         }
         records.push_back(std::move(record));
@@ -132,6 +136,11 @@
     return records;
 }
 
+unsigned GateServers::slots_of(const std::string& instance) const {
+    const auto* registered = registry_.find_ready(instance);
+    return registered == nullptr ? 0 : registered->heartbeat.slots;
+}
+
 std::optional<RequestRate> GateServers::rate_limit(const std::string& instance) const {
     const auto found = servers_.find(instance);
     return found == servers_.end() ? std::nullopt : found->second->gate.rate().limit();
--- a/src/sidecar/gate_servers.hpp
+++ b/src/sidecar/gate_servers.hpp
@@ -37,6 +37,8 @@
     bool serves(const std::string& service) const { return registry_.serves(service); }
     /// Returns the server if it accepts new requests, else null.
     std::shared_ptr<GateServer> find(const std::string& instance);
+    /// Number of slots of the server; 0 if it doesn't accept requests.
+    unsigned slots_of(const std::string& instance) const;
     /// Returns the rate limit stated in the server's responses, if any.
     std::optional<RequestRate> rate_limit(const std::string& instance) const;
     /// Returns the records, for peers, of the servers that accept requests.
--- a/src/sidecar/hop_client.cpp
+++ b/src/sidecar/hop_client.cpp
@@ -25,6 +25,7 @@
     server.limit = result.limit;
     server.latency_us = result.latency_us;
     server.failed_percent = result.failed_percent;
+    server.declined_percent = result.declined_percent;
     return server;
 }
 
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -19,6 +19,26 @@
 /// when it crashes.
 constexpr std::size_t kMaxLoggedDigests = 32;
 
+/// Minimum time between two immediate reports that a server began or ceased to decline. The share may move
+/// about the threshold.
+constexpr milliseconds kDeclineReportGap{200};
+
+/// Largest priority that has a metric of its own; every label value is kept.
+constexpr unsigned kMaxRankLabel = 7;
+
+retry::GateBudgetTerms gate_budget_terms(const config::SidecarSettings& settings) {
+    retry::GateBudgetTerms terms;
+    terms.ratio = settings.retry_ratio;
+    terms.extra = settings.retry_extra;
+    terms.window = settings.retry_window;
+    return terms;
+}
+
+/// The rank of a retry among the others at the gate.
+retry::RetryRank retry_rank_of(const hop::HopRequest& call) {
+    return {call.priority, 0};
+}
+
 std::string digests_of(const std::vector<suspects::CrashedRun>& runs) {
     std::string digests;
     for (std::size_t n = 0; n < std::min(runs.size(), kMaxLoggedDigests); ++n) {
@@ -108,9 +128,10 @@
 
 GateAnswer LocalGate::run_admitted(GateServer& server, const GateRun& run, net::HttpRequest& request,
                                    TimePoint started) {
-    auto answer = servers_.is_ready(run.call.instance)
-                      ? run_at_server(server, run, request)
-                      : make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
+    auto answer = !servers_.is_ready(run.call.instance)
+                      ? make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend)
+                  : grants_retry(run) ? run_at_server(server, run, request)
+                                      : make_failure(HopOutcome::kNotSent, ErrorKind::kRetriesExhausted);
     // If a server failed while calls made by its machine were refused for overload, the overload is the most
     // likely cause: the server's own load says nothing, and the work done for the request is lost.
     if (is_failed_answer(answer)) {
@@ -126,7 +147,12 @@
     const auto now = TimePoint::clock::now();
     context_.overload.on_run_began(now, run.call.row);
     server.crash.began(run.id, {{run.identity, crashes_.crashes_of(now, run.identity)}, &run.progress});
+    const bool had_free_slot = server.gate.load().in_flight < servers_.slots_of(run.call.instance);
     auto end = exchange_with_server(context_, server, request, run);
+    if (context_.has(Mechanism::kGateRetryBudget)) {
+        record_arrival(run);
+        record_declined(server, run, end, had_free_slot);
+    }
     if (end.connection_broke) {
         check_for_crash(server, run.call.instance);
     }
@@ -137,7 +163,11 @@
     server.crash.ended(run.id);
     --running_;
     running_retries_ -= run.call.retry_percent;
-    context_.overload.on_run_ended(TimePoint::clock::now(), run.call.row);
+    if (is_declined(end.answer)) {
+        context_.overload.on_run_declined(TimePoint::clock::now(), run.call.row);
+    } else {
+        context_.overload.on_run_ended(TimePoint::clock::now(), run.call.row);
+    }
     if (end.answer.result.outcome == HopOutcome::kAnswered) {
         crashes_.on_answered(run.identity);
     }
@@ -213,6 +243,66 @@
     }
 }
 
+retry::GateBudget& LocalGate::budget_of(const std::string& service) {
+    return budgets_.try_emplace(service, gate_budget_terms(context_.settings), started_).first->second;
+}
+
+bool LocalGate::grants_retry(const GateRun& run) {
+    if (!context_.has(Mechanism::kGateRetryBudget) || !run.call.is_retry) {
+        return true;
+    }
+    const auto& service = context_.settings.service;
+    const bool granted = budget_of(service).try_retry(TimePoint::clock::now(), retry_rank_of(run.call));
+    context_.metrics.count_gate_retry(service, std::min(run.call.priority, kMaxRankLabel), granted);
+    return granted;
+}
+
+void LocalGate::record_arrival(const GateRun& run) {
+    if (run.call.is_retry || !run.progress.request_started) {
+        return;
+    }
+    budget_of(context_.settings.service)
+        .on_first_arrival(TimePoint::clock::now(), run.call.retry_percent / kPercent);
+}
+
+void LocalGate::record_declined(GateServer& server, const GateRun& run, ServerExchangeResult& end,
+                                bool had_free_slot) {
+    auto& result = end.answer.result;
+    const bool refused = result.outcome == HopOutcome::kRefusedByServer;
+    const bool leaves = end.notice && end.notice->is_leaving;
+    const bool has_rate = server.gate.rate().limit() || (end.notice && end.notice->rate_limit);
+    if (result.outcome == HopOutcome::kNotSent || (refused && (leaves || has_rate || !had_free_slot))) {
+        return;
+    }
+    const auto now = TimePoint::clock::now();
+    const auto change = admission::record_arrival_end(server.declined, now, refused);
+    result.declined_percent = admission::declined_percent(server.declined, now);
+    context_.metrics.set_declined_share(context_.settings.service,
+                                        admission::current_declined(server.declined, now));
+    context_.overload.on_declined_share(
+        now, context_.settings.service,
+        {run.call.instance, result.declined_percent,
+         static_cast<unsigned>(std::chrono::duration_cast<microseconds>(server.latency).count())});
+    log_decline_change(run.call.instance, server, now, change);
+    if (change != admission::DeclineChange::kNone && now >= next_decline_report_) {
+        next_decline_report_ = now + kDeclineReportGap;
+        change_listener_();
+    }
+}
+
+void LocalGate::on_service_servers(TimePoint now, const std::string& service, std::size_t servers,
+                                   std::uint64_t identity) {
+    if (context_.has(Mechanism::kGateRetryBudget)) {
+        budget_of(service).on_servers(now, servers, identity);
+    }
+}
+
+void LocalGate::apply_settings() {
+    for (auto& [service, budget] : budgets_) {
+        budget.set_terms(gate_budget_terms(context_.settings));
+    }
+}
+
 double LocalGate::retry_share() const {
     return running_ > 0 ? running_retries_ / (kPercent * running_) : 0;
 }
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -13,7 +13,8 @@
 ///  5. Is a slot free, and does the server's rate limit allow the request, now or soon?
 ///     admission/server_gate, admission/server_rate; `kOverloaded`, `kQueueTimeout`.
 ///  6. Does the server still accept requests? registration/server_registry; `kNoBackend`.
-///  7. Is the caller still connected? sidecar/server_exchange; `kCancelled`.
+///  7. If the request is a retry: does the budget grant it? retry/gate_budget; `kRetriesExhausted`.
+///  8. Is the caller still connected? sidecar/server_exchange; `kCancelled`.
 ///
 /// Then the request is sent to the server. Checks 2 and 5 block the request's fiber. A request that is
 /// refused here has not run, and the caller's daemon may try another server (sidecar/call_attempts).
@@ -21,11 +22,13 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
 #include "hop/hop_header.hpp"
 #include "net/http_types.hpp"
+#include "retry/gate_budget.hpp"
 #include "sidecar/attempt_outcome.hpp"
 #include "sidecar/crash_exchange.hpp"
 #include "sidecar/gate_servers.hpp"
@@ -58,6 +61,11 @@
     const GateServers& servers() const { return servers_; }
     /// Number of requests waiting at the gate or running at the server.
     std::size_t in_flight() const { return in_flight_; }
+    /// Sets the known servers of a local server's service; see `retry::GateBudget::on_servers`.
+    void on_service_servers(TimePoint now, const std::string& service, std::size_t servers,
+                            std::uint64_t identity);
+    /// Applies changed settings.
+    void apply_settings();
     /// Share (0 to 1) of the requests at the server that are retries, or that were made by a run that is a
     /// retry.
     double retry_share() const;
@@ -74,6 +82,16 @@
                             TimePoint started);
     /// Sends the request to the server, and counts it as running until the response arrives.
     GateAnswer run_at_server(GateServer& server, const GateRun& run, net::HttpRequest& request);
+    /// The retry budget of the local servers of a service. It outlasts each start of a server.
+    retry::GateBudget& budget_of(const std::string& service);
+    /// Whether the request is no retry, or the budget grants it.
+    bool grants_retry(const GateRun& run);
+    /// Records that the request has reached the server, for the retry budget.
+    void record_arrival(const GateRun& run);
+    /// Records whether the server declined the request although it had a free slot when it was sent the
+    /// request, and marks the answer accordingly.
+    void record_declined(GateServer& server, const GateRun& run, ServerExchangeResult& end,
+                         bool had_free_slot);
     /// Processes what a response says about the server itself.
     void process_notice(GateServer& server, const std::string& instance, const ServerExchangeResult& end);
     /// Applies a rate limit reported by another party, which is valid until the server itself has responded.
@@ -90,6 +108,9 @@
     std::function<void()> change_listener_ = [] {};
     std::uint64_t next_id_ = 1;
     std::size_t in_flight_ = 0;
+    std::map<std::string, retry::GateBudget> budgets_;  ///< By service.
+    TimePoint started_ = TimePoint::clock::now();
+    TimePoint next_decline_report_;
     unsigned running_ = 0;          ///< Number of requests at the server.
     unsigned running_retries_ = 0;  ///< Sum of `retry_percent` of the requests at the server.
 };
--- a/src/sidecar/overload_tracker.cpp
+++ b/src/sidecar/overload_tracker.cpp
@@ -1,6 +1,11 @@
 #include "sidecar/overload_tracker.hpp"
 
 namespace anisehold::sidecar {
+namespace {
+
+constexpr double kPercent = 100;
+
+}  // namespace
 
 void OverloadTracker::on_call_ended(const std::string& service, const std::string& row, bool is_root,
                                     const CallEnd& end) {
@@ -23,6 +28,31 @@
     }
 }
 
+void OverloadTracker::on_admitted(const std::string& row) {
+    overload::recordRequestStarted(limit_, row);
+    if (has_retry_limit()) {
+        overload::recordAdmittedRoot(limit_, TimePoint::clock::now(), row);
+    }
+}
+
+void OverloadTracker::on_declined_share(TimePoint now, const std::string& service,
+                                        const DeclineReport& report) {
+    if (has_retry_limit()) {
+        overload::recordServerDecline(
+            limit_, service, report.instance,
+            {report.declined_percent / kPercent, static_cast<double>(report.latency_us), now});
+    }
+}
+
+void OverloadTracker::update_retry_limit(TimePoint now) {
+    if (!has_retry_limit()) {
+        return;
+    }
+    limit_.retryCapacity.terms.ratio = settings_.retry_ratio;
+    limit_.retryCapacity.terms.window = settings_.retry_window;
+    overload::updateRetryShares(limit_, now);
+}
+
 std::string OverloadTracker::overloaded_since(TimePoint since) const {
     return last_refusal_.seen >= since ? last_refusal_.service : std::string();
 }
--- a/src/sidecar/overload_tracker.hpp
+++ b/src/sidecar/overload_tracker.hpp
@@ -8,6 +8,7 @@
 
 #include "config/sidecar_settings.hpp"
 #include "net/fiber_signal.hpp"
+#include "overload/retry_capacity.hpp"
 #include "overload/root_limit.hpp"
 #include "overload/work_estimate.hpp"
 
@@ -20,6 +21,13 @@
     std::string overloaded_downstream;
 };
 
+/// What a gate reports of a server that may decline arrivals.
+struct DeclineReport {
+    std::string instance;
+    unsigned declined_percent = 0;
+    unsigned latency_us = 0;
+};
+
 /// Receives events from `CallIngress` and `CallAttempts` (requests of this machine), `LocalGate` (runs at the
 /// local server) and `PeerExchange` (reports of peers, ends of periods).
 class OverloadTracker {
@@ -32,10 +40,11 @@
     /// Records a client's request. Returns the share (0 to 1) of such requests that is currently refused.
     double on_offered(TimePoint now, const overload::RootRow& row) {
         overload::recordOffered(limit_, now, row);
+        update_retry_limit(now);
         return overload::refusedShare(limit_, row);
     }
     /// Records the start of an admitted client request, and its end (with any outcome) after `elapsed`.
-    void on_admitted(const std::string& row) { overload::recordRequestStarted(limit_, row); }
+    void on_admitted(const std::string& row);
     void on_admitted_ended(const std::string& row, Duration elapsed) {
         overload::recordRequestEnded(limit_, row, elapsed);
     }
@@ -49,6 +58,18 @@
     void on_run_began(TimePoint now, const std::string& row) { overload::recordRunStarted(work_, now, row); }
     void on_run_ended(TimePoint now, const std::string& row) { overload::recordRunEnded(work_, now, row); }
 
+    /// Records a run that the server declined whatever its load, instead of its end.
+    void on_run_declined(TimePoint now, const std::string& row) {
+        overload::recordRunDeclined(work_, now, row);
+    }
+    /// Records the share of its arrivals that a server declines, as reported by its gate in a result or
+    /// record.
+    void on_declined_share(TimePoint now, const std::string& service, const DeclineReport& report);
+    /// The changes of the limit by retries since the last call.
+    std::vector<overload::RetryLimitChange> take_retry_limit_changes(TimePoint now) {
+        return overload::takeRetryLimitChanges(limit_, now);
+    }
+
     bool is_under_pressure() const { return overload::isUnderPressure(limit_); }
     /// The report for peers. `update_work_estimates` updates the work estimates in it.
     std::vector<overload::ServicePressure> own_report() const { return overload::ownReport(limit_); }
@@ -73,6 +94,9 @@
         std::string service;
     };
 
+    bool has_retry_limit() const { return settings_.mechanisms.has(config::Mechanism::kGateRetryBudget); }
+    /// Updates the shares of client requests that the retries of declining services carry.
+    void update_retry_limit(TimePoint now);
     bool reports_onset() const { return settings_.mechanisms.has(config::Mechanism::kOverloadOnsetReports); }
 
     const config::SidecarSettings& settings_;
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -115,6 +115,7 @@
         directory_.expire(now);
         context_.notices.expire(now);
         end_limit_period(now);
+        tell_retry_limits(now);
         // Sent up to half a local period early rather than half a period late.
         if (now - announced_ + periods.local / 2 >= periods.remote) {
             announce();
@@ -162,6 +163,49 @@
     }
 }
 
+void PeerExchange::tell_retry_limits(TimePoint now) {
+    const auto& service = context_.settings.service;
+    if (!context_.has(config::Mechanism::kGateRetryBudget)) {
+        return;
+    }
+    if (gate_.servers().serves(service)) {
+        std::size_t count = 0;
+        std::uint64_t identity = 0;
+        const auto add = [&](const membership::ServerRecord& server, std::uint64_t boot_id) {
+            const std::hash<std::string> hash;
+            ++count;
+            identity += hash(server.instance + '/' + std::to_string(server.start_time) + '/' +
+                             std::to_string(boot_id));
+        };
+        const auto& view = directory_.servers_of(now, service);
+        for (const auto* list : {&view.local, &view.remote}) {
+            for (const auto* known : *list) {
+                add(known->server, known->boot_id);
+            }
+        }
+        for (const auto& own : gate_.servers().records(now)) {
+            add(own, context_.boot_id);
+        }
+        gate_.on_service_servers(now, service, count, identity);
+    }
+    for (const auto& change : context_.overload.take_retry_limit_changes(now)) {
+        log_event(Event::kRetryLimitMoved, {{"service", change.service},
+                                            {"declined", std::to_string(change.declined)},
+                                            {"retries_per_s", std::to_string(change.retriesPerS)},
+                                            {"let_in", format_shares(change.rowShares)}});
+    }
+}
+
+void PeerExchange::report_declines(TimePoint now, const std::vector<membership::ServerRecord>& servers) {
+    if (!context_.has(config::Mechanism::kGateRetryBudget)) {
+        return;
+    }
+    for (const auto& server : servers) {
+        context_.overload.on_declined_share(now, server.service,
+                                            {server.instance, server.declined_percent, server.latency_us});
+    }
+}
+
 void PeerExchange::receive(std::string_view bytes) {
     if (other_receiver_ && other_receiver_(bytes)) {
         return;
@@ -176,7 +220,14 @@
     const bool listened = announced_ > now - milliseconds(record->uptime_ms);
     const bool has_record =
         directory_.knows(record->name) && listened && now - announced_ < kDuplicateReplyWindow;
+    const auto servers = record->servers;
     const auto change = directory_.on_record(now, *record);
+    if (change != PeerChange::kNone) {
+        report_declines(now, servers);
+    }
+    if (change == PeerChange::kAppeared || change == PeerChange::kServersChanged) {
+        tell_retry_limits(now);
+    }
     if (change != PeerChange::kNone && context_.has(config::Mechanism::kFleetWideCounts)) {
         context_.overload.on_peer_report(now, record->name, record->pressures);
     }
--- a/src/sidecar/server_chooser.cpp
+++ b/src/sidecar/server_chooser.cpp
@@ -45,6 +45,7 @@
         // A suspect request runs at one server at a time.
         return running > 0 ? nullptr : suspects::chooseForSuspect(view, identity.digest, tried);
     }
+    selection_.commonDeclined = selection::lowestDeclinedShare(view);
     const bool may_try = may_retry && tried.empty();
     if (const auto* trial = may_try ? start_trial(now, view) : nullptr) {
         return trial;
@@ -57,6 +58,18 @@
     return chosen;
 }
 
+const membership::KnownServer* ServerChooser::choose_again(TimePoint now, const std::string& service,
+                                                           const RequestIdentity& identity,
+                                                           const std::set<std::string>& declined) {
+    // A suspect request is not sent to a server twice.
+    if (declined.empty() || crashes_.crashes_of(now, identity) > 0) {
+        return nullptr;
+    }
+    const auto view = candidates(service, now);
+    selection_.commonDeclined = selection::lowestDeclinedShare(view);
+    return selection::chooseAmong(selection_, now, view, declined);
+}
+
 void ServerChooser::on_ended(TimePoint now, const std::string& instance,
                              const selection::AttemptResult& end) {
     const bool failed = selection::countsAsFailure(end);
--- a/src/sidecar/server_chooser.hpp
+++ b/src/sidecar/server_chooser.hpp
@@ -3,6 +3,7 @@
 /// rules.
 #pragma once
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,11 @@
                                           const RequestIdentity& identity,
                                           const std::vector<std::string>& tried, unsigned running,
                                           bool may_retry);
+    /// Returns the server for the repetition of a request among those that have declined it; null if there is
+    /// none. Valid until the next call.
+    const membership::KnownServer* choose_again(TimePoint now, const std::string& service,
+                                                const RequestIdentity& identity,
+                                                const std::set<std::string>& declined);
     /// Records that an attempt was sent to the server.
     void on_sent(const std::string& instance) { selection::recordSent(selection_, instance); }
     /// Records the end of an attempt at the server.
--- a/tests/incidents/chain_model.cpp
+++ b/tests/incidents/chain_model.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "admission/policy/knee_limit.hpp"
+#include "retry/attempt_plan.hpp"
 
 namespace anisehold::model
 {
@@ -59,6 +60,24 @@
     }
 }
 
+void ChainModel::useGateBudgets()
+{
+    gatesGrantRetries = true;
+
+    for (auto& it : servers)
+    {
+        const retry::GateBudgetTerms terms{ budgetTerms.ratio, budgetTerms.extra, budgetTerms.window };
+        it->budget = std::make_unique<retry::GateBudget> (terms, now - 3 * budgetTerms.window);
+        it->budget->on_servers (now - 3 * budgetTerms.window, servers.size(), 1);
+    }
+}
+
+void ChainModel::setRefusalShare (double share)
+{
+    for (auto& it : servers)
+        it->spec.refusalShare = share;
+}
+
 void ChainModel::run (Duration time)
 {
     const auto end = now + time;
@@ -114,6 +133,9 @@
     auto& limit = daemons[chain->daemon];
     overload::recordOffered (limit, now, spec.row);
 
+    if (gatesGrantRetries)
+        overload::updateRetryShares (limit, now);
+
     if (refusesEarly && draw() < overload::refusedShare (limit, spec.row))
         ++chain->tally->refusedEarly;
     else if (spec.calls == 0)
@@ -122,6 +144,10 @@
     {
         chain->admitted = now;
         overload::recordRequestStarted (limit, spec.row.name);
+
+        if (gatesGrantRetries)
+            overload::recordAdmittedRoot (limit, now, spec.row.name);
+
         at (now + fromMs (spec.delayMs), [this, chain] { beginCall (chain); });
     }
 }
@@ -139,6 +165,7 @@
     budgets[call->daemon].on_request (now, endService);
     call->id = ++lastCall;
     call->tried.resize (servers.size());
+    call->declinedAt.resize (servers.size());
     call->waitEnds = now + fromMs (chain->spec->maxWaitMs);
     tryServers (call);
 }
@@ -210,6 +237,9 @@
     const auto inFlight = it.gate.load().in_flight;
     overload::recordValue (it.running, now, inFlight);
 
+    if (! isGranted (server, call))
+        return;
+
     if (draw() < it.spec.refusalShare)
         return at (now + refusalTime, [this, server, call] { endRefused (server, call); });
 
@@ -225,6 +255,7 @@
 {
     ++completed;
     call->chain->heldMs += std::chrono::duration<double, std::milli> (now - call->began).count();
+    recordDecline (server, *call, false);
     leaveServer (server, *call, admission::SampleOutcome::kCompleted);
     endCall (call, false);
 }
@@ -232,6 +263,10 @@
 void ChainModel::endRefused (std::size_t server, const std::shared_ptr<Call>& call)
 {
     leaveServer (server, *call, admission::SampleOutcome::kShed);
+
+    if (gatesGrantRetries)
+        return repeatDeclined (server, call);
+
     const bool mayRepeat = ++call->reached < std::min<std::size_t> (maxServers, servers.size());
 
     if (mayRepeat &&
@@ -242,6 +277,94 @@
     failChain (*call->chain);
 }
 
+bool ChainModel::isGranted (std::size_t server, const std::shared_ptr<Call>& call)
+{
+    ++(call->reached > 0 ? retryArrivals : firstArrivals);
+
+    if (! gatesGrantRetries)
+        return true;
+
+    auto& budget = *servers[server]->budget;
+
+    if (call->reached == 0)
+    {
+        budget.on_first_arrival (now, 0);
+        return true;
+    }
+
+    if (budget.try_retry (now, { call->chain->spec->callPriority, 0 }))
+        return true;
+
+    --retryArrivals;
+    leaveServer (server, *call, admission::SampleOutcome::kIgnored);
+    overload::recordCallEnded (daemons[call->daemon], endService, false);
+    failChain (*call->chain);
+    return false;
+}
+
+void ChainModel::recordDecline (std::size_t server, const Call& call, bool declined)
+{
+    if (! gatesGrantRetries)
+        return;
+
+    constexpr double latencySample = 0.125;
+    auto& it = *servers[server];
+
+    if (! declined)
+    {
+        const double elapsedUs = std::chrono::duration<double, std::micro> (now - call.began).count();
+        it.latencyUs =
+            it.latencyUs > 0 ? it.latencyUs + latencySample * (elapsedUs - it.latencyUs) : elapsedUs;
+    }
+
+    const auto change = admission::record_arrival_end (it.declined, now, declined);
+    tellDecline (call.daemon, server);
+
+    for (std::size_t n = 0; n < daemons.size() && change != admission::DeclineChange::kNone; ++n)
+        tellDecline (n, server);
+}
+
+void ChainModel::tellDecline (std::size_t daemon, std::size_t server)
+{
+    constexpr double percent = 0.01;
+    const auto& it = *servers[server];
+    overload::recordServerDecline (
+        daemons[daemon], endService, "s" + std::to_string (server),
+        { percent * admission::declined_percent (it.declined, now), it.latencyUs, now });
+}
+
+void ChainModel::repeatDeclined (std::size_t server, const std::shared_ptr<Call>& call)
+{
+    recordDecline (server, *call, true);
+    call->declinedAt[server] = true;
+    const auto reached = std::count (call->declinedAt.begin(), call->declinedAt.end(), true);
+
+    if (++call->reached >= retry::kMaxSends)
+    {
+        overload::recordCallEnded (daemons[call->daemon], endService, false);
+        return failChain (*call->chain);
+    }
+
+    const bool mayReachAnother =
+        reached < static_cast<std::ptrdiff_t> (std::min<std::size_t> (maxServers, servers.size()));
+
+    for (std::size_t n = 0; n < servers.size(); ++n)
+        call->tried[n] = mayReachAnother == call->declinedAt[n];
+
+    tryServers (call);
+}
+
+void ChainModel::recordDecayedWork (const Chain& chain)
+{
+    constexpr double halfLifeS = 10; // As in work_estimate.
+    auto& sum = decayedWork[chain.spec->row.name];
+    const double kept = std::exp2 (-std::chrono::duration<double> (now - sum.updated).count() / halfLifeS);
+    sum.ms = sum.ms * kept + chain.heldMs;
+    sum.requests = sum.requests * kept + 1;
+    sum.updated = now;
+    meanWork[chain.spec->row.name] = sum.ms / sum.requests;
+}
+
 void ChainModel::leaveServer (std::size_t server, const Call& call, admission::SampleOutcome outcome)
 {
     auto& it = *servers[server];
@@ -293,6 +416,9 @@
 
 void ChainModel::recordWork (const Chain& chain)
 {
+    if (gatesGrantRetries)
+        return recordDecayedWork (chain);
+
     constexpr double sample = 0.05;
     const auto [mean, isNew] = meanWork.try_emplace (chain.spec->row.name, chain.heldMs);
     mean->second += sample * (chain.heldMs - mean->second);
@@ -316,6 +442,15 @@
         rowWork.push_back ({ row, ms });
 
     overload::setOwnRowWork (own, endService, rowWork);
+
+    if (gatesGrantRetries)
+    {
+        for (std::size_t n = 0; n < servers.size(); ++n)
+            tellDecline (daemon, n);
+
+        overload::takeRetryLimitChanges (own, now);
+    }
+
     overload::endPeriod (own, now, { { endService, busy / totalSlots } });
     const auto reports = overload::ownReport (own);
 
--- a/tests/incidents/chain_model.hpp
+++ b/tests/incidents/chain_model.hpp
@@ -17,9 +17,12 @@
 #include <string>
 #include <vector>
 
+#include "admission/declined_share.hpp"
 #include "admission/server_gate.hpp"
+#include "overload/retry_capacity.hpp"
 #include "overload/root_limit.hpp"
 #include "overload/time_weighted_mean.hpp"
+#include "retry/gate_budget.hpp"
 #include "retry/window_budget.hpp"
 
 namespace anisehold::model
@@ -65,6 +68,14 @@
 
     /** Sets whether requests are rejected early; otherwise all requests reach the gates. */
     void setEarlyRefusal (bool isOn) { refusesEarly = isOn; }
+    /** Lets the gates grant retries, repeats declined calls, and admits requests as far as the retries carry
+        them. */
+    void useGateBudgets();
+    /** Sets the share of the calls that all servers refuse at once, whatever their load. */
+    void setRefusalShare (double);
+    /** Returns the retries that arrived at the servers, and the first arrivals, since the start. */
+    std::uint64_t retriesArrived() const { return retryArrivals; }
+    std::uint64_t firstArrived() const { return firstArrivals; }
     /** Advances the simulation by the given time. */
     void run (Duration);
     /** Returns and resets the tallies by row of the requests sent since the last call; requests in flight
@@ -81,6 +92,17 @@
         ServerSpec spec;
         admission::ServerGate gate;
         overload::TimeWeightedMean running;
+        std::unique_ptr<retry::GateBudget> budget{}; /**< Set if gates grant retries. */
+        admission::DeclinedShare declined{};
+        double latencyUs = 0;
+    };
+
+    /** Work of the requests of a row, decayed exponentially. */
+    struct RowWorkSum
+    {
+        double ms = 0;
+        double requests = 0;
+        TimePoint updated;
     };
 
     /** A request in flight. */
@@ -103,8 +125,9 @@
         std::uint64_t id = 0;
         std::vector<bool> tried;
         TimePoint waitEnds;
-        unsigned reached = 0; /**< Number of servers that refused the call. */
-        TimePoint began;      /**< Start of the call's work. */
+        unsigned reached = 0;           /**< Number of servers that refused the call. */
+        TimePoint began;                /**< Start of the call's work. */
+        std::vector<bool> declinedAt{}; /**< Servers that refused the call, if gates grant retries. */
     };
 
     struct Event
@@ -137,6 +160,14 @@
     void failChain (const Chain&);
     void endCall (const std::shared_ptr<Call>&, bool refused);
     void recordWork (const Chain&);
+    /** Whether the gate of the server grants the call, if it is a retry; otherwise the call ends. */
+    bool isGranted (std::size_t server, const std::shared_ptr<Call>&);
+    /** Records that the server ended a call, and tells the daemons if it began or ceased to decline. */
+    void recordDecline (std::size_t server, const Call&, bool declined);
+    void tellDecline (std::size_t daemon, std::size_t server);
+    /** Sends a refused call again, if gates grant retries. */
+    void repeatDeclined (std::size_t server, const std::shared_ptr<Call>&);
+    void recordDecayedWork (const Chain&);
     void report (std::size_t daemon);
     double draw() { return std::uniform_real_distribution<double> (0, 1) (random); }
     std::size_t anyDaemon() { return random() % daemons.size(); }
@@ -155,6 +186,10 @@
     std::uint64_t lastOrder = 0;
     std::uint64_t lastCall = 0;
     std::uint64_t completed = 0;
+    bool gatesGrantRetries = false;
+    std::map<std::string, RowWorkSum> decayedWork; /**< Used if gates grant retries. */
+    std::uint64_t retryArrivals = 0;
+    std::uint64_t firstArrivals = 0;
 };
 
 } // namespace anisehold::model
--- a/tests/unit/retry/attempt_plan_test.cpp
+++ b/tests/unit/retry/attempt_plan_test.cpp
@@ -172,3 +172,77 @@
     REQUIRE(slow.next(late, true) == AttemptStep::kWait);
     CHECK(slow.wait_until(late) == kDeadline);
 }
+
+namespace {
+
+/// A plan whose declined attempts are repeated.
+AttemptPlan repeating_plan(bool may_retry, unsigned max_servers) {
+    AttemptTerms terms{may_retry, max_servers, kDeadline, TimePoint::max(), milliseconds(300)};
+    terms.repeats_declined = true;
+    return AttemptPlan(terms);
+}
+
+}  // namespace
+
+TEST_CASE("a declined request is sent up to six times, even if it must not run twice") {
+    auto request = repeating_plan(false, 2);
+    for (unsigned sends = 1; sends < kMaxSends; ++sends) {
+        request.on_launched(kStart);
+        request.on_outcome(AttemptOutcome::kRefusedByServer);
+        CHECK(request.next(kStart, true) == AttemptStep::kLaunchRetry);
+    }
+    request.on_launched(kStart);
+    request.on_outcome(AttemptOutcome::kRefusedByServer);
+    CHECK(request.next(kStart, true) == AttemptStep::kRefuse);
+}
+
+TEST_CASE("a declined request is not repeated when no time is left") {
+    auto request = repeating_plan(false, 2);
+    request.on_launched(kStart);
+    request.on_outcome(AttemptOutcome::kRefusedByServer);
+    CHECK(request.next(kDeadline - milliseconds(10), true) == AttemptStep::kRefuse);
+}
+
+TEST_CASE("attempts that may have run stay within the maximum number of servers") {
+    auto request = repeating_plan(true, 2);
+    request.on_launched(kStart);
+    request.on_outcome(AttemptOutcome::kRefusedByServer);
+    for (int runs = 0; runs < 2; ++runs) {
+        CHECK(request.next(kStart, true) == AttemptStep::kLaunchRetry);
+        request.on_launched(kStart);
+        request.on_outcome(AttemptOutcome::kUnknown);
+    }
+    CHECK(request.next(kStart, true) == AttemptStep::kFail);
+}
+
+TEST_CASE("after the gate has refused a retry, the request ends with what is known of it") {
+    auto declined = repeating_plan(true, 3);
+    declined.on_launched(kStart);
+    declined.on_outcome(AttemptOutcome::kRefusedByServer);
+    declined.on_launched(kStart);
+    declined.on_outcome(AttemptOutcome::kNotSent);
+    declined.on_retries_exhausted();
+    CHECK(declined.next(kStart, true) == AttemptStep::kRefuse);
+
+    auto unknown = repeating_plan(true, 3);
+    unknown.on_launched(kStart);
+    unknown.on_outcome(AttemptOutcome::kUnknown);
+    unknown.on_launched(kStart);
+    unknown.on_outcome(AttemptOutcome::kNotSent);
+    unknown.on_retries_exhausted();
+    CHECK(unknown.next(kStart, true) == AttemptStep::kFail);
+}
+
+TEST_CASE("a hedge that the gate refuses leaves the first attempt running") {
+    auto request = repeating_plan(true, 3);
+    request.on_launched(kStart);
+    const auto slow = kStart + milliseconds(400);
+    CHECK(request.next(slow, true) == AttemptStep::kLaunchRetry);
+    request.on_launched(slow);
+    request.on_outcome(AttemptOutcome::kNotSent);
+    request.on_retries_exhausted();
+    CHECK(request.next(slow + seconds(1), true) == AttemptStep::kWait);
+    CHECK(request.wait_until(slow + seconds(1)) == kDeadline);
+    request.on_outcome(AttemptOutcome::kAnswered);
+    CHECK(request.next(slow + seconds(1), true) == AttemptStep::kDeliver);
+}
--- a/tests/unit/selection/server_selection_test.cpp
+++ b/tests/unit/selection/server_selection_test.cpp
@@ -215,3 +215,40 @@
     for (int n = 0; n < 100; ++n)
         CHECK (chooseServer (fixture.state, fixture.now, view, {}, fixture.random) == view.own);
 }
+
+TEST_CASE ("nothing is gained by avoiding a server if all servers decline alike", "[selection]")
+{
+    Fixture fixture;
+    auto servers = manyServers (3, "here", 0);
+
+    for (auto& it : servers)
+        it.server.declined_percent = 55;
+
+    const auto calm = fixture.cost (server ("calm", "here", 0));
+    fixture.state.commonDeclined = lowestDeclinedShare (fixture.viewOf (servers));
+    CHECK (fixture.cost (servers.front()) == Approx (calm));
+}
+
+TEST_CASE ("a server that declines while others don't is avoided", "[selection]")
+{
+    Fixture fixture;
+    auto servers = manyServers (3, "here", 0);
+    servers[0].server.declined_percent = 55;
+    servers[1].server.declined_percent = 55;
+    fixture.state.commonDeclined = lowestDeclinedShare (fixture.viewOf (servers));
+    CHECK (fixture.state.commonDeclined == 0);
+    CHECK (fixture.cost (servers[0]) > 5 * fixture.cost (servers[2]));
+    CHECK (fixture.choose (servers) == &servers[2]);
+}
+
+TEST_CASE ("a declined request is offered again to the cheapest of the servers that declined it",
+           "[selection]")
+{
+    Fixture fixture;
+    auto servers = manyServers (3, "here", 0);
+    servers[1].server.in_flight = 9;
+    const auto view = fixture.viewOf (servers);
+    CHECK (chooseAmong (fixture.state, fixture.now, view, { "here1", "here2" }) == &servers[2]);
+    CHECK (chooseAmong (fixture.state, fixture.now, view, { "here1" }) == &servers[1]);
+    CHECK (chooseAmong (fixture.state, fixture.now, view, { "gone" }) == nullptr);
+}
--- a/tests/unit/sidecar/attempt_outcome_test.cpp
+++ b/tests/unit/sidecar/attempt_outcome_test.cpp
@@ -71,3 +71,20 @@
     CHECK(error_for_caller(ErrorKind::kCancelled, false) == ErrorKind::kCancelled);
     CHECK(error_for_caller(ErrorKind::kCancelled, true) == ErrorKind::kCancelled);
 }
+
+TEST_CASE("a decline whatever the server's load is no failure in server selection", "[outcomes]") {
+    auto declined = make_failure(HopOutcome::kRefusedByServer, ErrorKind::kBackendRefused);
+    CHECK(is_server_failure(declined));
+    CHECK_FALSE(is_declined(declined));
+    declined.result.declined_percent = 55;
+    CHECK(is_declined(declined));
+    CHECK_FALSE(is_server_failure(declined));
+}
+
+TEST_CASE("a retry that the gate refused has not run, and its caller is told so", "[outcomes]") {
+    const auto refused = make_failure(HopOutcome::kNotSent, ErrorKind::kRetriesExhausted);
+    CHECK(outcome_of(refused) == AttemptOutcome::kNotSent);
+    CHECK(sample_of(refused) == SampleOutcome::kIgnored);
+    CHECK(error_for_caller(ErrorKind::kRetriesExhausted, false) == ErrorKind::kRetriesExhausted);
+    CHECK(error_for_caller(ErrorKind::kRetriesExhausted, true) == ErrorKind::kOutcomeUnknown);
+}
--- a/tests/unit/wire/catalogue_golden_test.cpp
+++ b/tests/unit/wire/catalogue_golden_test.cpp
@@ -138,6 +138,9 @@
     metrics.set_table_revision(8);
     metrics.set_server_rate("orders", 11.5);
     metrics.count_rate_refusal("orders");
+    metrics.count_gate_retry("orders", 2, true);
+    metrics.count_gate_retry("orders", 3, false);
+    metrics.set_declined_share("orders", 0.55);
     golden::check("catalogue_metrics_text.txt", sorted_lines(metrics.text()));
 }
 
--- a/tests/unit/wire/hop_header_golden_test.cpp
+++ b/tests/unit/wire/hop_header_golden_test.cpp
@@ -50,6 +50,24 @@
     });
 }
 
+TEST_CASE("the fields for retries that gates grant keep their text", "[golden]") {
+    HopRequest retry{"i-1", "orders", 2, milliseconds(1'250), milliseconds(251), true, 100, "route/2"};
+    retry.is_retry = true;
+    auto declining = full_result(HopOutcome::kRefusedByServer);
+    declining.declined_percent = 55;
+    golden::check_text("hop-gate-retries.txt", {{"retry", encode(retry)}, {"declining", encode(declining)}},
+                       [](const std::string& text) {
+                           const auto request = decode_hop_request(text);
+                           const auto result = decode_hop_result(text);
+                           return request ? encode(*request) : result ? encode(*result) : "not decoded";
+                       });
+    const auto samples = golden::texts_in("hop-gate-retries.txt");
+    REQUIRE(samples.size() == 2);
+    CHECK(decode_hop_request(samples[0].bytes)->is_retry);
+    CHECK(decode_hop_result(samples[1].bytes)->declined_percent == 55);
+    CHECK_FALSE(decode_hop_request(encode(HopRequest{}))->is_retry);
+}
+
 TEST_CASE("the fields of a previously written hop result are decoded", "[golden]") {
     const auto samples = golden::texts_in("hop-result.txt");
     REQUIRE(samples.size() == 5);
