--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -67,6 +67,8 @@
     kServerRateRefused = 1415,
     kReservationExpired = 1420,
     kGateSilent = 1421,
+    kServerDeclining = 1425,
+    kRetryLimitMoved = 1426,
     kContextRefused = 1501,
     kIngressCall = 1601,
     kGateCall = 1602,
