--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -80,6 +80,17 @@
     }
 }
 
+/// Reads a number that is omitted when it is unknown.
+bool read(const Fields& fields, std::string_view name, std::optional<unsigned>& number) {
+    unsigned value = 0;
+    if (!fields.contains(name)) {
+        return true;
+    }
+    const bool readable = read(fields, name, value);
+    number = readable ? std::optional(value) : std::nullopt;
+    return readable;
+}
+
 bool read(const Fields& fields, std::string_view name, std::string& text) {
     const auto found = fields.find(name);
     if (found == fields.end()) {
@@ -121,6 +132,25 @@
     return whole;
 }
 
+/// Appends the origin of the request, as far as it is known.
+void append_origin(std::string& text, const HopRequest& request) {
+    if (!request.root_row.empty() && request.root_row.find_first_of(kReserved) == std::string::npos) {
+        append(text, "root_row", std::string_view(request.root_row));
+    }
+    if (request.root_priority) {
+        append(text, "root_priority", *request.root_priority);
+    }
+    append_unless_zero(text, "made", request.made);
+}
+
+/// Reads the origin; a root without a row or a rank is valid.
+bool read_origin(const Fields& fields, HopRequest& request) {
+    const bool has_row = fields.contains("root_row");
+    return (!has_row || read(fields, "root_row", request.root_row)) &&
+           read(fields, "root_priority", request.root_priority) &&
+           read_unless_zero(fields, "made", request.made);
+}
+
 }  // namespace
 
 std::string_view outcome_name(HopOutcome outcome) {
@@ -142,6 +172,7 @@
     const bool is_plain = request.row.find_first_of(kReserved) == std::string::npos;
     append(text, "row", std::string_view(is_plain ? request.row : std::string()));
     append_reservation(text, request);
+    append_origin(text, request);
     return text;
 }
 
@@ -180,7 +211,7 @@
                        read_unless_zero(fields, "crashes", request.crashes) &&
                        read(fields, "rate_limit", request.rate_limit) &&
                        read_unless_zero(fields, "retry", retry) && request.retry_percent <= kMaxPercent;
-    if (!whole || !read_reservation(fields, request)) {
+    if (!whole || !read_reservation(fields, request) || !read_origin(fields, request)) {
         return std::nullopt;
     }
     request.remaining = milliseconds(remaining_ms);
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -48,6 +48,12 @@
     MetricEntry{
         "anisehold_declined_share", "gauge",
         "Share of arrivals that the server beside this daemon declines whatever its load, by service."},
+    MetricEntry{"anisehold_attributed_calls_total", "counter",
+                "Calls of the server beside this daemon, by whether their parent was found: matched or "
+                "unmatched."},
+    MetricEntry{"anisehold_returning_requests_total", "counter",
+                "Requests that were certainly refused before and came while capacity was short, by result: "
+                "admitted or refused."},
 };
 
 std::string help_of(std::string_view name) {
@@ -99,6 +105,8 @@
     prometheus::Family<prometheus::Counter>& reservations = counter("anisehold_reservations_total");
     prometheus::Family<prometheus::Counter>& gate_retries = counter("anisehold_gate_retries_total");
     prometheus::Family<prometheus::Gauge>& declined_shares = gauge("anisehold_declined_share");
+    prometheus::Family<prometheus::Counter>& attributed_calls = counter("anisehold_attributed_calls_total");
+    prometheus::Family<prometheus::Counter>& returning = counter("anisehold_returning_requests_total");
 };
 
 std::span<const MetricEntry> metric_catalogue() {
@@ -162,6 +170,14 @@
     families_->reservations.Add({{"result", std::string(result)}}).Increment();
 }
 
+void Metrics::count_attributed_call(bool is_known) {
+    families_->attributed_calls.Add({{"result", is_known ? "matched" : "unmatched"}}).Increment();
+}
+
+void Metrics::count_returning(bool is_admitted) {
+    families_->returning.Add({{"result", is_admitted ? "admitted" : "refused"}}).Increment();
+}
+
 void Metrics::set_suspects(std::string_view state, std::size_t count) {
     families_->suspects.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
--- a/src/sidecar/gate_reservations.cpp
+++ b/src/sidecar/gate_reservations.cpp
@@ -21,13 +21,16 @@
 /// Minimum time between two log lines on expired reservations of a server.
 constexpr seconds kExpiryLogInterval{1};
 
-admission::GateCall gate_call_of(const ReservationMessage& message, TimePoint now) {
+admission::GateCall gate_call_of(GateServer& server, const ReservationMessage& message, TimePoint now) {
     admission::GateCall call;
     call.id = message.run;
     call.priority = message.call.priority;
     call.root_started = now;
     call.deadline = now + message.call.remaining;
     call.latest_start = now + message.call.max_wait;
+    if (message.orders_by_root) {
+        set_root_order(server, now, message.call, call);
+    }
     return call;
 }
 
@@ -150,7 +153,7 @@
     const auto decision =
         message.call.ticket != 0
             ? reservation::renew(server.reservations, now, message.call.ticket)
-            : reservation::reserve(server.gate, server.reservations, now, gate_call_of(message, now),
+            : reservation::reserve(server.gate, server.reservations, now, gate_call_of(server, message, now),
                                    [&] { return message.random(); });
     if (decision.evicted) {
         wake(server, *decision.evicted, false);
--- a/src/sidecar/gate_reservations.hpp
+++ b/src/sidecar/gate_reservations.hpp
@@ -19,6 +19,7 @@
     net::CancelSignal* cancel = nullptr;
     std::mt19937_64& random;
     observability::Metrics& metrics;
+    bool orders_by_root = false;  ///< Whether the queue is ordered by the clients' requests behind the calls.
 };
 
 /// Returns `kGranted`, `kWaiting` after at most `reservation::maxReplyDelay`, or a refusal. A reservation
--- a/src/sidecar/gate_server.cpp
+++ b/src/sidecar/gate_server.cpp
@@ -35,6 +35,16 @@
     }
 }
 
+void set_root_order(GateServer& server, TimePoint now, const hop::HopRequest& call,
+                    admission::GateCall& gate_call) {
+    if (call.root_priority) {
+        attribution::recordKnownRoot(server.root_ranks, now, call.row, *call.root_priority);
+    }
+    gate_call.root_priority = call.root_priority.value_or(
+        attribution::rankOfUnknownRoot(server.root_ranks, now, call.row, call.priority));
+    gate_call.calls_made = call.made;
+}
+
 void release_by_rate(GateServer& server) {
     if (server.is_releasing || !server.gate.next_release(TimePoint::clock::now())) {
         return;
@@ -67,6 +77,9 @@
     gate_call.root_started = now;
     gate_call.deadline = run.deadline;
     gate_call.latest_start = now + run.call.max_wait;
+    if (run.orders_by_root) {
+        set_root_order(server, now, run.call, gate_call);
+    }
     const auto decision = server.gate.arrive(now, gate_call);
     if (decision.evicted) {
         wake(server, *decision.evicted, false);
--- a/src/sidecar/gate_server.hpp
+++ b/src/sidecar/gate_server.hpp
@@ -9,6 +9,7 @@
 
 #include "admission/declined_share.hpp"
 #include "admission/server_gate.hpp"
+#include "attribution/root_ranks.hpp"
 #include "connection/connect_backoff.hpp"
 #include "connection/idle_limit.hpp"
 #include "hop/hop_header.hpp"
@@ -36,6 +37,7 @@
     TimePoint deadline;
     net::CancelSignal* cancel = nullptr;  ///< Null if the request can't be canceled.
     net::ExchangeProgress& progress;
+    bool orders_by_root = false;  ///< Whether the request waits in the order of its root.
 
     bool is_cancelled() const { return cancel != nullptr && cancel->cancelled(); }
 };
@@ -57,6 +59,7 @@
           rate_lines(heartbeat.instance) {}
 
     admission::ServerGate gate;
+    attribution::RootRanks root_ranks;   ///< Ranks of the roots of the arrivals.
     overload::TimeWeightedMean running;  ///< Requests in flight.
     net::HttpClient client;
     CrashWatch crash;
@@ -79,6 +82,10 @@
 /// Starts waiting requests as the server's rate limit allows, until none waits for the rate.
 void release_by_rate(GateServer& server);
 
+/// Sets the properties by which a request waits in the order of its root.
+void set_root_order(GateServer& server, TimePoint now, const hop::HopRequest& call,
+                    admission::GateCall& gate_call);
+
 /// Requests a slot from the server's gate (`admission::ServerGate`) and waits for it. Returns the refusal, if
 /// any: `kOverloaded` if the request may not wait, `kQueueTimeout` if no slot became free in time or the
 /// caller disconnected. Blocks the fiber.
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -48,6 +48,15 @@
     return digests;
 }
 
+/// Describes a run that is sent to the server at `now`, for the attribution of its calls.
+attribution::ServerRun server_run_of(const GateRun& run, TimePoint now) {
+    attribution::ServerRun server_run{now + time_left_for_server(run, now), run.call.row};
+    if (run.call.root_priority) {
+        server_run.root = attribution::Root{run.call.root_row, *run.call.root_priority};
+    }
+    return server_run;
+}
+
 }  // namespace
 
 GateAnswer LocalGate::run(net::HttpRequest request, const hop::HopRequest& call, net::CancelSignal* cancel,
@@ -69,6 +78,7 @@
         return answer;
     }
     run.id = next_id_++;
+    run.orders_by_root = context_.has(Mechanism::kCallAttribution);
     if (++in_flight_ == 1) {
         context_.origins.on_server(arrived, true);
     }
@@ -153,7 +163,8 @@
         apply_reported_rate(server, *call.rate_limit, RateSource::kCaller);
     }
     auto answer = may_grant(call.instance)
-                      ? reserve_slot(server, {call, next_id_++, cancel, context_.random, context_.metrics})
+                      ? reserve_slot(server, {call, next_id_++, cancel, context_.random, context_.metrics,
+                                              context_.has(Mechanism::kCallAttribution)})
                       : make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
     // The server or this daemon may have begun to leave while the reservation waited.
     const auto held = std::max(answer.result.grant, answer.result.ticket);
@@ -197,7 +208,11 @@
     context_.overload.on_run_began(now, run.call.row);
     server.crash.began(run.id, {{run.identity, crashes_.crashes_of(now, run.identity)}, &run.progress});
     const bool had_free_slot = server.gate.load().in_flight < servers_.slots_of(run.call.instance);
+    if (context_.has(Mechanism::kCallAttribution)) {
+        attribution::recordRunBegan(context_.attribution, run.id, server_run_of(run, now));
+    }
     auto end = exchange_with_server(context_, server, request, run);
+    attribution::recordRunEnded(context_.attribution, run.id);
     if (context_.has(Mechanism::kGateRetryBudget)) {
         record_arrival(run);
         record_declined(server, run, end, had_free_slot);
