--- a/src/retry/gate_budget.cpp
+++ b/src/retry/gate_budget.cpp
@@ -140,6 +140,9 @@
     double per_second = 0;
     for (std::size_t urgent = 0; urgent < index; ++urgent) {
         const auto& demand = demands_.at(urgent);
+        if (demand.asked <= 0) {
+            continue;
+        }
         per_second += decayed(demand.asked, now - demand.updated) * std::numbers::ln2 / kDemandHalfLifeS;
     }
     return per_second * kReserveS;
--- a/src/retry/gate_budget.hpp
+++ b/src/retry/gate_budget.hpp
@@ -80,7 +80,8 @@
         double asked = 0;
         TimePoint updated;
     };
-    static constexpr unsigned kPriorities = 8;
+    /// Ranks of tenants' requests are 16 times the priority of the tenant and that of the route.
+    static constexpr unsigned kPriorities = 64;
     static constexpr unsigned kProgressClasses = 4;
 
     static std::size_t index_of(RetryRank rank);
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -35,9 +35,14 @@
     return terms;
 }
 
-/// The rank of a retry among the others at the gate.
-retry::RetryRank retry_rank_of(const hop::HopRequest& call) {
-    return {call.priority, 0};
+/// The rank of a retry among the others at the gate: that of its root, where it is known.
+retry::RetryRank retry_rank_of(const GateServer& server, const GateRun& run, TimePoint now) {
+    const auto& call = run.call;
+    if (!run.orders_by_root) {
+        return {call.priority, 0};
+    }
+    const auto own_rank = attribution::rankOfUnknownRoot(server.root_ranks, now, call.row, call.priority);
+    return {call.root_priority.value_or(own_rank), call.made};
 }
 
 std::string digests_of(const std::vector<suspects::CrashedRun>& runs) {
@@ -190,7 +195,7 @@
                                    TimePoint started) {
     auto answer = !servers_.is_ready(run.call.instance)
                       ? make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend)
-                  : grants_retry(run) ? run_at_server(server, run, request)
+                  : grants_retry(server, run) ? run_at_server(server, run, request)
                                       : make_failure(HopOutcome::kNotSent, ErrorKind::kRetriesExhausted);
     // If a server failed while calls made by its machine were refused for overload, the overload is the most
     // likely cause: the server's own load says nothing, and the work done for the request is lost.
@@ -311,13 +316,15 @@
     return budgets_.try_emplace(service, gate_budget_terms(context_.settings), started_).first->second;
 }
 
-bool LocalGate::grants_retry(const GateRun& run) {
+bool LocalGate::grants_retry(const GateServer& server, const GateRun& run) {
     if (!context_.has(Mechanism::kGateRetryBudget) || !run.call.is_retry) {
         return true;
     }
     const auto& service = context_.settings.service;
-    const bool granted = budget_of(service).try_retry(TimePoint::clock::now(), retry_rank_of(run.call));
-    context_.metrics.count_gate_retry(service, std::min(run.call.priority, kMaxRankLabel), granted);
+    const auto now = TimePoint::clock::now();
+    const auto rank = retry_rank_of(server, run, now);
+    const bool granted = budget_of(service).try_retry(now, rank);
+    context_.metrics.count_gate_retry(service, std::min(rank.priority, kMaxRankLabel), granted);
     return granted;
 }
 
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -95,7 +95,7 @@
     /// The retry budget of the local servers of a service. It outlasts each start of a server.
     retry::GateBudget& budget_of(const std::string& service);
     /// Whether the request is no retry, or the budget grants it.
-    bool grants_retry(const GateRun& run);
+    bool grants_retry(const GateServer& server, const GateRun& run);
     /// Records that the request has reached the server, for the retry budget.
     void record_arrival(const GateRun& run);
     /// Records whether the server declined the request although it had a free slot when it was sent the
