Fewer grants ahead of free slots; documents and tests of slot reservation

A request that is sent before it has a slot may be lost with its gate.

A request that met a silent gate may go to one more server after its time for gates.

--- a/src/admission/server_gate.cpp
+++ b/src/admission/server_gate.cpp
@@ -1,7 +1,6 @@
 #include "admission/server_gate.hpp"
 
 #include <algorithm>
-#include <cmath>
 
 #include "protocol/retry_after.hpp"
 
@@ -92,7 +91,8 @@
     auto node = running_.extract(reserved);
     node.key() = id;
     auto& running = running_.insert(std::move(node)).position->second;
-    commit_delay_ = moving_average(commit_delay_, now - running.started);
+    // Starts at 0, unlike the other means: the first request of a caller also opens its connection.
+    commit_delay_ += (now - running.started - commit_delay_) / kAverageDivisor;
     if (committed_.empty() && executing() < limit_->limit()) {
         execute(now, running);
         return CommitVerdict::kRuns;
@@ -138,7 +138,7 @@
     const double freed = static_cast<double>(limit) * static_cast<double>(commit_delay_.count()) /
                          static_cast<double>(hold_time_.count());
     const auto max = std::min(limit / kReservationsAheadDivisor, kMaxReservationsAhead);
-    return static_cast<unsigned>(std::lround(std::min<double>(freed, max)));
+    return static_cast<unsigned>(std::min<double>(freed, max));
 }
 
 std::vector<std::uint64_t> ServerGate::admit_waiting(TimePoint now) {
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -132,14 +132,18 @@
     if (call.rate_limit) {
         apply_reported_rate(server, *call.rate_limit, RateSource::kCaller);
     }
-    auto answer = may_grant(call.instance)
-                      ? reserve_slot(server, {call, next_id_++, cancel, context_.random, context_.metrics})
-                      : make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
+    if (!may_grant(call.instance)) {
+        if (call.ticket != 0) {
+            withdraw_reservation(server, call.ticket);
+        }
+        return make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
+    }
+    auto answer = reserve_slot(server, {call, next_id_++, cancel, context_.random, context_.metrics});
     // The server or this daemon may have begun to leave while the reservation waited.
     const auto held = std::max(answer.result.grant, answer.result.ticket);
     if (held != 0 && !may_grant(call.instance)) {
         withdraw_reservation(server, held);
-        answer = make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
+        return make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
     }
     const bool left = cancel != nullptr && cancel->cancelled();
     if (answer.result.outcome == HopOutcome::kNotSent && !left && server.gate.is_rate_limited()) {
--- a/tests/unit/retry/attempt_plan_test.cpp
+++ b/tests/unit/retry/attempt_plan_test.cpp
@@ -172,3 +172,22 @@
     REQUIRE(slow.next(late, true) == AttemptStep::kWait);
     CHECK(slow.wait_until(late) == kDeadline);
 }
+
+/// Guards against a refusal, after 100 ms at a silent gate, of a request with a target latency of 200 ms
+/// whose deadline leaves time for another server.
+TEST_CASE("a request that met a silent gate goes to one more server after its time for gates") {
+    retry::AttemptTerms terms{false, 2, kDeadline, kStart + milliseconds(50), milliseconds(300)};
+    AttemptPlan request(terms);
+    const auto later = kStart + milliseconds(100);
+    request.on_launched(kStart);
+    request.on_outcome(AttemptOutcome::kNotSent);
+    CHECK(request.next(later, true) == AttemptStep::kRefuse);
+    request.on_silent_gate();
+    CHECK(request.next(later, true) == AttemptStep::kLaunch);
+    CHECK(request.next(later, false) == AttemptStep::kRefuse);
+    CHECK(request.next(kDeadline - milliseconds(10), true) == AttemptStep::kRefuse);
+    request.on_launched(later);
+    request.on_outcome(AttemptOutcome::kNotSent);
+    CHECK(request.next(later, true) == AttemptStep::kRefuse);
+    CHECK_FALSE(request.may_have_run());
+}
