Overload: limits by scarce resources, and their minimum per row

The limit of root requests knew one cause, refusals. A forecast of capacity and the retry budget are further ones, each with its own demands.

Without a limit refusedShare is unchanged.

--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -67,6 +67,20 @@
     return byRow;
 }
 
+/** Returns the lowest share of the row over the service's capacity limits; 1 if none applies to it. */
+double shareWithinLimits (const ServiceState& service, const std::string& row)
+{
+    double share = 1;
+
+    for (const auto& [resource, shares] : service.limitShares)
+    {
+        const auto found = shares.find (row);
+        share = found == shares.end() ? share : std::min (share, found->second);
+    }
+
+    return share;
+}
+
 } // namespace
 
 std::vector<AdmittedShareChange> endPeriod (RootLimitState& state, TimePoint now,
@@ -103,12 +117,27 @@
                         [] (const auto& it) { return it.second.admittedShare < 1 || it.second.isRefusing; });
 }
 
+void setCapacityLimit (RootLimitState& state, const std::string& service, const CapacityLimit& limit)
+{
+    state.services[service].limitShares[limit.resource] = sharesWithin (limit);
+}
+
+void clearCapacityLimit (RootLimitState& state, const std::string& service, const std::string& resource)
+{
+    const auto found = state.services.find (service);
+
+    if (found != state.services.end())
+        found->second.limitShares.erase (resource);
+}
+
 double refusedShare (const RootLimitState& state, const RootRow& row)
 {
     double admitted = 1;
 
     for (const auto& [name, service] : state.services)
     {
+        admitted = std::min (admitted, shareWithinLimits (service, row.name));
+
         if (service.admittedShare >= 1 || ! service.rows.contains (row.name))
             continue;
 
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "overload/admitted_share.hpp"
+#include "overload/capacity_limit.hpp"
 #include "overload/pressure_report.hpp"
 #include "overload/root_limit_state.hpp"
 #include "overload/row_reach.hpp"
@@ -49,6 +50,13 @@
     within the shorter period. */
 bool isUnderPressure (const RootLimitState&);
 
+/** Puts a limit of a service in force, in place of the one of the same resource. It applies to the rows among
+    its demands, in addition to all other limits. */
+void setCapacityLimit (RootLimitState&, const std::string& service, const CapacityLimit&);
+
+/** Lifts the limit of a service by this resource. */
+void clearCapacityLimit (RootLimitState&, const std::string& service, const std::string& resource);
+
 /** Returns the share of new requests of a row that are currently rejected, from 0 to 1. */
 double refusedShare (const RootLimitState&, const RootRow&);
 
--- a/src/overload/root_limit_state.hpp
+++ b/src/overload/root_limit_state.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "overload/capacity_limit.hpp"
 #include "overload/service_pressure.hpp"
 #include "protocol/time_types.hpp"
 
@@ -57,6 +58,9 @@
     double measuredAdmittedShare = 1; /**< Moving mean of `admittedShare`; matches the measurements. */
     unsigned cleanPeriods = 0;        /**< Consecutive periods without refusals. */
 
+    // root_limit
+    std::map<std::string, RowShares> limitShares; /**< By resource, of the CapacityLimits in force. */
+
     // row_reach
     std::set<std::string> rows;                    /**< Rows whose requests reach the service. */
     std::map<std::string, ReachEvidence> evidence; /**< By row, for rows that may reach the service. */
