--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -71,6 +71,14 @@
     bool local = false;  ///< The peer is in the local zone.
 };
 
+/// Whether a known peer can be used at present.
+struct PeerReach {
+    const std::string& name;
+    const std::string& zone;
+    bool reachable = false;
+    bool takes_requests = false;  ///< The peer is reachable and not leaving.
+};
+
 /// Keeps the latest record of each peer. Pure.
 class PeerDirectory {
   public:
@@ -103,6 +111,16 @@
             }
         }
     }
+    /// Calls `visit(reach, servers)` for each peer that has sent a record, whether reachable or not.
+    template <typename Visit>
+    void for_each_peer(TimePoint now, Visit visit) const {
+        for (const auto& [name, peer] : peers_) {
+            if (peer.was_seen) {
+                visit(PeerReach{name, peer.record.zone, reachable(now, peer), takes_requests(now, peer)},
+                      peer.servers);
+            }
+        }
+    }
     /// Destinations of records: all known peers, including silent ones, so that a restarted peer is found.
     std::vector<PeerAddress> addresses() const;
     /// Addresses of the peers in the local zone only.
--- a/src/membership/peer_record.cpp
+++ b/src/membership/peer_record.cpp
@@ -9,6 +9,8 @@
 
 /// First byte of every datagram; identifies the layout.
 constexpr char kLayout = 'D';
+/// First byte of the section of a shortage report with offered volumes and work estimates.
+constexpr char kOfferedSection = 'O';
 
 std::vector<ServerCondition> conditions_of(const std::vector<ServerRecord>& servers) {
     std::vector<ServerCondition> conditions;
@@ -41,6 +43,9 @@
     if (!shortage.empty()) {
         bytes += archive_bytes(shortage);
     }
+    if (!shortage.offered.empty()) {
+        bytes += kOfferedSection + archive_bytes(shortage.offered);
+    }
     return bytes;
 }
 
@@ -58,6 +63,17 @@
         return std::nullopt;
     }
     record->shortage = std::move(*shortage);
+    if (!bytes.empty()) {
+        if (bytes.front() != kOfferedSection) {
+            return std::nullopt;
+        }
+        bytes.remove_prefix(1);
+        auto offered = unarchive_prefix<overload::OfferedReport>(bytes);
+        if (!offered) {
+            return std::nullopt;
+        }
+        record->shortage.offered = std::move(*offered);
+    }
     apply_conditions(record->shortage.servers, record->servers);
     return record;
 }
--- a/src/membership/peer_record.hpp
+++ b/src/membership/peer_record.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "overload/offered_report.hpp"
 #include "overload/service_pressure.hpp"
 #include "protocol/endpoint.hpp"
 #include "protocol/serialize_all.hpp"
@@ -61,8 +62,11 @@
 /// of a record, and is omitted when it is empty, so that records of other deployments keep their bytes.
 struct ShortageReport {
     std::vector<ServerCondition> servers;  ///< Servers that differ from the defaults.
+    /// For the capacity forecast. Follows the other fields as a section of its own, and is omitted when it is
+    /// empty, so that reports without it keep their bytes.
+    overload::OfferedReport offered;
 
-    bool empty() const { return servers.empty(); }
+    bool empty() const { return servers.empty() && offered.empty(); }
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -127,6 +127,14 @@
                "operator."},
     EventEntry{Event::kVerdictStored, Level::kInfo, "verdict-stored",
                "What is known of a request that crashes servers was written to the store, or removed."},
+    EventEntry{Event::kCapacityForecast, Level::kInfo, "capacity-forecast",
+               "The share of the work offered to a service that its forecast capacity admits changed."},
+    EventEntry{Event::kZoneSilent, Level::kWarn, "zone-silent",
+               "No daemon of a zone is heard any more; the forecast excludes its servers and its demand."},
+    EventEntry{Event::kZoneHeard, Level::kInfo, "zone-heard",
+               "A daemon of a zone that was silent is heard again."},
+    EventEntry{Event::kDemandRose, Level::kInfo, "demand-rose",
+               "The requests of clients at this daemon rose significantly; the peers are told at once."},
     EventEntry{Event::kMechanismOff, Level::kWarn, "mechanism-off", "The lab switched a mechanism off."},
 };
 
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -75,6 +75,10 @@
     kRequestCondemned = 1607,
     kRequestCleared = 1608,
     kVerdictStored = 1609,
+    kCapacityForecast = 1620,
+    kZoneSilent = 1621,
+    kZoneHeard = 1622,
+    kDemandRose = 1623,
     kMechanismOff = 1901,
 };
 
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -40,6 +40,12 @@
         "limit."},
     MetricEntry{"anisehold_rate_refusals_total", "counter",
                 "Requests refused because a server takes only so many a second, by service."},
+    MetricEntry{"anisehold_forecast_capacity", "gauge",
+                "Forecast capacity of a service, in ms of slot time per second; 0 without a forecast."},
+    MetricEntry{"anisehold_forecast_demand", "gauge",
+                "Work that clients offer to a service, in ms of slot time per second."},
+    MetricEntry{"anisehold_forecast_share", "gauge",
+                "Share of the work offered to a service that the forecast admits, from 0 to 1."},
 };
 
 std::string help_of(std::string_view name) {
@@ -87,6 +93,9 @@
     prometheus::Family<prometheus::Counter>& server_crashes = counter("anisehold_server_crashes_total");
     prometheus::Family<prometheus::Gauge>& suspects = gauge("anisehold_suspects");
     prometheus::Family<prometheus::Gauge>& server_rates = gauge("anisehold_server_rate_limit");
+    prometheus::Family<prometheus::Gauge>& forecast_capacity = gauge("anisehold_forecast_capacity");
+    prometheus::Family<prometheus::Gauge>& forecast_demand = gauge("anisehold_forecast_demand");
+    prometheus::Family<prometheus::Gauge>& forecast_share = gauge("anisehold_forecast_share");
     prometheus::Family<prometheus::Counter>& rate_refusals = counter("anisehold_rate_refusals_total");
 };
 
@@ -151,6 +160,12 @@
     families_->suspects.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
 
+void Metrics::set_forecast(const std::string& service, const ForecastMetrics& forecast) {
+    families_->forecast_capacity.Add({{"service", service}}).Set(forecast.capacity);
+    families_->forecast_demand.Add({{"service", service}}).Set(forecast.demand);
+    families_->forecast_share.Add({{"service", service}}).Set(forecast.share);
+}
+
 void Metrics::set_table_revision(std::uint64_t revision) {
     families_->table_revision.Set(static_cast<double>(revision));
 }
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -30,6 +30,13 @@
     unsigned limit = 0;
 };
 
+/// Forecast of one service, in ms of slot time per second.
+struct ForecastMetrics {
+    double capacity = 0;
+    double demand = 0;
+    double share = 1;  ///< Admitted share of the demand.
+};
+
 /// The daemon's metrics.
 class Metrics {
   public:
@@ -54,6 +61,7 @@
     void count_rate_refusal(const std::string& service);
     void count_server_crash(const std::string& service);
     void set_suspects(std::string_view state, std::size_t count);
+    void set_forecast(const std::string& service, const ForecastMetrics& forecast);
     void set_table_revision(std::uint64_t revision);
 
     /// The metrics in the text format for scraping.
--- a/src/overload/admitted_share.cpp
+++ b/src/overload/admitted_share.cpp
@@ -31,15 +31,17 @@
 /** Number of periods without refusals after which a service's rows expire; a minute in calm times. */
 constexpr unsigned rowExpiryPeriods = 60;
 
+double refusalShareOf (const FleetCounts& fleet)
+{
+    return fleet.ended > 0 ? fleet.refused / fleet.ended : 0.0;
+}
+
 } // namespace
 
-void updateAdmittedShare (ServiceState& service, const FleetCounts& fleet, double utilization, double periodS)
+bool expireRows (ServiceState& service, const FleetCounts& fleet)
 {
-    // Averages the daemons' shares, so that a restarted daemon adopts the share of its peers.
-    service.admittedShare = std::min (fleet.meanAdmittedShare, 1.0);
-    const bool isEnough = fleet.ended >= minEnded;
-    const double refusalShare = fleet.ended > 0 ? fleet.refused / fleet.ended : 0.0;
-    const bool isClean = fleet.refused <= 0 || (isEnough && refusalShare <= maxToleratedRefusals);
+    const bool isClean =
+        fleet.refused <= 0 || (fleet.ended >= minEnded && refusalShareOf (fleet) <= maxToleratedRefusals);
     service.cleanPeriods = isClean ? service.cleanPeriods + 1 : 0;
 
     if (service.cleanPeriods >= rowExpiryPeriods)
@@ -48,6 +50,17 @@
         service.works.clear();
     }
 
+    return isClean;
+}
+
+void updateAdmittedShare (ServiceState& service, const FleetCounts& fleet, double utilization, double periodS)
+{
+    // Averages the daemons' shares, so that a restarted daemon adopts the share of its peers.
+    service.admittedShare = std::min (fleet.meanAdmittedShare, 1.0);
+    const bool isEnough = fleet.ended >= minEnded;
+    const double refusalShare = refusalShareOf (fleet);
+    const bool isClean = expireRows (service, fleet);
+
     // Only refusals start a limit; the few calls of a small fleet aren't sufficient evidence.
     if (service.admittedShare >= 1 && (isClean || ! isEnough))
     {
--- a/src/overload/admitted_share.hpp
+++ b/src/overload/admitted_share.hpp
@@ -20,4 +20,8 @@
 /** Updates the admitted share from the measurements of a period of `periodS` seconds. */
 void updateAdmittedShare (ServiceState&, const FleetCounts&, double utilization, double periodS);
 
+/** Counts a period with or without refusals; the rows of a service expire after many periods without. Returns
+    whether the period was without. */
+bool expireRows (ServiceState&, const FleetCounts&);
+
 } // namespace anisehold::overload
--- a/src/overload/capacity_limit.cpp
+++ b/src/overload/capacity_limit.cpp
@@ -38,14 +38,16 @@
     for (const auto* it : rows)
         demand += unitsOf (*it);
 
-    const double floorShare = demand > 0 ? std::min (rowFloor, capacity / demand) : 1;
+    const double floorShare = demand > 0 ? std::min (rowFloor, capacity / demand) : rowFloor;
     capacity = std::max (0.0, capacity - floorShare * demand);
 
     for (const auto* it : rows)
     {
         const double units = unitsOf (*it);
         const double granted = std::min (capacity, (1 - floorShare) * units);
-        shares[it->row] = units > 0 ? std::min (1.0, floorShare + granted / units) : 1;
+        // Exactly 1 if nothing is missing: a share below 1 has side effects, however small the difference.
+        const bool isWhole = granted >= (1 - floorShare) * units;
+        shares[it->row] = isWhole && floorShare >= rowFloor ? 1 : floorShare + granted / units;
         capacity -= granted;
     }
 
--- a/src/overload/pressure_report.cpp
+++ b/src/overload/pressure_report.cpp
@@ -79,6 +79,19 @@
     }
 }
 
+/** Returns the work by the estimates that daemons exchange for the forecast; 0 if unknown. */
+double forecastRowWork (const RootLimitState& state, const std::string& service, const std::string& row)
+{
+    const auto& works = state.forecast.demand.works;
+    const auto found = works.find (service);
+
+    if (! state.forecast.isOn || found == works.end())
+        return 0;
+
+    const auto work = found->second.find (row);
+    return work == found->second.end() ? 0 : work->second;
+}
+
 } // namespace
 
 void recordCallEnded (RootLimitState& state, const std::string& service, bool refused)
@@ -98,6 +111,9 @@
 
 double knownRowWork (const RootLimitState& state, const std::string& service, const std::string& row)
 {
+    if (const double ms = forecastRowWork (state, service, row); ms > 0)
+        return ms;
+
     const auto found = state.services.find (service);
 
     if (found == state.services.end())
--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "overload/capacity_forecast.hpp"
 #include "overload/capacity_share.hpp"
 #include "overload/rows_under_way.hpp"
 
@@ -81,6 +82,26 @@
     return share;
 }
 
+/** Ends a period of a service whose limit follows the forecast. The share continues from the forecast's when
+    the forecast lacks an input later. */
+void followForecast (RootLimitState& state, const std::string& name, ServiceState& service,
+                     const FleetCounts& fleet)
+{
+    correctForecast (state, name, fleet);
+    service.admittedShare = state.forecast.services[name].share;
+    service.measuredAdmittedShare = service.admittedShare;
+    expireRows (service, fleet);
+}
+
+/** Returns the recent request rate of a row at this daemon. In a burst the mean follows too late; the
+    fleet's demand shows its trend without the noise of one daemon. */
+double presentPerSecond (const RootLimitState& state, const std::string& row, const RowVolume& volume)
+{
+    const auto trend = state.forecast.trends.find (row);
+    const bool isKnown = state.forecast.isOn && trend != state.forecast.trends.end();
+    return offeredPerSecond (volume) * (isKnown ? trend->second.ratio : 1);
+}
+
 } // namespace
 
 std::vector<AdmittedShareChange> endPeriod (RootLimitState& state, TimePoint now,
@@ -98,7 +119,11 @@
         const double before = service.admittedShare;
         const auto found = utilizations.find (name);
         const double utilization = found == utilizations.end() ? 0 : found->second;
-        updateAdmittedShare (service, fleet, utilization, periodS);
+
+        if (followsForecast (state, name))
+            followForecast (state, name, service, fleet);
+        else
+            updateAdmittedShare (service, fleet, utilization, periodS);
 
         if (service.admittedShare == before)
             continue;
@@ -113,7 +138,8 @@
 
 bool isUnderPressure (const RootLimitState& state)
 {
-    return std::any_of (state.services.begin(), state.services.end(),
+    return isLimitedByForecast (state) ||
+           std::any_of (state.services.begin(), state.services.end(),
                         [] (const auto& it) { return it.second.admittedShare < 1 || it.second.isRefusing; });
 }
 
@@ -138,7 +164,7 @@
     {
         admitted = std::min (admitted, shareWithinLimits (service, row.name));
 
-        if (service.admittedShare >= 1 || ! service.rows.contains (row.name))
+        if (service.admittedShare >= 1 || ! service.rows.contains (row.name) || followsForecast (state, name))
             continue;
 
         const auto shares = rowShares (state, service);
@@ -147,7 +173,10 @@
     }
 
     const auto volume = state.rows.find (row.name);
-    return 1 - (volume == state.rows.end() ? admitted : correctedShare (volume->second, admitted));
+    return 1 - (volume == state.rows.end()
+                    ? admitted
+                    : correctedShare (volume->second, admitted,
+                                      presentPerSecond (state, row.name, volume->second)));
 }
 
 } // namespace anisehold::overload
--- a/src/overload/root_limit_state.hpp
+++ b/src/overload/root_limit_state.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "overload/capacity_limit.hpp"
+#include "overload/forecast_state.hpp"
 #include "overload/service_pressure.hpp"
 #include "protocol/time_types.hpp"
 
@@ -86,6 +87,7 @@
     TimePoint periodEnded;         /**< End of the last period. */
     std::map<std::string, ServiceState> services;
     std::map<std::string, RowVolume> rows;
+    ForecastState forecast; /**< Owned by capacity_forecast. */
 };
 
 } // namespace anisehold::overload
--- a/src/overload/rows_under_way.cpp
+++ b/src/overload/rows_under_way.cpp
@@ -37,12 +37,17 @@
 }
 
 double correctedShare (const RowVolume& volume, double admittedShare)
+{
+    return correctedShare (volume, admittedShare, offeredPerSecond (volume));
+}
+
+double correctedShare (const RowVolume& volume, double admittedShare, double perSecond)
 {
     if (admittedShare >= 1 || volume.meanTime == Duration::zero())
         return admittedShare;
 
     const double expected =
-        admittedShare * offeredPerSecond (volume) * std::chrono::duration<double> (volume.meanTime).count();
+        admittedShare * perSecond * std::chrono::duration<double> (volume.meanTime).count();
     const double shortfall = (expected - volume.inFlight) / std::max (expected, minExpected);
     return std::clamp (admittedShare * (1 + correctionGain * shortfall), 0.0, 1.0);
 }
--- a/src/overload/rows_under_way.hpp
+++ b/src/overload/rows_under_way.hpp
@@ -29,4 +29,7 @@
     which no request has ended, is unchanged. */
 double correctedShare (const RowVolume&, double admittedShare);
 
+/** The same, with a known request rate of the row instead of its recent mean. */
+double correctedShare (const RowVolume&, double admittedShare, double perSecond);
+
 } // namespace anisehold::overload
--- a/src/sidecar/overload_tracker.cpp
+++ b/src/sidecar/overload_tracker.cpp
@@ -1,6 +1,76 @@
 #include "sidecar/overload_tracker.hpp"
 
+#include "observability/events.hpp"
+
 namespace anisehold::sidecar {
+namespace {
+
+using observability::Event;
+using observability::log_event;
+
+}  // namespace
+
+double OverloadTracker::on_offered(TimePoint now, const overload::RootRow& row) {
+    overload::recordOffered(limit_, now, row);
+    if (has_forecast() && overload::recordDemand(limit_.forecast.demand, now, row.name, row.priority) &&
+        !is_under_pressure() && request_early_report(now)) {
+        log_event(Event::kDemandRose, {{"row", row.name}});
+    }
+    return overload::refusedShare(limit_, row);
+}
+
+bool OverloadTracker::request_early_report(TimePoint now) {
+    if (now - early_reported_ < early_report_gap_) {
+        return false;
+    }
+    early_reported_ = now;
+    early_report_due_ = true;
+    onset_signal_.notify();
+    return true;
+}
+
+void OverloadTracker::on_peer_demand(TimePoint now, const std::string& peer,
+                                     const overload::OfferedReport& report) {
+    if (has_forecast()) {
+        overload::recordPeerDemand(limit_.forecast.demand, now, peer, report);
+    }
+}
+
+overload::OfferedReport OverloadTracker::offered_report(TimePoint now, RecordReceivers receivers) {
+    overload::OfferedReport report;
+    if (!has_forecast()) {
+        return report;
+    }
+    auto& demand = limit_.forecast.demand;
+    report.offered = overload::ownOffered(demand, now);
+    if (receivers == RecordReceivers::kAll) {
+        report.works = overload::dueWorks(demand, now, settings_.name);
+    } else if (receivers == RecordReceivers::kNewPeer) {
+        report.works = overload::ownWorks(demand, settings_.name);
+    }
+    return report;
+}
+
+bool OverloadTracker::has_work_estimates() const {
+    return has_forecast() && !overload::ownWorks(limit_.forecast.demand, settings_.name).empty();
+}
+
+std::vector<overload::ForecastChange> OverloadTracker::update_forecast(
+    TimePoint now, const overload::Capacities& capacities) {
+    if (!has_forecast()) {
+        if (limit_.forecast.isOn) {
+            overload::endForecast(limit_);
+        }
+        return {};
+    }
+    limit_.forecast.isOn = true;
+    const bool was_limited = overload::isLimitedByForecast(limit_);
+    auto changes = overload::updateForecast(limit_, now, capacities);
+    if (!was_limited && overload::isLimitedByForecast(limit_)) {
+        request_early_report(now);
+    }
+    return changes;
+}
 
 void OverloadTracker::on_call_ended(const std::string& service, const std::string& row, bool is_root,
                                     const CallEnd& end) {
@@ -28,6 +98,18 @@
 }
 
 void OverloadTracker::update_work_estimates() {
+    if (has_forecast()) {
+        const auto update = [this](const std::string& service) {
+            overload::setOwnWorks(limit_.forecast.demand, settings_.name, service,
+                                  overload::estimateRowWork(work_, limit_, settings_.service, service));
+        };
+        update(settings_.service);
+        for (const auto& [service, rows] : limit_.forecast.demand.works) {
+            if (service != settings_.service) {
+                update(service);
+            }
+        }
+    }
     for (const auto& [service, state] : limit_.services) {
         overload::setOwnRowWork(limit_, service,
                                 overload::estimateRowWork(work_, limit_, settings_.service, service));
@@ -38,6 +120,11 @@
                                      const std::vector<overload::ServicePressure>& pressures) {
     const bool had_no_pressure = !is_under_pressure();
     overload::recordPeerReport(limit_, now, peer, pressures);
+    if (has_forecast()) {
+        for (const auto& each : pressures) {
+            overload::recordPeerWorks(limit_.forecast.demand, now, peer, each.service, each.works);
+        }
+    }
     if (had_no_pressure && is_under_pressure() && reports_onset()) {
         onset_signal_.notify();
     }
--- a/src/sidecar/overload_tracker.hpp
+++ b/src/sidecar/overload_tracker.hpp
@@ -3,11 +3,14 @@
 /// request limit; the rules are in overload/.
 #pragma once
 
+#include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "config/sidecar_settings.hpp"
 #include "net/fiber_signal.hpp"
+#include "overload/capacity_forecast.hpp"
 #include "overload/root_limit.hpp"
 #include "overload/work_estimate.hpp"
 
@@ -20,6 +23,9 @@
     std::string overloaded_downstream;
 };
 
+/// Which peers a record is sent to.
+enum class RecordReceivers { kAll, kLocalZone, kNewPeer };
+
 /// Receives events from `CallIngress` and `CallAttempts` (requests of this machine), `LocalGate` (runs at the
 /// local server) and `PeerExchange` (reports of peers, ends of periods).
 class OverloadTracker {
@@ -30,10 +36,7 @@
     }
 
     /// Records a client's request. Returns the share (0 to 1) of such requests that is currently refused.
-    double on_offered(TimePoint now, const overload::RootRow& row) {
-        overload::recordOffered(limit_, now, row);
-        return overload::refusedShare(limit_, row);
-    }
+    double on_offered(TimePoint now, const overload::RootRow& row);
     /// Records the start of an admitted client request, and its end (with any outcome) after `elapsed`.
     void on_admitted(const std::string& row) { overload::recordRequestStarted(limit_, row); }
     void on_admitted_ended(const std::string& row, Duration elapsed) {
@@ -55,15 +58,36 @@
     void update_work_estimates();
     void on_peer_report(TimePoint now, const std::string& peer,
                         const std::vector<overload::ServicePressure>& pressures);
+    /// Records the volumes and work estimates in a peer's record.
+    void on_peer_demand(TimePoint now, const std::string& peer, const overload::OfferedReport& report);
+    /// Excludes the volumes of a peer that can't be reached.
+    void on_peer_unreachable(const std::string& peer) {
+        overload::dropPeerVolumes(limit_.forecast.demand, peer);
+    }
+    /// The volumes for a record; empty without the capacity forecast. Work estimates are included in records
+    /// to all peers when they have changed, and in records to a new peer.
+    overload::OfferedReport offered_report(TimePoint now, RecordReceivers receivers);
+    /// Whether this daemon has work estimates that a new peer needs.
+    bool has_work_estimates() const;
+    /// Updates the forecast; empty without the mechanism.
+    std::vector<overload::ForecastChange> update_forecast(TimePoint now,
+                                                          const overload::Capacities& capacities);
+    const std::map<std::string, overload::ServiceForecast>& forecasts() const {
+        return limit_.forecast.services;
+    }
+    /// Sets the minimum time between two early reports of a rise in demand.
+    void set_early_report_gap(Duration gap) { early_report_gap_ = gap; }
+    /// Whether an early report is due, for a rise in demand or for a new limit; resets it.
+    bool take_early_report() { return std::exchange(early_report_due_, false); }
     /// Sets the interval between two reports to peers in the local zone.
     void set_period(Duration period) { limit_.period = period; }
     std::vector<overload::AdmittedShareChange> end_period(TimePoint now,
                                                           const overload::Utilizations& utilizations) {
         return overload::endPeriod(limit_, now, utilizations);
     }
-    /// Waits until calls begin to be refused after a period without refusals, here or at a peer, so that a
-    /// report should be sent at once; returns false if `latest` comes first. Blocks the fiber; only one fiber
-    /// may wait.
+    /// Waits until calls begin to be refused after a period without refusals, here or at a peer, or an early
+    /// report is due, so that a report should be sent at once; returns false if `latest` comes first. Blocks
+    /// the fiber; only one fiber may wait.
     bool wait_for_onset(TimePoint latest) { return onset_signal_.wait_until(latest); }
 
   private:
@@ -75,10 +99,17 @@
 
     bool reports_onset() const { return settings_.mechanisms.has(config::Mechanism::kOverloadOnsetReports); }
 
+    bool has_forecast() const { return settings_.mechanisms.has(config::Mechanism::kCapacityForecast); }
+    /// Makes an early report due; returns false if the last one was too recent.
+    bool request_early_report(TimePoint now);
+
     const config::SidecarSettings& settings_;
     overload::RootLimitState limit_;
     overload::WorkEstimate work_;  ///< Work of the requests at the local server.
     OverloadRefusal last_refusal_;
+    Duration early_report_gap_{};
+    TimePoint early_reported_;
+    bool early_report_due_ = false;
     net::FiberSignal onset_signal_;
 };
 
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -34,6 +34,9 @@
 /// Time for which the peers' counts are awaited; the latency between zones is a few milliseconds.
 constexpr milliseconds kOnsetReplyTime{60};
 
+/// Interval at which the capacity forecast is updated: a fraction of the half-life of the demand.
+constexpr milliseconds kForecastPeriod{200};
+
 /// Formats shares as "route/rank:share ..." with two decimals, for the log.
 std::string format_shares(const std::map<std::string, double>& shares) {
     std::ostringstream text;
@@ -61,11 +64,12 @@
     opened_ = TimePoint::clock::now();
     if (!error) {
         net::EventLoop::spawn([this] { announce_periodically(); });
+        net::EventLoop::spawn([this] { forecast_periodically(); });
     }
     return error;
 }
 
-membership::PeerRecord PeerExchange::own_record() {
+membership::PeerRecord PeerExchange::own_record(RecordReceivers receivers) {
     const auto& settings = context_.settings;
     membership::PeerRecord record;
     record.name = settings.name;
@@ -81,17 +85,19 @@
     record.client_routes = context_.origins.own_verdicts();
     context_.overload.update_work_estimates();
     record.pressures = context_.overload.own_report();
+    record.shortage.offered = context_.overload.offered_report(TimePoint::clock::now(), receivers);
     record.servers = gate_.servers().records(TimePoint::clock::now());
     return record;
 }
 
 void PeerExchange::announce() {
     announced_ = TimePoint::clock::now();
-    send_record_to(directory_.addresses());
+    send_record_to(directory_.addresses(), RecordReceivers::kAll);
 }
 
-void PeerExchange::send_record_to(const std::vector<membership::PeerAddress>& peers) {
-    const auto bytes = encode(own_record());
+void PeerExchange::send_record_to(const std::vector<membership::PeerAddress>& peers,
+                                  RecordReceivers receivers) {
+    const auto bytes = encode(own_record(receivers));
     for (const auto& peer : peers) {
         socket_.send(peer.gossip, bytes);
     }
@@ -102,10 +108,12 @@
         const auto periods =
             membership::record_periods(directory_.counts(), context_.overload.is_under_pressure());
         context_.overload.set_period(periods.local);
+        context_.overload.set_early_report_gap(membership::min_announcement_gap(directory_.counts()));
         const auto period =
             std::chrono::duration_cast<Duration>(periods.local * (0.9 + 0.2 * context_.random_unit()));
         const bool is_onset = context_.overload.wait_for_onset(TimePoint::clock::now() + period);
-        if (is_onset) {
+        const bool reports_early = context_.overload.take_early_report();
+        if (is_onset && !reports_early) {
             boost::this_fiber::sleep_for(kOnsetCountTime);
             announce_onset();
             boost::this_fiber::sleep_for(kOnsetReplyTime);
@@ -116,10 +124,10 @@
         context_.notices.expire(now);
         end_limit_period(now);
         // Sent up to half a local period early rather than half a period late.
-        if (now - announced_ + periods.local / 2 >= periods.remote) {
+        if (reports_early || now - announced_ + periods.local / 2 >= periods.remote) {
             announce();
         } else {
-            send_record_to(directory_.local_zone_addresses());
+            send_record_to(directory_.local_zone_addresses(), RecordReceivers::kLocalZone);
         }
     }
 }
@@ -162,6 +170,81 @@
     }
 }
 
+void PeerExchange::forecast_periodically() {
+    while (true) {
+        boost::this_fiber::sleep_for(kForecastPeriod);
+        update_forecast(TimePoint::clock::now());
+    }
+}
+
+void PeerExchange::update_forecast(TimePoint now) {
+    const bool is_on = context_.has(config::Mechanism::kCapacityForecast);
+    const auto capacities = is_on ? overload::capacitiesOf(server_supplies(now)) : overload::Capacities();
+    for (const auto& change : context_.overload.update_forecast(now, capacities)) {
+        log_event(Event::kCapacityForecast, {{"service", change.service},
+                                             {"capacity", std::to_string(change.capacity)},
+                                             {"demand", std::to_string(change.demand)},
+                                             {"correction", std::to_string(change.correction)},
+                                             {"share", std::to_string(change.share)}});
+    }
+    update_forecast_metrics();
+}
+
+std::vector<overload::ServerSupply> PeerExchange::server_supplies(TimePoint now) {
+    const auto& cut = update_cut_zones(now);
+    std::vector<overload::ServerSupply> supplies;
+    const auto add = [&](const membership::ServerRecord& server, TimePoint reported, bool reachable) {
+        const bool is_cold = milliseconds(server.cold_ms) > now - reported;
+        supplies.push_back({server.service, server.limit, server.busy_percent, server.latency_us,
+                            server.failed_percent, server.declined_percent, server.slow_percent, is_cold,
+                            reachable});
+    };
+    directory_.for_each_peer(now, [&](const membership::PeerReach& peer, const auto& servers) {
+        const bool is_cut = cut.contains(peer.zone);
+        if (is_cut || !peer.reachable) {
+            context_.overload.on_peer_unreachable(peer.name);
+        }
+        for (const auto& known : servers) {
+            add(known.server, known.last_seen, peer.takes_requests && !is_cut);
+        }
+    });
+    for (const auto& own : gate_.servers().records(now)) {
+        add(own, now, true);
+    }
+    return supplies;
+}
+
+const std::set<std::string>& PeerExchange::update_cut_zones(TimePoint now) {
+    const auto period = membership::record_periods(directory_.counts()).remote;
+    auto cut = overload::silentZones(zone_contacts_, now, period);
+    for (const auto& zone : cut) {
+        if (!cut_zones_.contains(zone)) {
+            log_event(Event::kZoneSilent, {{"zone", zone}});
+        }
+    }
+    for (const auto& zone : cut_zones_) {
+        if (!cut.contains(zone)) {
+            log_event(Event::kZoneHeard, {{"zone", zone}});
+        }
+    }
+    cut_zones_ = std::move(cut);
+    return cut_zones_;
+}
+
+void PeerExchange::update_forecast_metrics() {
+    const auto& forecasts = context_.overload.forecasts();
+    for (const auto& service : forecast_services_) {
+        if (!forecasts.contains(service)) {
+            context_.metrics.set_forecast(service, {});
+        }
+    }
+    for (const auto& [service, forecast] : forecasts) {
+        forecast_services_.insert(service);
+        context_.metrics.set_forecast(
+            service, {forecast.capacity * forecast.correction, forecast.demand, forecast.share});
+    }
+}
+
 void PeerExchange::receive(std::string_view bytes) {
     if (other_receiver_ && other_receiver_(bytes)) {
         return;
@@ -174,14 +257,18 @@
     context_.origins.on_peer_verdict(record->client_routes);
     const auto now = TimePoint::clock::now();
     const bool listened = announced_ > now - milliseconds(record->uptime_ms);
-    const bool has_record =
-        directory_.knows(record->name) && listened && now - announced_ < kDuplicateReplyWindow;
+    const bool has_record = !context_.overload.has_work_estimates() && directory_.knows(record->name) &&
+                            listened && now - announced_ < kDuplicateReplyWindow;
     const auto change = directory_.on_record(now, *record);
     if (change != PeerChange::kNone && context_.has(config::Mechanism::kFleetWideCounts)) {
         context_.overload.on_peer_report(now, record->name, record->pressures);
     }
+    if (change != PeerChange::kNone) {
+        context_.overload.on_peer_demand(now, record->name, record->shortage.offered);
+        overload::recordHeard(zone_contacts_, now, record->zone, record->name);
+    }
     if (change == PeerChange::kAppeared && !has_record) {
-        socket_.send(record->gossip, encode(own_record()));
+        socket_.send(record->gossip, encode(own_record(RecordReceivers::kNewPeer)));
     }
     if (change == PeerChange::kAppeared && appearance_listener_) {
         appearance_listener_(record->gossip);
--- a/src/sidecar/peer_exchange.hpp
+++ b/src/sidecar/peer_exchange.hpp
@@ -7,10 +7,13 @@
 #pragma once
 
 #include <functional>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "membership/peer_directory.hpp"
 #include "net/udp_socket.hpp"
+#include "overload/zone_contact.hpp"
 #include "sidecar/configuration_holder.hpp"
 #include "sidecar/local_gate.hpp"
 #include "sidecar/sidecar_context.hpp"
@@ -43,12 +46,21 @@
     /// Updates the admitted shares of root requests, and logs the changes.
     void end_limit_period(TimePoint now);
     void announce_periodically();
+    /// Updates the capacity forecast several times a second, and logs its changes.
+    void forecast_periodically();
+    void update_forecast(TimePoint now);
+    /// The servers that this daemon knows, and whether it can reach them. Excludes the demand of peers that
+    /// it can't reach from the forecast.
+    std::vector<overload::ServerSupply> server_supplies(TimePoint now);
+    /// Zones of which no daemon has been heard for too long; logs the changes.
+    const std::set<std::string>& update_cut_zones(TimePoint now);
+    void update_forecast_metrics();
     /// Sends the record to all peers when refusals begin after a period without any, if calls were refused
     /// here.
     void announce_onset();
-    void send_record_to(const std::vector<membership::PeerAddress>& peers);
+    void send_record_to(const std::vector<membership::PeerAddress>& peers, RecordReceivers receivers);
     void receive(std::string_view bytes);
-    membership::PeerRecord own_record();
+    membership::PeerRecord own_record(RecordReceivers receivers);
     /// Requests the configuration from a peer that has a higher version.
     void fetch_configuration(const Endpoint& peer, std::uint64_t version);
 
@@ -61,7 +73,10 @@
     std::function<void(const Endpoint& gossip)> appearance_listener_;
     std::uint64_t sequence_ = 0;
     std::uint64_t fetching_version_ = 0;
-    TimePoint opened_;     ///< Time when the socket was opened.
+    overload::ZoneContacts zone_contacts_;
+    std::set<std::string> cut_zones_;
+    std::set<std::string> forecast_services_;  ///< Services whose metrics have been set.
+    TimePoint opened_;                         ///< Time when the socket was opened.
     TimePoint announced_;  ///< Time when this daemon's record was last sent to all known peers.
 };
 
--- a/tests/incidents/chain_model.cpp
+++ b/tests/incidents/chain_model.cpp
@@ -20,10 +20,19 @@
 constexpr unsigned maxServers = 3;
 /** Duration of a refusal by a server. */
 constexpr milliseconds refusalTime{ 1 };
+/** Weight of the newest call in a server's mean service time. */
+constexpr double timeSample = 0.02;
+/** Half-life of the observed work per chain, as in the sidecar's estimates. */
+constexpr double workHalfLifeS = 10;
 /** Number of machines that run the upstream servers. */
 constexpr std::size_t runDaemons = 3;
 /** Maximum duration of a call; far longer than all waits in the model. */
 constexpr milliseconds callTime{ 700 };
+/** Interval at which the sidecar updates its forecast, and minimum time between early reports. */
+constexpr milliseconds forecastPeriod{ 200 };
+constexpr milliseconds minReportGap{ 350 };
+/** Time after which a cut is noticed: the silence of a zone of some 20 daemons. */
+constexpr milliseconds cutNoticed{ 900 };
 
 Duration fromMs (double ms)
 {
@@ -94,7 +103,7 @@
 
 void ChainModel::sendRequests (const RowSpec& spec)
 {
-    const double pause = -std::log (1 - draw()) / spec.perSecond;
+    const double pause = -std::log (1 - draw()) / (spec.perSecond * load);
     at (now + fromMs (1'000 * pause),
         [this, &spec]
         {
@@ -113,6 +122,7 @@
     ++chain->tally->sent;
     auto& limit = daemons[chain->daemon];
     overload::recordOffered (limit, now, spec.row);
+    offerToForecast (chain->daemon, spec.row);
 
     if (refusesEarly && draw() < overload::refusedShare (limit, spec.row))
         ++chain->tally->refusedEarly;
@@ -133,12 +143,16 @@
     const auto& spec = *chain->spec;
 
     if ((spec.calls - chain->callsLeft) % spec.callsPerRun == 0)
-        chain->runDaemon = spec.isDirect ? chain->daemon : random() % std::min (runDaemons, daemons.size());
+        chain->runDaemon = spec.isDirect ? chain->daemon : runDaemonFor (chain->daemon);
 
     call->daemon = chain->runDaemon;
     budgets[call->daemon].on_request (now, endService);
     call->id = ++lastCall;
     call->tried.resize (servers.size());
+
+    for (std::size_t n = 0; n < servers.size(); ++n)
+        call->tried[n] = ! reaches (call->daemon, n);
+
     call->waitEnds = now + fromMs (chain->spec->maxWaitMs);
     tryServers (call);
 }
@@ -224,7 +238,10 @@
 void ChainModel::endWork (std::size_t server, const std::shared_ptr<Call>& call)
 {
     ++completed;
-    call->chain->heldMs += std::chrono::duration<double, std::milli> (now - call->began).count();
+    const double ms = std::chrono::duration<double, std::milli> (now - call->began).count();
+    call->chain->heldMs += ms;
+    auto& mean = servers[server]->meanMs;
+    mean += (mean > 0 ? timeSample : 1) * (ms - mean);
     leaveServer (server, *call, admission::SampleOutcome::kCompleted);
     endCall (call, false);
 }
@@ -269,6 +286,8 @@
     const auto& chain = call->chain;
     const auto& spec = *chain->spec;
     overload::recordCallEnded (daemons[call->daemon], endService, refused);
+    ++ended;
+    this->refused += refused ? 1 : 0;
 
     if (refused)
     {
@@ -293,20 +312,114 @@
 
 void ChainModel::recordWork (const Chain& chain)
 {
+    auto& work = chainWork[chain.spec->row.name];
+    const double kept =
+        std::exp2 (-std::chrono::duration<double> (now - work.updated).count() / workHalfLifeS);
+    work = { kept * work.ms + chain.heldMs, kept * work.chains + 1, now };
     constexpr double sample = 0.05;
     const auto [mean, isNew] = meanWork.try_emplace (chain.spec->row.name, chain.heldMs);
     mean->second += sample * (chain.heldMs - mean->second);
 }
 
+void ChainModel::useForecast (double workError)
+{
+    hasForecast = true;
+    workErrorFactor = workError;
+    volumesSent.resize (daemons.size());
+
+    for (std::size_t n = 0; n < daemons.size(); ++n)
+    {
+        daemons[n].forecast.isOn = true;
+        at (now + fromMs (draw() * static_cast<double> (forecastPeriod.count())),
+            [this, n] { forecast (n); });
+    }
+}
+
+void ChainModel::cutOff (std::size_t daemonCount, std::size_t serverCount)
+{
+    daemonsApart = daemonCount;
+    serversApart = serverCount;
+    cutAt = now;
+}
+
+std::size_t ChainModel::runDaemonFor (std::size_t daemon)
+{
+    const std::size_t first = isApart (daemon) ? 0 : daemonsApart;
+    const std::size_t last = isApart (daemon) ? daemonsApart : daemons.size();
+    return first + random() % std::min (runDaemons, last - first);
+}
+
+void ChainModel::offerToForecast (std::size_t daemon, const overload::RootRow& row)
+{
+    auto& own = daemons[daemon];
+
+    if (hasForecast && overload::recordDemand (own.forecast.demand, now, row.name, row.priority) &&
+        now - volumesSent[daemon] >= minReportGap)
+        sendVolumes (daemon);
+}
+
+void ChainModel::sendVolumes (std::size_t daemon)
+{
+    volumesSent[daemon] = now;
+    auto& demand = daemons[daemon].forecast.demand;
+    const overload::OfferedReport report{ overload::ownOffered (demand, now),
+                                          overload::dueWorks (demand, now, daemons[daemon].ownName) };
+
+    for (std::size_t n = 0; n < daemons.size(); ++n)
+    {
+        if (n != daemon && isApart (n) == isApart (daemon))
+            overload::recordPeerDemand (daemons[n].forecast.demand, now, daemons[daemon].ownName, report);
+    }
+}
+
+void ChainModel::forecast (std::size_t daemon)
+{
+    auto& own = daemons[daemon];
+    const bool isCutNoticed = now - cutAt >= cutNoticed;
+    std::vector<overload::ServerSupply> supplies;
+    std::vector<overload::RowWork> rowWork;
+
+    for (std::size_t n = 0; n < servers.size(); ++n)
+    {
+        const bool isReachable = reaches (daemon, n) || ! isCutNoticed;
+        const auto limit = servers[n]->gate.load().limit;
+        const double busy = 100 * overload::currentMean (servers[n]->running, now) / limit;
+        supplies.push_back ({ endService, limit, static_cast<unsigned> (busy),
+                              static_cast<unsigned> (1'000 * servers[n]->meanMs), 0, 0, 100, false,
+                              isReachable });
+    }
+
+    for (std::size_t n = 0; n < daemons.size(); ++n)
+    {
+        if (isApart (n) != isApart (daemon) && isCutNoticed)
+            overload::dropPeerVolumes (own.forecast.demand, daemons[n].ownName);
+    }
+
+    for (const auto& [row, it] : chainWork)
+        rowWork.push_back ({ row, workErrorFactor * it.ms / std::max (it.chains, 1.0) });
+
+    overload::setOwnWorks (own.forecast.demand, own.ownName, endService, rowWork);
+    const bool wasLimited = overload::isLimitedByForecast (own);
+    overload::updateForecast (own, now, overload::capacitiesOf (supplies));
+
+    if (! wasLimited && overload::isLimitedByForecast (own) && now - volumesSent[daemon] >= minReportGap)
+        sendVolumes (daemon);
+
+    at (now + forecastPeriod, [this, daemon] { forecast (daemon); });
+}
+
 void ChainModel::report (std::size_t daemon)
 {
     double busy = 0;
     double totalSlots = 0;
 
-    for (const auto& it : servers)
+    for (std::size_t n = 0; n < servers.size(); ++n)
     {
-        busy += overload::currentMean (it->running, now);
-        totalSlots += it->gate.load().limit;
+        if (! reaches (daemon, n))
+            continue;
+
+        busy += overload::currentMean (servers[n]->running, now);
+        totalSlots += servers[n]->gate.load().limit;
     }
 
     auto& own = daemons[daemon];
@@ -319,12 +432,15 @@
     overload::endPeriod (own, now, { { endService, busy / totalSlots } });
     const auto reports = overload::ownReport (own);
 
-    for (auto& it : daemons)
+    for (std::size_t n = 0; n < daemons.size(); ++n)
     {
-        if (it.ownName != own.ownName)
-            overload::recordPeerReport (it, now, own.ownName, reports);
+        if (n != daemon && isApart (n) == isApart (daemon))
+            overload::recordPeerReport (daemons[n], now, own.ownName, reports);
     }
 
+    if (hasForecast)
+        sendVolumes (daemon);
+
     const Duration period = overload::isUnderPressure (own) ? pressurePeriod : calmPeriod;
     own.period = period;
     at (now + fromMs (static_cast<double> (to_milliseconds (period)) * (0.9 + 0.2 * draw())),
--- a/tests/incidents/chain_model.hpp
+++ b/tests/incidents/chain_model.hpp
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "admission/server_gate.hpp"
+#include "overload/capacity_forecast.hpp"
 #include "overload/root_limit.hpp"
 #include "overload/time_weighted_mean.hpp"
 #include "retry/window_budget.hpp"
@@ -65,11 +66,21 @@
 
     /** Sets whether requests are rejected early; otherwise all requests reach the gates. */
     void setEarlyRefusal (bool isOn) { refusesEarly = isOn; }
+    /** Turns the capacity forecast on, before the first run. `workError` is the factor by which the work
+        estimates are wrong. */
+    void useForecast (double workError = 1);
+    /** Sets the factor of the clients' request rates. */
+    void setLoad (double factor) { load = factor; }
+    /** Cuts the first daemons and the first servers off from the others; zeros join both sides again. */
+    void cutOff (std::size_t daemonCount, std::size_t serverCount);
     /** Advances the simulation by the given time. */
     void run (Duration);
     /** Returns and resets the tallies by row of the requests sent since the last call; requests in flight
         count as sent only. */
     std::map<std::string, RowTally> takeTallies();
+    /** Returns the calls that no server had capacity for, and all calls, since the start. */
+    std::uint64_t refusedCalls() const { return refused; }
+    std::uint64_t endedCalls() const { return ended; }
     /** Returns the calls completed at the last service since the start. */
     std::uint64_t completedCalls() const { return completed; }
     /** Returns the state of each daemon's limit of root requests. */
@@ -81,6 +92,7 @@
         ServerSpec spec;
         admission::ServerGate gate;
         overload::TimeWeightedMean running;
+        double meanMs = 0; /**< Moving mean of the service time. */
     };
 
     /** A request in flight. */
@@ -107,6 +119,14 @@
         TimePoint began;      /**< Start of the call's work. */
     };
 
+    /** Observed work of a row's chains, decayed. */
+    struct ChainWork
+    {
+        double ms = 0;
+        double chains = 0;
+        TimePoint updated;
+    };
+
     struct Event
     {
         TimePoint time;
@@ -138,6 +158,19 @@
     void endCall (const std::shared_ptr<Call>&, bool refused);
     void recordWork (const Chain&);
     void report (std::size_t daemon);
+    /** Updates the forecast of a daemon, periodically. */
+    void forecast (std::size_t daemon);
+    /** Records an offered request for the forecast; a significant rise is reported at once. */
+    void offerToForecast (std::size_t daemon, const overload::RootRow&);
+    /** Sends the offered volumes and work estimates of a daemon to those that it reaches. */
+    void sendVolumes (std::size_t daemon);
+    bool isApart (std::size_t daemon) const { return daemon < daemonsApart; }
+    /** Whether the daemon can reach the server, or believes so. */
+    bool reaches (std::size_t daemon, std::size_t server) const
+    {
+        return daemonsApart == 0 || isApart (daemon) == (server < serversApart);
+    }
+    std::size_t runDaemonFor (std::size_t daemon);
     double draw() { return std::uniform_real_distribution<double> (0, 1) (random); }
     std::size_t anyDaemon() { return random() % daemons.size(); }
 
@@ -148,10 +181,20 @@
     std::map<std::string, std::shared_ptr<RowTally>> tallies;
     std::map<std::uint64_t, std::shared_ptr<Call>> waiting; /**< By id. */
     std::map<std::string, double> meanWork;                 /**< Mean work by row, in ms of slot time. */
+    std::map<std::string, ChainWork> chainWork;             /**< By row; for the forecast. */
     std::priority_queue<Event> events;
     std::mt19937 random;
     TimePoint now{ seconds (1'000) };
     bool refusesEarly = true;
+    bool hasForecast = false;
+    double workErrorFactor = 1;
+    double load = 1;
+    std::size_t daemonsApart = 0; /**< 0: all daemons reach each other and all servers. */
+    std::size_t serversApart = 0;
+    TimePoint cutAt;
+    std::vector<TimePoint> volumesSent; /**< By daemon. */
+    std::uint64_t ended = 0;
+    std::uint64_t refused = 0;
     std::uint64_t lastOrder = 0;
     std::uint64_t lastCall = 0;
     std::uint64_t completed = 0;
