--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "overload/capacity_forecast.hpp"
 #include "overload/capacity_share.hpp"
 #include "overload/retry_capacity.hpp"
 #include "overload/rows_under_way.hpp"
@@ -68,6 +69,39 @@
     return byRow;
 }
 
+/** Returns the lowest share of the row over the service's capacity limits; 1 if none applies to it. */
+double shareWithinLimits (const ServiceState& service, const std::string& row)
+{
+    double share = 1;
+
+    for (const auto& [resource, shares] : service.limitShares)
+    {
+        const auto found = shares.find (row);
+        share = found == shares.end() ? share : std::min (share, found->second);
+    }
+
+    return share;
+}
+
+/** Ends a period of a service whose limit follows the forecast. The share continues from the forecast's when
+    the forecast lacks an input later. */
+void followForecast (RootLimitState& state, const std::string& name, ServiceState& service,
+                     const FleetCounts& fleet)
+{
+    service.admittedShare = state.forecast.services[name].share;
+    service.measuredAdmittedShare = service.admittedShare;
+    expireRows (service, fleet);
+}
+
+/** Returns the recent request rate of a row at this daemon. In a burst the mean follows too late; the
+    fleet's demand shows its trend without the noise of one daemon. */
+double presentPerSecond (const RootLimitState& state, const std::string& row, const RowVolume& volume)
+{
+    const auto trend = state.forecast.trends.find (row);
+    const bool isKnown = state.forecast.isOn && trend != state.forecast.trends.end();
+    return offeredPerSecond (volume) * (isKnown ? trend->second.ratio : 1);
+}
+
 } // namespace
 
 std::vector<AdmittedShareChange> endPeriod (RootLimitState& state, TimePoint now,
@@ -85,7 +119,14 @@
         const double before = service.admittedShare;
         const auto found = utilizations.find (name);
         const double utilization = found == utilizations.end() ? 0 : found->second;
-        updateAdmittedShare (service, fleet, utilization, periodS);
+
+        if (hasForecast (state, name))
+            correctForecast (state, name, fleet);
+
+        if (followsForecast (state, name))
+            followForecast (state, name, service, fleet);
+        else
+            updateAdmittedShare (service, fleet, utilization, periodS);
 
         if (service.admittedShare == before)
             continue;
@@ -100,20 +141,33 @@
 
 bool isUnderPressure (const RootLimitState& state)
 {
-    if (! state.retryCapacity.services.empty())
-        return true;
-
-    return std::any_of (state.services.begin(), state.services.end(),
+    return ! state.retryCapacity.services.empty() || isLimitedByForecast (state) ||
+           std::any_of (state.services.begin(), state.services.end(),
                         [] (const auto& it) { return it.second.admittedShare < 1 || it.second.isRefusing; });
 }
 
+void setCapacityLimit (RootLimitState& state, const std::string& service, const CapacityLimit& limit)
+{
+    state.services[service].limitShares[limit.resource] = sharesWithin (limit);
+}
+
+void clearCapacityLimit (RootLimitState& state, const std::string& service, const std::string& resource)
+{
+    const auto found = state.services.find (service);
+
+    if (found != state.services.end())
+        found->second.limitShares.erase (resource);
+}
+
 double refusedShare (const RootLimitState& state, const RootRow& row)
 {
     double admitted = 1;
 
     for (const auto& [name, service] : state.services)
     {
-        if (service.admittedShare >= 1 || ! service.rows.contains (row.name))
+        admitted = std::min (admitted, shareWithinLimits (service, row.name));
+
+        if (service.admittedShare >= 1 || ! service.rows.contains (row.name) || followsForecast (state, name))
             continue;
 
         const auto shares = rowShares (state, service);
@@ -123,7 +177,10 @@
 
     admitted = std::min (admitted, retryLimitedShare (state, row.name));
     const auto volume = state.rows.find (row.name);
-    return 1 - (volume == state.rows.end() ? admitted : correctedShare (volume->second, admitted));
+    return 1 - (volume == state.rows.end()
+                    ? admitted
+                    : correctedShare (volume->second, admitted,
+                                      presentPerSecond (state, row.name, volume->second)));
 }
 
 } // namespace anisehold::overload
