Callers that were refused and come back take precedence

Cause: a caller honors its Retry-After and comes back once. It was refused the second time as readily as the first, and all were told 250 to 750 ms, so that returns met the same burst.

Change: src/returning learns the deadlines of fresh requests of each route while none is refused, and so recognizes returns. A return that can be served within its target latency is admitted first; the row's next fresh requests pay for it, so that the admitted share of the row stays the same. An early refusal names a time at which the caller will be recognized and can still be served in time, booked at the rate of admissions; without such a time the usual 250 to 750 ms; a caller that can't be served any more is told its remaining time. Only with Mechanism::kReturningCallers; the line ingress-call gains the field returning.

--- /dev/null
+++ b/src/returning/precedence.cpp
@@ -0,0 +1,28 @@
+#include "returning/precedence.hpp"
+
+#include <algorithm>
+
+namespace anisehold::returning
+{
+
+double grantShare (Precedence& state, const std::string& row, double share, bool isReturning)
+{
+    if (share >= 1)
+    {
+        // Without a shortage there is nothing to pay back.
+        state.debts.erase (row);
+        return 1;
+    }
+
+    const auto found = state.debts.find (row);
+
+    if (found == state.debts.end() && (! isReturning || state.debts.size() >= maxRows))
+        return share;
+
+    double& debt = state.debts[row];
+    const double change = isReturning ? std::clamp (maxDebt - debt, 0.0, 1 - share) : -std::min (share, debt);
+    debt += change;
+    return share + change;
+}
+
+} // namespace anisehold::returning
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -55,6 +55,7 @@
     }
     if (call.is_root) {
         context_.overload.on_admitted(call.row);
+        record_admitted(call);
     }
     attribute(call);
     auto end = attempts_.run(call, request, cancel);
@@ -103,8 +104,8 @@
     if (call.is_root && is_refused_early(call)) {
         const double part = context_.has(Mechanism::kRetryAfterJitter) ? context_.random_unit() : 0;
         const auto spread = static_cast<double>(retry_after::kRefusedEarlySpread.count()) * part;
-        return CallFailure{ErrorKind::kOverloaded,
-                           retry_after::kRefusedEarly + milliseconds(static_cast<long long>(spread))};
+        const auto usual = retry_after::kRefusedEarly + milliseconds(static_cast<long long>(spread));
+        return CallFailure{ErrorKind::kOverloaded, early_retry_after(call, usual)};
     }
     return acquire_token(*configuration, call);
 }
@@ -174,9 +175,64 @@
     return std::nullopt;
 }
 
-bool CallIngress::is_refused_early(const IncomingCall& call) {
+bool CallIngress::is_refused_early(IncomingCall& call) {
     const double share = context_.overload.on_offered(call.received, {call.row, call.terms.priority});
-    return context_.has(Mechanism::kEarlyRefusal) && context_.random_unit() < share;
+    const double refused = refused_share_by_standing(call, share);
+    const bool is_refused = context_.has(Mechanism::kEarlyRefusal) && context_.random_unit() < refused;
+    if (share > 0 && call.standing != returning::Standing::fresh) {
+        context_.metrics.count_returning(!is_refused);
+    }
+    return is_refused;
+}
+
+double CallIngress::refused_share_by_standing(IncomingCall& call, double refused) {
+    if (!context_.has(Mechanism::kReturningCallers) || !call.stated_time_left) {
+        return refused;
+    }
+    auto& deadlines = returning_.deadlines;
+    returning::recordArrival(deadlines, call.received, call.route, *call.stated_time_left, refused > 0);
+    const auto smallest = returning::smallestFresh(deadlines, call.received, call.route);
+    call.standing = returning::standingOf({*call.stated_time_left, smallest.value_or(milliseconds(0)),
+                                           call.terms.target_latency, retry_after::kRefusedEarly,
+                                           context_.overload.mean_time(call.row)});
+    if (refused > 0 && call.standing == returning::Standing::hopeless) {
+        return 1;
+    }
+    const bool takes_precedence = call.standing == returning::Standing::returning;
+    return 1 - returning::grantShare(returning_.precedence, call.row, 1 - refused, takes_precedence);
+}
+
+milliseconds CallIngress::early_retry_after(const IncomingCall& call, milliseconds usual) {
+    if (!context_.has(Mechanism::kReturningCallers) || !call.stated_time_left) {
+        return usual;
+    }
+    returning::RefusedRequest request;
+    request.timeLeft = *call.stated_time_left;
+    request.smallestFresh =
+        returning::smallestFresh(returning_.deadlines, call.received, call.route).value_or(milliseconds(0));
+    request.targetLatency = call.terms.target_latency;
+    request.meanTime = context_.overload.mean_time(call.row);
+    request.isReturning = call.standing != returning::Standing::fresh;
+    request.usual = usual;
+    request.earliest = retry_after::kRefusedEarly;
+    request.random = context_.has(Mechanism::kRetryAfterJitter) ? context_.random_unit() : 0;
+    return returning::chooseReturnTime(returning_.times, call.received, call.row, request);
+}
+
+void CallIngress::record_admitted(const IncomingCall& call) {
+    if (context_.has(Mechanism::kReturningCallers)) {
+        returning::recordAdmitted(returning_.times, call.received, call.row);
+    }
+}
+
+void CallIngress::record_for_returns(const IncomingCall& call, ErrorKind error) {
+    const auto& kind = answer_for(error);
+    // Requests over their tenant's quota are refused at any time, so that nothing would be learned.
+    const bool is_quota = error == ErrorKind::kQuotaExceeded || error == ErrorKind::kQuotaUnknown;
+    if (context_.has(Mechanism::kReturningCallers) && call.is_root && !is_quota &&
+        kind.retry_advice == RetryAdvice::kSoon) {
+        returning::recordRefusal(returning_.deadlines, TimePoint::clock::now(), call.route);
+    }
 }
 
 net::HttpResponse CallIngress::answer(const IncomingCall& call, net::HttpResponse response) {
@@ -190,6 +246,7 @@
     if (call.holds_token && !may_have_run) {
         quotas_.return_token(call.tenant);
     }
+    record_for_returns(call, given.error);
     context_.metrics.count_error(call.route, given.error);
     log(call, std::string(answer_for(given.error).name), false);
     return error_response(given, call.request_id);
@@ -214,16 +271,25 @@
 void CallIngress::log(const IncomingCall& call, const std::string& outcome, bool served) const {
     const auto now = TimePoint::clock::now();
     const auto write_line = served ? observability::log_routine : log_event;
-    write_line(Event::kIngressCall, {{"request_id", call.request_id},
-                                     {"route", call.route},
-                                     {"tenant", call.tenant.value},
-                                     {"version", std::to_string(call.configuration_version)},
-                                     {"service", call.service},
-                                     {"attempts", call.attempts},
-                                     {"taken_ms", std::to_string(to_milliseconds(now - call.received))},
-                                     {"time_left_ms", std::to_string(to_milliseconds(call.deadline - now))},
-                                     {"digest", call.identity.digest.text()},
-                                     {"outcome", outcome}});
+    const auto write = [&](const auto&... more) {
+        write_line(Event::kIngressCall,
+                   {{"request_id", call.request_id},
+                    {"route", call.route},
+                    {"tenant", call.tenant.value},
+                    {"version", std::to_string(call.configuration_version)},
+                    {"service", call.service},
+                    {"attempts", call.attempts},
+                    {"taken_ms", std::to_string(to_milliseconds(now - call.received))},
+                    {"time_left_ms", std::to_string(to_milliseconds(call.deadline - now))},
+                    {"digest", call.identity.digest.text()},
+                    {"outcome", outcome},
+                    more...});
+    };
+    if (context_.has(Mechanism::kReturningCallers) && call.is_root) {
+        write(observability::EventField{"returning", returning::nameOf(call.standing)});
+    } else {
+        write();
+    }
 }
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -26,6 +26,9 @@
 #include "attribution/known_share.hpp"
 #include "net/http_types.hpp"
 #include "protocol/error_kind.hpp"
+#include "returning/fresh_deadlines.hpp"
+#include "returning/precedence.hpp"
+#include "returning/return_time.hpp"
 #include "routing/weighted_split.hpp"
 #include "sidecar/call_attempts.hpp"
 #include "sidecar/configuration_holder.hpp"
@@ -37,6 +40,13 @@
 
 namespace anisehold::sidecar {
 
+/// What is known of callers that were refused and come back.
+struct ReturningState {
+    returning::FreshDeadlines deadlines;
+    returning::Precedence precedence;
+    returning::ReturnTimes times;
+};
+
 /// Runs the checks before a request is sent, and builds the response from the result of its attempts.
 class CallIngress {
   public:
@@ -58,7 +68,16 @@
     std::optional<CallFailure> admit_caller(const routing::Configuration& configuration,
                                             const net::HttpRequest& request, IncomingCall& call);
     /// Whether a client's request is refused because a service has no capacity.
-    bool is_refused_early(const IncomingCall& call);
+    bool is_refused_early(IncomingCall& call);
+    /// Determines whether the request was refused before; returns the share with which it is refused, given
+    /// the share of its row.
+    double refused_share_by_standing(IncomingCall& call, double refused);
+    /// Returns the Retry-After of an early refusal; `usual`: the value without knowledge of the caller.
+    milliseconds early_retry_after(const IncomingCall& call, milliseconds usual);
+    /// Records an admitted client request, as a measure of the capacity for returns.
+    void record_admitted(const IncomingCall& call);
+    /// Records that a client was told to come back, so that returns aren't taken for fresh requests.
+    void record_for_returns(const IncomingCall& call, ErrorKind error);
     /// Determines the origin of an admitted request.
     void attribute(IncomingCall& call);
     /// Counts a call of the local server whose parent is known or not.
@@ -78,6 +97,7 @@
     CallAttempts attempts_;
     routing::WeightedSplit split_;
     attribution::KnownShare known_parents_;
+    ReturningState returning_;
 };
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/incoming_call.hpp
+++ b/src/sidecar/incoming_call.hpp
@@ -10,6 +10,7 @@
 #include "protocol/error_kind.hpp"
 #include "protocol/request_digest.hpp"
 #include "protocol/time_types.hpp"
+#include "returning/standing.hpp"
 #include "routing/configuration.hpp"
 #include "tenancy/tenant_types.hpp"
 
@@ -32,8 +33,9 @@
     TimePoint received;
     TimePoint deadline;
     std::optional<milliseconds> stated_time_left{};  ///< Time for which the caller said that it will wait.
-    attribution::CallOrigin origin;                  ///< Empty unless calls are attributed.
-    std::string attempts;  ///< Servers and outcomes of the ended attempts, for the log.
+    returning::Standing standing = returning::Standing::fresh;
+    attribution::CallOrigin origin;  ///< Empty unless calls are attributed.
+    std::string attempts;            ///< Servers and outcomes of the ended attempts, for the log.
 };
 
 /// Why a request has no response from a server.
--- a/src/sidecar/overload_tracker.hpp
+++ b/src/sidecar/overload_tracker.hpp
@@ -39,6 +39,11 @@
     void on_admitted_ended(const std::string& row, Duration elapsed) {
         overload::recordRequestEnded(limit_, row, elapsed);
     }
+    /// Mean duration of the row's admitted requests; 0 until one has ended.
+    Duration mean_time(const std::string& row) const {
+        const auto found = limit_.rows.find(row);
+        return found == limit_.rows.end() ? Duration::zero() : found->second.meanTime;
+    }
     /// Records the end of a request. `is_root`: whether a client had sent it.
     void on_call_ended(const std::string& service, const std::string& row, bool is_root, const CallEnd& end);
     /// The service that refused a call of this machine at `since` or later; empty if there was none.
