Test: slots in a health response with a fourth figure (fails)

Some servers put a fourth figure, their present slowness, into Server-Load. The decoder takes the text after the last comma as the number of slots, so a server of 20 slots at the usual speed counts as one of 100, in all deployments.

--- a/tests/unit/platform/dialect_test.cpp
+++ b/tests/unit/platform/dialect_test.cpp
@@ -146,6 +146,22 @@
     CHECK_FALSE(Dialect().read_health(leaving));
 }
 
+// Guards against taking the server's present slowness, its fourth figure, for its number of slots: a gate
+// that runs 100 requests at a server of 20 slots overloads it.
+TEST_CASE("the slots in a health response are the third figure, whatever follows") {
+    auto well = answer(200, false);
+    well.fields.set("Instance-Id", "i-1");
+    for (const auto* load : {"3,0,20,100", "3,0,20,250", "3,0,20,", "3,0,20,x", "3,0,20,100,7"}) {
+        well.fields.set("Server-Load", load);
+        REQUIRE(Dialect().read_health(well));
+        CHECK(Dialect().read_health(well)->slots == 20U);
+    }
+    for (const auto* load : {"3,0,x,100", "3,0,,100", "3,0,0,100"}) {
+        well.fields.set("Server-Load", load);
+        CHECK_FALSE(Dialect().read_health(well)->slots);
+    }
+}
+
 namespace {
 
 tenancy::Credentials credentials_of(const std::vector<std::string>& lines) {
