Dialect: the slots of a health response are its third load figure

Cause: slots_of() read the text after the last comma, which is the server's present slowness where it states one ("running,waiting,slots,PERCENT"). Applies to all deployments.

--- a/tests/unit/wire/platform_calls_test.cpp
+++ b/tests/unit/wire/platform_calls_test.cpp
@@ -185,7 +185,8 @@
                        health_text(199, {instance}) + health_text(300, {instance}) +
                        health_text(503, {instance}) + health_text(200, {{"instance-id", ""}}) +
                        health_text(200, {{"instance-id", "i-2"}, {"server-load", "1,2,3"}});
-    for (const std::string load : {"3,0,16", "16", "3,16", "3,0,0", "3,0,", "3,0, 16", "3,0,x", "3,0,-1"}) {
+    for (const std::string load : {"3,0,16", "16", "3,16", "3,0,0", "3,0,", "3,0, 16", "3,0,x", "3,0,-1",
+                                   "3,0,16,100", "3,0,16,", "3,0,,100", "3,0,16,100,7"}) {
         text += health_text(200, {instance, {"Server-Load", load}});
     }
     golden::check("platform_health.txt", text);
