Present speed of servers: learned apart from the usual speed, used by selection

Cause: neighbors on the same machine make servers 2.5 times slower for 600 ms at a time. Some servers state how long work takes there now, in a fourth load figure, but selection only had an average of response times. Change: the gate keeps the stated figure apart from the learned service time, which is normalized by the figure (src/speed). Results (slow_percent, omitted at the usual speed) and records bring the present slowness to callers, where it fades within 0.6 s. Selection multiplies the latency by it, and compares a server that works slowly now with others. A figure counts relative to the server's own usual one and only as far as its response times follow it, so a false one has no lasting effect. Only with the mechanism server-speed.

Unit tests: 444 cases pass. Not run yet: process tests.

--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -79,6 +79,17 @@
     }
 }
 
+void append_slow_percent(std::string& text, const HopResult& result) {
+    if (result.slow_percent != kUsualSlowPercent) {
+        append(text, "slow_percent", result.slow_percent);
+    }
+}
+
+/// Reads the slowness, which is omitted at the usual speed.
+bool read_slow_percent(const Fields& fields, HopResult& result) {
+    return !fields.contains("slow_percent") || read(fields, "slow_percent", result.slow_percent);
+}
+
 bool read(const Fields& fields, std::string_view name, std::string& text) {
     const auto found = fields.find(name);
     if (found == fields.end()) {
@@ -124,6 +135,7 @@
     append_unless_zero(text, "crashes", result.crashes);
     append(text, "rate_limit", result.rate_limit);
     append_unless_zero(text, "leaves", result.server_leaves ? 1 : 0);
+    append_slow_percent(text, result);
     append(text, "overloaded", std::string_view(result.overloaded_service));
     return text;
 }
@@ -165,7 +177,7 @@
         read(fields, "failed_percent", result.failed_percent) &&
         read_unless_zero(fields, "crashes", result.crashes) &&
         read(fields, "rate_limit", result.rate_limit) && read_unless_zero(fields, "leaves", leaves) &&
-        read(fields, "overloaded", result.overloaded_service);
+        read(fields, "overloaded", result.overloaded_service) && read_slow_percent(fields, result);
     const auto kind = error_kind_from_name(error);
     if (!whole || !kind) {
         return std::nullopt;
--- a/src/hop/hop_header.hpp
+++ b/src/hop/hop_header.hpp
@@ -34,6 +34,9 @@
     std::optional<RequestRate> rate_limit{};
 };
 
+/// `HopResult::slow_percent` of a server at its usual speed.
+inline constexpr unsigned kUsualSlowPercent = 100;
+
 /// Outcome of the request at the gate.
 enum class HopOutcome {
     kAnswered,         ///< The message is the server's response.
@@ -58,6 +61,8 @@
     unsigned crashes = 0;  ///< Consecutive servers that crashed executing the request, as known at the gate.
     /// Set if the server failed and a call that it made was meanwhile rejected for overload.
     std::string overloaded_service;
+    /// Present duration of work at the server, in percent of the usual one.
+    unsigned slow_percent = kUsualSlowPercent;
 };
 
 std::string encode(const HopRequest& request);
--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -167,6 +167,20 @@
     }
 }
 
+void PeerDirectory::on_speed(TimePoint now, const std::string& name, const std::string& instance,
+                             unsigned slow_percent) {
+    const auto found = peers_.find(name);
+    if (found == peers_.end()) {
+        return;
+    }
+    for (auto& known : found->second.servers) {
+        if (known.server.instance == instance) {
+            known.server.slow_percent = slow_percent;
+            known.speed_seen = now;
+        }
+    }
+}
+
 void PeerDirectory::expire(TimePoint now) {
     const auto removed = std::erase_if(peers_, [&](const auto& entry) {
         const auto& peer = entry.second;
--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -29,6 +29,7 @@
     std::uint64_t boot_id = 0;
     TimePoint last_seen;         ///< When the latest record of the server's daemon arrived.
     std::uint64_t affinity = 0;  ///< Rank for this daemon; stable, random across daemons.
+    TimePoint speed_seen{};      ///< When a response brought `server.slow_percent`, if later than the record.
 };
 
 /// The servers of one service that requests can be sent to. The pointers are valid until the directory
@@ -85,6 +86,8 @@
     void on_unreachable(const std::string& name, std::uint64_t boot_id);
     /// Updates the load of a server from a response.
     void on_load(const std::string& name, const ServerRecord& server);
+    /// Updates the present speed of a server from a response.
+    void on_speed(TimePoint now, const std::string& name, const std::string& instance, unsigned slow_percent);
     /// Removes peers that have been silent for too long.
     void expire(TimePoint now);
 
--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -103,6 +103,13 @@
     EventEntry{Event::kServerRateRefused, Level::kWarn, "server-rate-refused",
                "So many requests were refused since the last such line, since the server takes only `per_s` "
                "a second."},
+    EventEntry{
+        Event::kServerSpeedUsed, Level::kInfo, "server-speed-used",
+        "The slowness that the server beside this daemon states (`percent`) is used, or no longer, by how "
+        "far its response times follow it (`trust`)."},
+    EventEntry{
+        Event::kCallerLimited, Level::kInfo, "caller-limited",
+        "A zone or tenant whose demand exceeds its usual one is refused more than others, or no longer."},
     EventEntry{Event::kContextRefused, Level::kWarn, "context-refused",
                "A call brought a context that is forged, malformed or of an ended call."},
     EventEntry{Event::kIngressCall, Level::kInfo, "ingress-call",
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -65,6 +65,8 @@
     kServerRateLimit = 1413,
     kServerLimitMalformed = 1414,
     kServerRateRefused = 1415,
+    kServerSpeedUsed = 1430,
+    kCallerLimited = 1431,
     kContextRefused = 1501,
     kIngressCall = 1601,
     kGateCall = 1602,
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -40,6 +40,13 @@
         "limit."},
     MetricEntry{"anisehold_rate_refusals_total", "counter",
                 "Requests refused because a server takes only so many a second, by service."},
+    MetricEntry{
+        "anisehold_server_slowness", "gauge",
+        "Present duration of work at the server beside this daemon, as a multiple of the usual one, by "
+        "server."},
+    MetricEntry{"anisehold_excess_refusals_total", "counter",
+                "Requests refused beyond the share of their row, for the excess of their zone or tenant, by "
+                "group: zone or tenant."},
 };
 
 std::string help_of(std::string_view name) {
@@ -88,6 +95,8 @@
     prometheus::Family<prometheus::Gauge>& suspects = gauge("anisehold_suspects");
     prometheus::Family<prometheus::Gauge>& server_rates = gauge("anisehold_server_rate_limit");
     prometheus::Family<prometheus::Counter>& rate_refusals = counter("anisehold_rate_refusals_total");
+    prometheus::Family<prometheus::Gauge>& server_slowness = gauge("anisehold_server_slowness");
+    prometheus::Family<prometheus::Counter>& excess_refusals = counter("anisehold_excess_refusals_total");
 };
 
 std::span<const MetricEntry> metric_catalogue() {
@@ -147,6 +156,14 @@
     families_->rate_refusals.Add({{"service", service}}).Increment();
 }
 
+void Metrics::set_server_slowness(const std::string& server, double slowness) {
+    families_->server_slowness.Add({{"server", server}}).Set(slowness);
+}
+
+void Metrics::count_excess_refusal(std::string_view group) {
+    families_->excess_refusals.Add({{"group", std::string(group)}}).Increment();
+}
+
 void Metrics::set_suspects(std::string_view state, std::size_t count) {
     families_->suspects.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -54,6 +54,10 @@
     void count_rate_refusal(const std::string& service);
     void count_server_crash(const std::string& service);
     void set_suspects(std::string_view state, std::size_t count);
+    /// Sets the present duration of work at a server as a multiple of the usual one.
+    void set_server_slowness(const std::string& server, double slowness);
+    /// Counts a client's request refused for the excess of its zone or tenant (`group`).
+    void count_excess_refusal(std::string_view group);
     void set_table_revision(std::uint64_t revision);
 
     /// The metrics in the text format for scraping.
--- a/src/selection/server_selection.cpp
+++ b/src/selection/server_selection.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "speed/server_speed.hpp"
+
 namespace anisehold::selection
 {
 namespace
@@ -33,6 +35,8 @@
     queue requests, and from the first failure that this daemon observes. */
 constexpr double fullShare = 0.75;
 constexpr double highFailureShare = 0.1;
+/** Present slowness from which a chosen server is compared with others. */
+constexpr double highSlowness = 1.3;
 /** Maximum draws from all servers while the cheapest candidate is overloaded or failing. If a quarter of
     all servers fail, one in ten thousand requests draws only failing servers. */
 constexpr int maxFallbackDraws = 3;
@@ -138,14 +142,28 @@
     return (busy + 1.0) / std::max (1U, server.limit);
 }
 
-/** Whether to compare the server with alternatives: it is nearly full, fails often, or is in another zone
-    although the local zone has further servers that may have free slots. */
+/** Returns the present duration of work at the server as a multiple of the usual one. The latency that the
+    gate reports is that at the usual speed. */
+double presentSlowness (const SelectionState& state, TimePoint now, const KnownServer& known)
+{
+    if (! state.rules.usesPresentSpeed || known.server.slow_percent == membership::kUsualSpeed)
+        return 1;
+
+    return speed::agedSlowness (known.server.slow_percent,
+                                now - std::max (known.last_seen, known.speed_seen));
+}
+
+/** Whether to compare the server with alternatives: it is nearly full, fails often, works slowly now, or is
+   in another zone although the local zone has further servers that may have free slots. */
 bool needsAlternatives (const SelectionState& state, TimePoint now, const ServiceView& view,
                         const KnownServer& known)
 {
     if (known.zone != state.ownZone && view.local.size() > view.preferred_local)
         return true;
 
+    if (presentSlowness (state, now, known) >= highSlowness)
+        return true;
+
     return fillOf (state, known.server) >= fullShare ||
            failureShare (state, now, known.server) >= highFailureShare;
 }
@@ -180,7 +198,8 @@
 {
     const auto& server = known.server;
     const double fill = fillOf (state, server);
-    const double latency = server.latency_us == 0 ? meanUs : server.latency_us;
+    const double latency =
+        (server.latency_us == 0 ? meanUs : server.latency_us) * presentSlowness (state, now, known);
     double cost = latency * (1.0 + loadWeight * fill * fill * fill);
     cost += failureWeight * meanUs * std::max (failureShare (state, now, server), 0.0);
 
--- a/src/selection/server_selection.hpp
+++ b/src/selection/server_selection.hpp
@@ -35,6 +35,7 @@
     bool prefersOwnZone = true;
     bool avoidsCold = true;
     bool avoidsFailing = true;
+    bool usesPresentSpeed = true;
 };
 
 /** One daemon's own observations of servers, by instance. */
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -16,6 +16,7 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
+constexpr double kPercent = 100;
 constexpr std::string_view kMetricsPath = "/metrics";
 /// Path under which operators list and clear suspects.
 constexpr std::string_view kSuspectsPath = "/suspects/";
@@ -108,6 +109,9 @@
         const auto rate = parts_.gate.servers().rate_limit(server.instance);
         metrics.set_server_rate(server.service,
                                 rate ? per_second(*rate) : std::numeric_limits<double>::infinity());
+        if (parts_.context.has(config::Mechanism::kServerSpeed)) {
+            metrics.set_server_slowness(server.instance, server.slow_percent / kPercent);
+        }
     }
     metrics.set_members("alive", parts_.directory.reachable_count(now));
     metrics.set_table_revision(parts_.configuration.version());
--- a/src/sidecar/gate_server.cpp
+++ b/src/sidecar/gate_server.cpp
@@ -11,8 +11,6 @@
 
 using hop::HopOutcome;
 
-/// Divisor of the weight of a new sample in the average latency.
-constexpr int kLatencyDivisor = 8;
 /// Weight (0 to 1) of a new result in the failure share.
 constexpr double kFailureSampleWeight = 0.1;
 constexpr double kPercent = 100;
@@ -102,10 +100,8 @@
     const bool good = is_good_answer(answer);
     // Failures are excluded because they may be faster than any work. A canceled request took at least the
     // elapsed time.
-    if (good || (cancelled && elapsed > server.latency)) {
-        server.latency = server.latency == Duration::zero()
-                             ? elapsed
-                             : server.latency + (elapsed - server.latency) / kLatencyDivisor;
+    if (good || (cancelled && speed::usualTime(server.speed, now, elapsed) > server.latency)) {
+        speed::learnTime(server.speed, now, elapsed, server.latency);
     }
     const auto& result = answer.result;
     const bool refused_at_gate =
@@ -131,6 +127,7 @@
     result.failed_percent = static_cast<unsigned>(kPercent * selection::currentShare(server.failures, now));
     result.latency_us =
         static_cast<unsigned>(std::chrono::duration_cast<std::chrono::microseconds>(server.latency).count());
+    result.slow_percent = speed::slowPercent(server.speed, now);
 }
 
 unsigned busy_percent(const GateServer& server, TimePoint now) {
--- a/src/sidecar/gate_server.hpp
+++ b/src/sidecar/gate_server.hpp
@@ -21,6 +21,7 @@
 #include "sidecar/crash_watch.hpp"
 #include "sidecar/rate_lines.hpp"
 #include "sidecar/suspect_queue.hpp"
+#include "speed/server_speed.hpp"
 
 namespace anisehold::sidecar {
 
@@ -60,7 +61,8 @@
     CrashWatch crash;
     SuspectQueue suspects;
     std::unordered_map<std::uint64_t, std::shared_ptr<GateWaiter>> waiters;
-    Duration latency{};  ///< Moving average of the response time.
+    Duration latency{};  ///< Moving average of the response time, at the server's usual speed.
+    speed::ServerSpeed speed;
     selection::FailureShare failures;
     connection::IdleLimit idle_limit;  ///< Maximum idle time of kept connections.
     connection::ConnectBackoff backoff;
--- a/src/sidecar/gate_servers.cpp
+++ b/src/sidecar/gate_servers.cpp
@@ -125,6 +125,7 @@
             record.limit = load.limit;
             record.latency_us = load.latency_us;
             record.failed_percent = load.failed_percent;
+            record.slow_percent = load.slow_percent;
             record.busy_percent = busy_percent(*found->second, now);
         }
         records.push_back(std::move(record));
--- a/src/sidecar/hop_client.cpp
+++ b/src/sidecar/hop_client.cpp
@@ -62,6 +62,7 @@
         return failure_at(call, HopOutcome::kUnknown, ErrorKind::kBackendFailed);
     }
     directory_.on_load(server.peer, load_of(*result));
+    directory_.on_speed(TimePoint::clock::now(), server.peer, result->instance, result->slow_percent);
     GateAnswer answer;
     answer.result = *result;
     if (result->outcome == HopOutcome::kAnswered) {
--- a/src/sidecar/server_chooser.cpp
+++ b/src/sidecar/server_chooser.cpp
@@ -23,6 +23,7 @@
     rules.prefersOwnZone = context.has(Mechanism::kZonePreference);
     rules.avoidsCold = context.has(Mechanism::kColdServerWeighting);
     rules.avoidsFailing = context.has(Mechanism::kFailingServerWeighting);
+    rules.usesPresentSpeed = context.has(Mechanism::kServerSpeed);
     return rules;
 }
 
--- a/src/sidecar/server_exchange.cpp
+++ b/src/sidecar/server_exchange.cpp
@@ -63,6 +63,23 @@
     return response;
 }
 
+/// Records the present speed that the server states, if it does.
+void record_speed(const SidecarContext& context, GateServer& server, const std::string& instance,
+                  const ServerExchangeResult& end) {
+    if (!context.has(Mechanism::kServerSpeed) || !end.notice || !end.notice->slowness_percent) {
+        return;
+    }
+    const auto now = TimePoint::clock::now();
+    const auto percent = *end.notice->slowness_percent;
+    speed::recordFigure(server.speed, now, percent, server.latency);
+    if (speed::updateUse(server.speed, now)) {
+        log_event(Event::kServerSpeedUsed, {{"server", instance},
+                                            {"used", server.speed.isUsed ? "yes" : "no"},
+                                            {"percent", std::to_string(percent)},
+                                            {"trust", std::to_string(speed::figureTrust(server.speed))}});
+    }
+}
+
 ServerExchangeResult end_of(const SidecarContext& context, const GateServer& server,
                             net::HttpResponse response) {
     const auto response_class = context.dialect.classify_response(response);
@@ -95,6 +112,7 @@
     if (response) {
         auto end = end_of(context, server, std::move(*response));
         end.sent = now;
+        record_speed(context, server, run.call.instance, end);
         return end;
     }
     if (!run.progress.request_started) {
--- a/src/sidecar/wire_dialect.hpp
+++ b/src/sidecar/wire_dialect.hpp
@@ -42,6 +42,9 @@
     /// The response states a limit that can't be parsed, so the limit is unknown.
     bool has_malformed_limit = false;
     bool is_leaving = false;  ///< The server stops soon and accepts no new requests.
+    /// Present duration of work at the server, in percent of the usual one; absent if it isn't stated or not
+    /// credible.
+    std::optional<unsigned> slowness_percent;
 };
 
 /// A registration or a leave of a server.
--- a/tests/unit/platform/dialect_test.cpp
+++ b/tests/unit/platform/dialect_test.cpp
@@ -146,6 +146,27 @@
     CHECK_FALSE(Dialect().read_health(leaving));
 }
 
+// Guards against figures that would draw all requests to a server, or none.
+TEST_CASE("a server's present slowness is decoded, and ignored if it is not credible") {
+    const auto slowness = [](const std::vector<std::string>& loads) {
+        auto response = answer(200, true);
+        for (const auto& load : loads) {
+            response.fields.add("server-load", load);
+        }
+        return Dialect().read_notice(response)->slowness_percent;
+    };
+    CHECK(slowness({"3,0,20,100"}) == 100U);
+    CHECK(slowness({"3,0,20,250,7"}) == 250U);
+    CHECK(slowness({"3,0,20,10"}) == 10U);
+    CHECK(slowness({"3,0,20,10000"}) == 10'000U);
+    CHECK_FALSE(slowness({}));
+    CHECK_FALSE(slowness({"3,0,20,100", "3,0,20,250"}));
+    for (const auto* load : {"3,0,20", "3,0,20,", "3,0,20,x", "3,0,20,0", "3,0,20,-5", "3,0,20,9",
+                             "3,0,20,10001", "3,0,20,1e3", "3,0,20,99999999999", "3,0,20, 100", "", ",,,"}) {
+        CHECK_FALSE(slowness({load}));
+    }
+}
+
 // Guards against taking the server's present slowness, its fourth figure, for its number of slots: a gate
 // that runs 100 requests at a server of 20 slots overloads it.
 TEST_CASE("the slots in a health response are the third figure, whatever follows") {
--- a/tests/unit/selection/server_selection_test.cpp
+++ b/tests/unit/selection/server_selection_test.cpp
@@ -215,3 +215,22 @@
     for (int n = 0; n < 100; ++n)
         CHECK (chooseServer (fixture.state, fixture.now, view, {}, fixture.random) == view.own);
 }
+
+TEST_CASE ("a server that works slowly now costs more, until its figure has faded", "[selection]")
+{
+    Fixture fixture;
+    fixture.now = TimePoint{} + seconds (10);
+    auto known = server ("a", "here", 1);
+    known.last_seen = fixture.now - seconds (1);
+    known.speed_seen = fixture.now;
+    const double usual = fixture.cost (known);
+    known.server.slow_percent = 250;
+    CHECK (fixture.cost (known) == Approx (2.5 * usual));
+    known.speed_seen = fixture.now - seconds (10);
+    CHECK (fixture.cost (known) < 1.4 * usual);
+    known.last_seen = known.speed_seen;
+    CHECK (fixture.cost (known) == Approx (usual).epsilon (0.01));
+    known.speed_seen = fixture.now;
+    fixture.state.rules.usesPresentSpeed = false;
+    CHECK (fixture.cost (known) == usual);
+}
--- a/tests/unit/wire/catalogue_golden_test.cpp
+++ b/tests/unit/wire/catalogue_golden_test.cpp
@@ -138,6 +138,8 @@
     metrics.set_table_revision(8);
     metrics.set_server_rate("orders", 11.5);
     metrics.count_rate_refusal("orders");
+    metrics.set_server_slowness("server", 2.5);
+    metrics.count_excess_refusal("tenant");
     golden::check("catalogue_metrics_text.txt", sorted_lines(metrics.text()));
 }
 
--- a/tests/unit/wire/hop_header_golden_test.cpp
+++ b/tests/unit/wire/hop_header_golden_test.cpp
@@ -44,6 +44,9 @@
             {"every field set, " + std::string(outcome_name(outcome)), encode(full_result(outcome))});
     }
     samples.push_back({"defaults", encode(HopResult{})});
+    HopResult slow;
+    slow.slow_percent = 250;
+    samples.push_back({"a slow server", encode(slow)});
     golden::check_text("hop-result.txt", samples, [](const std::string& text) {
         const auto result = decode_hop_result(text);
         return result ? encode(*result) : "not decoded";
@@ -52,7 +55,9 @@
 
 TEST_CASE("the fields of a previously written hop result are decoded", "[golden]") {
     const auto samples = golden::texts_in("hop-result.txt");
-    REQUIRE(samples.size() == 5);
+    REQUIRE(samples.size() == 6);
+    CHECK(decode_hop_result(samples[1].bytes)->slow_percent == 100);
+    CHECK(decode_hop_result(samples[5].bytes)->slow_percent == 250);
     const auto result = decode_hop_result(samples[1].bytes);
     REQUIRE(result);
     CHECK(result->outcome == HopOutcome::kNotSent);
