Fair shares of an admitted row among zones and tenants

Cause: while a row is limited, every request of it is refused with the same probability, so a tenant or zone at ten times its usual demand takes the capacity of the others. Change: daemons count offered and usual demand by row and tenant (src/fairness), report the sums of limited rows and of tenants in excess once a second in a block behind the shortage report (at most 32 groups), and divide the row's share by weighted max-min fairness with the usual demand as weight. The demand admitted over all groups stays that of the row's share. The correction by requests in flight now applies to the share of all requests of the daemon, so that it does not undo the division. Only with the mechanism caller-fairness.

Not run yet: process tests.

--- a/src/membership/peer_record.cpp
+++ b/src/membership/peer_record.cpp
@@ -10,6 +10,9 @@
 /// First byte of every datagram; identifies the layout.
 constexpr char kLayout = 'D';
 
+/// First byte of the block with the demand of callers, behind the shortage report.
+constexpr char kCallersBlock = 'C';
+
 std::vector<ServerCondition> conditions_of(const std::vector<ServerRecord>& servers) {
     std::vector<ServerCondition> conditions;
     for (const auto& server : servers) {
@@ -32,6 +35,25 @@
     }
 }
 
+void append_callers(std::string& bytes, const fairness::DemandReport& callers) {
+    if (!callers.empty()) {
+        bytes += kCallersBlock + archive_bytes(callers);
+    }
+}
+
+/// Returns false if the block is malformed.
+bool read_callers(std::string_view& bytes, fairness::DemandReport& callers) {
+    if (bytes.empty() || bytes.front() != kCallersBlock) {
+        return true;
+    }
+    bytes.remove_prefix(1);
+    auto read = unarchive_prefix<fairness::DemandReport>(bytes);
+    if (read) {
+        callers = std::move(*read);
+    }
+    return read.has_value();
+}
+
 }  // namespace
 
 std::string encode(const PeerRecord& record) {
@@ -40,6 +62,7 @@
     shortage.servers = conditions_of(record.servers);
     if (!shortage.empty()) {
         bytes += archive_bytes(shortage);
+        append_callers(bytes, shortage.callers);
     }
     return bytes;
 }
@@ -57,6 +80,9 @@
     if (!shortage) {
         return std::nullopt;
     }
+    if (!read_callers(bytes, shortage->callers)) {
+        return std::nullopt;
+    }
     record->shortage = std::move(*shortage);
     apply_conditions(record->shortage.servers, record->servers);
     return record;
--- a/src/membership/peer_record.hpp
+++ b/src/membership/peer_record.hpp
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fairness/caller_demand.hpp"
 #include "overload/service_pressure.hpp"
 #include "protocol/endpoint.hpp"
 #include "protocol/serialize_all.hpp"
@@ -61,8 +62,11 @@
 /// of a record, and is omitted when it is empty, so that records of other deployments keep their bytes.
 struct ShortageReport {
     std::vector<ServerCondition> servers;  ///< Servers that differ from the defaults.
+    /// Demand of groups of callers; encoded in a block of its own behind the other fields, and only if there
+    /// is any.
+    fairness::DemandReport callers;
 
-    bool empty() const { return servers.empty(); }
+    bool empty() const { return servers.empty() && callers.empty(); }
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -103,7 +103,7 @@
                         [] (const auto& it) { return it.second.admittedShare < 1 || it.second.isRefusing; });
 }
 
-double refusedShare (const RootLimitState& state, const RootRow& row)
+double admittedShareOf (const RootLimitState& state, const RootRow& row)
 {
     double admitted = 1;
 
@@ -117,6 +117,12 @@
         admitted = std::min (admitted, share == shares.end() ? 1.0 : share->second);
     }
 
+    return admitted;
+}
+
+double refusedShare (const RootLimitState& state, const RootRow& row)
+{
+    const double admitted = admittedShareOf (state, row);
     const auto volume = state.rows.find (row.name);
     return 1 - (volume == state.rows.end() ? admitted : correctedShare (volume->second, admitted));
 }
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -49,6 +49,9 @@
     within the shorter period. */
 bool isUnderPressure (const RootLimitState&);
 
+/** Returns the admitted share of a row, from 0 to 1, before `correctedShare` stabilizes it. */
+double admittedShareOf (const RootLimitState&, const RootRow&);
+
 /** Returns the share of new requests of a row that are currently rejected, from 0 to 1. */
 double refusedShare (const RootLimitState&, const RootRow&);
 
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -21,6 +21,9 @@
 /// within a few milliseconds.
 constexpr milliseconds kQuotaWait{400};
 
+/// A request counts as refused for its caller's excess if its group's share is below that of the row by this.
+constexpr double kMinCountedExcess = 0.02;
+
 std::string host_of(const net::HttpRequest& request) {
     const auto host = request.fields.find("Host").value_or("");
     return std::string(host.substr(0, host.find(':')));
@@ -151,9 +154,25 @@
 
 bool CallIngress::is_refused_early(const IncomingCall& call) {
     const double share = context_.overload.on_offered(call.received, {call.row, call.terms.priority});
+    if (context_.has(Mechanism::kCallerFairness) && context_.has(Mechanism::kEarlyRefusal)) {
+        return is_refused_for_caller(call);
+    }
     return context_.has(Mechanism::kEarlyRefusal) && context_.random_unit() < share;
 }
 
+bool CallIngress::is_refused_for_caller(const IncomingCall& call) {
+    const double row_share = context_.overload.admitted_share({call.row, call.terms.priority});
+    const auto share = context_.callers.on_offered(call.received, call.row, call.tenant.value, row_share);
+    // The correction stabilizes all requests of this daemon in the row, whatever their group.
+    const double correction =
+        share.own > 0 ? context_.overload.corrected_share(call.row, share.own) / share.own : 1;
+    const bool is_refused = context_.random_unit() >= share.group * correction;
+    if (is_refused && share.group < row_share - kMinCountedExcess) {
+        context_.metrics.count_excess_refusal(share.is_of_tenant ? "tenant" : "zone");
+    }
+    return is_refused;
+}
+
 net::HttpResponse CallIngress::answer(const IncomingCall& call, net::HttpResponse response) {
     context_.metrics.count_answer(call.route, response.status, TimePoint::clock::now() - call.received);
     log(call, std::to_string(response.status), !net::is_server_error(response.status));
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -58,6 +58,8 @@
                                             const net::HttpRequest& request, IncomingCall& call);
     /// Whether a client's request is refused because a service has no capacity.
     bool is_refused_early(const IncomingCall& call);
+    /// The same with the capacity divided among zones and tenants.
+    bool is_refused_for_caller(const IncomingCall& call);
     /// Takes a token from the tenant's quota; may block the fiber briefly.
     std::optional<CallFailure> acquire_token(const routing::Configuration& configuration, IncomingCall& call);
     net::HttpResponse answer(const IncomingCall& call, net::HttpResponse response);
--- a/src/sidecar/overload_tracker.hpp
+++ b/src/sidecar/overload_tracker.hpp
@@ -34,6 +34,15 @@
         overload::recordOffered(limit_, now, row);
         return overload::refusedShare(limit_, row);
     }
+    /// The share of the row's requests that is admitted over the whole fleet.
+    double admitted_share(const overload::RootRow& row) const {
+        return overload::admittedShareOf(limit_, row);
+    }
+    /// Corrects a share of the row's requests of this daemon by the number of those in flight.
+    double corrected_share(const std::string& row, double share) const {
+        const auto volume = limit_.rows.find(row);
+        return volume == limit_.rows.end() ? share : overload::correctedShare(volume->second, share);
+    }
     /// Records the start of an admitted client request, and its end (with any outcome) after `elapsed`.
     void on_admitted(const std::string& row) { overload::recordRequestStarted(limit_, row); }
     void on_admitted_ended(const std::string& row, Duration elapsed) {
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -82,9 +82,22 @@
     context_.overload.update_work_estimates();
     record.pressures = context_.overload.own_report();
     record.servers = gate_.servers().records(TimePoint::clock::now());
+    add_caller_report(record);
     return record;
 }
 
+void PeerExchange::add_caller_report(membership::PeerRecord& record) {
+    if (context_.has(config::Mechanism::kCallerFairness)) {
+        record.shortage.callers = context_.callers.take_report(TimePoint::clock::now());
+    }
+}
+
+void PeerExchange::receive_caller_report(TimePoint now, const membership::PeerRecord& record) {
+    if (context_.has(config::Mechanism::kCallerFairness)) {
+        context_.callers.on_peer_report(now, record.name, record.zone, record.shortage.callers);
+    }
+}
+
 void PeerExchange::announce() {
     announced_ = TimePoint::clock::now();
     send_record_to(directory_.addresses());
@@ -179,6 +192,7 @@
     const auto change = directory_.on_record(now, *record);
     if (change != PeerChange::kNone && context_.has(config::Mechanism::kFleetWideCounts)) {
         context_.overload.on_peer_report(now, record->name, record->pressures);
+        receive_caller_report(now, *record);
     }
     if (change == PeerChange::kAppeared && !has_record) {
         socket_.send(record->gossip, encode(own_record()));
--- a/src/sidecar/peer_exchange.hpp
+++ b/src/sidecar/peer_exchange.hpp
@@ -49,6 +49,9 @@
     void send_record_to(const std::vector<membership::PeerAddress>& peers);
     void receive(std::string_view bytes);
     membership::PeerRecord own_record();
+    /// Adds the demand of this daemon's callers to the record, and processes that of a peer.
+    void add_caller_report(membership::PeerRecord& record);
+    void receive_caller_report(TimePoint now, const membership::PeerRecord& record);
     /// Requests the configuration from a peer that has a higher version.
     void fetch_configuration(const Endpoint& peer, std::uint64_t version);
 
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -13,6 +13,7 @@
 #include "membership/server_notices.hpp"
 #include "observability/metrics.hpp"
 #include "protocol/time_types.hpp"
+#include "sidecar/caller_shares.hpp"
 #include "sidecar/overload_tracker.hpp"
 #include "sidecar/wire_dialect.hpp"
 
@@ -66,7 +67,8 @@
           dialect(wire_dialect),
           settings(std::move(sidecar_settings)),
           random(seed()),
-          overload(settings) {
+          overload(settings),
+          callers(settings.zone, TimePoint::clock::now()) {
         boot_id = random();
     }
 
@@ -85,6 +87,8 @@
     admission::OriginEstimator origins;
     /// Tracks which services are overloaded. Updated by the attempts, the gate and reports of peers.
     OverloadTracker overload;
+    /// Divides admitted shares among zones and tenants. Updated by the ingress and reports of peers.
+    CallerShares callers;
     /// What servers stated about themselves in responses. Updated by the attempts.
     membership::ServerNotices notices;
     StopState stop;
--- a/tests/unit/wire/datagram_golden_test.cpp
+++ b/tests/unit/wire/datagram_golden_test.cpp
@@ -86,16 +86,42 @@
     auto record = full_record();
     record.servers.front().slow_percent = 250;
     record.servers.front().declined_percent = 55;
-    golden::check_dump("peer-record-shortage.txt", {{"conditions of servers", encode(record)}},
-                       [](const std::string& bytes) {
-                           const auto decoded = membership::decode_peer_record(bytes);
-                           return decoded ? encode(*decoded) : "not decoded";
-                       });
+    auto with_callers = record;
+    with_callers.shortage.callers = {{"route/5", {{"", 8, 9, true}, {"tenant-1", 0x44434241, 10, false}}}};
+    golden::check_dump(
+        "peer-record-shortage.txt",
+        {{"conditions of servers", encode(record)}, {"demand of callers", encode(with_callers)}},
+        [](const std::string& bytes) {
+            const auto decoded = membership::decode_peer_record(bytes);
+            return decoded ? encode(*decoded) : "not decoded";
+        });
     const auto decoded = membership::decode_peer_record(encode(record));
     REQUIRE(decoded);
     CHECK(decoded->servers == record.servers);
 }
 
+TEST_CASE("the demand of callers in a record is decoded, and refused if it is cut off") {
+    auto record = full_record();
+    const auto plain = encode(record);
+    record.shortage.callers = {{"route/5", {{"", 8, 9, true}, {"tenant-1", 11, 10, false}}}};
+    const auto bytes = encode(record);
+    const auto decoded = membership::decode_peer_record(bytes);
+    REQUIRE(decoded);
+    REQUIRE(decoded->shortage.callers.size() == 1);
+    const auto& row = decoded->shortage.callers.front();
+    CHECK(row.row == "route/5");
+    REQUIRE(row.groups.size() == 2);
+    CHECK(row.groups[0].tenant.empty());
+    CHECK(row.groups[0].isUsualKnown);
+    CHECK(row.groups[1].tenant == "tenant-1");
+    CHECK(row.groups[1].offered == 11);
+    CHECK(row.groups[1].usual == 10);
+    CHECK(encode(*decoded) == bytes);
+    CHECK_FALSE(membership::decode_peer_record(std::string_view(bytes).substr(0, bytes.size() - 1)));
+    record.shortage.callers.clear();
+    CHECK(encode(record) == plain);
+}
+
 TEST_CASE("a record whose shortage report is cut off is refused") {
     auto record = full_record();
     const auto plain = encode(record);
