--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -91,6 +91,17 @@
     return readable;
 }
 
+void append_slow_percent(std::string& text, const HopResult& result) {
+    if (result.slow_percent != kUsualSlowPercent) {
+        append(text, "slow_percent", result.slow_percent);
+    }
+}
+
+/// Reads the slowness, which is omitted at the usual speed.
+bool read_slow_percent(const Fields& fields, HopResult& result) {
+    return !fields.contains("slow_percent") || read(fields, "slow_percent", result.slow_percent);
+}
+
 bool read(const Fields& fields, std::string_view name, std::string& text) {
     const auto found = fields.find(name);
     if (found == fields.end()) {
@@ -191,6 +202,7 @@
     append(text, "rate_limit", result.rate_limit);
     append_unless_zero(text, "declined_percent", result.declined_percent);
     append_unless_zero(text, "leaves", result.server_leaves ? 1 : 0);
+    append_slow_percent(text, result);
     append(text, "overloaded", std::string_view(result.overloaded_service));
     append_reservation(text, result);
     return text;
@@ -237,7 +249,8 @@
         read_unless_zero(fields, "crashes", result.crashes) &&
         read(fields, "rate_limit", result.rate_limit) && read_unless_zero(fields, "leaves", leaves) &&
         read_unless_zero(fields, "declined_percent", result.declined_percent) &&
-        result.declined_percent <= kMaxPercent && read(fields, "overloaded", result.overloaded_service);
+        result.declined_percent <= kMaxPercent && read(fields, "overloaded", result.overloaded_service) &&
+        read_slow_percent(fields, result);
     const auto kind = error_kind_from_name(error);
     if (!whole || !kind || !read_reservation(fields, result)) {
         return std::nullopt;
--- a/src/hop/hop_header.hpp
+++ b/src/hop/hop_header.hpp
@@ -46,6 +46,9 @@
     unsigned made = 0;  ///< Calls that the parent of the request has made before this one.
 };
 
+/// `HopResult::slow_percent` of a server at its usual speed.
+inline constexpr unsigned kUsualSlowPercent = 100;
+
 /// Outcome of the request at the gate.
 enum class HopOutcome {
     kAnswered,         ///< The message is the server's response.
@@ -77,6 +80,8 @@
     std::uint64_t ticket = 0;    ///< If waiting: the number of the place in the queue.
     std::uint64_t grant = 0;     ///< If granted: the number of the grant; 0 if the gate needs no reservation.
     milliseconds grant_time{0};  ///< If granted: validity of the grant from the gate's decision on.
+    /// Present duration of work at the server, in percent of the usual one.
+    unsigned slow_percent = kUsualSlowPercent;
 };
 
 std::string encode(const HopRequest& request);
--- a/src/membership/peer_record.cpp
+++ b/src/membership/peer_record.cpp
@@ -9,9 +9,11 @@
 
 /// First byte of every datagram; identifies the layout.
 constexpr char kLayout = 'D';
-/// First bytes of the sections that may follow a shortage report: offered volumes, and work estimates.
+/// First bytes of the sections that may follow a shortage report: offered volumes, work estimates, and the
+/// demand of callers.
 constexpr char kOfferedSection = 'O';
 constexpr char kWorkSection = 'W';
+constexpr char kCallersSection = 'C';
 
 std::vector<ServerCondition> conditions_of(const std::vector<ServerRecord>& servers) {
     std::vector<ServerCondition> conditions;
@@ -45,16 +47,25 @@
     return true;
 }
 
+bool decode_section(char section, std::string_view& bytes, ShortageReport& shortage) {
+    switch (section) {
+        case kOfferedSection:
+            return decode_section(bytes, shortage.offered.offered);
+        case kWorkSection:
+            return decode_section(bytes, shortage.offered.works);
+        case kCallersSection:
+            return decode_section(bytes, shortage.callers);
+        default:
+            return false;
+    }
+}
+
 /// Decodes the sections after a shortage report; returns false if one is malformed or unknown.
 bool decode_sections(std::string_view bytes, ShortageReport& shortage) {
     while (!bytes.empty()) {
         const char section = bytes.front();
         bytes.remove_prefix(1);
-        const bool is_decoded =
-            section == kOfferedSection
-                ? decode_section(bytes, shortage.offered.offered)
-                : section == kWorkSection && decode_section(bytes, shortage.offered.works);
-        if (!is_decoded) {
+        if (!decode_section(section, bytes, shortage)) {
             return false;
         }
     }
@@ -76,6 +87,9 @@
     if (!shortage.offered.works.empty()) {
         bytes += kWorkSection + archive_bytes(shortage.offered.works);
     }
+    if (!shortage.callers.empty()) {
+        bytes += kCallersSection + archive_bytes(shortage.callers);
+    }
     return bytes;
 }
 
--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -118,6 +118,13 @@
         Event::kRetryLimitMoved, Level::kInfo, "retry-limit-moved",
         "The servers of a service decline a share of their arrivals, or no longer do; the retries that "
         "they may still get (`retries_per_s`) limit the requests that are let in (`let_in`)."},
+    EventEntry{
+        Event::kServerSpeedUsed, Level::kInfo, "server-speed-used",
+        "The slowness that the server beside this daemon states (`percent`) is used, or no longer, by how "
+        "far its response times follow it (`trust`)."},
+    EventEntry{
+        Event::kCallerLimited, Level::kInfo, "caller-limited",
+        "A zone or tenant whose demand exceeds its usual one is refused more than others, or no longer."},
     EventEntry{Event::kContextRefused, Level::kWarn, "context-refused",
                "A call brought a context that is forged, malformed or of an ended call."},
     EventEntry{Event::kIngressCall, Level::kInfo, "ingress-call",
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -69,6 +69,8 @@
     kGateSilent = 1421,
     kServerDeclining = 1425,
     kRetryLimitMoved = 1426,
+    kServerSpeedUsed = 1430,
+    kCallerLimited = 1431,
     kContextRefused = 1501,
     kIngressCall = 1601,
     kGateCall = 1602,
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -60,6 +60,13 @@
                 "Work that clients offer to a service, in ms of slot time per second."},
     MetricEntry{"anisehold_forecast_share", "gauge",
                 "Share of the work offered to a service that the forecast admits, from 0 to 1."},
+    MetricEntry{
+        "anisehold_server_slowness", "gauge",
+        "Present duration of work at the server beside this daemon, as a multiple of the usual one, by "
+        "server."},
+    MetricEntry{"anisehold_excess_refusals_total", "counter",
+                "Requests refused beyond the share of their row, for the excess of their zone or tenant, by "
+                "group: zone or tenant."},
 };
 
 std::string help_of(std::string_view name) {
@@ -116,6 +123,8 @@
     prometheus::Family<prometheus::Gauge>& declined_shares = gauge("anisehold_declined_share");
     prometheus::Family<prometheus::Counter>& attributed_calls = counter("anisehold_attributed_calls_total");
     prometheus::Family<prometheus::Counter>& returning = counter("anisehold_returning_requests_total");
+    prometheus::Family<prometheus::Gauge>& server_slowness = gauge("anisehold_server_slowness");
+    prometheus::Family<prometheus::Counter>& excess_refusals = counter("anisehold_excess_refusals_total");
 };
 
 std::span<const MetricEntry> metric_catalogue() {
@@ -187,6 +196,14 @@
     families_->returning.Add({{"result", is_admitted ? "admitted" : "refused"}}).Increment();
 }
 
+void Metrics::set_server_slowness(const std::string& server, double slowness) {
+    families_->server_slowness.Add({{"server", server}}).Set(slowness);
+}
+
+void Metrics::count_excess_refusal(std::string_view group) {
+    families_->excess_refusals.Add({{"group", std::string(group)}}).Increment();
+}
+
 void Metrics::set_suspects(std::string_view state, std::size_t count) {
     families_->suspects.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
--- a/src/overload/root_limit.cpp
+++ b/src/overload/root_limit.cpp
@@ -159,7 +159,7 @@
         found->second.limitShares.erase (resource);
 }
 
-double refusedShare (const RootLimitState& state, const RootRow& row)
+double admittedShareOf (const RootLimitState& state, const RootRow& row)
 {
     double admitted = 1;
 
@@ -175,12 +175,20 @@
         admitted = std::min (admitted, share == shares.end() ? 1.0 : share->second);
     }
 
-    admitted = std::min (admitted, retryLimitedShare (state, row.name));
-    const auto volume = state.rows.find (row.name);
-    return 1 - (volume == state.rows.end()
-                    ? admitted
-                    : correctedShare (volume->second, admitted,
-                                      presentPerSecond (state, row.name, volume->second)));
+    return std::min (admitted, retryLimitedShare (state, row.name));
+}
+
+double stabilizedShare (const RootLimitState& state, const std::string& row, double admitted)
+{
+    const auto volume = state.rows.find (row);
+    return volume == state.rows.end()
+               ? admitted
+               : correctedShare (volume->second, admitted, presentPerSecond (state, row, volume->second));
+}
+
+double refusedShare (const RootLimitState& state, const RootRow& row)
+{
+    return 1 - stabilizedShare (state, row.name, admittedShareOf (state, row));
 }
 
 } // namespace anisehold::overload
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -58,6 +58,13 @@
 /** Lifts the limit of a service by this resource. */
 void clearCapacityLimit (RootLimitState&, const std::string& service, const std::string& resource);
 
+/** Returns the admitted share of a row, from 0 to 1, before `correctedShare` stabilizes it. */
+double admittedShareOf (const RootLimitState&, const RootRow&);
+
+/** Returns the share with which this daemon admits the next request of a row whose admitted share is given:
+    corrected by the number of its requests in flight. */
+double stabilizedShare (const RootLimitState&, const std::string& row, double admittedShare);
+
 /** Returns the share of new requests of a row that are currently rejected, from 0 to 1. */
 double refusedShare (const RootLimitState&, const RootRow&);
 
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -21,6 +21,9 @@
 /// within a few milliseconds.
 constexpr milliseconds kQuotaWait{400};
 
+/// A request counts as refused for its caller's excess if its group's share is below that of the row by this.
+constexpr double kMinCountedExcess = 0.02;
+
 std::string host_of(const net::HttpRequest& request) {
     const auto host = request.fields.find("Host").value_or("");
     return std::string(host.substr(0, host.find(':')));
@@ -177,8 +180,13 @@
 
 bool CallIngress::is_refused_early(IncomingCall& call) {
     const double share = context_.overload.on_offered(call.received, {call.row, call.terms.priority});
-    const double refused = refused_share_by_standing(call, share);
+    const auto by_caller =
+        context_.has(Mechanism::kCallerFairness) ? refusal_by_caller(call) : CallerRefusal{share, ""};
+    const double refused = refused_share_by_standing(call, by_caller.share);
     const bool is_refused = context_.has(Mechanism::kEarlyRefusal) && context_.random_unit() < refused;
+    if (is_refused && !by_caller.excess_of.empty()) {
+        context_.metrics.count_excess_refusal(by_caller.excess_of);
+    }
     if (share > 0 && call.standing != returning::Standing::fresh) {
         context_.metrics.count_returning(!is_refused);
     }
@@ -235,6 +243,20 @@
     }
 }
 
+CallIngress::CallerRefusal CallIngress::refusal_by_caller(const IncomingCall& call) {
+    const double row_share = context_.overload.admitted_share({call.row, call.terms.priority});
+    const auto share = context_.callers.on_offered(call.received, call.row, call.tenant.value, row_share);
+    // The correction stabilizes all requests of this daemon in the row, whatever their group.
+    const double correction =
+        share.own > 0 ? context_.overload.corrected_share(call.row, share.own) / share.own : 1;
+    CallerRefusal refusal;
+    refusal.share = std::clamp(1 - share.group * correction, 0.0, 1.0);
+    if (share.group < row_share - kMinCountedExcess) {
+        refusal.excess_of = share.is_of_tenant ? "tenant" : "zone";
+    }
+    return refusal;
+}
+
 net::HttpResponse CallIngress::answer(const IncomingCall& call, net::HttpResponse response) {
     context_.metrics.count_answer(call.route, response.status, TimePoint::clock::now() - call.received);
     log(call, std::to_string(response.status), !net::is_server_error(response.status));
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -62,6 +62,12 @@
     void apply_settings() { attempts_.apply_settings(); }
 
   private:
+    /// The share with which the requests of a group of callers are refused.
+    struct CallerRefusal {
+        double share = 0;
+        std::string_view excess_of;  ///< "zone" or "tenant" if it is refused more than its row; else empty.
+    };
+
     /// Runs all checks that precede the attempts. Returns the failure if the request is refused.
     std::optional<CallFailure> prepare(const net::HttpRequest& request, IncomingCall& call);
     /// Authenticates the caller and sets the tenant and the priority.
@@ -82,6 +88,8 @@
     void attribute(IncomingCall& call);
     /// Counts a call of the local server whose parent is known or not.
     void on_attributed(bool is_known);
+    /// Determines the share with which the request is refused by its zone and tenant.
+    CallerRefusal refusal_by_caller(const IncomingCall& call);
     /// Takes a token from the tenant's quota; may block the fiber briefly.
     std::optional<CallFailure> acquire_token(const routing::Configuration& configuration, IncomingCall& call);
     net::HttpResponse answer(const IncomingCall& call, net::HttpResponse response);
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -197,10 +197,10 @@
 
 GateAnswer LocalGate::run_admitted(GateServer& server, const GateRun& run, net::HttpRequest& request,
                                    TimePoint started) {
-    auto answer = !servers_.is_ready(run.call.instance)
-                      ? make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend)
-                  : grants_retry(server, run) ? run_at_server(server, run, request)
-                                      : make_failure(HopOutcome::kNotSent, ErrorKind::kRetriesExhausted);
+    auto answer =
+        !servers_.is_ready(run.call.instance) ? make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend)
+        : grants_retry(server, run)           ? run_at_server(server, run, request)
+                                    : make_failure(HopOutcome::kNotSent, ErrorKind::kRetriesExhausted);
     // If a server failed while calls made by its machine were refused for overload, the overload is the most
     // likely cause: the server's own load says nothing, and the work done for the request is lost.
     if (is_failed_answer(answer)) {
--- a/src/sidecar/overload_tracker.hpp
+++ b/src/sidecar/overload_tracker.hpp
@@ -44,6 +44,14 @@
 
     /// Records a client's request. Returns the share (0 to 1) of such requests that is currently refused.
     double on_offered(TimePoint now, const overload::RootRow& row);
+    /// The share of the row's requests that is admitted over the whole fleet.
+    double admitted_share(const overload::RootRow& row) const {
+        return overload::admittedShareOf(limit_, row);
+    }
+    /// Corrects a share of the row's requests of this daemon by the number of those in flight.
+    double corrected_share(const std::string& row, double share) const {
+        return overload::stabilizedShare(limit_, row, share);
+    }
     /// Records the start of an admitted client request, and its end (with any outcome) after `elapsed`.
     void on_admitted(const std::string& row);
     void on_admitted_ended(const std::string& row, Duration elapsed) {
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -87,9 +87,22 @@
     record.pressures = context_.overload.own_report();
     record.shortage.offered = context_.overload.offered_report(TimePoint::clock::now(), receivers);
     record.servers = gate_.servers().records(TimePoint::clock::now());
+    add_caller_report(record);
     return record;
 }
 
+void PeerExchange::add_caller_report(membership::PeerRecord& record) {
+    if (context_.has(config::Mechanism::kCallerFairness)) {
+        record.shortage.callers = context_.callers.take_report(TimePoint::clock::now());
+    }
+}
+
+void PeerExchange::receive_caller_report(TimePoint now, const membership::PeerRecord& record) {
+    if (context_.has(config::Mechanism::kCallerFairness)) {
+        context_.callers.on_peer_report(now, record.name, record.zone, record.shortage.callers);
+    }
+}
+
 void PeerExchange::announce() {
     announced_ = TimePoint::clock::now();
     send_record_to(directory_.addresses(), RecordReceivers::kAll);
@@ -313,6 +326,7 @@
     }
     if (change != PeerChange::kNone && context_.has(config::Mechanism::kFleetWideCounts)) {
         context_.overload.on_peer_report(now, record->name, record->pressures);
+        receive_caller_report(now, *record);
     }
     if (change != PeerChange::kNone) {
         context_.overload.on_peer_demand(now, record->name, record->shortage.offered);
--- a/tests/unit/selection/server_selection_test.cpp
+++ b/tests/unit/selection/server_selection_test.cpp
@@ -252,3 +252,22 @@
     CHECK (chooseAmong (fixture.state, fixture.now, view, { "here1" }) == &servers[1]);
     CHECK (chooseAmong (fixture.state, fixture.now, view, { "gone" }) == nullptr);
 }
+
+TEST_CASE ("a server that works slowly now costs more, until its figure has faded", "[selection]")
+{
+    Fixture fixture;
+    fixture.now = TimePoint{} + seconds (10);
+    auto known = server ("a", "here", 1);
+    known.last_seen = fixture.now - seconds (1);
+    known.speed_seen = fixture.now;
+    const double usual = fixture.cost (known);
+    known.server.slow_percent = 250;
+    CHECK (fixture.cost (known) == Approx (2.5 * usual));
+    known.speed_seen = fixture.now - seconds (10);
+    CHECK (fixture.cost (known) < 1.4 * usual);
+    known.last_seen = known.speed_seen;
+    CHECK (fixture.cost (known) == Approx (usual).epsilon (0.01));
+    known.speed_seen = fixture.now;
+    fixture.state.rules.usesPresentSpeed = false;
+    CHECK (fixture.cost (known) == usual);
+}
--- a/tests/unit/wire/catalogue_golden_test.cpp
+++ b/tests/unit/wire/catalogue_golden_test.cpp
@@ -142,6 +142,8 @@
     metrics.count_gate_retry("orders", 2, true);
     metrics.count_gate_retry("orders", 3, false);
     metrics.set_declined_share("orders", 0.55);
+    metrics.set_server_slowness("server", 2.5);
+    metrics.count_excess_refusal("tenant");
     golden::check("catalogue_metrics_text.txt", sorted_lines(metrics.text()));
 }
 
--- a/tests/unit/wire/datagram_golden_test.cpp
+++ b/tests/unit/wire/datagram_golden_test.cpp
@@ -90,10 +90,13 @@
     offering.shortage.offered = {{{0x51525354, 0x5556, 57}}, {{"stock", {{"route/58", 2.5}}}}};
     auto both = offering;
     both.servers = record.servers;
+    auto with_callers = record;
+    with_callers.shortage.callers = {{"route/5", {{"", 8, 9, true}, {"tenant-1", 0x44434241, 10, false}}}};
     golden::check_dump("peer-record-shortage.txt",
                        {{"conditions of servers", encode(record)},
                         {"offered volumes and work", encode(offering)},
-                        {"conditions, volumes and work", encode(both)}},
+                        {"conditions, volumes and work", encode(both)},
+                        {"demand of callers", encode(with_callers)}},
                        [](const std::string& bytes) {
                            const auto decoded = membership::decode_peer_record(bytes);
                            return decoded ? encode(*decoded) : "not decoded";
@@ -121,6 +124,28 @@
     CHECK(encode(full_record()).size() < bytes.size());
 }
 
+TEST_CASE("the demand of callers in a record is decoded, and refused if it is cut off") {
+    auto record = full_record();
+    const auto plain = encode(record);
+    record.shortage.callers = {{"route/5", {{"", 8, 9, true}, {"tenant-1", 11, 10, false}}}};
+    const auto bytes = encode(record);
+    const auto decoded = membership::decode_peer_record(bytes);
+    REQUIRE(decoded);
+    REQUIRE(decoded->shortage.callers.size() == 1);
+    const auto& row = decoded->shortage.callers.front();
+    CHECK(row.row == "route/5");
+    REQUIRE(row.groups.size() == 2);
+    CHECK(row.groups[0].tenant.empty());
+    CHECK(row.groups[0].isUsualKnown);
+    CHECK(row.groups[1].tenant == "tenant-1");
+    CHECK(row.groups[1].offered == 11);
+    CHECK(row.groups[1].usual == 10);
+    CHECK(encode(*decoded) == bytes);
+    CHECK_FALSE(membership::decode_peer_record(std::string_view(bytes).substr(0, bytes.size() - 1)));
+    record.shortage.callers.clear();
+    CHECK(encode(record) == plain);
+}
+
 TEST_CASE("a record whose shortage report is cut off is refused") {
     auto record = full_record();
     const auto plain = encode(record);
