--- a/src/protocol/retry_after.hpp
+++ b/src/protocol/retry_after.hpp
@@ -26,7 +26,8 @@
 /// kRefusedEarlySpread, so that callers rejected together do not retry together. At 1.7 times the usual load
 /// the worth of a day was 0.672 with these values and 0.647 with up to four times the delay while more was
 /// rejected (docs/design/tenants.md); without the spread the worth changed by -0.011 to +0.003, which is
-/// within the noise (docs/design/overload.md).
+/// within the noise (docs/design/overload.md). Where returning callers take precedence, a later time is named
+/// to callers that will then be recognized and can still be served in time (returning/return_time).
 inline constexpr milliseconds kRefusedEarly{250};
 inline constexpr milliseconds kRefusedEarlySpread{500};
 /// A request of a tenant whose quota owner did not respond: within this time another owner is found.
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -10,8 +10,8 @@
 ///  4. Who is the caller, and with which priority? tenancy/caller_verdict; `kUnauthorized`, `kKeyUnproven`.
 ///  5. Which service handles the request? routing/weighted_split.
 ///  6. Is the request known to crash servers? suspects/crash_ledger; `kCrashesServers`.
-///  7. If a client sent the request (admission/origin_estimator): is there capacity? overload/root_limit;
-///     `kOverloaded`.
+///  7. If a client sent the request (admission/origin_estimator): is there capacity? overload/root_limit,
+///     and returning/precedence for callers that were refused before; `kOverloaded`.
 ///  8. Is the tenant within its quota? tenancy/token_cache, tenancy/quota_bucket; `kQuotaExceeded`,
 ///     `kQuotaUnknown`.
 ///  9. To which servers is the request sent, and how often? sidecar/call_attempts.
