--- a/tests/unit/reservation/grant_table_test.cpp
+++ b/tests/unit/reservation/grant_table_test.cpp
@@ -59,7 +59,7 @@
     /** Ends a run, and tells the table which reservations have a slot now. */
     std::vector<std::uint64_t> finish (TimePoint now, std::uint64_t run)
     {
-        const auto admitted = gate.finish (now, run, admission::SampleOutcome::kCompleted, Duration::zero());
+        auto admitted = gate.finish (now, run, admission::SampleOutcome::kCompleted, Duration::zero());
 
         for (const auto it : admitted)
             onAdmitted (table, now, it);
