--- a/src/overload/demand_forecast.cpp
+++ b/src/overload/demand_forecast.cpp
@@ -23,9 +23,11 @@
 constexpr double minUsualPerSecond = 5;
 /** Change of an estimate that is reported, as a share of it. */
 constexpr double reportedWorkChange = 0.1;
-/** Minimum time between two reports of estimates, and the time after which they are repeated. */
-constexpr seconds minWorkPause{ 2 };
-constexpr seconds maxWorkPause{ 30 };
+/** Minimum times between two reports of estimates: with rows that had none, with changed ones, and with the
+    same ones, since datagrams are lost. Estimates of four rows for three services are 439 bytes. */
+constexpr seconds newWorkPause{ 2 };
+constexpr seconds changedWorkPause{ 10 };
+constexpr seconds repeatedWorkPause{ 120 };
 /** Time after which the estimates of a daemon expire. */
 constexpr seconds worksExpiry{ 600 };
 /** Upper bound of a plausible estimate; a malformed one must not spoil the mean. */
@@ -98,25 +100,38 @@
     return rows;
 }
 
-bool hasChanged (const RowMs& now, const RowMs& before)
+/** Whether an estimate has changed, and whether there is one of a row or service that had none. */
+struct WorkChange
 {
-    return std::any_of (now.begin(), now.end(),
-                        [&] (const auto& it)
-                        {
-                            const auto found = before.find (it.first);
-                            return found == before.end() ||
-                                   std::abs (it.second - found->second) > reportedWorkChange * found->second;
-                        });
+    bool isChanged = false;
+    bool isNew = false;
+};
+
+WorkChange changeOf (const std::map<std::string, RowMs>& now, const std::map<std::string, RowMs>& before)
+{
+    WorkChange change;
+
+    for (const auto& [service, rows] : now)
+    {
+        const auto known = before.find (service);
+
+        for (const auto& [row, ms] : rows)
+        {
+            const auto found = known == before.end() ? rows.end() : known->second.find (row);
+            const bool isNew = known == before.end() || found == known->second.end();
+            change.isNew = change.isNew || isNew;
+            change.isChanged = change.isChanged || (! isNew && std::abs (ms - found->second) >
+                                                                   reportedWorkChange * found->second);
+        }
+    }
+
+    return change;
 }
 
-bool hasChanged (const std::map<std::string, RowMs>& now, const std::map<std::string, RowMs>& before)
+/** Returns the time after the last report of estimates at which the next one is due. */
+Duration workPause (const WorkChange& change)
 {
-    return std::any_of (now.begin(), now.end(),
-                        [&] (const auto& it)
-                        {
-                            const auto found = before.find (it.first);
-                            return hasChanged (it.second, found == before.end() ? RowMs{} : found->second);
-                        });
+    return change.isNew ? newWorkPause : change.isChanged ? changedWorkPause : repeatedWorkPause;
 }
 
 double totalPerSecond (const std::vector<OfferedRow>& offered)
@@ -242,12 +257,9 @@
 std::vector<ServiceWork> dueWorks (DemandState& state, TimePoint now, const std::string& ownName)
 {
     const auto own = state.peers.find (ownName);
-    const Duration pause = now - state.worksSent;
-
-    if (own == state.peers.end() || own->second.works.empty() || pause < minWorkPause)
-        return {};
 
-    if (pause < maxWorkPause && ! hasChanged (own->second.works, state.sentWorks))
+    if (own == state.peers.end() || own->second.works.empty() ||
+        now - state.worksSent < workPause (changeOf (own->second.works, state.sentWorks)))
         return {};
 
     state.sentWorks = own->second.works;
