--- a/src/overload/demand_forecast.cpp
+++ b/src/overload/demand_forecast.cpp
@@ -30,6 +30,8 @@
 constexpr seconds repeatedWorkPause{ 120 };
 /** Time after which the estimates of a daemon expire. */
 constexpr seconds worksExpiry{ 600 };
+/** Minimum time between two computations of the means: 11 ms for 550 daemons with 36 estimates each. */
+constexpr seconds minRefreshPause{ 1 };
 /** Upper bound of a plausible estimate; a malformed one must not spoil the mean. */
 constexpr double maxWorkMs = 600'000;
 constexpr double tenths = 10;
@@ -335,10 +337,12 @@
                                             return name != ownName && peer.offered.empty() &&
                                                    now - peer.worksReported > worksExpiry;
                                         });
+    state.areWorksStale = state.areWorksStale || removed > 0;
 
-    if (removed == 0 && ! state.areWorksStale)
+    if (! state.areWorksStale || now - state.worksComputed < minRefreshPause)
         return;
 
+    state.worksComputed = now;
     state.areWorksStale = false;
     state.works.clear();
     std::map<std::string, std::map<std::string, unsigned>> counts;
--- a/src/overload/demand_forecast.hpp
+++ b/src/overload/demand_forecast.hpp
@@ -75,7 +75,8 @@
     std::map<std::string, PeerDemand> peers; /**< By daemon; the works of this daemon under its own name. */
     std::map<std::string, RowMs> works;      /**< By service: means over the daemons. */
     bool areWorksStale = false;              /**< `works` must be computed again. */
-    std::map<std::string, RowMs> sentWorks;  /**< Own estimates as last sent, by service. */
+    TimePoint worksComputed;
+    std::map<std::string, RowMs> sentWorks; /**< Own estimates as last sent, by service. */
     TimePoint worksSent;
 };
 
@@ -117,7 +118,7 @@
     that have not reported since are extrapolated. */
 std::map<std::uint32_t, OfferedRate> fleetDemand (const DemandState&, TimePoint now);
 
-/** Updates `works` if necessary, and removes expired estimates. */
+/** Updates `works` if necessary, at most once a second, and removes expired estimates. */
 void refreshWorks (DemandState&, TimePoint now, const std::string& ownName);
 
 } // namespace anisehold::overload
