--- a/src/overload/zone_contact.cpp
+++ b/src/overload/zone_contact.cpp
@@ -27,9 +27,9 @@
     for (auto& [zone, contact] : zones)
     {
         std::erase_if (contact.heard,
-                       [&] (const auto& it)
+                       [&, latest = contact.latest] (const auto& it)
                        {
-                           const std::chrono::duration<double> before = contact.latest - it.second;
+                           const std::chrono::duration<double> before = latest - it.second;
                            return before > forgottenPeriods * periodS;
                        });
         const auto pause = missedRecords * periodS / static_cast<double> (contact.heard.size());
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -260,12 +260,8 @@
     const bool has_record = !context_.overload.has_work_estimates() && directory_.knows(record->name) &&
                             listened && now - announced_ < kDuplicateReplyWindow;
     const auto change = directory_.on_record(now, *record);
-    if (change != PeerChange::kNone && context_.has(config::Mechanism::kFleetWideCounts)) {
-        context_.overload.on_peer_report(now, record->name, record->pressures);
-    }
     if (change != PeerChange::kNone) {
-        context_.overload.on_peer_demand(now, record->name, record->shortage.offered);
-        overload::recordHeard(zone_contacts_, now, record->zone, record->name);
+        on_overload_report(now, *record);
     }
     if (change == PeerChange::kAppeared && !has_record) {
         socket_.send(record->gossip, encode(own_record(RecordReceivers::kNewPeer)));
@@ -289,6 +285,14 @@
     }
 }
 
+void PeerExchange::on_overload_report(TimePoint now, const membership::PeerRecord& record) {
+    if (context_.has(config::Mechanism::kFleetWideCounts)) {
+        context_.overload.on_peer_report(now, record.name, record.pressures);
+    }
+    context_.overload.on_peer_demand(now, record.name, record.shortage.offered);
+    overload::recordHeard(zone_contacts_, now, record.zone, record.name);
+}
+
 void PeerExchange::fetch_configuration(const Endpoint& peer, std::uint64_t version) {
     if (configuration_.version() != 0) {
         const std::chrono::duration<double> spread = kFetchSpread * context_.random_unit();
--- a/src/sidecar/peer_exchange.hpp
+++ b/src/sidecar/peer_exchange.hpp
@@ -60,6 +60,8 @@
     void announce_onset();
     void send_record_to(const std::vector<membership::PeerAddress>& peers, RecordReceivers receivers);
     void receive(std::string_view bytes);
+    /// Handles the parts of a new record that concern overload.
+    void on_overload_report(TimePoint now, const membership::PeerRecord& record);
     membership::PeerRecord own_record(RecordReceivers receivers);
     /// Requests the configuration from a peer that has a higher version.
     void fetch_configuration(const Endpoint& peer, std::uint64_t version);
--- a/tests/incidents/chain_model.cpp
+++ b/tests/incidents/chain_model.cpp
@@ -342,6 +342,11 @@
     cutAt = now;
 }
 
+bool ChainModel::isCutNoticed() const
+{
+    return now - cutAt >= cutNoticed;
+}
+
 std::size_t ChainModel::runDaemonFor (std::size_t daemon)
 {
     const std::size_t first = isApart (daemon) ? 0 : daemonsApart;
@@ -372,26 +377,30 @@
     }
 }
 
-void ChainModel::forecast (std::size_t daemon)
+std::vector<overload::ServerSupply> ChainModel::suppliesOf (std::size_t daemon) const
 {
-    auto& own = daemons[daemon];
-    const bool isCutNoticed = now - cutAt >= cutNoticed;
     std::vector<overload::ServerSupply> supplies;
-    std::vector<overload::RowWork> rowWork;
 
     for (std::size_t n = 0; n < servers.size(); ++n)
     {
-        const bool isReachable = reaches (daemon, n) || ! isCutNoticed;
         const auto limit = servers[n]->gate.load().limit;
         const double busy = 100 * overload::currentMean (servers[n]->running, now) / limit;
         supplies.push_back ({ endService, limit, static_cast<unsigned> (busy),
                               static_cast<unsigned> (1'000 * servers[n]->meanMs), 0, 0, 100, false,
-                              isReachable });
+                              reaches (daemon, n) || ! isCutNoticed() });
     }
 
+    return supplies;
+}
+
+void ChainModel::forecast (std::size_t daemon)
+{
+    auto& own = daemons[daemon];
+    std::vector<overload::RowWork> rowWork;
+
     for (std::size_t n = 0; n < daemons.size(); ++n)
     {
-        if (isApart (n) != isApart (daemon) && isCutNoticed)
+        if (isApart (n) != isApart (daemon) && isCutNoticed())
             overload::dropPeerVolumes (own.forecast.demand, daemons[n].ownName);
     }
 
@@ -400,7 +409,7 @@
 
     overload::setOwnWorks (own.forecast.demand, own.ownName, endService, rowWork);
     const bool wasLimited = overload::isLimitedByForecast (own);
-    overload::updateForecast (own, now, overload::capacitiesOf (supplies));
+    overload::updateForecast (own, now, overload::capacitiesOf (suppliesOf (daemon)));
 
     if (! wasLimited && overload::isLimitedByForecast (own) && now - volumesSent[daemon] >= minReportGap)
         sendVolumes (daemon);
--- a/tests/incidents/chain_model.hpp
+++ b/tests/incidents/chain_model.hpp
@@ -165,11 +165,14 @@
     /** Sends the offered volumes and work estimates of a daemon to those that it reaches. */
     void sendVolumes (std::size_t daemon);
     bool isApart (std::size_t daemon) const { return daemon < daemonsApart; }
-    /** Whether the daemon can reach the server, or believes so. */
+    /** Whether the daemon can reach the server. */
     bool reaches (std::size_t daemon, std::size_t server) const
     {
         return daemonsApart == 0 || isApart (daemon) == (server < serversApart);
     }
+    bool isCutNoticed() const;
+    /** Returns the servers as the daemon's forecast sees them. */
+    std::vector<overload::ServerSupply> suppliesOf (std::size_t daemon) const;
     std::size_t runDaemonFor (std::size_t daemon);
     double draw() { return std::uniform_real_distribution<double> (0, 1) (random); }
     std::size_t anyDaemon() { return random() % daemons.size(); }
