--- a/src/sidecar/peer_exchange.hpp
+++ b/src/sidecar/peer_exchange.hpp
@@ -63,6 +63,8 @@
     void announce_onset();
     void send_record_to(const std::vector<membership::PeerAddress>& peers, RecordReceivers receivers);
     void receive(std::string_view bytes);
+    /// Handles the parts of a new record that concern overload.
+    void on_overload_report(TimePoint now, const membership::PeerRecord& record);
     membership::PeerRecord own_record(RecordReceivers receivers);
     /// Adds the demand of this daemon's callers to the record, and processes that of a peer.
     void add_caller_report(membership::PeerRecord& record);
--- a/tests/process/reservation_test.cpp
+++ b/tests/process/reservation_test.cpp
@@ -45,7 +45,7 @@
     static SidecarMachinePlan machine (const std::string& service, bool isLinked = false)
     {
         SidecarMachinePlan plan{ "z1", service, {}, numSlots, workTime, isLinked };
-        plan.tolerated_zones = 1;
+        plan.tolerated_zone_losses = 1;
         return plan;
     }
 
