--- a/lab/platform_server.cpp
+++ b/lab/platform_server.cpp
@@ -204,6 +204,11 @@
     return response;
 }
 
+bool PlatformServer::declines_at_random() {
+    return faults.declined_share > 0 &&
+           std::uniform_real_distribution<double>(0, 1)(random_) < faults.declined_share;
+}
+
 net::HttpResponse PlatformServer::handle(net::HttpRequest& request, net::CancelSignal& cancel) {
     if (request.target == kHealthPath) {
         return answer_health();
@@ -211,7 +216,7 @@
     ++arrivals_;
     const auto id = text_of(request, "Request-Id");
     const bool misdirected = text_of(request, "Expected-Instance") != options_.instance;
-    const bool refused = faults.declines || running_ >= options_.slots;
+    const bool refused = faults.declines || declines_at_random() || running_ >= options_.slots;
     if (observer_) {
         observer_({text_of(request, "Expected-Instance"), options_.service, id, request.target,
                    !misdirected && !refused, text_of(request, "Tenant"),
--- a/lab/platform_server.hpp
+++ b/lab/platform_server.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,7 @@
 /// Faults of a server.
 struct PlatformServerFaults {
     bool declines = false;           ///< Refuses all requests, and reports that they didn't run.
+    double declined_share = 0;       ///< Share of the requests that are refused at random, likewise.
     bool loses_answers = false;      ///< Runs requests, but closes the connection without a response.
     bool forgets_signature = false;  ///< Responds without the server's signature.
     bool answers_another = false;    ///< Responds with the id of another request.
@@ -107,6 +109,7 @@
     net::HttpResponse run(const net::HttpRequest& request, const std::string& id, net::CancelSignal& cancel);
     /// Counts the run of a request.
     void count_run(const net::HttpRequest& request, const std::string& id);
+    bool declines_at_random();
     bool is_fatal(const std::string& target) const;
     net::HttpResponse answer(unsigned status, const std::string& id, const std::string& body) const;
     net::HttpResponse answer_health() const;
@@ -131,6 +134,7 @@
     std::size_t keys_seen_ = 0;
     unsigned running_ = 0;
     unsigned most_running_ = 0;
+    std::minstd_rand random_;
     std::size_t arrivals_ = 0;
     std::uint64_t sequence_ = 0;
     std::uint64_t calls_made_ = 0;
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -46,6 +46,11 @@
     return error == ErrorKind::kOverloaded || error == ErrorKind::kQueueTimeout;
 }
 
+/// Whether the request ended because servers declined it, and no retry was left.
+bool is_decline(ErrorKind error) {
+    return error == ErrorKind::kBackendRefused || error == ErrorKind::kRetriesExhausted;
+}
+
 net::HttpRequest copy_of(const net::HttpRequest& request) {
     net::HttpRequest copy;
     copy.method = request.method;
@@ -354,6 +359,9 @@
     } else if (step == AttemptStep::kFail) {
         error = ErrorKind::kOutcomeUnknown;
     }
+    if (context_.has(Mechanism::kGateRetryBudget) && is_decline(error)) {
+        context_.overload.on_call_declined(TimePoint::clock::now());
+    }
     context_.overload.on_call_ended(call.service, call.row, is_root, {is_overload(error), ""});
     return {std::nullopt, state.failure, state.plan.may_have_run()};
 }
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -229,7 +229,10 @@
 
 void LocalGate::finish(GateServer& server, const GateRun& run, TimePoint started, const GateAnswer& answer) {
     const auto now = TimePoint::clock::now();
-    record_end(server, started, now, answer, run.is_cancelled());
+    // A server whose calls were declined fails through no fault of its own.
+    if (!is_failed_answer(answer) || !context_.overload.has_declined_calls(started)) {
+        record_end(server, started, now, answer, run.is_cancelled());
+    }
     const auto limit_before = server.gate.load().limit;
     free_slot(server, now, run.id, sample_of(answer));
     record_in_flight(server, now);
--- a/src/sidecar/overload_tracker.hpp
+++ b/src/sidecar/overload_tracker.hpp
@@ -65,6 +65,10 @@
     /// Records the share of its arrivals that a server declines, as reported by its gate in a result or
     /// record.
     void on_declined_share(TimePoint now, const std::string& service, const DeclineReport& report);
+    /// Records that a call of this machine ended without having run because servers declined it.
+    void on_call_declined(TimePoint now) { last_declined_call_ = now; }
+    /// Whether that happened at `since` or later.
+    bool has_declined_calls(TimePoint since) const { return last_declined_call_ >= since; }
     /// The changes of the limit by retries since the last call.
     std::vector<overload::RetryLimitChange> take_retry_limit_changes(TimePoint now) {
         return overload::takeRetryLimitChanges(limit_, now);
@@ -103,6 +107,7 @@
     overload::RootLimitState limit_;
     overload::WorkEstimate work_;  ///< Work of the requests at the local server.
     OverloadRefusal last_refusal_;
+    TimePoint last_declined_call_;
     net::FiberSignal onset_signal_;
 };
 
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -115,7 +115,8 @@
         directory_.expire(now);
         context_.notices.expire(now);
         end_limit_period(now);
-        tell_retry_limits(now);
+        tell_service_servers(now);
+        log_retry_limit(now);
         // Sent up to half a local period early rather than half a period late.
         if (now - announced_ + periods.local / 2 >= periods.remote) {
             announce();
@@ -163,31 +164,31 @@
     }
 }
 
-void PeerExchange::tell_retry_limits(TimePoint now) {
+void PeerExchange::tell_service_servers(TimePoint now) {
     const auto& service = context_.settings.service;
-    if (!context_.has(config::Mechanism::kGateRetryBudget)) {
+    if (!context_.has(config::Mechanism::kGateRetryBudget) || !gate_.servers().serves(service)) {
         return;
     }
-    if (gate_.servers().serves(service)) {
-        std::size_t count = 0;
-        std::uint64_t identity = 0;
-        const auto add = [&](const membership::ServerRecord& server, std::uint64_t boot_id) {
-            const std::hash<std::string> hash;
-            ++count;
-            identity += hash(server.instance + '/' + std::to_string(server.start_time) + '/' +
-                             std::to_string(boot_id));
-        };
-        const auto& view = directory_.servers_of(now, service);
-        for (const auto* list : {&view.local, &view.remote}) {
-            for (const auto* known : *list) {
-                add(known->server, known->boot_id);
-            }
-        }
-        for (const auto& own : gate_.servers().records(now)) {
-            add(own, context_.boot_id);
+    std::size_t count = 0;
+    std::uint64_t identity = 0;
+    const auto add = [&](const membership::ServerRecord& server, std::uint64_t boot_id) {
+        ++count;
+        identity += std::hash<std::string>{}(server.instance + '/' + std::to_string(server.start_time) + '/' +
+                                             std::to_string(boot_id));
+    };
+    const auto& view = directory_.servers_of(now, service);
+    for (const auto* list : {&view.local, &view.remote}) {
+        for (const auto* known : *list) {
+            add(known->server, known->boot_id);
         }
-        gate_.on_service_servers(now, service, count, identity);
     }
+    for (const auto& own : gate_.servers().records(now)) {
+        add(own, context_.boot_id);
+    }
+    gate_.on_service_servers(now, service, count, identity);
+}
+
+void PeerExchange::log_retry_limit(TimePoint now) {
     for (const auto& change : context_.overload.take_retry_limit_changes(now)) {
         log_event(Event::kRetryLimitMoved, {{"service", change.service},
                                             {"declined", std::to_string(change.declined)},
@@ -226,7 +227,7 @@
         report_declines(now, servers);
     }
     if (change == PeerChange::kAppeared || change == PeerChange::kServersChanged) {
-        tell_retry_limits(now);
+        tell_service_servers(now);
     }
     if (change != PeerChange::kNone && context_.has(config::Mechanism::kFleetWideCounts)) {
         context_.overload.on_peer_report(now, record->name, record->pressures);
--- a/src/sidecar/peer_exchange.hpp
+++ b/src/sidecar/peer_exchange.hpp
@@ -42,8 +42,11 @@
     overload::Utilizations utilizations(TimePoint now) const;
     /// Updates the admitted shares of root requests, and logs the changes.
     void end_limit_period(TimePoint now);
-    /// Tells the gate and the overload tracker what they need of the service's servers for retries.
-    void tell_retry_limits(TimePoint now);
+    /// Tells the gate which servers of its service are known, for its retry budget.
+    void tell_service_servers(TimePoint now);
+    /// Logs changes of the limit of client requests by retries.
+    void log_retry_limit(TimePoint now);
+    /// Tells the overload tracker which shares of their arrivals the servers of a peer decline.
     void report_declines(TimePoint now, const std::vector<membership::ServerRecord>& servers);
     void announce_periodically();
     /// Sends the record to all peers when refusals begin after a period without any, if calls were refused
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -82,6 +82,7 @@
         machine->log_file = folder_ + "/" + machine->name + ".log";
         machine->linked = plan.linked;
         machine->heartbeat_interval = plan.heartbeat_interval;
+        machine->tolerated_zone_losses = plan.tolerated_zone_losses;
         const auto at = [&](int offset) { return local(static_cast<std::uint16_t>(first_port + offset)); };
         machine->links = {at(7), at(8), at(6), at(9), at(1), at(10), at(4)};
         lab::PlatformServerOptions options;
@@ -133,6 +134,9 @@
          << (machine.linked ? machine.links.server_link : machine.links.server).text() << "\"\n"
          << "[tenants]\nrevocation = \"" << machine.key_revocation.count() << "ms\"\n"
          << "[repeats]\nratio = \"0.2\"\nextra = \"60\"\nwindow = \"2s\"\n";
+    if (machine.tolerated_zone_losses > 0) {
+        file << "[tolerate]\nzones = \"" << machine.tolerated_zone_losses << "\"\n";
+    }
     if (const auto* without = std::getenv("ANISEHOLD_WITHOUT"); without != nullptr && *without != '\0') {
         file << "[lab]\nwithout = \"" << without << "\"\n";
     }
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -37,6 +37,7 @@
     bool linked = false;
     milliseconds heartbeat_interval{200};
     milliseconds key_revocation{3'000};
+    unsigned tolerated_zone_losses = 0;
     MachineLinks links;
     Endpoint calls;
     Endpoint readiness;
@@ -56,7 +57,8 @@
     milliseconds work{5};
     bool linked = false;  ///< All links of the machine run through addresses that the test serves itself.
     milliseconds heartbeat_interval{200};
-    bool keeps_instance = false;  ///< The server keeps its id when it restarts after a crash.
+    bool keeps_instance = false;         ///< The server keeps its id when it restarts after a crash.
+    unsigned tolerated_zone_losses = 0;  ///< Setting `tolerate.zones`.
 };
 
 /// The response that a client received.
