--- a/src/retry/gate_budget.cpp
+++ b/src/retry/gate_budget.cpp
@@ -117,7 +117,7 @@
     headroom_slice_ = slice;
     const auto arrivals = arrivals_.cumulative(now);
     const auto retries = retries_.cumulative(now);
-    constexpr auto kWindow = WindowCount::kSlicesPerWindow;
+    constexpr auto window = WindowCount::kSlicesPerWindow;
     // The count of the slices from age `newest` to age `oldest`; whole slices only.
     const auto arrived = [&](std::int64_t newest, std::int64_t oldest) {
         const auto upto = [&](std::int64_t age) {
@@ -126,12 +126,12 @@
         return upto(oldest) - upto(newest - 1);
     };
     headroom_ = std::numeric_limits<double>::max();
-    for (std::int64_t ahead = 0; ahead < kWindow; ++ahead) {
-        const double counted = std::max({arrived(0, kWindow - 1 - ahead),
-                                         arrived(kWindow / 2 + 1 - ahead, kWindow + kWindow / 2 - 1 - ahead),
-                                         arrived(kWindow + 1 - ahead, 2 * kWindow - 1 - ahead)});
+    for (std::int64_t ahead = 0; ahead < window; ++ahead) {
+        const double counted = std::max({arrived(0, window - 1 - ahead),
+                                         arrived(window / 2 + 1 - ahead, window + window / 2 - 1 - ahead),
+                                         arrived(window + 1 - ahead, 2 * window - 1 - ahead)});
         const double bound = terms_.share * terms_.ratio * counted + extra_share(now);
-        headroom_ = std::min(headroom_, bound - retries.at(static_cast<std::size_t>(kWindow - ahead)));
+        headroom_ = std::min(headroom_, bound - retries.at(static_cast<std::size_t>(window - ahead)));
     }
     return headroom_;
 }
--- a/src/retry/window_count.cpp
+++ b/src/retry/window_count.cpp
@@ -56,10 +56,10 @@
         at(cleared) = 0;
     }
     newest_ = slice;
-    constexpr auto kHalf = kSlicesPerWindow / 2;
+    constexpr auto half = kSlicesPerWindow / 2;
     current_ = sum(kSlicesPerWindow - 1, 1);
     oldest_ = sum(kSlicesPerWindow, kSlicesPerWindow);
-    earlier_ = std::max(sum(kSlicesPerWindow + kHalf - 1, kHalf + 1),
+    earlier_ = std::max(sum(kSlicesPerWindow + half - 1, half + 1),
                         sum(2 * kSlicesPerWindow - 1, kSlicesPerWindow + 1));
 }
 
--- a/tests/unit/retry/gate_budget_test.cpp
+++ b/tests/unit/retry/gate_budget_test.cpp
@@ -16,13 +16,13 @@
     /// Advances the time; `asked` retries of each rank are asked for per second. Returns the granted ones.
     std::map<unsigned, unsigned> run(Duration time, const std::map<unsigned, double>& asked,
                                      double inherited = 0) {
-        constexpr double kPerMs = 0.001;
+        constexpr double per_ms = 0.001;
         std::map<unsigned, unsigned> granted;
         std::uniform_real_distribution<double> unit(0, 1);
         for (const auto end = now + time; now < end; now += milliseconds(1)) {
             budget.on_first_arrival(now, inherited);
             for (const auto& [priority, per_second] : asked) {
-                if (unit(random) < per_second * kPerMs && budget.try_retry(now, {priority, 0})) {
+                if (unit(random) < per_second * per_ms && budget.try_retry(now, {priority, 0})) {
                     ++granted[priority];
                 }
             }
