--- a/src/sidecar/overload_tracker.hpp
+++ b/src/sidecar/overload_tracker.hpp
@@ -82,6 +82,10 @@
     /// Records the share of its arrivals that a server declines, as reported by its gate in a result or
     /// record.
     void on_declined_share(TimePoint now, const std::string& service, const DeclineReport& report);
+    /// Records that a call of this machine ended without having run because servers declined it.
+    void on_call_declined(TimePoint now) { last_declined_call_ = now; }
+    /// Whether that happened at `since` or later.
+    bool has_declined_calls(TimePoint since) const { return last_declined_call_ >= since; }
     /// The changes of the limit by retries since the last call.
     std::vector<overload::RetryLimitChange> take_retry_limit_changes(TimePoint now) {
         return overload::takeRetryLimitChanges(limit_, now);
@@ -148,6 +152,7 @@
     Duration early_report_gap_{};
     TimePoint early_reported_;
     bool early_report_due_ = false;
+    TimePoint last_declined_call_;
     net::FiberSignal onset_signal_;
 };
 
