--- a/lab/platform_server.cpp
+++ b/lab/platform_server.cpp
@@ -185,6 +185,20 @@
     if (faults.says_leaving) {
         response.fields.set("Server-Leaving", "1");
     }
+    if (faults.slowness_percent > 0) {
+        response.fields.set("Server-Load", load_text());
+    }
+}
+
+std::string PlatformServer::load_text() const {
+    const auto load = std::to_string(running_) + ",0," + std::to_string(options_.slots);
+    return faults.slowness_percent > 0 ? load + "," + std::to_string(faults.slowness_percent) : load;
+}
+
+milliseconds PlatformServer::present_work() const {
+    constexpr unsigned usual_percent = 100;
+    return faults.slowness_percent > 0 ? options_.work * faults.slowness_percent / usual_percent
+                                       : options_.work;
 }
 
 net::HttpResponse PlatformServer::answer_health() const {
@@ -192,7 +206,7 @@
     auto response = net::make_response(is_well ? kOk : kUnavailable, "text/plain", "");
     write_notice(response);
     response.fields.set("Instance-Id", options_.instance);
-    response.fields.set("Server-Load", std::to_string(running_) + ",0," + std::to_string(options_.slots));
+    response.fields.set("Server-Load", load_text());
     return response;
 }
 
@@ -254,7 +268,7 @@
         crash();
         return cut_answer();
     }
-    boost::this_fiber::sleep_for(options_.work);
+    boost::this_fiber::sleep_for(present_work());
     const auto hang_ends = TimePoint::clock::now() + kLongestHang;
     while (faults.hangs && !cancel.cancelled() && TimePoint::clock::now() < hang_ends) {
         boost::this_fiber::sleep_for(kPoll);
--- a/lab/platform_server.hpp
+++ b/lab/platform_server.hpp
@@ -60,6 +60,8 @@
     std::string rate_limit;          ///< Rate limit sent verbatim in all responses, unless empty.
     bool refusals_are_bare = false;  ///< Refusals carry no header but that the request didn't run.
     bool says_leaving = false;  ///< All responses announce that the server is leaving; its heartbeats don't.
+    /// Duration of work in percent of `work`, stated in all responses; 0: usual, and not stated.
+    unsigned slowness_percent = 0;
     /// Crashes the server on each request whose target contains this text; disabled if empty.
     std::string fatal_target;
 };
@@ -112,6 +114,9 @@
     net::HttpResponse answer_health() const;
     /// Adds the headers that the server sends in every response.
     void write_notice(net::HttpResponse& response) const;
+    /// Text of the load header: requests in flight, waiting, slots, and the slowness if it is stated.
+    std::string load_text() const;
+    milliseconds present_work() const;
     bool make_calls(const std::string& id, TimePoint deadline);
     bool send_heartbeat(bool draining);
     void deregister();
