--- a/src/fairness/caller_demand.cpp
+++ b/src/fairness/caller_demand.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <numbers>
-#include <set>
+#include <string_view>
+#include <unordered_map>
 
 namespace anisehold::fairness
 {
@@ -89,10 +90,13 @@
     double excess = 0; /**< Demand above the usual one, over all daemons that reported it. */
 };
 
+/** Excess by row and tenant, without copies of the names. */
+using Excess = std::unordered_map<std::string_view, std::unordered_map<std::string_view, double>>;
+
 /** Returns the excess of tenants by the peers' reports. */
-std::map<std::pair<std::string, std::string>, double> peersExcess (const DemandState& state, TimePoint now)
+Excess peersExcess (const DemandState& state, TimePoint now)
 {
-    std::map<std::pair<std::string, std::string>, double> excess;
+    Excess excess;
 
     for (const auto& [name, peer] : state.peers)
     {
@@ -100,9 +104,13 @@
             continue;
 
         for (const auto& row : peer.report)
+        {
+            auto& ofRow = excess[row.row];
+
             for (const auto& it : row.groups)
                 if (! it.tenant.empty() && it.isUsualKnown)
-                    excess[{ row.row, it.tenant }] += (1.0 * it.offered - it.usual) / unitsPerRate;
+                    ofRow[it.tenant] += (1.0 * it.offered - it.usual) / unitsPerRate;
+        }
     }
 
     return excess;
@@ -112,7 +120,7 @@
     are included even if they aren't in excess here; sums of only positive differences would be too high. */
 std::vector<Candidate> candidates (const DemandState& state, TimePoint now)
 {
-    const auto fleet = peersExcess (state, now);
+    auto fleet = peersExcess (state, now);
     std::vector<Candidate> found;
 
     for (const auto& [name, row] : state.rows)
@@ -120,12 +128,14 @@
         if (! isReported (row, now))
             continue;
 
+        const auto& ofPeers = fleet[name];
+
         for (const auto& [tenant, counts] : row.tenants)
         {
             const auto demand = demandOf (state, now, counts);
-            const auto known = fleet.find ({ name, tenant });
+            const auto known = ofPeers.find (tenant);
             const double excess = (demand.isUsualKnown ? demand.offered - demand.usual : 0) +
-                                  (known == fleet.end() ? 0 : known->second);
+                                  (known == ofPeers.end() ? 0 : known->second);
 
             if (excess > 0)
                 found.push_back ({ &name, &tenant, excess });
--- a/src/fairness/group_shares.cpp
+++ b/src/fairness/group_shares.cpp
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
+#include <string_view>
+#include <unordered_map>
 
 namespace anisehold::fairness
 {
@@ -71,30 +74,17 @@
     return groupBy (sum, 1).excess > 1;
 }
 
-/** Demand of one row by zone, by tenant, and by tenant and zone. */
+/** Demand of one row, without copies of the names: in a large fleet there are thousands of entries. */
 struct RowSums
 {
-    std::map<std::string, Sum> zones;
-    std::map<std::string, Sum> tenants;
-    std::map<std::string, std::vector<std::pair<std::string, Demand>>> parts; /**< Zones by tenant. */
-
-    void add (const std::string& zone, const std::string& tenant, const Demand& demand)
-    {
-        if (tenant.empty())
-        {
-            zones[zone].add (demand);
-            return;
-        }
-
-        tenants[tenant].add (demand);
-        parts[tenant].emplace_back (zone, demand);
-    }
+    std::unordered_map<std::string_view, Sum> zones;
+    std::unordered_map<std::string_view, Sum> tenants;
 };
 
-RowSums sumsOf (const DemandState& state, TimePoint now, const std::string& row)
+/** Calls `visit (zone, tenant, demand)` for each group of the row in the current reports of peers. */
+template <typename Visit>
+void forEachReported (const DemandState& state, TimePoint now, const std::string& row, Visit visit)
 {
-    RowSums sums;
-
     for (const auto& [name, peer] : state.peers)
     {
         if (! isCurrent (peer, now))
@@ -103,15 +93,22 @@
         for (const auto& each : peer.report)
             if (each.row == row)
                 for (const auto& it : each.groups)
-                    sums.add (peer.zone, it.tenant, demandIn (it));
+                    visit (peer.zone, it.tenant, demandIn (it));
     }
+}
 
+RowSums sumsOf (const DemandState& state, TimePoint now, const std::string& row)
+{
+    RowSums sums;
+    forEachReported (state, now, row,
+                     [&] (std::string_view zone, std::string_view tenant, const Demand& demand)
+                     { (tenant.empty() ? sums.zones[zone] : sums.tenants[tenant]).add (demand); });
     const auto own = state.rows.find (row);
 
     if (own == state.rows.end())
         return sums;
 
-    sums.add (state.ownZone, "", demandOf (state, now, own->second.all));
+    sums.zones[state.ownZone].add (demandOf (state, now, own->second.all));
 
     for (const auto& [tenant, counts] : own->second.tenants)
     {
@@ -119,16 +116,16 @@
 
         // Most tenants are in excess neither here nor by a peer's report, and need no sum.
         if (sums.tenants.contains (tenant) || isExcess (demand))
-            sums.add (state.ownZone, tenant, demand);
+            sums.tenants[tenant].add (demand);
     }
 
     return sums;
 }
 
-/** Returns the tenants with the largest excess, and removes their demand from that of their zones. */
-std::vector<std::string> separateTenants (RowSums& sums)
+/** Returns the tenants with the largest excess. */
+std::set<std::string_view> tenantsInExcess (const RowSums& sums)
 {
-    std::vector<std::pair<double, std::string>> found;
+    std::vector<std::pair<double, std::string_view>> found;
 
     for (const auto& [tenant, sum] : sums.tenants)
         if (groupBy (sum, 1).excess > 1)
@@ -136,19 +133,37 @@
 
     std::sort (found.rbegin(), found.rend());
     found.resize (std::min (found.size(), maxGroups));
-    std::vector<std::string> tenants;
+    std::set<std::string_view> tenants;
 
     for (const auto& [surplus, tenant] : found)
-    {
-        tenants.push_back (tenant);
-
-        for (const auto& [zone, demand] : sums.parts[tenant])
-            sums.zones[zone].add (demand, -1);
-    }
+        tenants.insert (tenant);
 
     return tenants;
 }
 
+/** Removes the demand of the tenants from that of their zones. */
+void removeTenants (const DemandState& state, TimePoint now, const std::string& row,
+                    const std::set<std::string_view>& tenants, RowSums& sums)
+{
+    if (tenants.empty())
+        return;
+
+    forEachReported (state, now, row,
+                     [&] (std::string_view zone, std::string_view tenant, const Demand& demand)
+                     {
+                         if (tenants.contains (tenant))
+                             sums.zones[zone].add (demand, -1);
+                     });
+    const auto own = state.rows.find (row);
+
+    if (own == state.rows.end())
+        return;
+
+    for (const auto& [tenant, counts] : own->second.tenants)
+        if (tenants.contains (tenant))
+            sums.zones[state.ownZone].add (demandOf (state, now, counts), -1);
+}
+
 /** Returns the multiple of the usual demand that a part of the zones doesn't exceed; at least 1. A wave of
  * all callers is no excess of any. */
 double commonRatio (const RowSums& sums)
@@ -194,14 +209,15 @@
 {
     auto sums = sumsOf (state, now, row);
     RowGroups groups;
-    const auto tenants = separateTenants (sums);
+    const auto tenants = tenantsInExcess (sums);
+    removeTenants (state, now, row, tenants, sums);
     const double common = commonRatio (sums);
 
-    for (const auto& tenant : tenants)
-        groups.tenants[tenant] = groupBy (sums.tenants[tenant], common);
+    for (const auto tenant : tenants)
+        groups.tenants[std::string (tenant)] = groupBy (sums.tenants[tenant], common);
 
     for (const auto& [zone, sum] : sums.zones)
-        groups.zones[zone] = groupBy (sum, common);
+        groups.zones[std::string (zone)] = groupBy (sum, common);
 
     const auto own = state.rows.find (row);
 
--- a/src/sidecar/caller_shares.cpp
+++ b/src/sidecar/caller_shares.cpp
@@ -8,8 +8,10 @@
 using observability::Event;
 using observability::log_event;
 
-/// Lifetime of the computed groups of a row.
+/// Lifetime of the computed groups of a row, and its increase for each peer that reports: the computation takes
+/// up to 7 us per peer.
 constexpr milliseconds kGroupsLifetime{200};
+constexpr milliseconds kGroupsLifetimePerPeer{2};
 /// Minimum time between two reports: records are sent every 0.4 s during a shortage, and the report may be
 /// larger than the rest of the record.
 constexpr seconds kReportInterval{1};
@@ -33,7 +35,7 @@
     }
     fairness::recordLimited(demand_, now, row);
     auto& limited = limited_[row];
-    if (!is_known || now - limited.made >= kGroupsLifetime) {
+    if (!is_known || now - limited.made >= groups_lifetime()) {
         auto groups = fairness::groupsOf(demand_, now, row);
         log_changes(now, row, limited.groups, groups);
         limited = {std::move(groups), now};
@@ -44,6 +46,10 @@
             limited.groups.tenants.contains(tenant)};
 }
 
+Duration CallerShares::groups_lifetime() const {
+    return kGroupsLifetime + demand_.peers.size() * kGroupsLifetimePerPeer;
+}
+
 fairness::DemandReport CallerShares::take_report(TimePoint now) {
     fairness::expire(demand_, now);
     if (now < next_report_) {
--- a/src/sidecar/caller_shares.hpp
+++ b/src/sidecar/caller_shares.hpp
@@ -43,6 +43,7 @@
         TimePoint made;
     };
 
+    Duration groups_lifetime() const;
     /// Logs which zones and tenants of the row begin or cease to be refused more than others.
     void log_changes(TimePoint now, const std::string& row, const fairness::RowGroups& before,
                      const fairness::RowGroups& after);
