Gate retry tests: ports that no other test uses

Three tests of [sidecar] failed to start their fleets in one run together with [gate-retries], since both used 27,600 to 27,800.

--- a/tests/integration/gate_retries_test.cpp
+++ b/tests/integration/gate_retries_test.cpp
@@ -66,7 +66,7 @@
 // servers and one retry each, 0.30 of the requests fail.
 TEST_CASE("declined requests are offered again as far as the gates grant it, and run once",
           "[gate-retries]") {
-    SidecarFleet fleet(27'600, plans(1));
+    SidecarFleet fleet(25'200, plans(1));
     REQUIRE(fleet.start(configuration_text(1, {"front"}, {"pay"})));
     fleet.pause(milliseconds(2'500));  // A new process has no share of the extra retries in its first window.
     set_declined_share(fleet, kDeclinedShare);
@@ -84,7 +84,7 @@
 
 // Guards against retries beyond what the gate grants.
 TEST_CASE("a retry that the gate refuses ends the request as not run", "[gate-retries]") {
-    SidecarFleet fleet(27'700, plans(1));
+    SidecarFleet fleet(25'300, plans(1));
     REQUIRE(fleet.start(configuration_text(1, {"front"}, {"pay"})));
     fleet.pause(milliseconds(2'500));
     set_declined_share(fleet, 1);
@@ -105,7 +105,7 @@
 
 // Guards against any effect while no loss of a zone must be tolerated.
 TEST_CASE("without tolerated losses gates neither grant nor refuse retries", "[gate-retries]") {
-    SidecarFleet fleet(27'800, plans(0));
+    SidecarFleet fleet(25'400, plans(0));
     REQUIRE(fleet.start(configuration_text(1, {"front"}, {"pay"})));
     set_declined_share(fleet, kDeclinedShare);
     serve_while_declining(fleet);
