--- a/lab/platform_server.cpp
+++ b/lab/platform_server.cpp
@@ -185,6 +185,20 @@
     if (faults.says_leaving) {
         response.fields.set("Server-Leaving", "1");
     }
+    if (faults.slowness_percent > 0) {
+        response.fields.set("Server-Load", load_text());
+    }
+}
+
+std::string PlatformServer::load_text() const {
+    const auto load = std::to_string(running_) + ",0," + std::to_string(options_.slots);
+    return faults.slowness_percent > 0 ? load + "," + std::to_string(faults.slowness_percent) : load;
+}
+
+milliseconds PlatformServer::present_work() const {
+    constexpr unsigned usual_percent = 100;
+    return faults.slowness_percent > 0 ? options_.work * faults.slowness_percent / usual_percent
+                                       : options_.work;
 }
 
 net::HttpResponse PlatformServer::answer_health() const {
@@ -192,7 +206,7 @@
     auto response = net::make_response(is_well ? kOk : kUnavailable, "text/plain", "");
     write_notice(response);
     response.fields.set("Instance-Id", options_.instance);
-    response.fields.set("Server-Load", std::to_string(running_) + ",0," + std::to_string(options_.slots));
+    response.fields.set("Server-Load", load_text());
     return response;
 }
 
@@ -204,6 +218,11 @@
     return response;
 }
 
+bool PlatformServer::declines_at_random() {
+    return faults.declined_share > 0 &&
+           std::uniform_real_distribution<double>(0, 1)(random_) < faults.declined_share;
+}
+
 net::HttpResponse PlatformServer::handle(net::HttpRequest& request, net::CancelSignal& cancel) {
     if (request.target == kHealthPath) {
         return answer_health();
@@ -211,7 +230,7 @@
     ++arrivals_;
     const auto id = text_of(request, "Request-Id");
     const bool misdirected = text_of(request, "Expected-Instance") != options_.instance;
-    const bool refused = faults.declines || running_ >= options_.slots;
+    const bool refused = faults.declines || declines_at_random() || running_ >= options_.slots;
     if (observer_) {
         observer_({text_of(request, "Expected-Instance"), options_.service, id, request.target,
                    !misdirected && !refused, text_of(request, "Tenant"),
@@ -254,7 +273,7 @@
         crash();
         return cut_answer();
     }
-    boost::this_fiber::sleep_for(options_.work);
+    boost::this_fiber::sleep_for(present_work());
     const auto hang_ends = TimePoint::clock::now() + kLongestHang;
     while (faults.hangs && !cancel.cancelled() && TimePoint::clock::now() < hang_ends) {
         boost::this_fiber::sleep_for(kPoll);
--- a/lab/platform_server.hpp
+++ b/lab/platform_server.hpp
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,7 @@
 /// Faults of a server.
 struct PlatformServerFaults {
     bool declines = false;           ///< Refuses all requests, and reports that they didn't run.
+    double declined_share = 0;       ///< Share of the requests that are refused at random, likewise.
     bool loses_answers = false;      ///< Runs requests, but closes the connection without a response.
     bool forgets_signature = false;  ///< Responds without the server's signature.
     bool answers_another = false;    ///< Responds with the id of another request.
@@ -60,6 +62,8 @@
     std::string rate_limit;          ///< Rate limit sent verbatim in all responses, unless empty.
     bool refusals_are_bare = false;  ///< Refusals carry no header but that the request didn't run.
     bool says_leaving = false;  ///< All responses announce that the server is leaving; its heartbeats don't.
+    /// Duration of work in percent of `work`, stated in all responses; 0: usual, and not stated.
+    unsigned slowness_percent = 0;
     /// Crashes the server on each request whose target contains this text; disabled if empty.
     std::string fatal_target;
 };
@@ -107,11 +111,15 @@
     net::HttpResponse run(const net::HttpRequest& request, const std::string& id, net::CancelSignal& cancel);
     /// Counts the run of a request.
     void count_run(const net::HttpRequest& request, const std::string& id);
+    bool declines_at_random();
     bool is_fatal(const std::string& target) const;
     net::HttpResponse answer(unsigned status, const std::string& id, const std::string& body) const;
     net::HttpResponse answer_health() const;
     /// Adds the headers that the server sends in every response.
     void write_notice(net::HttpResponse& response) const;
+    /// Text of the load header: requests in flight, waiting, slots, and the slowness if it is stated.
+    std::string load_text() const;
+    milliseconds present_work() const;
     bool make_calls(const std::string& id, TimePoint deadline);
     bool send_heartbeat(bool draining);
     void deregister();
@@ -131,6 +139,7 @@
     std::size_t keys_seen_ = 0;
     unsigned running_ = 0;
     unsigned most_running_ = 0;
+    std::minstd_rand random_;
     std::size_t arrivals_ = 0;
     std::uint64_t sequence_ = 0;
     std::uint64_t calls_made_ = 0;
--- a/src/hop/hop_header.cpp
+++ b/src/hop/hop_header.cpp
@@ -13,8 +13,8 @@
 constexpr std::string_view kReserved = ";\r\n";
 
 /// Names in the order of the enum.
-constexpr std::array<std::string_view, 4> kOutcomeNames{"answered", "not-sent", "refused-by-server",
-                                                        "unknown"};
+constexpr std::array<std::string_view, 6> kOutcomeNames{"answered", "not-sent", "refused-by-server",
+                                                        "unknown",  "granted",  "waiting"};
 
 using Fields = std::map<std::string_view, std::string_view>;
 
@@ -52,7 +52,8 @@
 }
 
 /// Reads a number that is omitted when it is 0, the usual case.
-bool read_unless_zero(const Fields& fields, std::string_view name, unsigned& number) {
+template <typename Number>
+bool read_unless_zero(const Fields& fields, std::string_view name, Number& number) {
     return !fields.contains(name) || read(fields, name, number);
 }
 
@@ -73,12 +74,34 @@
     }
 }
 
-void append_unless_zero(std::string& text, std::string_view name, unsigned value) {
+void append_unless_zero(std::string& text, std::string_view name, std::uint64_t value) {
     if (value != 0) {
         append(text, name, value);
     }
 }
 
+/// Reads a number that is omitted when it is unknown.
+bool read(const Fields& fields, std::string_view name, std::optional<unsigned>& number) {
+    unsigned value = 0;
+    if (!fields.contains(name)) {
+        return true;
+    }
+    const bool readable = read(fields, name, value);
+    number = readable ? std::optional(value) : std::nullopt;
+    return readable;
+}
+
+void append_slow_percent(std::string& text, const HopResult& result) {
+    if (result.slow_percent != kUsualSlowPercent) {
+        append(text, "slow_percent", result.slow_percent);
+    }
+}
+
+/// Reads the slowness, which is omitted at the usual speed.
+bool read_slow_percent(const Fields& fields, HopResult& result) {
+    return !fields.contains("slow_percent") || read(fields, "slow_percent", result.slow_percent);
+}
+
 bool read(const Fields& fields, std::string_view name, std::string& text) {
     const auto found = fields.find(name);
     if (found == fields.end()) {
@@ -88,6 +111,57 @@
     return true;
 }
 
+void append_reservation(std::string& text, const HopRequest& request) {
+    append_unless_zero(text, "reserve", request.reserve ? 1 : 0);
+    append_unless_zero(text, "ticket", request.ticket);
+    append_unless_zero(text, "grant", request.grant);
+    append_unless_zero(text, "withdraw", request.withdraw);
+}
+
+void append_reservation(std::string& text, const HopResult& result) {
+    append_unless_zero(text, "ticket", result.ticket);
+    append_unless_zero(text, "grant", result.grant);
+    append_unless_zero(text, "grant_ms", static_cast<std::uint64_t>(result.grant_time.count()));
+}
+
+bool read_reservation(const Fields& fields, HopRequest& request) {
+    unsigned reserve = 0;
+    const bool whole = read_unless_zero(fields, "reserve", reserve) &&
+                       read_unless_zero(fields, "ticket", request.ticket) &&
+                       read_unless_zero(fields, "grant", request.grant) &&
+                       read_unless_zero(fields, "withdraw", request.withdraw);
+    request.reserve = reserve != 0;
+    return whole;
+}
+
+bool read_reservation(const Fields& fields, HopResult& result) {
+    std::uint32_t grant_ms = 0;
+    const bool whole = read_unless_zero(fields, "ticket", result.ticket) &&
+                       read_unless_zero(fields, "grant", result.grant) &&
+                       read_unless_zero(fields, "grant_ms", grant_ms);
+    result.grant_time = milliseconds(grant_ms);
+    return whole;
+}
+
+/// Appends the origin of the request, as far as it is known.
+void append_origin(std::string& text, const HopRequest& request) {
+    if (!request.root_row.empty() && request.root_row.find_first_of(kReserved) == std::string::npos) {
+        append(text, "root_row", std::string_view(request.root_row));
+    }
+    if (request.root_priority) {
+        append(text, "root_priority", *request.root_priority);
+    }
+    append_unless_zero(text, "made", request.made);
+}
+
+/// Reads the origin; a root without a row or a rank is valid.
+bool read_origin(const Fields& fields, HopRequest& request) {
+    const bool has_row = fields.contains("root_row");
+    return (!has_row || read(fields, "root_row", request.root_row)) &&
+           read(fields, "root_priority", request.root_priority) &&
+           read_unless_zero(fields, "made", request.made);
+}
+
 }  // namespace
 
 std::string_view outcome_name(HopOutcome outcome) {
@@ -105,8 +179,11 @@
     append(text, "repeat_percent", request.retry_percent);
     append_unless_zero(text, "crashes", request.crashes);
     append(text, "rate_limit", request.rate_limit);
+    append_unless_zero(text, "retry", request.is_retry ? 1 : 0);
     const bool is_plain = request.row.find_first_of(kReserved) == std::string::npos;
     append(text, "row", std::string_view(is_plain ? request.row : std::string()));
+    append_reservation(text, request);
+    append_origin(text, request);
     return text;
 }
 
@@ -123,8 +200,11 @@
     append(text, "failed_percent", result.failed_percent);
     append_unless_zero(text, "crashes", result.crashes);
     append(text, "rate_limit", result.rate_limit);
+    append_unless_zero(text, "declined_percent", result.declined_percent);
     append_unless_zero(text, "leaves", result.server_leaves ? 1 : 0);
+    append_slow_percent(text, result);
     append(text, "overloaded", std::string_view(result.overloaded_service));
+    append_reservation(text, result);
     return text;
 }
 
@@ -134,19 +214,22 @@
     std::uint32_t remaining_ms = 0;
     std::uint32_t longest_wait_ms = 0;
     unsigned once = 0;
+    unsigned retry = 0;
     const bool whole = read(fields, "instance", request.instance) && read(fields, "caller", request.caller) &&
                        read(fields, "row", request.row) && read(fields, "priority", request.priority) &&
                        read(fields, "remaining_ms", remaining_ms) &&
                        read(fields, "longest_wait_ms", longest_wait_ms) && read(fields, "once", once) &&
                        read(fields, "repeat_percent", request.retry_percent) &&
                        read_unless_zero(fields, "crashes", request.crashes) &&
-                       read(fields, "rate_limit", request.rate_limit) && request.retry_percent <= kMaxPercent;
-    if (!whole) {
+                       read(fields, "rate_limit", request.rate_limit) &&
+                       read_unless_zero(fields, "retry", retry) && request.retry_percent <= kMaxPercent;
+    if (!whole || !read_reservation(fields, request) || !read_origin(fields, request)) {
         return std::nullopt;
     }
     request.remaining = milliseconds(remaining_ms);
     request.max_wait = milliseconds(longest_wait_ms);
     request.at_most_once = once != 0;
+    request.is_retry = retry != 0;
     return request;
 }
 
@@ -165,9 +248,11 @@
         read(fields, "failed_percent", result.failed_percent) &&
         read_unless_zero(fields, "crashes", result.crashes) &&
         read(fields, "rate_limit", result.rate_limit) && read_unless_zero(fields, "leaves", leaves) &&
-        read(fields, "overloaded", result.overloaded_service);
+        read_unless_zero(fields, "declined_percent", result.declined_percent) &&
+        result.declined_percent <= kMaxPercent && read(fields, "overloaded", result.overloaded_service) &&
+        read_slow_percent(fields, result);
     const auto kind = error_kind_from_name(error);
-    if (!whole || !kind) {
+    if (!whole || !kind || !read_reservation(fields, result)) {
         return std::nullopt;
     }
     for (std::size_t index = 0; index < kOutcomeNames.size(); ++index) {
--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -163,6 +163,21 @@
             known.server.limit = server.limit;
             known.server.latency_us = server.latency_us;
             known.server.failed_percent = server.failed_percent;
+            known.server.declined_percent = server.declined_percent;
+        }
+    }
+}
+
+void PeerDirectory::on_speed(TimePoint now, const std::string& name, const std::string& instance,
+                             unsigned slow_percent) {
+    const auto found = peers_.find(name);
+    if (found == peers_.end()) {
+        return;
+    }
+    for (auto& known : found->second.servers) {
+        if (known.server.instance == instance) {
+            known.server.slow_percent = slow_percent;
+            known.speed_seen = now;
         }
     }
 }
--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -29,6 +29,7 @@
     std::uint64_t boot_id = 0;
     TimePoint last_seen;         ///< When the latest record of the server's daemon arrived.
     std::uint64_t affinity = 0;  ///< Rank for this daemon; stable, random across daemons.
+    TimePoint speed_seen{};      ///< When a response brought `server.slow_percent`, if later than the record.
 };
 
 /// The servers of one service that requests can be sent to. The pointers are valid until the directory
@@ -71,6 +72,14 @@
     bool local = false;  ///< The peer is in the local zone.
 };
 
+/// Whether a known peer can be used at present.
+struct PeerReach {
+    const std::string& name;
+    const std::string& zone;
+    bool reachable = false;
+    bool takes_requests = false;  ///< The peer is reachable and not leaving.
+};
+
 /// Keeps the latest record of each peer. Pure.
 class PeerDirectory {
   public:
@@ -85,6 +94,8 @@
     void on_unreachable(const std::string& name, std::uint64_t boot_id);
     /// Updates the load of a server from a response.
     void on_load(const std::string& name, const ServerRecord& server);
+    /// Updates the present speed of a server from a response.
+    void on_speed(TimePoint now, const std::string& name, const std::string& instance, unsigned slow_percent);
     /// Removes peers that have been silent for too long.
     void expire(TimePoint now);
 
@@ -103,6 +114,16 @@
             }
         }
     }
+    /// Calls `visit(reach, servers)` for each peer that has sent a record, whether reachable or not.
+    template <typename Visit>
+    void for_each_peer(TimePoint now, Visit visit) const {
+        for (const auto& [name, peer] : peers_) {
+            if (peer.was_seen) {
+                visit(PeerReach{name, peer.record.zone, reachable(now, peer), takes_requests(now, peer)},
+                      peer.servers);
+            }
+        }
+    }
     /// Destinations of records: all known peers, including silent ones, so that a restarted peer is found.
     std::vector<PeerAddress> addresses() const;
     /// Addresses of the peers in the local zone only.
--- a/src/membership/peer_record.cpp
+++ b/src/membership/peer_record.cpp
@@ -9,6 +9,11 @@
 
 /// First byte of every datagram; identifies the layout.
 constexpr char kLayout = 'D';
+/// First bytes of the sections that may follow a shortage report: offered volumes, work estimates, and the
+/// demand of callers.
+constexpr char kOfferedSection = 'O';
+constexpr char kWorkSection = 'W';
+constexpr char kCallersSection = 'C';
 
 std::vector<ServerCondition> conditions_of(const std::vector<ServerRecord>& servers) {
     std::vector<ServerCondition> conditions;
@@ -32,6 +37,41 @@
     }
 }
 
+template <typename Field>
+bool decode_section(std::string_view& bytes, Field& field) {
+    auto decoded = unarchive_prefix<Field>(bytes);
+    if (!decoded) {
+        return false;
+    }
+    field = std::move(*decoded);
+    return true;
+}
+
+bool decode_section(char section, std::string_view& bytes, ShortageReport& shortage) {
+    switch (section) {
+        case kOfferedSection:
+            return decode_section(bytes, shortage.offered.offered);
+        case kWorkSection:
+            return decode_section(bytes, shortage.offered.works);
+        case kCallersSection:
+            return decode_section(bytes, shortage.callers);
+        default:
+            return false;
+    }
+}
+
+/// Decodes the sections after a shortage report; returns false if one is malformed or unknown.
+bool decode_sections(std::string_view bytes, ShortageReport& shortage) {
+    while (!bytes.empty()) {
+        const char section = bytes.front();
+        bytes.remove_prefix(1);
+        if (!decode_section(section, bytes, shortage)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 }  // namespace
 
 std::string encode(const PeerRecord& record) {
@@ -41,6 +81,15 @@
     if (!shortage.empty()) {
         bytes += archive_bytes(shortage);
     }
+    if (!shortage.offered.offered.empty()) {
+        bytes += kOfferedSection + archive_bytes(shortage.offered.offered);
+    }
+    if (!shortage.offered.works.empty()) {
+        bytes += kWorkSection + archive_bytes(shortage.offered.works);
+    }
+    if (!shortage.callers.empty()) {
+        bytes += kCallersSection + archive_bytes(shortage.callers);
+    }
     return bytes;
 }
 
@@ -58,6 +107,9 @@
         return std::nullopt;
     }
     record->shortage = std::move(*shortage);
+    if (!decode_sections(bytes, record->shortage)) {
+        return std::nullopt;
+    }
     apply_conditions(record->shortage.servers, record->servers);
     return record;
 }
--- a/src/membership/peer_record.hpp
+++ b/src/membership/peer_record.hpp
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "fairness/caller_demand.hpp"
+#include "overload/offered_report.hpp"
 #include "overload/service_pressure.hpp"
 #include "protocol/endpoint.hpp"
 #include "protocol/serialize_all.hpp"
@@ -61,8 +63,13 @@
 /// of a record, and is omitted when it is empty, so that records of other deployments keep their bytes.
 struct ShortageReport {
     std::vector<ServerCondition> servers;  ///< Servers that differ from the defaults.
+    /// For the capacity forecast. Follows the other fields in sections of its own, which are omitted when
+    /// they are empty, so that reports without them keep their bytes.
+    overload::OfferedReport offered;
+    /// Demand of groups of callers; a section like those of `offered`.
+    fairness::DemandReport callers;
 
-    bool empty() const { return servers.empty(); }
+    bool empty() const { return servers.empty() && offered.empty() && callers.empty(); }
 
     template <typename Archive>
     void serialize(Archive& archive, unsigned /*version*/) {
--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -103,6 +103,28 @@
     EventEntry{Event::kServerRateRefused, Level::kWarn, "server-rate-refused",
                "So many requests were refused since the last such line, since the server takes only `per_s` "
                "a second."},
+    EventEntry{
+        Event::kReservationExpired, Level::kInfo, "reservation-expired",
+        "So many grants and places in the queue of this daemon's server ended since the last such line "
+        "without a request or a renewal of their callers."},
+    EventEntry{
+        Event::kGateSilent, Level::kWarn, "gate-silent",
+        "A peer's gate did not reply to reservations, so many since the last such line; their requests "
+        "have not run there."},
+    EventEntry{Event::kServerDeclining, Level::kWarn, "server-declining",
+               "The server beside this daemon began or ceased (`state`) to decline a share of its arrivals, "
+               "whatever its load."},
+    EventEntry{
+        Event::kRetryLimitMoved, Level::kInfo, "retry-limit-moved",
+        "The servers of a service decline a share of their arrivals, or no longer do; the retries that "
+        "they may still get (`retries_per_s`) limit the requests that are let in (`let_in`)."},
+    EventEntry{
+        Event::kServerSpeedUsed, Level::kInfo, "server-speed-used",
+        "The slowness that the server beside this daemon states (`percent`) is used, or no longer, by how "
+        "far its response times follow it (`trust`)."},
+    EventEntry{
+        Event::kCallerLimited, Level::kInfo, "caller-limited",
+        "A zone or tenant whose demand exceeds its usual one is refused more than others, or no longer."},
     EventEntry{Event::kContextRefused, Level::kWarn, "context-refused",
                "A call brought a context that is forged, malformed or of an ended call."},
     EventEntry{Event::kIngressCall, Level::kInfo, "ingress-call",
@@ -127,6 +149,17 @@
                "operator."},
     EventEntry{Event::kVerdictStored, Level::kInfo, "verdict-stored",
                "What is known of a request that crashes servers was written to the store, or removed."},
+    EventEntry{Event::kCapacityForecast, Level::kInfo, "capacity-forecast",
+               "The share of the work offered to a service that its forecast capacity admits changed."},
+    EventEntry{Event::kZoneSilent, Level::kWarn, "zone-silent",
+               "No daemon of a zone is heard any more; the forecast excludes its servers and its demand."},
+    EventEntry{Event::kZoneHeard, Level::kInfo, "zone-heard",
+               "A daemon of a zone that was silent is heard again."},
+    EventEntry{Event::kDemandRose, Level::kInfo, "demand-rose",
+               "The requests of clients at this daemon rose significantly; the peers are told at once."},
+    EventEntry{Event::kCallAttribution, Level::kInfo, "call-attribution",
+               "The parents of most calls of the local server became known (`known` yes) or unknown; `share` "
+               "of the recent ones are."},
     EventEntry{Event::kMechanismOff, Level::kWarn, "mechanism-off", "The lab switched a mechanism off."},
 };
 
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -40,6 +40,33 @@
         "limit."},
     MetricEntry{"anisehold_rate_refusals_total", "counter",
                 "Requests refused because a server takes only so many a second, by service."},
+    MetricEntry{"anisehold_reservations_total", "counter",
+                "Slot reservations, by result: granted, refused or timed-out as seen by the caller's daemon; "
+                "withdrawn or expired as seen by the gate."},
+    MetricEntry{"anisehold_gate_retries_total", "counter",
+                "Retries that reached the gate of a server, by service, rank and result."},
+    MetricEntry{
+        "anisehold_declined_share", "gauge",
+        "Share of arrivals that the server beside this daemon declines whatever its load, by service."},
+    MetricEntry{"anisehold_attributed_calls_total", "counter",
+                "Calls of the server beside this daemon, by whether their parent was found: matched or "
+                "unmatched."},
+    MetricEntry{"anisehold_returning_requests_total", "counter",
+                "Requests that were certainly refused before and came while capacity was short, by result: "
+                "admitted or refused."},
+    MetricEntry{"anisehold_forecast_capacity", "gauge",
+                "Forecast capacity of a service, in ms of slot time per second; 0 without a forecast."},
+    MetricEntry{"anisehold_forecast_demand", "gauge",
+                "Work that clients offer to a service, in ms of slot time per second."},
+    MetricEntry{"anisehold_forecast_share", "gauge",
+                "Share of the work offered to a service that the forecast admits, from 0 to 1."},
+    MetricEntry{
+        "anisehold_server_slowness", "gauge",
+        "Present duration of work at the server beside this daemon, as a multiple of the usual one, by "
+        "server."},
+    MetricEntry{"anisehold_excess_refusals_total", "counter",
+                "Requests refused beyond the share of their row, for the excess of their zone or tenant, by "
+                "group: zone or tenant."},
 };
 
 std::string help_of(std::string_view name) {
@@ -87,7 +114,17 @@
     prometheus::Family<prometheus::Counter>& server_crashes = counter("anisehold_server_crashes_total");
     prometheus::Family<prometheus::Gauge>& suspects = gauge("anisehold_suspects");
     prometheus::Family<prometheus::Gauge>& server_rates = gauge("anisehold_server_rate_limit");
+    prometheus::Family<prometheus::Gauge>& forecast_capacity = gauge("anisehold_forecast_capacity");
+    prometheus::Family<prometheus::Gauge>& forecast_demand = gauge("anisehold_forecast_demand");
+    prometheus::Family<prometheus::Gauge>& forecast_share = gauge("anisehold_forecast_share");
     prometheus::Family<prometheus::Counter>& rate_refusals = counter("anisehold_rate_refusals_total");
+    prometheus::Family<prometheus::Counter>& reservations = counter("anisehold_reservations_total");
+    prometheus::Family<prometheus::Counter>& gate_retries = counter("anisehold_gate_retries_total");
+    prometheus::Family<prometheus::Gauge>& declined_shares = gauge("anisehold_declined_share");
+    prometheus::Family<prometheus::Counter>& attributed_calls = counter("anisehold_attributed_calls_total");
+    prometheus::Family<prometheus::Counter>& returning = counter("anisehold_returning_requests_total");
+    prometheus::Family<prometheus::Gauge>& server_slowness = gauge("anisehold_server_slowness");
+    prometheus::Family<prometheus::Counter>& excess_refusals = counter("anisehold_excess_refusals_total");
 };
 
 std::span<const MetricEntry> metric_catalogue() {
@@ -147,14 +184,52 @@
     families_->rate_refusals.Add({{"service", service}}).Increment();
 }
 
+void Metrics::count_reservation(std::string_view result) {
+    families_->reservations.Add({{"result", std::string(result)}}).Increment();
+}
+
+void Metrics::count_attributed_call(bool is_known) {
+    families_->attributed_calls.Add({{"result", is_known ? "matched" : "unmatched"}}).Increment();
+}
+
+void Metrics::count_returning(bool is_admitted) {
+    families_->returning.Add({{"result", is_admitted ? "admitted" : "refused"}}).Increment();
+}
+
+void Metrics::set_server_slowness(const std::string& server, double slowness) {
+    families_->server_slowness.Add({{"server", server}}).Set(slowness);
+}
+
+void Metrics::count_excess_refusal(std::string_view group) {
+    families_->excess_refusals.Add({{"group", std::string(group)}}).Increment();
+}
+
 void Metrics::set_suspects(std::string_view state, std::size_t count) {
     families_->suspects.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
 
+void Metrics::set_forecast(const std::string& service, const ForecastMetrics& forecast) {
+    families_->forecast_capacity.Add({{"service", service}}).Set(forecast.capacity);
+    families_->forecast_demand.Add({{"service", service}}).Set(forecast.demand);
+    families_->forecast_share.Add({{"service", service}}).Set(forecast.share);
+}
+
 void Metrics::set_table_revision(std::uint64_t revision) {
     families_->table_revision.Set(static_cast<double>(revision));
 }
 
+void Metrics::count_gate_retry(const std::string& service, unsigned rank, bool granted) {
+    families_->gate_retries
+        .Add({{"service", service},
+              {"rank", std::to_string(rank)},
+              {"result", granted ? "granted" : "refused"}})
+        .Increment();
+}
+
+void Metrics::set_declined_share(const std::string& service, double share) {
+    families_->declined_shares.Add({{"service", service}}).Set(share);
+}
+
 std::string Metrics::text() const {
     return prometheus::TextSerializer().Serialize(families_->registry.Collect());
 }
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -30,6 +30,13 @@
     unsigned limit = 0;
 };
 
+/// Forecast of one service, in ms of slot time per second.
+struct ForecastMetrics {
+    double capacity = 0;
+    double demand = 0;
+    double share = 1;  ///< Admitted share of the demand.
+};
+
 /// The daemon's metrics.
 class Metrics {
   public:
@@ -48,13 +55,29 @@
     void count_gossip_bytes(std::size_t sent, std::size_t received);
     void set_gate(const std::string& server, const GateMetrics& gate);
     void set_members(std::string_view state, std::size_t count);
+    /// Counts a call of the local server; `is_known`: whether its parent was found.
+    void count_attributed_call(bool is_known);
+    /// Counts a request that was certainly refused before. Does not count those refused for other reasons
+    /// than a lack of capacity.
+    void count_returning(bool is_admitted);
     /// Sets the rate limit of the service's server in requests per second; infinity if the server reports
     /// none.
     void set_server_rate(const std::string& service, double per_second);
     void count_rate_refusal(const std::string& service);
+    /// Counts an ended reservation: "granted", "refused", "timed-out", "withdrawn" or "expired".
+    void count_reservation(std::string_view result);
     void count_server_crash(const std::string& service);
     void set_suspects(std::string_view state, std::size_t count);
+    void set_forecast(const std::string& service, const ForecastMetrics& forecast);
+    /// Sets the present duration of work at a server as a multiple of the usual one.
+    void set_server_slowness(const std::string& server, double slowness);
+    /// Counts a client's request refused for the excess of its zone or tenant (`group`).
+    void count_excess_refusal(std::string_view group);
     void set_table_revision(std::uint64_t revision);
+    /// Counts a retry that the gate granted or refused; `rank`: the priority by which it decided.
+    void count_gate_retry(const std::string& service, unsigned rank, bool granted);
+    /// Sets the share of arrivals that the service's server declines whatever its load.
+    void set_declined_share(const std::string& service, double share);
 
     /// The metrics in the text format for scraping.
     std::string text() const;
--- a/src/overload/pressure_report.cpp
+++ b/src/overload/pressure_report.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "overload/retry_capacity.hpp"
+
 namespace anisehold::overload
 {
 namespace
@@ -79,6 +81,19 @@
     }
 }
 
+/** Returns the work by the estimates that daemons exchange for the forecast; 0 if unknown. */
+double forecastRowWork (const RootLimitState& state, const std::string& service, const std::string& row)
+{
+    const auto& works = state.forecast.demand.works;
+    const auto found = works.find (service);
+
+    if (! state.forecast.isOn || found == works.end())
+        return 0;
+
+    const auto work = found->second.find (row);
+    return work == found->second.end() ? 0 : work->second;
+}
+
 } // namespace
 
 void recordCallEnded (RootLimitState& state, const std::string& service, bool refused)
@@ -98,6 +113,9 @@
 
 double knownRowWork (const RootLimitState& state, const std::string& service, const std::string& row)
 {
+    if (const double ms = forecastRowWork (state, service, row); ms > 0)
+        return ms;
+
     const auto found = state.services.find (service);
 
     if (found == state.services.end())
@@ -126,7 +144,8 @@
 
     for (const auto& [name, service] : state.services)
     {
-        if (service.rows.empty() && service.admittedShare >= 1 && ! service.isRefusing)
+        if (service.rows.empty() && service.admittedShare >= 1 && ! service.isRefusing &&
+            ! isDeclining (state, name))
             continue;
 
         reports.push_back (ownCounts (state, name, service));
--- a/src/overload/root_limit.hpp
+++ b/src/overload/root_limit.hpp
@@ -18,6 +18,7 @@
 #include <vector>
 
 #include "overload/admitted_share.hpp"
+#include "overload/capacity_limit.hpp"
 #include "overload/pressure_report.hpp"
 #include "overload/root_limit_state.hpp"
 #include "overload/row_reach.hpp"
@@ -44,11 +45,26 @@
     of this daemon. */
 std::vector<AdmittedShareChange> endPeriod (RootLimitState&, TimePoint now, const Utilizations&);
 
-/** Whether an admitted share is below 1 or calls were recently refused; reports should then be more
+/** Whether an admitted share is below 1, a service declines a share of its arrivals, or calls were recently
+    refused; reports should then be more
     frequent. The first refusal has this effect at once, so that the limit responds to a sudden overload
     within the shorter period. */
 bool isUnderPressure (const RootLimitState&);
 
+/** Puts a limit of a service in force, in place of the one of the same resource. It applies to the rows among
+    its demands, in addition to all other limits. */
+void setCapacityLimit (RootLimitState&, const std::string& service, const CapacityLimit&);
+
+/** Lifts the limit of a service by this resource. */
+void clearCapacityLimit (RootLimitState&, const std::string& service, const std::string& resource);
+
+/** Returns the admitted share of a row, from 0 to 1, before `correctedShare` stabilizes it. */
+double admittedShareOf (const RootLimitState&, const RootRow&);
+
+/** Returns the share with which this daemon admits the next request of a row whose admitted share is given:
+    corrected by the number of its requests in flight. */
+double stabilizedShare (const RootLimitState&, const std::string& row, double admittedShare);
+
 /** Returns the share of new requests of a row that are currently rejected, from 0 to 1. */
 double refusedShare (const RootLimitState&, const RootRow&);
 
--- a/src/sidecar/attempt_outcome.hpp
+++ b/src/sidecar/attempt_outcome.hpp
@@ -19,6 +19,7 @@
 struct GateAnswer {
     hop::HopResult result;
     std::optional<net::HttpResponse> response;  ///< Set if and only if the outcome is `kAnswered`.
+    bool gate_was_silent = false;  ///< The gate gave no reply to a reservation; the request was not sent.
 };
 
 /// Result of a request without a response of a server. `retry_after`: time until capacity is expected, zero
@@ -37,11 +38,16 @@
 /// Outcome for the attempt plan of the request.
 retry::AttemptOutcome outcome_of(const GateAnswer& answer);
 
-/// Whether the attempt counts as a failure in server selection: no complete response arrived, or the server
-/// refused the request. A response with a status of 500 or above is complete; the gate counts it in the
-/// server's failure share.
+/// Whether the attempt counts as a failure in server selection: no complete response arrived, the server's
+/// gate was silent to a reservation, or the server refused the request. A server that declines a share of its
+/// arrivals whatever its load is compared by that share instead (selection/server_selection). A response with
+/// a status of 500 or above is complete; the gate counts it in the server's failure share.
 bool is_server_failure(const GateAnswer& answer);
 
+/// Whether the server refused the request while its gate believed that it declines a share of its arrivals
+/// whatever its load.
+bool is_declined(const GateAnswer& answer);
+
 /// The error returned to the caller: `error`, unless its statement on whether the request ran contradicts
 /// `may_have_run`.
 ErrorKind error_for_caller(ErrorKind error, bool may_have_run);
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 #include "net/event_loop.hpp"
@@ -45,6 +46,11 @@
     return error == ErrorKind::kOverloaded || error == ErrorKind::kQueueTimeout;
 }
 
+/// Whether the request ended because servers declined it, and no retry was left.
+bool is_decline(ErrorKind error) {
+    return error == ErrorKind::kBackendRefused || error == ErrorKind::kRetriesExhausted;
+}
+
 net::HttpRequest copy_of(const net::HttpRequest& request) {
     net::HttpRequest copy;
     copy.method = request.method;
@@ -72,6 +78,15 @@
            std::to_string(to_milliseconds(age));
 }
 
+/// Writes the origin of the request, as far as it is known, for the gate.
+void write_origin(const IncomingCall& call, hop::HopRequest& hop_call) {
+    if (call.origin.root) {
+        hop_call.root_row = call.origin.root->row;
+        hop_call.root_priority = call.origin.root->priority;
+        hop_call.made = call.origin.made;
+    }
+}
+
 }  // namespace
 
 CallAttempts::CallAttempts(SidecarContext& context, membership::PeerDirectory& directory, LocalGate& gate,
@@ -86,6 +101,7 @@
       started_(TimePoint::clock::now()) {}
 
 void CallAttempts::apply_settings() {
+    gate_.apply_settings();
     budget_.set_terms(budget_terms(context_.settings));
 }
 
@@ -94,7 +110,7 @@
     const bool is_root = context_.origins.is_called_by_clients(call.route);
     state.inherited_retry = is_root ? 0 : gate_.retry_share();
     if (!is_root) {
-        context_.overload.on_call_made(call.received, call.row);
+        context_.overload.on_call_made(call.received, call.row, call.origin.parentRow);
     }
     budget_.on_request(call.received, call.service, state.inherited_retry);
     state.streamed = !request.body.whole();
@@ -106,8 +122,7 @@
     while (active) {
         process_outcomes(call, state);
         const auto now = TimePoint::clock::now();
-        const auto* server = chooser_.choose(now, call.service, call.identity, state.tried,
-                                             state.plan.running(), state.may_retry);
+        const auto* server = choose_server(call, state, now);
         step = state.plan.next(now, server != nullptr);
         const bool sends = step == AttemptStep::kLaunch || step == AttemptStep::kLaunchRetry;
         if (sends && crashes_.is_condemned(now, call.identity)) {
@@ -140,6 +155,7 @@
         measured.count() > 0 ? std::chrono::duration_cast<Duration>(measured) : Duration(kDefaultLatency);
     terms.hedge_after = std::max<Duration>(kMinHedgeDelay, kHedgeFactor * average);
     terms.may_hedge = context_.has(Mechanism::kHedging);
+    terms.repeats_declined = context_.has(Mechanism::kGateRetryBudget) && request.body.whole();
     return terms;
 }
 
@@ -147,15 +163,13 @@
                            const KnownServer* server, TimePoint now) {
     switch (step) {
         case AttemptStep::kLaunch:
-            launch(call, state, *server, state.inherited_retry);
+            launch(call, state, *server, state.inherited_retry, false);
             state.plan.on_launched(now);
             return true;
         case AttemptStep::kLaunchRetry:
-            if (context_.has(Mechanism::kRetries) &&
-                budget_.try_retry(now, call.service, directory_.known_count() + 1,
-                                  state.plan.retry_reason())) {
+            if (context_.has(Mechanism::kRetries) && allows_retry(call, state, now)) {
                 context_.metrics.count_retry(call.service);
-                launch(call, state, *server, 1);
+                launch(call, state, *server, 1, true);
                 state.plan.on_launched(now);
             } else {
                 state.plan.on_retry_refused();
@@ -169,12 +183,63 @@
     }
 }
 
+const KnownServer* CallAttempts::choose_server(const IncomingCall& call, const RequestState& state,
+                                               TimePoint now) {
+    const auto choose_untried = [&] {
+        return chooser_.choose(now, call.service, call.identity, state.tried, state.plan.running(),
+                               state.may_retry);
+    };
+    if (!state.repeats_declined) {
+        return choose_untried();
+    }
+    std::set<std::string> reached;
+    std::set<std::string> declined;
+    for (const auto& attempt : state.attempt_set->attempts) {
+        const auto outcome = attempt->answer.result.outcome;
+        if (!attempt->ended || outcome != hop::HopOutcome::kNotSent) {
+            reached.insert(attempt->server.server.instance);
+        }
+        if (attempt->ended && outcome == hop::HopOutcome::kRefusedByServer) {
+            declined.insert(attempt->server.server.instance);
+        } else {
+            declined.erase(attempt->server.server.instance);
+        }
+    }
+    const auto* untried = state.plan.may_reach_another_server(static_cast<unsigned>(reached.size()))
+                              ? choose_untried()
+                              : nullptr;
+    return untried != nullptr ? untried : chooser_.choose_again(now, call.service, call.identity, declined);
+}
+
+bool CallAttempts::allows_retry(const IncomingCall& call, const RequestState& state, TimePoint now) {
+    const auto reason = state.plan.retry_reason();
+    // The gate decides on retries of attempts without a response, and records them here when they have
+    // reached a server.
+    if (state.repeats_declined && reason == retry::RetryReason::kNoAnswer) {
+        return true;
+    }
+    return budget_.try_retry(now, call.service, directory_.known_count() + 1, reason);
+}
+
+void CallAttempts::record_gate_decision(const IncomingCall& call, RequestState& state,
+                                        const Attempt& attempt) {
+    const auto& result = attempt.answer.result;
+    if (attempt.asks_gate && result.outcome != hop::HopOutcome::kNotSent) {
+        budget_.record_retry(TimePoint::clock::now(), call.service);
+    }
+    if (result.outcome == hop::HopOutcome::kNotSent && result.error == ErrorKind::kRetriesExhausted) {
+        state.plan.on_retries_exhausted();
+    }
+}
+
 void CallAttempts::launch(const IncomingCall& call, RequestState& state, const KnownServer& server,
-                          double retry) {
+                          double retry, bool is_retry) {
     const auto& attempt_set = state.attempt_set;
     const auto attempt = std::make_shared<Attempt>();
     attempt->server = server;
     attempt->started = TimePoint::clock::now();
+    attempt->is_retry = is_retry && context_.has(Mechanism::kGateRetryBudget);
+    attempt->asks_gate = attempt->is_retry && state.plan.retry_reason() == retry::RetryReason::kNoAnswer;
     attempt_set->attempts.push_back(attempt);
     state.tried.push_back(server.server.instance);
     chooser_.on_sent(server.server.instance);
@@ -194,20 +259,20 @@
     hop_call.max_wait =
         std::max(kMinGateWait, milliseconds(to_milliseconds(gate_wait_deadline(call) - attempt.started)));
     hop_call.retry_percent = static_cast<unsigned>(std::lround(retry * kPercent));
+    hop_call.is_retry = attempt.is_retry;
     hop_call.at_most_once = !may_retry(call.terms.retry);
     hop_call.crashes = crashes_.crashes_of(attempt.started, call.identity);
     hop_call.row = call.row;
     hop_call.rate_limit = context_.notices.rate_of(attempt.server.server);
+    write_origin(call, hop_call);
     return hop_call;
 }
 
 void CallAttempts::send(const std::shared_ptr<AttemptSet>& attempt_set, Attempt& attempt,
                         const hop::HopRequest& hop_call, bool streamed, Duration slow_after) {
-    auto request = streamed ? std::move(attempt_set->request) : copy_of(attempt_set->request);
-    const bool is_local = attempt.server.peer == context_.settings.name;
-    attempt.answer =
-        is_local ? gate_.run(std::move(request), hop_call, &attempt.cancel, attempt.progress)
-                 : hops_.run(attempt.server, std::move(request), hop_call, &attempt.cancel, attempt.progress);
+    auto released = hop_call;
+    auto refusal = reserve_if_needed(attempt, released);
+    attempt.answer = refusal ? std::move(*refusal) : transmit(*attempt_set, attempt, released, streamed);
     attempt.ended = true;
     const auto& result = attempt.answer.result;
     const auto now = TimePoint::clock::now();
@@ -221,9 +286,41 @@
     chooser_.on_ended(
         now, attempt.server.server.instance,
         {attempt.cancel.cancelled(), is_server_failure(attempt.answer), now - attempt.started, slow_after});
+    record_declined(attempt, now);
     attempt_set->changed.notify();
 }
 
+GateAnswer CallAttempts::transmit(AttemptSet& attempt_set, Attempt& attempt, const hop::HopRequest& hop_call,
+                                  bool streamed) {
+    auto request = streamed ? std::move(attempt_set.request) : copy_of(attempt_set.request);
+    const bool is_local = attempt.server.peer == context_.settings.name;
+    return is_local
+               ? gate_.run(std::move(request), hop_call, &attempt.cancel, attempt.progress)
+               : hops_.run(attempt.server, std::move(request), hop_call, &attempt.cancel, attempt.progress);
+}
+
+std::optional<GateAnswer> CallAttempts::reserve_if_needed(Attempt& attempt, hop::HopRequest& hop_call) {
+    if (!context_.has(Mechanism::kSlotReservation)) {
+        return std::nullopt;
+    }
+    const auto& load = attempt.server.server;
+    const bool is_local = attempt.server.peer == context_.settings.name;
+    const bool reserves = reservation::needsReservation(
+        {hop_call.at_most_once, is_local, hop_call.crashes > 0, load.in_flight, load.queued, load.limit});
+    return reserves ? hops_.reserve(attempt.server, hop_call, &attempt.cancel) : std::nullopt;
+}
+
+void CallAttempts::record_declined(const Attempt& attempt, TimePoint now) {
+    const auto& result = attempt.answer.result;
+    const auto outcome = result.outcome;
+    const bool reached =
+        outcome == hop::HopOutcome::kAnswered || outcome == hop::HopOutcome::kRefusedByServer;
+    if (reached && context_.has(Mechanism::kGateRetryBudget)) {
+        context_.overload.on_declined_share(now, attempt.server.server.service,
+                                            {result.instance, result.declined_percent, result.latency_us});
+    }
+}
+
 void CallAttempts::process_outcomes(IncomingCall& call, RequestState& state) {
     for (const auto& attempt : state.attempt_set->attempts) {
         if (attempt->ended && !attempt->processed) {
@@ -237,6 +334,10 @@
     attempt->processed = true;
     const auto outcome = outcome_of(attempt->answer);
     state.plan.on_outcome(outcome);
+    if (attempt->answer.gate_was_silent) {
+        state.plan.on_silent_gate();
+    }
+    record_gate_decision(call, state, *attempt);
     const auto& result = attempt->answer.result;
     const bool answered = attempt->answer.response.has_value();
     if (answered) {
@@ -289,6 +390,9 @@
     } else if (step == AttemptStep::kFail) {
         error = ErrorKind::kOutcomeUnknown;
     }
+    if (context_.has(Mechanism::kGateRetryBudget) && is_decline(error)) {
+        context_.overload.on_call_declined(TimePoint::clock::now());
+    }
     context_.overload.on_call_ended(call.service, call.row, is_root, {is_overload(error), ""});
     return {std::nullopt, state.failure, state.plan.may_have_run()};
 }
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -21,6 +21,9 @@
 /// within a few milliseconds.
 constexpr milliseconds kQuotaWait{400};
 
+/// A request counts as refused for its caller's excess if its group's share is below that of the row by this.
+constexpr double kMinCountedExcess = 0.02;
+
 std::string host_of(const net::HttpRequest& request) {
     const auto host = request.fields.find("Host").value_or("");
     return std::string(host.substr(0, host.find(':')));
@@ -55,8 +58,11 @@
     }
     if (call.is_root) {
         context_.overload.on_admitted(call.row);
+        record_admitted(call);
     }
+    attribute(call);
     auto end = attempts_.run(call, request, cancel);
+    attribution::recordCallEnded(context_.attribution, call.origin);
     if (call.is_root) {
         context_.overload.on_admitted_ended(call.row, TimePoint::clock::now() - call.received);
     }
@@ -67,6 +73,7 @@
     call.received = TimePoint::clock::now();
     const auto client = context_.dialect.read_client_call(request);
     call.request_id = client.id;
+    call.stated_time_left = client.time_left;
     const auto configuration = configuration_.current();
     if (!configuration) {
         return CallFailure{ErrorKind::kNoTable, retry_after::kSidecarDefault};
@@ -100,12 +107,34 @@
     if (call.is_root && is_refused_early(call)) {
         const double part = context_.has(Mechanism::kRetryAfterJitter) ? context_.random_unit() : 0;
         const auto spread = static_cast<double>(retry_after::kRefusedEarlySpread.count()) * part;
-        return CallFailure{ErrorKind::kOverloaded,
-                           retry_after::kRefusedEarly + milliseconds(static_cast<long long>(spread))};
+        const auto usual = retry_after::kRefusedEarly + milliseconds(static_cast<long long>(spread));
+        return CallFailure{ErrorKind::kOverloaded, early_retry_after(call, usual)};
     }
     return acquire_token(*configuration, call);
 }
 
+void CallIngress::attribute(IncomingCall& call) {
+    if (!context_.has(Mechanism::kCallAttribution)) {
+        return;
+    }
+    if (call.is_root) {
+        call.origin.root = attribution::Root{call.row, call.terms.priority};
+    } else if (call.stated_time_left) {
+        call.origin =
+            attribution::matchCall(context_.attribution, {call.received, *call.stated_time_left, call.row});
+        on_attributed(call.origin.run.has_value());
+    }
+}
+
+void CallIngress::on_attributed(bool is_known) {
+    context_.metrics.count_attributed_call(is_known);
+    if (attribution::recordCall(known_parents_, TimePoint::clock::now(), is_known)) {
+        log_event(Event::kCallAttribution,
+                  {{"known", known_parents_.areMostKnown.value_or(false) ? "yes" : "no"},
+                   {"share", std::to_string(attribution::knownShareOf(known_parents_))}});
+    }
+}
+
 std::optional<CallFailure> CallIngress::admit_caller(const routing::Configuration& configuration,
                                                      const net::HttpRequest& request, IncomingCall& call) {
     if (!configuration.has_tenants()) {
@@ -149,9 +178,83 @@
     return std::nullopt;
 }
 
-bool CallIngress::is_refused_early(const IncomingCall& call) {
+bool CallIngress::is_refused_early(IncomingCall& call) {
     const double share = context_.overload.on_offered(call.received, {call.row, call.terms.priority});
-    return context_.has(Mechanism::kEarlyRefusal) && context_.random_unit() < share;
+    const auto by_caller =
+        context_.has(Mechanism::kCallerFairness) ? refusal_by_caller(call) : CallerRefusal{share, ""};
+    const double refused = refused_share_by_standing(call, by_caller.share);
+    const bool is_refused = context_.has(Mechanism::kEarlyRefusal) && context_.random_unit() < refused;
+    if (is_refused && !by_caller.excess_of.empty()) {
+        context_.metrics.count_excess_refusal(by_caller.excess_of);
+    }
+    if (share > 0 && call.standing != returning::Standing::fresh) {
+        context_.metrics.count_returning(!is_refused);
+    }
+    return is_refused;
+}
+
+double CallIngress::refused_share_by_standing(IncomingCall& call, double refused) {
+    if (!context_.has(Mechanism::kReturningCallers) || !call.stated_time_left) {
+        return refused;
+    }
+    auto& deadlines = returning_.deadlines;
+    returning::recordArrival(deadlines, call.received, call.route, *call.stated_time_left, refused > 0);
+    const auto smallest = returning::smallestFresh(deadlines, call.received, call.route);
+    call.standing = returning::standingOf({*call.stated_time_left, smallest.value_or(milliseconds(0)),
+                                           call.terms.target_latency, retry_after::kRefusedEarly,
+                                           context_.overload.mean_time(call.row)});
+    if (refused > 0 && call.standing == returning::Standing::hopeless) {
+        return 1;
+    }
+    const bool takes_precedence = call.standing == returning::Standing::returning;
+    return 1 - returning::grantShare(returning_.precedence, call.row, 1 - refused, takes_precedence);
+}
+
+milliseconds CallIngress::early_retry_after(const IncomingCall& call, milliseconds usual) {
+    if (!context_.has(Mechanism::kReturningCallers) || !call.stated_time_left) {
+        return usual;
+    }
+    returning::RefusedRequest request;
+    request.timeLeft = *call.stated_time_left;
+    request.smallestFresh =
+        returning::smallestFresh(returning_.deadlines, call.received, call.route).value_or(milliseconds(0));
+    request.targetLatency = call.terms.target_latency;
+    request.meanTime = context_.overload.mean_time(call.row);
+    request.isReturning = call.standing != returning::Standing::fresh;
+    request.usual = usual;
+    request.earliest = retry_after::kRefusedEarly;
+    request.random = context_.has(Mechanism::kRetryAfterJitter) ? context_.random_unit() : 0;
+    return returning::chooseReturnTime(returning_.times, call.received, call.row, request);
+}
+
+void CallIngress::record_admitted(const IncomingCall& call) {
+    if (context_.has(Mechanism::kReturningCallers)) {
+        returning::recordAdmitted(returning_.times, call.received, call.row);
+    }
+}
+
+void CallIngress::record_for_returns(const IncomingCall& call, ErrorKind error) {
+    const auto& kind = answer_for(error);
+    // Requests over their tenant's quota are refused at any time, so that nothing would be learned.
+    const bool is_quota = error == ErrorKind::kQuotaExceeded || error == ErrorKind::kQuotaUnknown;
+    if (context_.has(Mechanism::kReturningCallers) && call.is_root && !is_quota &&
+        kind.retry_advice == RetryAdvice::kSoon) {
+        returning::recordRefusal(returning_.deadlines, TimePoint::clock::now(), call.route);
+    }
+}
+
+CallIngress::CallerRefusal CallIngress::refusal_by_caller(const IncomingCall& call) {
+    const double row_share = context_.overload.admitted_share({call.row, call.terms.priority});
+    const auto share = context_.callers.on_offered(call.received, call.row, call.tenant.value, row_share);
+    // The correction stabilizes all requests of this daemon in the row, whatever their group.
+    const double correction =
+        share.own > 0 ? context_.overload.corrected_share(call.row, share.own) / share.own : 1;
+    CallerRefusal refusal;
+    refusal.share = std::clamp(1 - share.group * correction, 0.0, 1.0);
+    if (share.group < row_share - kMinCountedExcess) {
+        refusal.excess_of = share.is_of_tenant ? "tenant" : "zone";
+    }
+    return refusal;
 }
 
 net::HttpResponse CallIngress::answer(const IncomingCall& call, net::HttpResponse response) {
@@ -165,6 +268,7 @@
     if (call.holds_token && !may_have_run) {
         quotas_.return_token(call.tenant);
     }
+    record_for_returns(call, given.error);
     context_.metrics.count_error(call.route, given.error);
     log(call, std::string(answer_for(given.error).name), false);
     return error_response(given, call.request_id);
@@ -189,16 +293,25 @@
 void CallIngress::log(const IncomingCall& call, const std::string& outcome, bool served) const {
     const auto now = TimePoint::clock::now();
     const auto write_line = served ? observability::log_routine : log_event;
-    write_line(Event::kIngressCall, {{"request_id", call.request_id},
-                                     {"route", call.route},
-                                     {"tenant", call.tenant.value},
-                                     {"version", std::to_string(call.configuration_version)},
-                                     {"service", call.service},
-                                     {"attempts", call.attempts},
-                                     {"taken_ms", std::to_string(to_milliseconds(now - call.received))},
-                                     {"time_left_ms", std::to_string(to_milliseconds(call.deadline - now))},
-                                     {"digest", call.identity.digest.text()},
-                                     {"outcome", outcome}});
+    const auto write = [&](const auto&... more) {
+        write_line(Event::kIngressCall,
+                   {{"request_id", call.request_id},
+                    {"route", call.route},
+                    {"tenant", call.tenant.value},
+                    {"version", std::to_string(call.configuration_version)},
+                    {"service", call.service},
+                    {"attempts", call.attempts},
+                    {"taken_ms", std::to_string(to_milliseconds(now - call.received))},
+                    {"time_left_ms", std::to_string(to_milliseconds(call.deadline - now))},
+                    {"digest", call.identity.digest.text()},
+                    {"outcome", outcome},
+                    more...});
+    };
+    if (context_.has(Mechanism::kReturningCallers) && call.is_root) {
+        write(observability::EventField{"returning", returning::nameOf(call.standing)});
+    } else {
+        write();
+    }
 }
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -10,8 +10,8 @@
 ///  4. Who is the caller, and with which priority? tenancy/caller_verdict; `kUnauthorized`, `kKeyUnproven`.
 ///  5. Which service handles the request? routing/weighted_split.
 ///  6. Is the request known to crash servers? suspects/crash_ledger; `kCrashesServers`.
-///  7. If a client sent the request (admission/origin_estimator): is there capacity? overload/root_limit;
-///     `kOverloaded`.
+///  7. If a client sent the request (admission/origin_estimator): is there capacity? overload/root_limit,
+///     and returning/precedence for callers that were refused before; `kOverloaded`.
 ///  8. Is the tenant within its quota? tenancy/token_cache, tenancy/quota_bucket; `kQuotaExceeded`,
 ///     `kQuotaUnknown`.
 ///  9. To which servers is the request sent, and how often? sidecar/call_attempts.
@@ -23,8 +23,12 @@
 #include <optional>
 #include <string>
 
+#include "attribution/known_share.hpp"
 #include "net/http_types.hpp"
 #include "protocol/error_kind.hpp"
+#include "returning/fresh_deadlines.hpp"
+#include "returning/precedence.hpp"
+#include "returning/return_time.hpp"
 #include "routing/weighted_split.hpp"
 #include "sidecar/call_attempts.hpp"
 #include "sidecar/configuration_holder.hpp"
@@ -36,6 +40,13 @@
 
 namespace anisehold::sidecar {
 
+/// What is known of callers that were refused and come back.
+struct ReturningState {
+    returning::FreshDeadlines deadlines;
+    returning::Precedence precedence;
+    returning::ReturnTimes times;
+};
+
 /// Runs the checks before a request is sent, and builds the response from the result of its attempts.
 class CallIngress {
   public:
@@ -51,13 +62,34 @@
     void apply_settings() { attempts_.apply_settings(); }
 
   private:
+    /// The share with which the requests of a group of callers are refused.
+    struct CallerRefusal {
+        double share = 0;
+        std::string_view excess_of;  ///< "zone" or "tenant" if it is refused more than its row; else empty.
+    };
+
     /// Runs all checks that precede the attempts. Returns the failure if the request is refused.
     std::optional<CallFailure> prepare(const net::HttpRequest& request, IncomingCall& call);
     /// Authenticates the caller and sets the tenant and the priority.
     std::optional<CallFailure> admit_caller(const routing::Configuration& configuration,
                                             const net::HttpRequest& request, IncomingCall& call);
     /// Whether a client's request is refused because a service has no capacity.
-    bool is_refused_early(const IncomingCall& call);
+    bool is_refused_early(IncomingCall& call);
+    /// Determines whether the request was refused before; returns the share with which it is refused, given
+    /// the share of its row.
+    double refused_share_by_standing(IncomingCall& call, double refused);
+    /// Returns the Retry-After of an early refusal; `usual`: the value without knowledge of the caller.
+    milliseconds early_retry_after(const IncomingCall& call, milliseconds usual);
+    /// Records an admitted client request, as a measure of the capacity for returns.
+    void record_admitted(const IncomingCall& call);
+    /// Records that a client was told to come back, so that returns aren't taken for fresh requests.
+    void record_for_returns(const IncomingCall& call, ErrorKind error);
+    /// Determines the origin of an admitted request.
+    void attribute(IncomingCall& call);
+    /// Counts a call of the local server whose parent is known or not.
+    void on_attributed(bool is_known);
+    /// Determines the share with which the request is refused by its zone and tenant.
+    CallerRefusal refusal_by_caller(const IncomingCall& call);
     /// Takes a token from the tenant's quota; may block the fiber briefly.
     std::optional<CallFailure> acquire_token(const routing::Configuration& configuration, IncomingCall& call);
     net::HttpResponse answer(const IncomingCall& call, net::HttpResponse response);
@@ -72,6 +104,8 @@
     CrashExchange& crashes_;
     CallAttempts attempts_;
     routing::WeightedSplit split_;
+    attribution::KnownShare known_parents_;
+    ReturningState returning_;
 };
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -16,6 +16,7 @@
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kUnavailable = 503;
+constexpr double kPercent = 100;
 constexpr std::string_view kMetricsPath = "/metrics";
 /// Path under which operators list and clear suspects.
 constexpr std::string_view kSuspectsPath = "/suspects/";
@@ -46,6 +47,9 @@
     if (!call) {
         return parts_.ingress.reject(ErrorKind::kBadRequest);
     }
+    if (call->reserve || call->withdraw != 0) {
+        return answer_reservation(*call, cancel);
+    }
     request.fields.remove(hop::kRequestHeader);
     net::ExchangeProgress progress;
     auto answer = parts_.gate.run(std::move(request), *call, &cancel, progress);
@@ -54,6 +58,13 @@
     return response;
 }
 
+net::HttpResponse Endpoints::answer_reservation(const hop::HopRequest& call, net::CancelSignal& cancel) {
+    const auto answer = parts_.gate.reserve(call, &cancel);
+    auto response = text_response(kOk, "");
+    response.fields.set(hop::kResultHeader, encode(answer.result));
+    return response;
+}
+
 net::HttpResponse Endpoints::answer_configuration(std::string_view target) const {
     return target == kConfigurationPath && parts_.configuration.version() != 0
                ? json_response(parts_.configuration.text())
@@ -108,6 +119,9 @@
         const auto rate = parts_.gate.servers().rate_limit(server.instance);
         metrics.set_server_rate(server.service,
                                 rate ? per_second(*rate) : std::numeric_limits<double>::infinity());
+        if (parts_.context.has(config::Mechanism::kServerSpeed)) {
+            metrics.set_server_slowness(server.instance, server.slow_percent / kPercent);
+        }
     }
     metrics.set_members("alive", parts_.directory.reachable_count(now));
     metrics.set_table_revision(parts_.configuration.version());
--- a/src/sidecar/gate_server.hpp
+++ b/src/sidecar/gate_server.hpp
@@ -7,7 +7,9 @@
 #include <optional>
 #include <unordered_map>
 
+#include "admission/declined_share.hpp"
 #include "admission/server_gate.hpp"
+#include "attribution/root_ranks.hpp"
 #include "connection/connect_backoff.hpp"
 #include "connection/idle_limit.hpp"
 #include "hop/hop_header.hpp"
@@ -16,11 +18,13 @@
 #include "overload/time_weighted_mean.hpp"
 #include "protocol/request_digest.hpp"
 #include "registration/server_registry.hpp"
+#include "reservation/grant_table.hpp"
 #include "selection/failure_share.hpp"
 #include "sidecar/attempt_outcome.hpp"
 #include "sidecar/crash_watch.hpp"
 #include "sidecar/rate_lines.hpp"
 #include "sidecar/suspect_queue.hpp"
+#include "speed/server_speed.hpp"
 
 namespace anisehold::sidecar {
 
@@ -34,6 +38,7 @@
     TimePoint deadline;
     net::CancelSignal* cancel = nullptr;  ///< Null if the request can't be canceled.
     net::ExchangeProgress& progress;
+    bool orders_by_root = false;  ///< Whether the request waits in the order of its root.
 
     bool is_cancelled() const { return cancel != nullptr && cancel->cancelled(); }
 };
@@ -55,19 +60,34 @@
           rate_lines(heartbeat.instance) {}
 
     admission::ServerGate gate;
+    attribution::RootRanks root_ranks;   ///< Ranks of the roots of the arrivals.
     overload::TimeWeightedMean running;  ///< Requests in flight.
     net::HttpClient client;
     CrashWatch crash;
     SuspectQueue suspects;
     std::unordered_map<std::uint64_t, std::shared_ptr<GateWaiter>> waiters;
-    Duration latency{};  ///< Moving average of the response time.
+    Duration latency{};  ///< Moving average of the response time, at the server's usual speed.
+    speed::ServerSpeed speed;
     selection::FailureShare failures;
+    admission::DeclinedShare declined;
     connection::IdleLimit idle_limit;  ///< Maximum idle time of kept connections.
     connection::ConnectBackoff backoff;
     RateLines rate_lines;
     bool is_releasing = false;  ///< Whether a fiber is releasing waiting requests at the server's rate limit.
+    reservation::GrantTable reservations;
+    bool is_expiring = false;  ///< Whether a fiber ends the reservations whose time is up.
 };
 
+/// Tells a waiting request or reservation that it has a slot, or that it was refused in favor of another.
+void wake(GateServer& server, std::uint64_t run, bool admitted);
+
+/// Starts waiting requests as the server's rate limit allows, until none waits for the rate.
+void release_by_rate(GateServer& server);
+
+/// Sets the properties by which a request waits in the order of its root.
+void set_root_order(GateServer& server, TimePoint now, const hop::HopRequest& call,
+                    admission::GateCall& gate_call);
+
 /// Requests a slot from the server's gate (`admission::ServerGate`) and waits for it. Returns the refusal, if
 /// any: `kOverloaded` if the request may not wait, `kQueueTimeout` if no slot became free in time or the
 /// caller disconnected. Blocks the fiber.
@@ -83,6 +103,10 @@
 void record_end(GateServer& server, TimePoint started, TimePoint now, const GateAnswer& answer,
                 bool cancelled);
 
+/// Logs that the server began or ceased to decline a share of its arrivals.
+void log_decline_change(const std::string& instance, const GateServer& server, TimePoint now,
+                        admission::DeclineChange change);
+
 /// Records the current number of requests in flight.
 void record_in_flight(GateServer& server, TimePoint now);
 
--- a/src/sidecar/incoming_call.hpp
+++ b/src/sidecar/incoming_call.hpp
@@ -3,11 +3,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
+#include "attribution/call_matcher.hpp"
 #include "protocol/error_kind.hpp"
 #include "protocol/request_digest.hpp"
 #include "protocol/time_types.hpp"
+#include "returning/standing.hpp"
 #include "routing/configuration.hpp"
 #include "tenancy/tenant_types.hpp"
 
@@ -29,7 +32,10 @@
     std::uint64_t configuration_version = 0;
     TimePoint received;
     TimePoint deadline;
-    std::string attempts;  ///< Servers and outcomes of the ended attempts, for the log.
+    std::optional<milliseconds> stated_time_left{};  ///< Time for which the caller said that it will wait.
+    returning::Standing standing = returning::Standing::fresh;
+    attribution::CallOrigin origin;  ///< Empty unless calls are attributed.
+    std::string attempts;            ///< Servers and outcomes of the ended attempts, for the log.
 };
 
 /// Why a request has no response from a server.
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "observability/events.hpp"
+#include "sidecar/gate_reservations.hpp"
 #include "sidecar/request_identity.hpp"
 #include "sidecar/server_exchange.hpp"
 
@@ -19,6 +20,31 @@
 /// when it crashes.
 constexpr std::size_t kMaxLoggedDigests = 32;
 
+/// Minimum time between two immediate reports that a server began or ceased to decline. The share may move
+/// about the threshold.
+constexpr milliseconds kDeclineReportGap{200};
+
+/// Largest priority that has a metric of its own; every label value is kept.
+constexpr unsigned kMaxRankLabel = 7;
+
+retry::GateBudgetTerms gate_budget_terms(const config::SidecarSettings& settings) {
+    retry::GateBudgetTerms terms;
+    terms.ratio = settings.retry_ratio;
+    terms.extra = settings.retry_extra;
+    terms.window = settings.retry_window;
+    return terms;
+}
+
+/// The rank of a retry among the others at the gate: that of its root, where it is known.
+retry::RetryRank retry_rank_of(const GateServer& server, const GateRun& run, TimePoint now) {
+    const auto& call = run.call;
+    if (!run.orders_by_root) {
+        return {call.priority, 0};
+    }
+    const auto own_rank = attribution::rankOfUnknownRoot(server.root_ranks, now, call.row, call.priority);
+    return {call.root_priority.value_or(own_rank), call.made};
+}
+
 std::string digests_of(const std::vector<suspects::CrashedRun>& runs) {
     std::string digests;
     for (std::size_t n = 0; n < std::min(runs.size(), kMaxLoggedDigests); ++n) {
@@ -27,6 +53,15 @@
     return digests;
 }
 
+/// Describes a run that is sent to the server at `now`, for the attribution of its calls.
+attribution::ServerRun server_run_of(const GateRun& run, TimePoint now) {
+    attribution::ServerRun server_run{now + time_left_for_server(run, now), run.call.row};
+    if (run.call.root_priority) {
+        server_run.root = attribution::Root{run.call.root_row, *run.call.root_priority};
+    }
+    return server_run;
+}
+
 }  // namespace
 
 GateAnswer LocalGate::run(net::HttpRequest request, const hop::HopRequest& call, net::CancelSignal* cancel,
@@ -48,6 +83,7 @@
         return answer;
     }
     run.id = next_id_++;
+    run.orders_by_root = context_.has(Mechanism::kCallAttribution);
     if (++in_flight_ == 1) {
         context_.origins.on_server(arrived, true);
     }
@@ -57,6 +93,9 @@
     }
     const auto turn = wait_for_turn(*server, run);
     auto refused = admit(*server, run, turn.has_value());
+    if (refused && call.grant != 0) {
+        withdraw_reservation(*server, call.grant);
+    }
     const auto started = TimePoint::clock::now();
     record_in_flight(*server, started);
     auto answer = refused ? std::move(*refused) : run_admitted(*server, run, request, started);
@@ -92,13 +131,63 @@
         !connection::acquireAttempt(server.backoff, run.arrived)) {
         return make_failure(HopOutcome::kNotSent, ErrorKind::kConnectFailed);
     }
-    auto refused = wait_for_slot(server, run);
+    auto refused = run.call.grant != 0 ? take_granted_slot(server, run) : wait_for_slot(server, run);
     if (refused && !run.is_cancelled() && server.gate.is_rate_limited()) {
         record_rate_refusal(server);
     }
     return refused;
 }
 
+bool LocalGate::may_grant(const std::string& instance) const {
+    return servers_.is_ready(instance) && !context_.stop.is_leaving();
+}
+
+GateAnswer LocalGate::reserve(const hop::HopRequest& call, net::CancelSignal* cancel) {
+    // A grant without a number tells a caller whose settings were reloaded earlier to send its request
+    // directly.
+    auto answer = make_failure(HopOutcome::kGranted, ErrorKind::kNoBackend);
+    const auto server = servers_.find(call.instance);
+    if (!server) {
+        answer.result.outcome = HopOutcome::kNotSent;
+    } else if (call.withdraw != 0) {
+        withdraw_reservation(*server, call.withdraw);
+        context_.metrics.count_reservation("withdrawn");
+        answer.result.outcome = HopOutcome::kNotSent;
+    } else if (context_.has(Mechanism::kSlotReservation)) {
+        answer = reserve_at(*server, call, cancel);
+    }
+    answer.result.instance = call.instance;
+    if (server) {
+        fill_load(*server, answer.result);
+    }
+    return answer;
+}
+
+GateAnswer LocalGate::reserve_at(GateServer& server, const hop::HopRequest& call, net::CancelSignal* cancel) {
+    if (call.rate_limit) {
+        apply_reported_rate(server, *call.rate_limit, RateSource::kCaller);
+    }
+    if (!may_grant(call.instance)) {
+        if (call.ticket != 0) {
+            withdraw_reservation(server, call.ticket);
+        }
+        return make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
+    }
+    auto answer = reserve_slot(server, {call, next_id_++, cancel, context_.random, context_.metrics,
+                                        context_.has(Mechanism::kCallAttribution)});
+    // The server or this daemon may have begun to leave while the reservation waited.
+    const auto held = std::max(answer.result.grant, answer.result.ticket);
+    if (held != 0 && !may_grant(call.instance)) {
+        withdraw_reservation(server, held);
+        return make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
+    }
+    const bool left = cancel != nullptr && cancel->cancelled();
+    if (answer.result.outcome == HopOutcome::kNotSent && !left && server.gate.is_rate_limited()) {
+        record_rate_refusal(server);
+    }
+    return answer;
+}
+
 void LocalGate::record_rate_refusal(GateServer& server) const {
     const auto now = TimePoint::clock::now();
     server.gate.rate().on_refused(now);
@@ -108,9 +197,10 @@
 
 GateAnswer LocalGate::run_admitted(GateServer& server, const GateRun& run, net::HttpRequest& request,
                                    TimePoint started) {
-    auto answer = servers_.is_ready(run.call.instance)
-                      ? run_at_server(server, run, request)
-                      : make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
+    auto answer =
+        !servers_.is_ready(run.call.instance) ? make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend)
+        : grants_retry(server, run)           ? run_at_server(server, run, request)
+                                    : make_failure(HopOutcome::kNotSent, ErrorKind::kRetriesExhausted);
     // If a server failed while calls made by its machine were refused for overload, the overload is the most
     // likely cause: the server's own load says nothing, and the work done for the request is lost.
     if (is_failed_answer(answer)) {
@@ -126,7 +216,16 @@
     const auto now = TimePoint::clock::now();
     context_.overload.on_run_began(now, run.call.row);
     server.crash.began(run.id, {{run.identity, crashes_.crashes_of(now, run.identity)}, &run.progress});
+    const bool had_free_slot = server.gate.load().in_flight < servers_.slots_of(run.call.instance);
+    if (context_.has(Mechanism::kCallAttribution)) {
+        attribution::recordRunBegan(context_.attribution, run.id, server_run_of(run, now));
+    }
     auto end = exchange_with_server(context_, server, request, run);
+    attribution::recordRunEnded(context_.attribution, run.id);
+    if (context_.has(Mechanism::kGateRetryBudget)) {
+        record_arrival(run);
+        record_declined(server, run, end, had_free_slot);
+    }
     if (end.connection_broke) {
         check_for_crash(server, run.call.instance);
     }
@@ -137,7 +236,11 @@
     server.crash.ended(run.id);
     --running_;
     running_retries_ -= run.call.retry_percent;
-    context_.overload.on_run_ended(TimePoint::clock::now(), run.call.row);
+    if (is_declined(end.answer)) {
+        context_.overload.on_run_declined(TimePoint::clock::now(), run.call.row);
+    } else {
+        context_.overload.on_run_ended(TimePoint::clock::now(), run.call.row);
+    }
     if (end.answer.result.outcome == HopOutcome::kAnswered) {
         crashes_.on_answered(run.identity);
     }
@@ -199,7 +302,10 @@
 
 void LocalGate::finish(GateServer& server, const GateRun& run, TimePoint started, const GateAnswer& answer) {
     const auto now = TimePoint::clock::now();
-    record_end(server, started, now, answer, run.is_cancelled());
+    // A server whose calls were declined fails through no fault of its own.
+    if (!is_failed_answer(answer) || !context_.overload.has_declined_calls(started)) {
+        record_end(server, started, now, answer, run.is_cancelled());
+    }
     const auto limit_before = server.gate.load().limit;
     free_slot(server, now, run.id, sample_of(answer));
     record_in_flight(server, now);
@@ -213,6 +319,68 @@
     }
 }
 
+retry::GateBudget& LocalGate::budget_of(const std::string& service) {
+    return budgets_.try_emplace(service, gate_budget_terms(context_.settings), started_).first->second;
+}
+
+bool LocalGate::grants_retry(const GateServer& server, const GateRun& run) {
+    if (!context_.has(Mechanism::kGateRetryBudget) || !run.call.is_retry) {
+        return true;
+    }
+    const auto& service = context_.settings.service;
+    const auto now = TimePoint::clock::now();
+    const auto rank = retry_rank_of(server, run, now);
+    const bool granted = budget_of(service).try_retry(now, rank);
+    context_.metrics.count_gate_retry(service, std::min(rank.priority, kMaxRankLabel), granted);
+    return granted;
+}
+
+void LocalGate::record_arrival(const GateRun& run) {
+    if (run.call.is_retry || !run.progress.request_started) {
+        return;
+    }
+    budget_of(context_.settings.service)
+        .on_first_arrival(TimePoint::clock::now(), run.call.retry_percent / kPercent);
+}
+
+void LocalGate::record_declined(GateServer& server, const GateRun& run, ServerExchangeResult& end,
+                                bool had_free_slot) {
+    auto& result = end.answer.result;
+    const bool refused = result.outcome == HopOutcome::kRefusedByServer;
+    const bool leaves = end.notice && end.notice->is_leaving;
+    const bool has_rate = server.gate.rate().limit() || (end.notice && end.notice->rate_limit);
+    if (result.outcome == HopOutcome::kNotSent || (refused && (leaves || has_rate || !had_free_slot))) {
+        return;
+    }
+    const auto now = TimePoint::clock::now();
+    const auto change = admission::record_arrival_end(server.declined, now, refused);
+    result.declined_percent = admission::declined_percent(server.declined, now);
+    context_.metrics.set_declined_share(context_.settings.service,
+                                        admission::current_declined(server.declined, now));
+    context_.overload.on_declined_share(
+        now, context_.settings.service,
+        {run.call.instance, result.declined_percent,
+         static_cast<unsigned>(std::chrono::duration_cast<microseconds>(server.latency).count())});
+    log_decline_change(run.call.instance, server, now, change);
+    if (change != admission::DeclineChange::kNone && now >= next_decline_report_) {
+        next_decline_report_ = now + kDeclineReportGap;
+        change_listener_();
+    }
+}
+
+void LocalGate::on_service_servers(TimePoint now, const std::string& service, std::size_t servers,
+                                   std::uint64_t identity) {
+    if (context_.has(Mechanism::kGateRetryBudget)) {
+        budget_of(service).on_servers(now, servers, identity);
+    }
+}
+
+void LocalGate::apply_settings() {
+    for (auto& [service, budget] : budgets_) {
+        budget.set_terms(gate_budget_terms(context_.settings));
+    }
+}
+
 double LocalGate::retry_share() const {
     return running_ > 0 ? running_retries_ / (kPercent * running_) : 0;
 }
--- a/src/sidecar/server_exchange.cpp
+++ b/src/sidecar/server_exchange.cpp
@@ -63,6 +63,23 @@
     return response;
 }
 
+/// Records the present speed that the server states, if it does.
+void record_speed(const SidecarContext& context, GateServer& server, const std::string& instance,
+                  const ServerExchangeResult& end) {
+    if (!context.has(Mechanism::kServerSpeed) || !end.notice || !end.notice->slowness_percent) {
+        return;
+    }
+    const auto now = TimePoint::clock::now();
+    const auto percent = *end.notice->slowness_percent;
+    speed::recordFigure(server.speed, now, percent, server.latency);
+    if (speed::updateUse(server.speed, now)) {
+        log_event(Event::kServerSpeedUsed, {{"server", instance},
+                                            {"used", server.speed.isUsed ? "yes" : "no"},
+                                            {"percent", std::to_string(percent)},
+                                            {"trust", std::to_string(speed::figureTrust(server.speed))}});
+    }
+}
+
 ServerExchangeResult end_of(const SidecarContext& context, const GateServer& server,
                             net::HttpResponse response) {
     const auto response_class = context.dialect.classify_response(response);
@@ -82,19 +99,24 @@
 
 }  // namespace
 
+milliseconds time_left_for_server(const GateRun& run, TimePoint now) {
+    return milliseconds(std::max(1LL, to_milliseconds(run.deadline - now)));
+}
+
 ServerExchangeResult exchange_with_server(const SidecarContext& context, GateServer& server,
                                           net::HttpRequest& request, const GateRun& run) {
     if (run.cancel != nullptr && run.cancel->check()) {
         return {make_failure(HopOutcome::kNotSent, ErrorKind::kCancelled)};
     }
     const auto now = TimePoint::clock::now();
-    const milliseconds time_left(std::max(1LL, to_milliseconds(run.deadline - now)));
-    context.dialect.write_server_call(request, {run.call.instance, run.call.caller, time_left});
+    context.dialect.write_server_call(request,
+                                      {run.call.instance, run.call.caller, time_left_for_server(run, now)});
     std::error_code error;
     auto response = send_once(server, request, options_for(context, server, run, now), run, error);
     if (response) {
         auto end = end_of(context, server, std::move(*response));
         end.sent = now;
+        record_speed(context, server, run.call.instance, end);
         return end;
     }
     if (!run.progress.request_started) {
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -8,11 +8,13 @@
 #include <string>
 
 #include "admission/origin_estimator.hpp"
+#include "attribution/call_matcher.hpp"
 #include "config/sidecar_settings.hpp"
 #include "discovery/watch_role.hpp"
 #include "membership/server_notices.hpp"
 #include "observability/metrics.hpp"
 #include "protocol/time_types.hpp"
+#include "sidecar/caller_shares.hpp"
 #include "sidecar/overload_tracker.hpp"
 #include "sidecar/wire_dialect.hpp"
 
@@ -66,7 +68,8 @@
           dialect(wire_dialect),
           settings(std::move(sidecar_settings)),
           random(seed()),
-          overload(settings) {
+          overload(settings),
+          callers(settings.zone, TimePoint::clock::now()) {
         boot_id = random();
     }
 
@@ -83,8 +86,12 @@
     std::uint64_t boot_id = 0;  ///< Random at each start of the process.
     /// Estimates which routes are called by clients. Updated by the ingress, the gate and reports of peers.
     admission::OriginEstimator origins;
+    /// The runs at the local server, to which its calls are attributed. Updated by the gate and the ingress.
+    attribution::RunsAtServer attribution;
     /// Tracks which services are overloaded. Updated by the attempts, the gate and reports of peers.
     OverloadTracker overload;
+    /// Divides admitted shares among zones and tenants. Updated by the ingress and reports of peers.
+    CallerShares callers;
     /// What servers stated about themselves in responses. Updated by the attempts.
     membership::ServerNotices notices;
     StopState stop;
--- a/tests/incidents/chain_model.cpp
+++ b/tests/incidents/chain_model.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "admission/policy/knee_limit.hpp"
+#include "retry/attempt_plan.hpp"
 
 namespace anisehold::model
 {
@@ -20,10 +21,19 @@
 constexpr unsigned maxServers = 3;
 /** Duration of a refusal by a server. */
 constexpr milliseconds refusalTime{ 1 };
+/** Weight of the newest call in a server's mean service time. */
+constexpr double timeSample = 0.02;
+/** Half-life of the observed work per chain, as in the sidecar's estimates. */
+constexpr double workHalfLifeS = 10;
 /** Number of machines that run the upstream servers. */
 constexpr std::size_t runDaemons = 3;
 /** Maximum duration of a call; far longer than all waits in the model. */
 constexpr milliseconds callTime{ 700 };
+/** Interval at which the sidecar updates its forecast, and minimum time between early reports. */
+constexpr milliseconds forecastPeriod{ 200 };
+constexpr milliseconds minReportGap{ 350 };
+/** Time after which a cut is noticed: the silence of a zone of some 20 daemons. */
+constexpr milliseconds cutNoticed{ 900 };
 
 Duration fromMs (double ms)
 {
@@ -59,6 +69,24 @@
     }
 }
 
+void ChainModel::useGateBudgets()
+{
+    gatesGrantRetries = true;
+
+    for (auto& it : servers)
+    {
+        const retry::GateBudgetTerms terms{ budgetTerms.ratio, budgetTerms.extra, budgetTerms.window };
+        it->budget = std::make_unique<retry::GateBudget> (terms, now - 3 * budgetTerms.window);
+        it->budget->on_servers (now - 3 * budgetTerms.window, servers.size(), 1);
+    }
+}
+
+void ChainModel::setRefusalShare (double share)
+{
+    for (auto& it : servers)
+        it->spec.refusalShare = share;
+}
+
 void ChainModel::run (Duration time)
 {
     const auto end = now + time;
@@ -94,7 +122,7 @@
 
 void ChainModel::sendRequests (const RowSpec& spec)
 {
-    const double pause = -std::log (1 - draw()) / spec.perSecond;
+    const double pause = -std::log (1 - draw()) / (spec.perSecond * load);
     at (now + fromMs (1'000 * pause),
         [this, &spec]
         {
@@ -113,6 +141,10 @@
     ++chain->tally->sent;
     auto& limit = daemons[chain->daemon];
     overload::recordOffered (limit, now, spec.row);
+    offerToForecast (chain->daemon, spec.row);
+
+    if (gatesGrantRetries)
+        overload::updateRetryShares (limit, now);
 
     if (refusesEarly && draw() < overload::refusedShare (limit, spec.row))
         ++chain->tally->refusedEarly;
@@ -122,6 +154,10 @@
     {
         chain->admitted = now;
         overload::recordRequestStarted (limit, spec.row.name);
+
+        if (gatesGrantRetries)
+            overload::recordAdmittedRoot (limit, now, spec.row.name);
+
         at (now + fromMs (spec.delayMs), [this, chain] { beginCall (chain); });
     }
 }
@@ -133,12 +169,17 @@
     const auto& spec = *chain->spec;
 
     if ((spec.calls - chain->callsLeft) % spec.callsPerRun == 0)
-        chain->runDaemon = spec.isDirect ? chain->daemon : random() % std::min (runDaemons, daemons.size());
+        chain->runDaemon = spec.isDirect ? chain->daemon : runDaemonFor (chain->daemon);
 
     call->daemon = chain->runDaemon;
     budgets[call->daemon].on_request (now, endService);
     call->id = ++lastCall;
     call->tried.resize (servers.size());
+    call->declinedAt.resize (servers.size());
+
+    for (std::size_t n = 0; n < servers.size(); ++n)
+        call->tried[n] = ! reaches (call->daemon, n);
+
     call->waitEnds = now + fromMs (chain->spec->maxWaitMs);
     tryServers (call);
 }
@@ -210,6 +251,9 @@
     const auto inFlight = it.gate.load().in_flight;
     overload::recordValue (it.running, now, inFlight);
 
+    if (! isGranted (server, call))
+        return;
+
     if (draw() < it.spec.refusalShare)
         return at (now + refusalTime, [this, server, call] { endRefused (server, call); });
 
@@ -224,7 +268,11 @@
 void ChainModel::endWork (std::size_t server, const std::shared_ptr<Call>& call)
 {
     ++completed;
-    call->chain->heldMs += std::chrono::duration<double, std::milli> (now - call->began).count();
+    const double ms = std::chrono::duration<double, std::milli> (now - call->began).count();
+    call->chain->heldMs += ms;
+    auto& mean = servers[server]->meanMs;
+    mean += (mean > 0 ? timeSample : 1) * (ms - mean);
+    recordDecline (server, *call, false);
     leaveServer (server, *call, admission::SampleOutcome::kCompleted);
     endCall (call, false);
 }
@@ -232,6 +280,10 @@
 void ChainModel::endRefused (std::size_t server, const std::shared_ptr<Call>& call)
 {
     leaveServer (server, *call, admission::SampleOutcome::kShed);
+
+    if (gatesGrantRetries)
+        return repeatDeclined (server, call);
+
     const bool mayRepeat = ++call->reached < std::min<std::size_t> (maxServers, servers.size());
 
     if (mayRepeat &&
@@ -242,6 +294,94 @@
     failChain (*call->chain);
 }
 
+bool ChainModel::isGranted (std::size_t server, const std::shared_ptr<Call>& call)
+{
+    ++(call->reached > 0 ? retryArrivals : firstArrivals);
+
+    if (! gatesGrantRetries)
+        return true;
+
+    auto& budget = *servers[server]->budget;
+
+    if (call->reached == 0)
+    {
+        budget.on_first_arrival (now, 0);
+        return true;
+    }
+
+    if (budget.try_retry (now, { call->chain->spec->callPriority, 0 }))
+        return true;
+
+    --retryArrivals;
+    leaveServer (server, *call, admission::SampleOutcome::kIgnored);
+    overload::recordCallEnded (daemons[call->daemon], endService, false);
+    failChain (*call->chain);
+    return false;
+}
+
+void ChainModel::recordDecline (std::size_t server, const Call& call, bool declined)
+{
+    if (! gatesGrantRetries)
+        return;
+
+    constexpr double latencySample = 0.125;
+    auto& it = *servers[server];
+
+    if (! declined)
+    {
+        const double elapsedUs = std::chrono::duration<double, std::micro> (now - call.began).count();
+        it.latencyUs =
+            it.latencyUs > 0 ? it.latencyUs + latencySample * (elapsedUs - it.latencyUs) : elapsedUs;
+    }
+
+    const auto change = admission::record_arrival_end (it.declined, now, declined);
+    tellDecline (call.daemon, server);
+
+    for (std::size_t n = 0; n < daemons.size() && change != admission::DeclineChange::kNone; ++n)
+        tellDecline (n, server);
+}
+
+void ChainModel::tellDecline (std::size_t daemon, std::size_t server)
+{
+    constexpr double percent = 0.01;
+    const auto& it = *servers[server];
+    overload::recordServerDecline (
+        daemons[daemon], endService, "s" + std::to_string (server),
+        { percent * admission::declined_percent (it.declined, now), it.latencyUs, now });
+}
+
+void ChainModel::repeatDeclined (std::size_t server, const std::shared_ptr<Call>& call)
+{
+    recordDecline (server, *call, true);
+    call->declinedAt[server] = true;
+    const auto reached = std::count (call->declinedAt.begin(), call->declinedAt.end(), true);
+
+    if (++call->reached >= retry::kMaxSends)
+    {
+        overload::recordCallEnded (daemons[call->daemon], endService, false);
+        return failChain (*call->chain);
+    }
+
+    const bool mayReachAnother =
+        reached < static_cast<std::ptrdiff_t> (std::min<std::size_t> (maxServers, servers.size()));
+
+    for (std::size_t n = 0; n < servers.size(); ++n)
+        call->tried[n] = mayReachAnother == call->declinedAt[n];
+
+    tryServers (call);
+}
+
+void ChainModel::recordDecayedWork (const Chain& chain)
+{
+    constexpr double halfLifeS = 10; // As in work_estimate.
+    auto& sum = decayedWork[chain.spec->row.name];
+    const double kept = std::exp2 (-std::chrono::duration<double> (now - sum.updated).count() / halfLifeS);
+    sum.ms = sum.ms * kept + chain.heldMs;
+    sum.requests = sum.requests * kept + 1;
+    sum.updated = now;
+    meanWork[chain.spec->row.name] = sum.ms / sum.requests;
+}
+
 void ChainModel::leaveServer (std::size_t server, const Call& call, admission::SampleOutcome outcome)
 {
     auto& it = *servers[server];
@@ -269,6 +409,8 @@
     const auto& chain = call->chain;
     const auto& spec = *chain->spec;
     overload::recordCallEnded (daemons[call->daemon], endService, refused);
+    ++ended;
+    this->refused += refused ? 1 : 0;
 
     if (refused)
     {
@@ -293,20 +435,127 @@
 
 void ChainModel::recordWork (const Chain& chain)
 {
+    auto& work = chainWork[chain.spec->row.name];
+    const double kept =
+        std::exp2 (-std::chrono::duration<double> (now - work.updated).count() / workHalfLifeS);
+    work = { kept * work.ms + chain.heldMs, kept * work.chains + 1, now };
+
+    if (gatesGrantRetries)
+        return recordDecayedWork (chain);
+
     constexpr double sample = 0.05;
     const auto [mean, isNew] = meanWork.try_emplace (chain.spec->row.name, chain.heldMs);
     mean->second += sample * (chain.heldMs - mean->second);
 }
 
+void ChainModel::useForecast (double workError)
+{
+    hasForecast = true;
+    workErrorFactor = workError;
+    volumesSent.resize (daemons.size());
+
+    for (std::size_t n = 0; n < daemons.size(); ++n)
+    {
+        daemons[n].forecast.isOn = true;
+        at (now + fromMs (draw() * static_cast<double> (forecastPeriod.count())),
+            [this, n] { forecast (n); });
+    }
+}
+
+void ChainModel::cutOff (std::size_t daemonCount, std::size_t serverCount)
+{
+    daemonsApart = daemonCount;
+    serversApart = serverCount;
+    cutAt = now;
+}
+
+bool ChainModel::isCutNoticed() const
+{
+    return now - cutAt >= cutNoticed;
+}
+
+std::size_t ChainModel::runDaemonFor (std::size_t daemon)
+{
+    const std::size_t first = isApart (daemon) ? 0 : daemonsApart;
+    const std::size_t last = isApart (daemon) ? daemonsApart : daemons.size();
+    return first + random() % std::min (runDaemons, last - first);
+}
+
+void ChainModel::offerToForecast (std::size_t daemon, const overload::RootRow& row)
+{
+    auto& own = daemons[daemon];
+
+    if (hasForecast && overload::recordDemand (own.forecast.demand, now, row.name, row.priority) &&
+        now - volumesSent[daemon] >= minReportGap)
+        sendVolumes (daemon);
+}
+
+void ChainModel::sendVolumes (std::size_t daemon)
+{
+    volumesSent[daemon] = now;
+    auto& demand = daemons[daemon].forecast.demand;
+    const overload::OfferedReport report{ overload::ownOffered (demand, now),
+                                          overload::dueWorks (demand, now, daemons[daemon].ownName) };
+
+    for (std::size_t n = 0; n < daemons.size(); ++n)
+    {
+        if (n != daemon && isApart (n) == isApart (daemon))
+            overload::recordPeerDemand (daemons[n].forecast.demand, now, daemons[daemon].ownName, report);
+    }
+}
+
+std::vector<overload::ServerSupply> ChainModel::suppliesOf (std::size_t daemon) const
+{
+    std::vector<overload::ServerSupply> supplies;
+
+    for (std::size_t n = 0; n < servers.size(); ++n)
+    {
+        const auto limit = servers[n]->gate.load().limit;
+        const double busy = 100 * overload::currentMean (servers[n]->running, now) / limit;
+        supplies.push_back ({ endService, limit, static_cast<unsigned> (busy),
+                              static_cast<unsigned> (1'000 * servers[n]->meanMs), 0, 0, 100, false,
+                              reaches (daemon, n) || ! isCutNoticed() });
+    }
+
+    return supplies;
+}
+
+void ChainModel::forecast (std::size_t daemon)
+{
+    auto& own = daemons[daemon];
+    std::vector<overload::RowWork> rowWork;
+
+    for (std::size_t n = 0; n < daemons.size(); ++n)
+    {
+        if (isApart (n) != isApart (daemon) && isCutNoticed())
+            overload::dropPeerVolumes (own.forecast.demand, daemons[n].ownName);
+    }
+
+    for (const auto& [row, it] : chainWork)
+        rowWork.push_back ({ row, workErrorFactor * it.ms / std::max (it.chains, 1.0) });
+
+    overload::setOwnWorks (own.forecast.demand, own.ownName, endService, rowWork);
+    const bool wasLimited = overload::isLimitedByForecast (own);
+    overload::updateForecast (own, now, overload::capacitiesOf (suppliesOf (daemon)));
+
+    if (! wasLimited && overload::isLimitedByForecast (own) && now - volumesSent[daemon] >= minReportGap)
+        sendVolumes (daemon);
+
+    at (now + forecastPeriod, [this, daemon] { forecast (daemon); });
+}
+
 void ChainModel::report (std::size_t daemon)
 {
     double busy = 0;
     double totalSlots = 0;
 
-    for (const auto& it : servers)
+    for (std::size_t n = 0; n < servers.size(); ++n)
     {
-        busy += overload::currentMean (it->running, now);
-        totalSlots += it->gate.load().limit;
+        if (! reaches (daemon, n))
+            continue;
+
+        busy += overload::currentMean (servers[n]->running, now);
+        totalSlots += servers[n]->gate.load().limit;
     }
 
     auto& own = daemons[daemon];
@@ -316,15 +565,27 @@
         rowWork.push_back ({ row, ms });
 
     overload::setOwnRowWork (own, endService, rowWork);
+
+    if (gatesGrantRetries)
+    {
+        for (std::size_t n = 0; n < servers.size(); ++n)
+            tellDecline (daemon, n);
+
+        overload::takeRetryLimitChanges (own, now);
+    }
+
     overload::endPeriod (own, now, { { endService, busy / totalSlots } });
     const auto reports = overload::ownReport (own);
 
-    for (auto& it : daemons)
+    for (std::size_t n = 0; n < daemons.size(); ++n)
     {
-        if (it.ownName != own.ownName)
-            overload::recordPeerReport (it, now, own.ownName, reports);
+        if (n != daemon && isApart (n) == isApart (daemon))
+            overload::recordPeerReport (daemons[n], now, own.ownName, reports);
     }
 
+    if (hasForecast)
+        sendVolumes (daemon);
+
     const Duration period = overload::isUnderPressure (own) ? pressurePeriod : calmPeriod;
     own.period = period;
     at (now + fromMs (static_cast<double> (to_milliseconds (period)) * (0.9 + 0.2 * draw())),
--- a/tests/unit/wire/hop_header_golden_test.cpp
+++ b/tests/unit/wire/hop_header_golden_test.cpp
@@ -28,8 +28,14 @@
 
 TEST_CASE("the header line of a request between daemons keeps its text", "[golden]") {
     const HopRequest full{"i-1", "orders", 2, milliseconds(1'250), milliseconds(251), true, 35, "route/2", 3};
+    HopRequest call = full;
+    call.root_row = "check/17";
+    call.root_priority = 17;
+    call.made = 3;
     golden::check_text("hop-request.txt",
-                       {{"every field set", encode(full)}, {"defaults", encode(HopRequest{})}},
+                       {{"every field set", encode(full)},
+                        {"defaults", encode(HopRequest{})},
+                        {"a call of known root", encode(call)}},
                        [](const std::string& text) {
                            const auto request = decode_hop_request(text);
                            return request ? encode(*request) : "not decoded";
@@ -44,15 +50,38 @@
             {"every field set, " + std::string(outcome_name(outcome)), encode(full_result(outcome))});
     }
     samples.push_back({"defaults", encode(HopResult{})});
+    HopResult slow;
+    slow.slow_percent = 250;
+    samples.push_back({"a slow server", encode(slow)});
     golden::check_text("hop-result.txt", samples, [](const std::string& text) {
         const auto result = decode_hop_result(text);
         return result ? encode(*result) : "not decoded";
     });
 }
 
+TEST_CASE("the fields for retries that gates grant keep their text", "[golden]") {
+    HopRequest retry{"i-1", "orders", 2, milliseconds(1'250), milliseconds(251), true, 100, "route/2"};
+    retry.is_retry = true;
+    auto declining = full_result(HopOutcome::kRefusedByServer);
+    declining.declined_percent = 55;
+    golden::check_text("hop-gate-retries.txt", {{"retry", encode(retry)}, {"declining", encode(declining)}},
+                       [](const std::string& text) {
+                           const auto request = decode_hop_request(text);
+                           const auto result = decode_hop_result(text);
+                           return request ? encode(*request) : result ? encode(*result) : "not decoded";
+                       });
+    const auto samples = golden::texts_in("hop-gate-retries.txt");
+    REQUIRE(samples.size() == 2);
+    CHECK(decode_hop_request(samples[0].bytes)->is_retry);
+    CHECK(decode_hop_result(samples[1].bytes)->declined_percent == 55);
+    CHECK_FALSE(decode_hop_request(encode(HopRequest{}))->is_retry);
+}
+
 TEST_CASE("the fields of a previously written hop result are decoded", "[golden]") {
     const auto samples = golden::texts_in("hop-result.txt");
-    REQUIRE(samples.size() == 5);
+    REQUIRE(samples.size() == 6);
+    CHECK(decode_hop_result(samples[1].bytes)->slow_percent == 100);
+    CHECK(decode_hop_result(samples[5].bytes)->slow_percent == 250);
     const auto result = decode_hop_result(samples[1].bytes);
     REQUIRE(result);
     CHECK(result->outcome == HopOutcome::kNotSent);
@@ -70,7 +99,7 @@
 
 TEST_CASE("the fields of a previously written hop request are decoded", "[golden]") {
     const auto samples = golden::texts_in("hop-request.txt");
-    REQUIRE(samples.size() == 2);
+    REQUIRE(samples.size() == 3);
     const auto request = decode_hop_request(samples[0].bytes);
     REQUIRE(request);
     CHECK(request->instance == "i-1");
@@ -82,6 +111,12 @@
     CHECK(request->retry_percent == 35);
     CHECK(request->row == "route/2");
     CHECK(request->crashes == 3);
+    CHECK(request->root_row.empty());
+    const auto call = decode_hop_request(samples[2].bytes);
+    REQUIRE(call);
+    CHECK(call->root_row == "check/17");
+    CHECK(call->root_priority == 17U);
+    CHECK(call->made == 3);
 }
 
 TEST_CASE("every error kind keeps its name on the wire", "[golden]") {
