--- a/soak/round.cpp
+++ b/soak/round.cpp
@@ -46,7 +46,7 @@
     }
 
     for (auto& plan : plans)
-        plan.tolerated_zones = toleratedZones;
+        plan.tolerated_zone_losses = toleratedZones;
 
     return plans;
 }
--- a/src/admission/declined_share.hpp
+++ b/src/admission/declined_share.hpp
@@ -18,7 +18,7 @@
     bool is_declining = false;
 };
 
-/// A change of belief.
+/// A change of state.
 enum class DeclineChange { kNone, kBegan, kEnded };
 
 /// Records the end of an arrival.
--- a/src/admission/server_gate.hpp
+++ b/src/admission/server_gate.hpp
@@ -107,6 +107,8 @@
     std::vector<std::uint64_t> free_reserved(TimePoint now, std::uint64_t id);
 
     GateLoad load() const;
+    /// Number of calls that run at the server.
+    std::size_t executing() const { return running_.size() - reserved_; }
     /// Maximum concurrency under both limits: the number of slots, and the server's rate times the time that
     /// a call holds a slot.
     unsigned usable_limit(TimePoint now) const;
@@ -137,8 +139,6 @@
     bool has_slot_for(const GateCall& call) const;
     /// Whether the limit of the call's row allows one more call.
     bool has_row_slot_for(const GateCall& call) const;
-    /// Number of calls that run at the server.
-    std::size_t executing() const { return running_.size() - reserved_; }
     /// Starts a committed request.
     void execute(TimePoint now, Running& running);
     /// Starts the committed requests that have a slot; returns their ids.
--- a/src/membership/peer_record.cpp
+++ b/src/membership/peer_record.cpp
@@ -15,6 +15,8 @@
 constexpr char kWorkSection = 'W';
 constexpr char kCallersSection = 'C';
 
+constexpr unsigned kMaxPercent = 100;
+
 std::vector<ServerCondition> conditions_of(const std::vector<ServerRecord>& servers) {
     std::vector<ServerCondition> conditions;
     for (const auto& server : servers) {
@@ -32,7 +34,7 @@
         });
         if (server != servers.end()) {
             server->slow_percent = condition.slow_percent;
-            server->declined_percent = condition.declined_percent;
+            server->declined_percent = std::min(condition.declined_percent, kMaxPercent);
         }
     }
 }
--- a/src/overload/capacity_limit.cpp
+++ b/src/overload/capacity_limit.cpp
@@ -47,7 +47,8 @@
         const double granted = std::min (capacity, (1 - floorShare) * units);
         // Exactly 1 if nothing is missing: a share below 1 has side effects, however small the difference.
         const bool isWhole = granted >= (1 - floorShare) * units;
-        shares[it->row] = isWhole && floorShare >= rowFloor ? 1 : floorShare + granted / units;
+        const bool isFree = units <= 0 || (isWhole && floorShare >= rowFloor);
+        shares[it->row] = isFree ? 1 : floorShare + granted / units;
         capacity -= granted;
     }
 
--- a/src/overload/demand_forecast.cpp
+++ b/src/overload/demand_forecast.cpp
@@ -4,6 +4,7 @@
 #include <boost/crc.hpp>
 #include <cmath>
 #include <numbers>
+#include <set>
 
 namespace anisehold::overload
 {
@@ -339,25 +340,46 @@
                                         });
     state.areWorksStale = state.areWorksStale || removed > 0;
 
+    for (auto& [name, peer] : state.peers)
+    {
+        if (name == ownName || peer.works.empty() || now - peer.worksReported <= worksExpiry)
+            continue;
+
+        peer.works.clear();
+        state.areWorksStale = true;
+    }
+
     if (! state.areWorksStale || now - state.worksComputed < minRefreshPause)
         return;
 
     state.worksComputed = now;
     state.areWorksStale = false;
     state.works.clear();
-    std::map<std::string, std::map<std::string, unsigned>> counts;
+    // A row that is split among services brings work to each of them by its part of the requests. The mean is
+    // taken over all daemons that measure the row, whichever service it runs at.
+    std::map<std::string, unsigned> measuring;
 
     for (const auto& [name, peer] : state.peers)
     {
-        for (const auto& [service, rows] : peer.works)
+        std::set<std::string> rows;
+
+        for (const auto& [service, works] : peer.works)
         {
-            for (const auto& [row, ms] : rows)
+            for (const auto& [row, ms] : works)
             {
-                const double count = ++counts[service][row];
-                auto& mean = state.works[service][row];
-                mean += (ms - mean) / count;
+                state.works[service][row] += ms;
+                rows.insert (row);
             }
         }
+
+        for (const auto& row : rows)
+            ++measuring[row];
+    }
+
+    for (auto& [service, works] : state.works)
+    {
+        for (auto& [row, ms] : works)
+            ms /= measuring[row];
     }
 }
 
--- a/src/overload/work_estimate.cpp
+++ b/src/overload/work_estimate.cpp
@@ -34,7 +34,7 @@
 
     for (auto& [name, it] : work.rows)
     {
-        it.slotS = it.slotS * kept + it.inFlight * elapsedS;
+        it.slotS = it.slotS * kept + it.inFlight * elapsedS / work.slowness;
         it.ended *= kept;
 
         for (auto& [called, count] : it.calls)
--- a/src/overload/work_estimate.hpp
+++ b/src/overload/work_estimate.hpp
@@ -40,6 +40,8 @@
 {
     std::map<std::string, RowRuns> rows;
     TimePoint updated;
+    double slowness = 1; /**< Present duration of work at the server as a multiple of the usual one. Slot time
+                              counts at the usual speed, since the capacity of a slow server is less. */
 };
 
 /** Records that the server started a request of `row`. */
--- a/src/overload/zone_contact.cpp
+++ b/src/overload/zone_contact.cpp
@@ -32,9 +32,14 @@
                            const std::chrono::duration<double> before = latest - it.second;
                            return before > forgottenPeriods * periodS;
                        });
-        const auto pause = missedRecords * periodS / static_cast<double> (contact.heard.size());
-
-        if (now - contact.latest > std::max<std::chrono::duration<double>> (minZoneSilence, pause))
+        const auto known = static_cast<double> (contact.heard.size());
+        const auto pause = missedRecords * periodS / known;
+        const auto overdue = std::count_if (contact.heard.begin(), contact.heard.end(),
+                                            [&] (const auto& it) { return now - it.second > periodS; });
+
+        // Daemons that sent their last records together, at the end of a shortage, are all due together, too.
+        if (now - contact.latest > std::max<std::chrono::duration<double>> (minZoneSilence, pause) &&
+            static_cast<double> (overdue) >= std::min<double> (missedRecords, known))
             silent.insert (zone);
     }
 
--- a/src/returning/precedence.cpp
+++ b/src/returning/precedence.cpp
@@ -5,12 +5,16 @@
 namespace anisehold::returning
 {
 
-double grantShare (Precedence& state, const std::string& row, double share, bool isReturning)
+double grantShare (Precedence& state, const std::string& row, double share, bool isReturning,
+                   bool isRowLimited)
 {
     if (share >= 1)
     {
-        // Without a shortage there is nothing to pay back.
-        state.debts.erase (row);
+        // Without a shortage there is nothing to pay back. Within one, a group of callers may have a share of
+        // 1 while another one of the row has a debt.
+        if (! isRowLimited)
+            state.debts.erase (row);
+
         return 1;
     }
 
--- a/src/returning/precedence.hpp
+++ b/src/returning/precedence.hpp
@@ -24,8 +24,9 @@
 };
 
 /** Returns the share, from 0 to 1, with which to admit the next request of a row whose admitted share is
-    `share`, and records it. */
-double grantShare (Precedence&, const std::string& row, double share, bool isReturning);
+    `share`, and records it. `isRowLimited`: the row is limited, even if this group of its callers isn't. */
+double grantShare (Precedence&, const std::string& row, double share, bool isReturning,
+                   bool isRowLimited = false);
 
 /** Maximum debt of a row at one daemon, in requests. Beyond it, returning requests get what fresh ones have
     paid back. */
--- a/src/returning/return_time.cpp
+++ b/src/returning/return_time.cpp
@@ -13,7 +13,7 @@
 /** Half-life of an admitted request in the rate of admissions, in seconds. */
 constexpr double halfLifeS = 1;
 /** Time for the ways of the refusal and of the return, and for timers of the caller. */
-constexpr milliseconds wayMargin{ 10 };
+constexpr milliseconds latencyMargin{ 10 };
 /** Factor of the mean duration of admitted requests within which most of them end. */
 constexpr double durationMargin = 1.5;
 /** Part of its remaining time up to which a caller honors a Retry-After. */
@@ -60,8 +60,8 @@
         return request.usual;
 
     const auto expectedMs = std::chrono::ceil<milliseconds> (request.meanTime * durationMargin);
-    const auto first = std::max (request.earliest, request.timeLeft - request.smallestFresh + wayMargin);
-    const auto last = std::min (longest, request.targetLatency - expectedMs) - wayMargin;
+    const auto first = std::max (request.earliest, request.timeLeft - request.smallestFresh + latencyMargin);
+    const auto last = std::min (longest, request.targetLatency - expectedMs) - latencyMargin;
     const auto found = state.rows.find (row);
 
     if (first > last || found == state.rows.end())
--- a/src/returning/standing.hpp
+++ b/src/returning/standing.hpp
@@ -13,7 +13,7 @@
     fresh,     /**< Can't be told apart from a fresh request. */
     returning, /**< Was refused before, and can be served within its target latency. */
     late,      /**< Was refused before, and can be served after its target latency only. */
-    hopeless   /**< Was refused before, and its remaining time cannot suffice. */
+    unservable /**< Was refused before, and its remaining time cannot suffice. */
 };
 
 /** The properties of a request that its standing depends on. */
@@ -41,7 +41,7 @@
         return Standing::fresh;
 
     if (! canBeServed (request.timeLeft, request.meanTime))
-        return Standing::hopeless;
+        return Standing::unservable;
 
     const auto minElapsed = std::max (request.minWait, request.smallestFresh - request.timeLeft);
     return minElapsed + request.meanTime <= request.targetLatency ? Standing::returning : Standing::late;
@@ -58,8 +58,8 @@
             return "yes";
         case Standing::late:
             return "late";
-        case Standing::hopeless:
-            return "hopeless";
+        case Standing::unservable:
+            return "unservable";
     }
 
     return "no";
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -189,6 +189,10 @@
         return chooser_.choose(now, call.service, call.identity, state.tried, state.plan.running(),
                                state.may_retry);
     };
+    // A streamed request was moved to its first attempt, and there is nothing left to send.
+    if (state.streamed && state.attempt_set->request.method.empty()) {
+        return nullptr;
+    }
     if (!state.repeats_declined) {
         return choose_untried();
     }
@@ -199,7 +203,9 @@
         if (!attempt->ended || outcome != hop::HopOutcome::kNotSent) {
             reached.insert(attempt->server.server.instance);
         }
-        if (attempt->ended && outcome == hop::HopOutcome::kRefusedByServer) {
+        // A server that refuses at its rate limit refuses again.
+        const bool has_rate_limit = attempt->answer.result.rate_limit.has_value();
+        if (attempt->ended && outcome == hop::HopOutcome::kRefusedByServer && !has_rate_limit) {
             declined.insert(attempt->server.server.instance);
         } else {
             declined.erase(attempt->server.server.instance);
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -29,6 +29,10 @@
     return std::string(host.substr(0, host.find(':')));
 }
 
+/// Groups of callers, as named in metrics.
+constexpr std::string_view kTenantGroup = "tenant";
+constexpr std::string_view kZoneGroup = "zone";
+
 }  // namespace
 
 CallIngress::CallIngress(SidecarContext& context, ConfigurationHolder& configuration,
@@ -182,7 +186,7 @@
     const double share = context_.overload.on_offered(call.received, {call.row, call.terms.priority});
     const auto by_caller =
         context_.has(Mechanism::kCallerFairness) ? refusal_by_caller(call) : CallerRefusal{share, ""};
-    const double refused = refused_share_by_standing(call, by_caller.share);
+    const double refused = refused_share_by_standing(call, by_caller);
     const bool is_refused = context_.has(Mechanism::kEarlyRefusal) && context_.random_unit() < refused;
     if (is_refused && !by_caller.excess_of.empty()) {
         context_.metrics.count_excess_refusal(by_caller.excess_of);
@@ -193,21 +197,27 @@
     return is_refused;
 }
 
-double CallIngress::refused_share_by_standing(IncomingCall& call, double refused) {
+double CallIngress::refused_share_by_standing(IncomingCall& call, const CallerRefusal& by_caller) {
+    const double refused = by_caller.share;
     if (!context_.has(Mechanism::kReturningCallers) || !call.stated_time_left) {
         return refused;
     }
     auto& deadlines = returning_.deadlines;
-    returning::recordArrival(deadlines, call.received, call.route, *call.stated_time_left, refused > 0);
+    const bool is_row_limited = context_.overload.admitted_share({call.row, call.terms.priority}) < 1;
+    returning::recordArrival(deadlines, call.received, call.route, *call.stated_time_left,
+                             refused > 0 || is_row_limited);
     const auto smallest = returning::smallestFresh(deadlines, call.received, call.route);
     call.standing = returning::standingOf({*call.stated_time_left, smallest.value_or(milliseconds(0)),
                                            call.terms.target_latency, retry_after::kRefusedEarly,
                                            context_.overload.mean_time(call.row)});
-    if (refused > 0 && call.standing == returning::Standing::hopeless) {
+    if (refused > 0 && call.standing == returning::Standing::unservable) {
         return 1;
     }
     const bool takes_precedence = call.standing == returning::Standing::returning;
-    return 1 - returning::grantShare(returning_.precedence, call.row, 1 - refused, takes_precedence);
+    // A tenant in excess pays for its own returns.
+    const auto payer = by_caller.excess_of == kTenantGroup ? call.row + '\n' + call.tenant.value : call.row;
+    return 1 -
+           returning::grantShare(returning_.precedence, payer, 1 - refused, takes_precedence, is_row_limited);
 }
 
 milliseconds CallIngress::early_retry_after(const IncomingCall& call, milliseconds usual) {
@@ -252,7 +262,7 @@
     CallerRefusal refusal;
     refusal.share = std::clamp(1 - share.group * correction, 0.0, 1.0);
     if (share.group < row_share - kMinCountedExcess) {
-        refusal.excess_of = share.is_of_tenant ? "tenant" : "zone";
+        refusal.excess_of = share.is_of_tenant ? kTenantGroup : kZoneGroup;
     }
     return refusal;
 }
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -77,7 +77,7 @@
     bool is_refused_early(IncomingCall& call);
     /// Determines whether the request was refused before; returns the share with which it is refused, given
     /// the share of its row.
-    double refused_share_by_standing(IncomingCall& call, double refused);
+    double refused_share_by_standing(IncomingCall& call, const CallerRefusal& by_caller);
     /// Returns the Retry-After of an early refusal; `usual`: the value without knowledge of the caller.
     milliseconds early_retry_after(const IncomingCall& call, milliseconds usual);
     /// Records an admitted client request, as a measure of the capacity for returns.
--- a/src/sidecar/hop_client.cpp
+++ b/src/sidecar/hop_client.cpp
@@ -74,6 +74,9 @@
         if (!gave_up && error != std::errc::timed_out) {
             directory_.on_unreachable(server.peer, server.boot_id);
         }
+        if (!progress.request_started) {
+            withdraw(server, call, call.grant);
+        }
         return progress.request_started ? failure_at(call, HopOutcome::kUnknown, ErrorKind::kBackendFailed)
                                         : failure_at(call, HopOutcome::kNotSent, ErrorKind::kConnectFailed);
     }
@@ -101,6 +104,9 @@
     while (!refusal && reservation.state.phase == reservation::CallerPhase::reserving) {
         refusal = ask(reservation);
     }
+    if (refusal && !reservation.state.gateWasSilent) {
+        withdraw(server, call, reservation.state.ticket);
+    }
     const auto now = TimePoint::clock::now();
     const bool cancelled = cancel != nullptr && cancel->cancelled();
     if (!refusal && (cancelled || !tryCommit(reservation.state, now))) {
@@ -142,6 +148,7 @@
     }
     directory_.on_load(server.peer, load_of(*result));
     const auto now = TimePoint::clock::now();
+    directory_.on_speed(now, server.peer, result->instance, result->slow_percent);
     if (result->outcome == HopOutcome::kGranted) {
         onGranted(reservation.state, now, result->grant, result->grant_time);
         return std::nullopt;
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -216,12 +216,17 @@
     const auto now = TimePoint::clock::now();
     context_.overload.on_run_began(now, run.call.row);
     server.crash.began(run.id, {{run.identity, crashes_.crashes_of(now, run.identity)}, &run.progress});
-    const bool had_free_slot = server.gate.load().in_flight < servers_.slots_of(run.call.instance);
+    // Includes this run, but not the places that are only reserved.
+    const bool had_free_slot = server.gate.executing() <= servers_.slots_of(run.call.instance);
     if (context_.has(Mechanism::kCallAttribution)) {
         attribution::recordRunBegan(context_.attribution, run.id, server_run_of(run, now));
     }
     auto end = exchange_with_server(context_, server, request, run);
     attribution::recordRunEnded(context_.attribution, run.id);
+    if (context_.has(Mechanism::kServerSpeed)) {
+        context_.overload.on_server_slowness(speed::slowPercent(server.speed, TimePoint::clock::now()) /
+                                             kPercent);
+    }
     if (context_.has(Mechanism::kGateRetryBudget)) {
         record_arrival(run);
         record_declined(server, run, end, had_free_slot);
--- a/src/sidecar/overload_tracker.hpp
+++ b/src/sidecar/overload_tracker.hpp
@@ -75,6 +75,8 @@
     void on_run_began(TimePoint now, const std::string& row) { overload::recordRunStarted(work_, now, row); }
     void on_run_ended(TimePoint now, const std::string& row) { overload::recordRunEnded(work_, now, row); }
 
+    /// Sets the present duration of work at the local server as a multiple of the usual one.
+    void on_server_slowness(double slowness) { work_.slowness = slowness; }
     /// Records a run that the server declined whatever its load, instead of its end.
     void on_run_declined(TimePoint now, const std::string& row) {
         overload::recordRunDeclined(work_, now, row);
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
+#include <cmath>
 #include <iomanip>
 #include <sstream>
 
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "observability/events.hpp"
+#include "speed/server_speed.hpp"
 
 namespace anisehold::sidecar {
 namespace {
@@ -47,6 +49,12 @@
     return text.str();
 }
 
+/// The slowness that a server stated `age` ago, faded as in server selection.
+unsigned present_slow_percent(const membership::ServerRecord& server, Duration age) {
+    constexpr double percent = 100;
+    return static_cast<unsigned>(std::lround(percent * speed::agedSlowness(server.slow_percent, age)));
+}
+
 }  // namespace
 
 PeerExchange::PeerExchange(SidecarContext& context, membership::PeerDirectory& directory, LocalGate& gate,
@@ -87,7 +95,9 @@
     record.pressures = context_.overload.own_report();
     record.shortage.offered = context_.overload.offered_report(TimePoint::clock::now(), receivers);
     record.servers = gate_.servers().records(TimePoint::clock::now());
-    add_caller_report(record);
+    if (receivers == RecordReceivers::kAll) {
+        add_caller_report(record);
+    }
     return record;
 }
 
@@ -208,11 +218,12 @@
 std::vector<overload::ServerSupply> PeerExchange::server_supplies(TimePoint now) {
     const auto& cut = update_cut_zones(now);
     std::vector<overload::ServerSupply> supplies;
-    const auto add = [&](const membership::ServerRecord& server, TimePoint reported, bool reachable) {
+    const auto add = [&](const membership::ServerRecord& server, TimePoint reported, TimePoint told,
+                         bool reachable) {
         const bool is_cold = milliseconds(server.cold_ms) > now - reported;
         supplies.push_back({server.service, server.limit, server.busy_percent, server.latency_us,
-                            server.failed_percent, server.declined_percent, server.slow_percent, is_cold,
-                            reachable});
+                            server.failed_percent, server.declined_percent,
+                            present_slow_percent(server, now - told), is_cold, reachable});
     };
     directory_.for_each_peer(now, [&](const membership::PeerReach& peer, const auto& servers) {
         const bool is_cut = cut.contains(peer.zone);
@@ -220,11 +231,12 @@
             context_.overload.on_peer_unreachable(peer.name);
         }
         for (const auto& known : servers) {
-            add(known.server, known.last_seen, peer.takes_requests && !is_cut);
+            add(known.server, known.last_seen, std::max(known.last_seen, known.speed_seen),
+                peer.takes_requests && !is_cut);
         }
     });
     for (const auto& own : gate_.servers().records(now)) {
-        add(own, now, true);
+        add(own, now, now, true);
     }
     return supplies;
 }
@@ -353,7 +365,9 @@
     }
     report_declines(now, record.servers);
     context_.overload.on_peer_demand(now, record.name, record.shortage.offered);
-    overload::recordHeard(zone_contacts_, now, record.zone, record.name);
+    if (context_.has(config::Mechanism::kCapacityForecast)) {
+        overload::recordHeard(zone_contacts_, now, record.zone, record.name);
+    }
 }
 
 void PeerExchange::fetch_configuration(const Endpoint& peer, std::uint64_t version) {
--- a/src/speed/server_speed.cpp
+++ b/src/speed/server_speed.cpp
@@ -178,7 +178,7 @@
 double agedSlowness (unsigned percent, Duration age)
 {
     const double kept = std::exp (-std::max (secondsOf (age), 0.0) / fadeS);
-    return std::max (minSlowness, 1 + (percent / percentOfOne - 1) * kept);
+    return std::clamp (1 + (percent / percentOfOne - 1) * kept, minSlowness, maxSlowness);
 }
 
 } // namespace anisehold::speed
--- a/tests/unit/returning/burst_test.cpp
+++ b/tests/unit/returning/burst_test.cpp
@@ -140,7 +140,7 @@
                                                 milliseconds (params.targetMs), milliseconds (250), mean() });
             isReturning = standing != Standing::fresh;
             granted = grantShare (precedence, row, share, standing == Standing::returning);
-            granted = standing == Standing::hopeless && share < 1 ? 0 : granted;
+            granted = standing == Standing::unservable && share < 1 ? 0 : granted;
         }
 
         freeAt = std::max (freeAt, now);
--- a/tests/unit/returning/returning_test.cpp
+++ b/tests/unit/returning/returning_test.cpp
@@ -141,7 +141,7 @@
     CHECK (standing (4'100, 1'500) == Standing::returning);
     CHECK (standing (2'900, 1'500) == Standing::late);
     CHECK (standing (4'100, 400) == Standing::late);
-    CHECK (standing (100, 1'500) == Standing::hopeless);
+    CHECK (standing (100, 1'500) == Standing::unservable);
     // Nothing is recognized without a range.
     CHECK (standingOf (
                { milliseconds (100), {}, milliseconds (1'500), milliseconds (250), milliseconds (240) }) ==
