--- a/src/sidecar/caller_shares.cpp
+++ b/src/sidecar/caller_shares.cpp
@@ -8,8 +8,8 @@
 using observability::Event;
 using observability::log_event;
 
-/// Lifetime of the computed groups of a row, and its increase for each peer that reports: the computation takes
-/// up to 7 us per peer.
+/// Lifetime of the computed groups of a row, and its increase for each peer that reports: the computation
+/// takes up to 7 us per peer.
 constexpr milliseconds kGroupsLifetime{200};
 constexpr milliseconds kGroupsLifetimePerPeer{2};
 /// Minimum time between two reports: records are sent every 0.4 s during a shortage, and the report may be
