--- a/src/overload/capacity_forecast.cpp
+++ b/src/overload/capacity_forecast.cpp
@@ -361,8 +361,7 @@
         service.settled = state.forecast.updated;
     }
 
-    if (! service.isTrusted || service.meanUtilization < minUtilization ||
-        service.meanUse <= 0)
+    if (! service.isTrusted || service.meanUtilization < minUtilization || service.meanUse <= 0)
         return;
 
     const double effective = service.meanUtilization * (1 + (isRefusing ? refusalWeight * refusedShare : 0));
--- a/src/overload/root_limit_state.hpp
+++ b/src/overload/root_limit_state.hpp
@@ -8,9 +8,9 @@
 #include <string>
 #include <vector>
 
-#include "overload/retry_capacity_state.hpp"
 #include "overload/capacity_limit.hpp"
 #include "overload/forecast_state.hpp"
+#include "overload/retry_capacity_state.hpp"
 #include "overload/service_pressure.hpp"
 #include "protocol/time_types.hpp"
 
@@ -89,7 +89,7 @@
     std::map<std::string, ServiceState> services;
     std::map<std::string, RowVolume> rows;
     RetryCapacityState retryCapacity; /**< Updated by retry_capacity. */
-    ForecastState forecast; /**< Owned by capacity_forecast. */
+    ForecastState forecast;           /**< Owned by capacity_forecast. */
 };
 
 } // namespace anisehold::overload
