Soak: a declined request may be offered to the same servers again

The check of bounded servers counted arrivals and took each for another server. The route allows two servers; one was used.

With tolerate.zones the check now counts different servers and runs, both up to the route's maximum, and all sends, up to six. Without it the bound of arrivals is unchanged. A unit test shows that a third server, a third run and a seventh offer are still found.

--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -101,7 +101,10 @@
     if (arrival.target != request.sent.target)
         report (Promise::nothingUnasked, arrival.id.value + " as " + arrival.target);
 
-    if (++request.servers == request.sent.maxServers + 1)
+    const bool isNewServer = request.servers.insert (arrival.instance).second;
+    const bool hasTooManyServers = isNewServer && request.servers.size() == request.sent.maxServers + 1;
+
+    if (++request.arrivals == request.sent.maxArrivals + 1 || hasTooManyServers)
         report (Promise::boundedServers, arrival.id.value);
 
     if (! arrival.runs)
@@ -112,8 +115,13 @@
 
     checkTenant (request.sent, arrival);
 
-    if (++request.runs == 2 && ! request.sent.mayRepeat)
+    ++request.runs;
+
+    if (request.runs == 2 && ! request.sent.mayRepeat)
         report (Promise::runsOnce, arrival.id.value);
+
+    if (request.runs == request.sent.maxServers + 1 && request.arrivals <= request.sent.maxArrivals)
+        report (Promise::boundedServers, arrival.id.value + " ran too often");
 }
 
 void PromiseChecker::checkTenant (const SentRequest& sent, const Arrival& arrival)
--- a/soak/promises.hpp
+++ b/soak/promises.hpp
@@ -6,6 +6,7 @@
 
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -64,6 +65,9 @@
     bool usesRevokedKey = false; /**< The key is revoked during the round. */
     TimePoint at{};
     std::size_t machine = 0; /**< The machine to which the client sent the request. */
+    /** Maximum number of sends to servers. More than `maxServers` where a request that a server declined, and
+        that has not run, may be offered to the same servers again. */
+    unsigned maxArrivals = 2;
 };
 
 /** The response that a client received. */
@@ -129,8 +133,9 @@
     {
         SentRequest sent;
         unsigned runs = 0;
-        unsigned servers = 0;
-        unsigned refusedWith = 0; /**< The status that promised that the request has not run; 0: none. */
+        unsigned arrivals = 0;
+        std::set<InstanceId> servers; /**< Servers that received the request. */
+        unsigned refusedWith = 0;     /**< The status that promised that the request has not run; 0: none. */
     };
 
     /** A machine and a server. */
--- a/soak/round.cpp
+++ b/soak/round.cpp
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "net/event_loop.hpp"
+#include "retry/attempt_plan.hpp"
 #include "soak/fault_injector.hpp"
 #include "tests/support/fleet.hpp"
 #include "tests/support/sidecar_fleet.hpp"
@@ -177,6 +178,7 @@
             sent.service = service;
             sent.target = "/" + service + "/" + std::to_string (n);
             sent.mayRepeat = service != "pay";
+            sent.maxArrivals = toleratedZones (options.seed) > 0 ? retry::kMaxSends : sent.maxServers;
             const auto& key = clientKeys()[n % clientKeys().size()];
             sent.tenant = key.tenant;
             sent.usesRevokedKey = &key == &clientKeys().back();
--- a/tests/unit/soak/promises_test.cpp
+++ b/tests/unit/soak/promises_test.cpp
@@ -22,6 +22,16 @@
     return checker;
 }
 
+/** The same for a lookup whose declined sends may be repeated. */
+PromiseChecker checkerWithRepeats()
+{
+    PromiseChecker checker (milliseconds (500), seconds (3));
+    SentRequest sent{ lookup, "back", "/back/1", true, 2 };
+    sent.maxArrivals = 6;
+    checker.onSent (sent);
+    return checker;
+}
+
 Arrival arrivalOf (const RequestId& id, const InstanceId& at, bool runs = true)
 {
     const bool pays = id == payment;
@@ -147,6 +157,43 @@
     checkOnly (checker, Promise::boundedServers);
 }
 
+// Guards against a check that takes repeated offers of a declined request to one server for several servers,
+// and against one that no longer sees too many servers, runs or offers.
+TEST_CASE ("a declined request may be offered again, but to no more servers than allowed", "[soak]")
+{
+    const auto declinedAt = [] (const InstanceId& server)
+    {
+        auto arrival = arrivalOf (lookup, server);
+        arrival.runs = false;
+        return arrival;
+    };
+    auto checker = checkerWithRepeats();
+
+    for (int n = 0; n < 3; ++n)
+    {
+        checker.onArrival (declinedAt (one));
+        checker.onArrival (declinedAt (other));
+    }
+
+    CHECK (checker.broken().empty());
+    checker.onArrival (declinedAt (one));
+    checkOnly (checker, Promise::boundedServers);
+
+    auto thirdServer = checkerWithRepeats();
+
+    for (const auto& server : { one, other, InstanceId{ "i-3" } })
+        thirdServer.onArrival (declinedAt (server));
+
+    checkOnly (thirdServer, Promise::boundedServers);
+
+    auto thirdRun = checkerWithRepeats();
+
+    for (int n = 0; n < 3; ++n)
+        thirdRun.onArrival (arrivalOf (lookup, one));
+
+    checkOnly (thirdRun, Promise::boundedServers);
+}
+
 TEST_CASE ("an arrival long after the acknowledged leave is reported", "[soak]")
 {
     auto checker = checkerWithRequests();
