One place for decay by half-lives

Ten modules of the features for a shortage wrote the same decay again, and two earlier ones had it; the seconds over which a decayed count adds up stood four times, once with a rounded logarithm. protocol/half_life has both.

The rounded logarithm in returning/return_time (0.6931) is exact now, a difference of 0.007 % in the admission rate; all else computes the same values.

--- a/src/admission/declined_share.cpp
+++ b/src/admission/declined_share.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "protocol/half_life.hpp"
+
 namespace anisehold::admission {
 namespace {
 
@@ -28,7 +30,7 @@
 }
 
 DeclineChange record_arrival_end(DeclinedShare& share, TimePoint now, bool declined) {
-    const double kept = std::exp2(-age_s(share, now) / kHalfLifeS);
+    const double kept = kept_part(std::max(Duration::zero(), now - share.updated), kHalfLifeS);
     share.declined = share.declined * kept + (declined ? 1 : 0);
     share.ended = share.ended * kept + 1;
     share.updated = std::max(share.updated, now);
--- a/src/attribution/known_share.hpp
+++ b/src/attribution/known_share.hpp
@@ -1,9 +1,9 @@
 /** Tracks whether the parents of most of the local server's calls are known, for operators. Pure. */
 #pragma once
 
-#include <cmath>
 #include <optional>
 
+#include "protocol/half_life.hpp"
 #include "protocol/time_types.hpp"
 
 namespace anisehold::attribution
@@ -35,8 +35,7 @@
 /** Records a call; returns whether the verdict has changed or was reached for the first time. */
 inline bool recordCall (KnownShare& state, TimePoint now, bool isKnown)
 {
-    const std::chrono::duration<double> elapsed = now - state.updated;
-    const double kept = std::exp2 (-elapsed.count() / knownHalfLifeS);
+    const double kept = kept_part (now - state.updated, knownHalfLifeS);
     state.calls = state.calls * kept + 1;
     state.known = state.known * kept + (isKnown ? 1 : 0);
     state.updated = now;
--- a/src/attribution/root_ranks.cpp
+++ b/src/attribution/root_ranks.cpp
@@ -1,7 +1,8 @@
 #include "attribution/root_ranks.hpp"
 
 #include <algorithm>
-#include <cmath>
+
+#include "protocol/half_life.hpp"
 
 namespace anisehold::attribution
 {
@@ -17,8 +18,7 @@
 
 double keptAt (const RankCounts& ranks, TimePoint now)
 {
-    const std::chrono::duration<double> age = now - ranks.updated;
-    return std::exp2 (-std::max (0.0, age.count()) / halfLifeS);
+    return kept_part (std::max (Duration::zero(), now - ranks.updated), halfLifeS);
 }
 
 double totalOf (const RankCounts& ranks)
--- a/src/fairness/caller_demand.cpp
+++ b/src/fairness/caller_demand.cpp
@@ -2,10 +2,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numbers>
 #include <string_view>
 #include <unordered_map>
 
+#include "protocol/half_life.hpp"
+
 namespace anisehold::fairness
 {
 namespace
@@ -28,19 +29,14 @@
 
 double decayed (double value, Duration elapsed, double halfLifeS)
 {
-    return value * std::exp2 (-std::chrono::duration<double> (elapsed).count() / halfLifeS);
-}
-
-/** Window of a moving average, in seconds. */
-double windowS (double halfLifeS)
-{
-    return halfLifeS / std::numbers::ln2;
+    return value * kept_part (elapsed, halfLifeS);
 }
 
 /** Returns the mean rate of the requests since the daemon's start. */
 double meanRate (const DemandState& state, TimePoint now, const DemandCounts& counts)
 {
-    const double observedS = windowS (usualHalfLifeS) * (1 - decayed (1, now - state.began, usualHalfLifeS));
+    const double observedS =
+        count_window_s (usualHalfLifeS) * (1 - decayed (1, now - state.began, usualHalfLifeS));
     return decayed (counts.slow, now - counts.updated, usualHalfLifeS) / observedS;
 }
 
@@ -55,7 +51,7 @@
     {
         // As if the learned rate had been offered all the time, so that an excess right after the start
         // changes it as slowly as later.
-        counts.slow = meanRate (state, now, counts) * windowS (usualHalfLifeS);
+        counts.slow = meanRate (state, now, counts) * count_window_s (usualHalfLifeS);
         counts.hasLearned = true;
     }
     else
@@ -151,7 +147,7 @@
 
 double recentWindowS()
 {
-    return windowS (recentHalfLifeS);
+    return count_window_s (recentHalfLifeS);
 }
 
 bool isCurrent (const PeerDemand& peer, TimePoint now)
@@ -196,7 +192,7 @@
 
     if (demand.isUsualKnown)
         demand.usual = counts.hasLearned
-                           ? decayed (counts.slow, elapsed, usualHalfLifeS) / windowS (usualHalfLifeS)
+                           ? decayed (counts.slow, elapsed, usualHalfLifeS) / count_window_s (usualHalfLifeS)
                            : meanRate (state, now, counts);
 
     return demand;
--- a/src/overload/capacity_forecast.cpp
+++ b/src/overload/capacity_forecast.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "overload/root_limit.hpp"
+#include "protocol/half_life.hpp"
 
 namespace anisehold::overload
 {
@@ -60,11 +61,6 @@
 /** Demand by row name. */
 using NamedDemand = std::map<std::string, OfferedRate>;
 
-double keptPart (Duration elapsed, double halfLifeS)
-{
-    return std::exp2 (-std::chrono::duration<double> (elapsed).count() / halfLifeS);
-}
-
 /** Returns the demand of every row that has a work estimate or reaches a service. */
 NamedDemand namedDemand (const RootLimitState& state, TimePoint now)
 {
@@ -91,7 +87,7 @@
 
 void updateTrends (ForecastState& forecast, Duration elapsed, const NamedDemand& demand)
 {
-    const double kept = keptPart (elapsed, trendHalfLifeS);
+    const double kept = kept_part (elapsed, trendHalfLifeS);
     std::erase_if (forecast.trends, [&] (const auto& it) { return ! demand.contains (it.first); });
 
     for (const auto& [row, offered] : demand)
@@ -319,7 +315,7 @@
 
     for (const auto& [name, rows] : demands)
         updateUse (state, forecast.services[name], rows, capacities.at (name).utilization,
-                   keptPart (elapsed, useHalfLifeS));
+                   kept_part (elapsed, useHalfLifeS));
 
     return takeChanges (forecast, now);
 }
--- a/src/overload/demand_forecast.cpp
+++ b/src/overload/demand_forecast.cpp
@@ -3,9 +3,10 @@
 #include <algorithm>
 #include <boost/crc.hpp>
 #include <cmath>
-#include <numbers>
 #include <set>
 
+#include "protocol/half_life.hpp"
+
 namespace anisehold::overload
 {
 namespace
@@ -45,19 +46,14 @@
 constexpr double minExtrapolation = 0.4;
 constexpr double maxExtrapolation = 2.5;
 
-double windowS (double halfLifeS)
-{
-    return halfLifeS / std::numbers::ln2;
-}
-
 double decayed (double value, Duration age, double halfLifeS)
 {
-    return value * std::exp2 (-std::chrono::duration<double> (age).count() / halfLifeS);
+    return value * kept_part (age, halfLifeS);
 }
 
 double perSecond (const OwnRate& rate, TimePoint now)
 {
-    return decayed (rate.offered, now - rate.updated, rateHalfLifeS) / windowS (rateHalfLifeS);
+    return decayed (rate.offered, now - rate.updated, rateHalfLifeS) / count_window_s (rateHalfLifeS);
 }
 
 double ownPerSecond (const DemandState& state, TimePoint now)
@@ -76,7 +72,7 @@
     auto& test = state.surge;
     const bool isFirst = test.updated == TimePoint{};
     const Duration elapsed = isFirst ? Duration::zero() : now - test.updated;
-    const double usual = std::max (test.usual / windowS (usualHalfLifeS), minUsualPerSecond);
+    const double usual = std::max (test.usual / count_window_s (usualHalfLifeS), minUsualPerSecond);
     const double expected = usual * std::chrono::duration<double> (elapsed).count();
     test.score = std::max (0.0, test.score - (surgeRatio - 1) * expected) + std::log (surgeRatio);
     test.usual = decayed (test.usual, elapsed, usualHalfLifeS) + 1;
@@ -86,7 +82,7 @@
         return false;
 
     test.score = 0;
-    test.usual = std::max (test.usual, ownPerSecond (state, now) * windowS (usualHalfLifeS));
+    test.usual = std::max (test.usual, ownPerSecond (state, now) * count_window_s (usualHalfLifeS));
     return true;
 }
 
@@ -167,7 +163,7 @@
 double significantTrend (const ReportTrend& trend)
 {
     // A decayed rate has the variance of the rate divided by twice the window.
-    const double variance = (trend.before + trend.now) / (2 * windowS (rateHalfLifeS));
+    const double variance = (trend.before + trend.now) / (2 * count_window_s (rateHalfLifeS));
     const double change = trend.now - trend.before;
     const bool isSignificant = std::abs (change) > significantDeviation * std::sqrt (variance);
     return isSignificant && trend.before > 0
--- a/src/overload/row_reach.cpp
+++ b/src/overload/row_reach.cpp
@@ -1,7 +1,6 @@
 #include "overload/row_reach.hpp"
 
-#include <cmath>
-#include <numbers>
+#include "protocol/half_life.hpp"
 
 namespace anisehold::overload
 {
@@ -21,7 +20,7 @@
 
 double decayed (double value, Duration age)
 {
-    return value * std::exp2 (-std::chrono::duration<double> (age).count() / volumeHalfLifeS);
+    return value * kept_part (age, volumeHalfLifeS);
 }
 
 } // namespace
@@ -33,9 +32,7 @@
 
 double offeredPerSecond (const RowVolume& row)
 {
-    // A steady rate adds up to the requests of this many seconds.
-    constexpr double windowS = volumeHalfLifeS / std::numbers::ln2;
-    return row.offered / windowS;
+    return row.offered / count_window_s (volumeHalfLifeS);
 }
 
 void recordOffered (RootLimitState& state, TimePoint now, const RootRow& row)
--- a/src/overload/time_weighted_mean.hpp
+++ b/src/overload/time_weighted_mean.hpp
@@ -5,8 +5,7 @@
 */
 #pragma once
 
-#include <cmath>
-
+#include "protocol/half_life.hpp"
 #include "protocol/time_types.hpp"
 
 namespace anisehold::overload
@@ -27,8 +26,7 @@
 /** Returns the mean as of `now`. */
 inline double currentMean (const TimeWeightedMean& state, TimePoint now)
 {
-    const std::chrono::duration<double> elapsed = now - state.updated;
-    const double kept = std::exp2 (-elapsed.count() / meanHalfLifeS);
+    const double kept = kept_part (now - state.updated, meanHalfLifeS);
     return state.mean * kept + state.value * (1 - kept);
 }
 
--- a/src/retry/gate_budget.cpp
+++ b/src/retry/gate_budget.cpp
@@ -1,9 +1,9 @@
 #include "retry/gate_budget.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <limits>
-#include <numbers>
+
+#include "protocol/half_life.hpp"
 
 namespace anisehold::retry {
 namespace {
@@ -23,7 +23,7 @@
 }
 
 double decayed(double asked, Duration age) {
-    return asked * std::exp2(-seconds_of(age) / kDemandHalfLifeS);
+    return asked * kept_part(age, kDemandHalfLifeS);
 }
 
 }  // namespace
@@ -143,7 +143,7 @@
         if (demand.asked <= 0) {
             continue;
         }
-        per_second += decayed(demand.asked, now - demand.updated) * std::numbers::ln2 / kDemandHalfLifeS;
+        per_second += decayed(demand.asked, now - demand.updated) / count_window_s(kDemandHalfLifeS);
     }
     return per_second * kReserveS;
 }
--- a/src/returning/fresh_deadlines.cpp
+++ b/src/returning/fresh_deadlines.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "protocol/half_life.hpp"
+
 namespace anisehold::returning
 {
 namespace
@@ -58,8 +60,7 @@
     if (counts.refused != TimePoint{} && now - counts.refused < quietTime)
         return;
 
-    const std::chrono::duration<double> elapsed = now - counts.updated;
-    const double kept = std::exp2 (-std::max (0.0, elapsed.count()) / halfLifeS);
+    const double kept = kept_part (std::max (Duration::zero(), now - counts.updated), halfLifeS);
     counts.updated = now;
 
     for (auto& [bin, count] : counts.bins)
--- a/src/returning/return_time.cpp
+++ b/src/returning/return_time.cpp
@@ -1,8 +1,8 @@
 #include "returning/return_time.hpp"
 
 #include <algorithm>
-#include <cmath>
 
+#include "protocol/half_life.hpp"
 #include "returning/standing.hpp"
 
 namespace anisehold::returning
@@ -23,16 +23,15 @@
 
 double keptAt (const RowReturns& returns, TimePoint now)
 {
-    const std::chrono::duration<double> elapsed = now - returns.updated;
-    return std::exp2 (-std::max (0.0, elapsed.count()) / halfLifeS);
+    return kept_part (std::max (Duration::zero(), now - returns.updated), halfLifeS);
 }
 
 /** Returns the mean time between two admissions of the row. */
 Duration admissionGap (const RowReturns& returns, TimePoint now)
 {
-    constexpr double ln2 = 0.6931;
     constexpr double minPerS = 0.1;
-    const double perS = std::max (minPerS, returns.admitted * keptAt (returns, now) * ln2 / halfLifeS);
+    const double perS =
+        std::max (minPerS, returns.admitted * keptAt (returns, now) / count_window_s (halfLifeS));
     return std::chrono::duration_cast<Duration> (std::chrono::duration<double> (1 / perS));
 }
 
--- a/src/selection/failure_share.hpp
+++ b/src/selection/failure_share.hpp
@@ -2,8 +2,7 @@
     new results. Pure. */
 #pragma once
 
-#include <cmath>
-
+#include "protocol/half_life.hpp"
 #include "protocol/time_types.hpp"
 
 namespace anisehold::selection
@@ -23,8 +22,7 @@
 /** Returns the share decayed to `now`. */
 inline double currentShare (const FailureShare& failures, TimePoint now)
 {
-    const std::chrono::duration<double> age = now - failures.updated;
-    return failures.share * std::exp2 (-age.count() / failureHalfLifeS);
+    return failures.share * kept_part (now - failures.updated, failureHalfLifeS);
 }
 
 /** Adds one result with the given weight, from 0 to 1. */
--- a/src/speed/server_speed.cpp
+++ b/src/speed/server_speed.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "protocol/half_life.hpp"
+
 namespace anisehold::speed
 {
 namespace
@@ -80,7 +82,7 @@
 
 void recordInFit (FigureFit& fit, TimePoint now, double figure, Duration time)
 {
-    const double kept = std::exp2 (-secondsOf (now - fit.updated) / fitHalfLifeS);
+    const double kept = kept_part (now - fit.updated, fitHalfLifeS);
     const double x = std::log (figure);
     const double y = std::log (std::max (secondsOf (time), 1e-6));
     fit.weight = kept * fit.weight + 1;
