Admission and gate: work done twice, and work where a feature is off

- A client's request asked for the admitted share of its row up to three times; it is computed once, and not at all where neither fair shares nor the precedence of returning callers are on, as before these features.
- Each choice of a server looked at all servers of the service for their declined share.
It ends at the first server that declines nothing, the usual case, so that its cost doesn't grow with the fleet.
- The fiber of the capacity forecast ran five times a second in every deployment; it is started only where the forecast is on.
- What a gate reports is recorded in one function for replies and responses.
- The refusals of an admitted request are a function of their own in place of a nested conditional.

--- a/src/selection/server_selection.cpp
+++ b/src/selection/server_selection.cpp
@@ -201,8 +201,16 @@
     double lowest = 1;
 
     for (const auto* list : { &view.local, &view.remote })
+    {
         for (const auto* it : *list)
+        {
+            // Usually the first server declines nothing, and the cost doesn't grow with the fleet.
+            if (it->server.declined_percent == 0)
+                return 0;
+
             lowest = std::min (lowest, shareOfPercent * it->server.declined_percent);
+        }
+    }
 
     return view.empty() ? 0 : lowest;
 }
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -184,9 +184,13 @@
 
 bool CallIngress::is_refused_early(IncomingCall& call) {
     const double share = context_.overload.on_offered(call.received, {call.row, call.terms.priority});
-    const auto by_caller =
-        context_.has(Mechanism::kCallerFairness) ? refusal_by_caller(call) : CallerRefusal{share, ""};
-    const double refused = refused_share_by_standing(call, by_caller);
+    if (!context_.has(Mechanism::kCallerFairness) && !context_.has(Mechanism::kReturningCallers)) {
+        return context_.has(Mechanism::kEarlyRefusal) && context_.random_unit() < share;
+    }
+    const double row_share = context_.overload.admitted_share({call.row, call.terms.priority});
+    const auto by_caller = context_.has(Mechanism::kCallerFairness) ? refusal_by_caller(call, row_share)
+                                                                    : CallerRefusal{share, ""};
+    const double refused = refused_share_by_standing(call, by_caller, row_share);
     const bool is_refused = context_.has(Mechanism::kEarlyRefusal) && context_.random_unit() < refused;
     if (is_refused && !by_caller.excess_of.empty()) {
         context_.metrics.count_excess_refusal(by_caller.excess_of);
@@ -197,13 +201,14 @@
     return is_refused;
 }
 
-double CallIngress::refused_share_by_standing(IncomingCall& call, const CallerRefusal& by_caller) {
+double CallIngress::refused_share_by_standing(IncomingCall& call, const CallerRefusal& by_caller,
+                                              double row_share) {
     const double refused = by_caller.share;
     if (!context_.has(Mechanism::kReturningCallers) || !call.stated_time_left) {
         return refused;
     }
     auto& deadlines = returning_.deadlines;
-    const bool is_row_limited = context_.overload.admitted_share({call.row, call.terms.priority}) < 1;
+    const bool is_row_limited = row_share < 1;
     returning::recordArrival(deadlines, call.received, call.route, *call.stated_time_left,
                              refused > 0 || is_row_limited);
     const auto smallest = returning::smallestFresh(deadlines, call.received, call.route);
@@ -253,8 +258,7 @@
     }
 }
 
-CallIngress::CallerRefusal CallIngress::refusal_by_caller(const IncomingCall& call) {
-    const double row_share = context_.overload.admitted_share({call.row, call.terms.priority});
+CallIngress::CallerRefusal CallIngress::refusal_by_caller(const IncomingCall& call, double row_share) {
     const auto share = context_.callers.on_offered(call.received, call.row, call.tenant.value, row_share);
     // The correction stabilizes all requests of this daemon in the row, whatever their group.
     const double correction =
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -76,8 +76,8 @@
     /// Whether a client's request is refused because a service has no capacity.
     bool is_refused_early(IncomingCall& call);
     /// Determines whether the request was refused before; returns the share with which it is refused, given
-    /// the share of its row.
-    double refused_share_by_standing(IncomingCall& call, const CallerRefusal& by_caller);
+    /// that of its group of callers and the admitted share of its row.
+    double refused_share_by_standing(IncomingCall& call, const CallerRefusal& by_caller, double row_share);
     /// Returns the Retry-After of an early refusal; `usual`: the value without knowledge of the caller.
     milliseconds early_retry_after(const IncomingCall& call, milliseconds usual);
     /// Records an admitted client request, as a measure of the capacity for returns.
@@ -89,7 +89,7 @@
     /// Counts a call of the local server whose parent is known or not.
     void on_attributed(bool is_known);
     /// Determines the share with which the request is refused by its zone and tenant.
-    CallerRefusal refusal_by_caller(const IncomingCall& call);
+    CallerRefusal refusal_by_caller(const IncomingCall& call, double row_share);
     /// Takes a token from the tenant's quota; may block the fiber briefly.
     std::optional<CallFailure> acquire_token(const routing::Configuration& configuration, IncomingCall& call);
     net::HttpResponse answer(const IncomingCall& call, net::HttpResponse response);
--- a/src/sidecar/hop_client.cpp
+++ b/src/sidecar/hop_client.cpp
@@ -84,8 +84,7 @@
     if (!result) {
         return failure_at(call, HopOutcome::kUnknown, ErrorKind::kBackendFailed);
     }
-    directory_.on_load(server.peer, load_of(*result));
-    directory_.on_speed(TimePoint::clock::now(), server.peer, result->instance, result->slow_percent);
+    record_load(server, *result);
     GateAnswer answer;
     answer.result = *result;
     if (result->outcome == HopOutcome::kAnswered) {
@@ -146,9 +145,8 @@
         onRefused(reservation.state);
         return failure_at(call, HopOutcome::kNotSent, ErrorKind::kConnectFailed);
     }
-    directory_.on_load(server.peer, load_of(*result));
+    record_load(server, *result);
     const auto now = TimePoint::clock::now();
-    directory_.on_speed(now, server.peer, result->instance, result->slow_percent);
     if (result->outcome == HopOutcome::kGranted) {
         onGranted(reservation.state, now, result->grant, result->grant_time);
         return std::nullopt;
@@ -202,6 +200,11 @@
     });
 }
 
+void HopClient::record_load(const membership::KnownServer& server, const hop::HopResult& result) {
+    directory_.on_load(server.peer, load_of(result));
+    directory_.on_speed(TimePoint::clock::now(), server.peer, result.instance, result.slow_percent);
+}
+
 void HopClient::log_silent_gate(const membership::KnownServer& server) {
     ++silent_gates_;
     const auto now = TimePoint::clock::now();
--- a/src/sidecar/hop_client.hpp
+++ b/src/sidecar/hop_client.hpp
@@ -50,6 +50,8 @@
     GateAnswer on_no_reply(Reservation& reservation, const std::error_code& error);
     /// Gives a grant back, without waiting for the reply.
     void withdraw(const membership::KnownServer& server, const hop::HopRequest& call, std::uint64_t grant);
+    /// Tells the peer directory what a gate reports of its server.
+    void record_load(const membership::KnownServer& server, const hop::HopResult& result);
     /// Logs the number of silent gates, at most once a second.
     void log_silent_gate(const membership::KnownServer& server);
 
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -195,12 +195,20 @@
     context_.metrics.count_rate_refusal(context_.settings.service);
 }
 
+std::optional<GateAnswer> LocalGate::refusal_of_admitted(const GateServer& server, const GateRun& run) {
+    if (!servers_.is_ready(run.call.instance)) {
+        return make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
+    }
+    if (!grants_retry(server, run)) {
+        return make_failure(HopOutcome::kNotSent, ErrorKind::kRetriesExhausted);
+    }
+    return std::nullopt;
+}
+
 GateAnswer LocalGate::run_admitted(GateServer& server, const GateRun& run, net::HttpRequest& request,
                                    TimePoint started) {
-    auto answer =
-        !servers_.is_ready(run.call.instance) ? make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend)
-        : grants_retry(server, run)           ? run_at_server(server, run, request)
-                                    : make_failure(HopOutcome::kNotSent, ErrorKind::kRetriesExhausted);
+    auto refused = refusal_of_admitted(server, run);
+    auto answer = refused ? std::move(*refused) : run_at_server(server, run, request);
     // If a server failed while calls made by its machine were refused for overload, the overload is the most
     // likely cause: the server's own load says nothing, and the work done for the request is lost.
     if (is_failed_answer(answer)) {
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -87,6 +87,8 @@
     bool may_grant(const std::string& instance) const;
     /// Records that a request was refused because of the server's rate limit.
     void record_rate_refusal(GateServer& server) const;
+    /// Runs checks 6 and 7; returns the refusal, if any.
+    std::optional<GateAnswer> refusal_of_admitted(const GateServer& server, const GateRun& run);
     /// Runs an admitted request and frees its slot. Blocks the fiber.
     GateAnswer run_admitted(GateServer& server, const GateRun& run, net::HttpRequest& request,
                             TimePoint started);
--- a/src/sidecar/overload_tracker.cpp
+++ b/src/sidecar/overload_tracker.cpp
@@ -60,12 +60,6 @@
 
 std::vector<overload::ForecastChange> OverloadTracker::update_forecast(
     TimePoint now, const overload::Capacities& capacities) {
-    if (!has_forecast()) {
-        if (limit_.forecast.isOn) {
-            overload::endForecast(limit_);
-        }
-        return {};
-    }
     limit_.forecast.isOn = true;
     const bool was_limited = overload::isLimitedByForecast(limit_);
     auto changes = overload::updateForecast(limit_, now, capacities);
--- a/src/sidecar/overload_tracker.hpp
+++ b/src/sidecar/overload_tracker.hpp
@@ -110,7 +110,7 @@
     overload::OfferedReport offered_report(TimePoint now, RecordReceivers receivers);
     /// Whether this daemon has work estimates that a new peer needs.
     bool has_work_estimates() const;
-    /// Updates the forecast; empty without the mechanism.
+    /// Updates the forecast; called only where the mechanism is on.
     std::vector<overload::ForecastChange> update_forecast(TimePoint now,
                                                           const overload::Capacities& capacities);
     const std::map<std::string, overload::ServiceForecast>& forecasts() const {
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -72,7 +72,9 @@
     opened_ = TimePoint::clock::now();
     if (!error) {
         net::EventLoop::spawn([this] { announce_periodically(); });
-        net::EventLoop::spawn([this] { forecast_periodically(); });
+        if (context_.has(config::Mechanism::kCapacityForecast)) {
+            net::EventLoop::spawn([this] { forecast_periodically(); });
+        }
     }
     return error;
 }
@@ -203,8 +205,7 @@
 }
 
 void PeerExchange::update_forecast(TimePoint now) {
-    const bool is_on = context_.has(config::Mechanism::kCapacityForecast);
-    const auto capacities = is_on ? overload::capacitiesOf(server_supplies(now)) : overload::Capacities();
+    const auto capacities = overload::capacitiesOf(server_supplies(now));
     for (const auto& change : context_.overload.update_forecast(now, capacities)) {
         log_event(Event::kCapacityForecast, {{"service", change.service},
                                              {"capacity", std::to_string(change.capacity)},
