Tests: forwarders of a machine and sliding counts stand once

links_test, reservation_test and the soak each started the four forwarders of a machine; soak/machine_links does it for all, and a start that fails still ends the test. The two models of retry bounds had the same sliding count and the same choice of the window that a bound counts; both are in sliding_count.hpp.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -55,20 +55,14 @@
 
 bool FaultInjector::startLinks()
 {
-    auto& io = Fleet::loop().io();
-
     for (std::size_t n = 0; n < fleet.size(); ++n)
     {
-        const auto& at = fleet.machine (n).links;
-        auto& set = links.emplace_back();
-        set.store = std::make_unique<StreamLink> (io, fleet.store_endpoint());
-        set.server = std::make_unique<StreamLink> (io, at.server);
-        set.hops = std::make_unique<StreamLink> (io, at.hops);
-        set.gossip = std::make_unique<DatagramLink> (io, at.gossip);
-
-        if (set.store->start (at.store_link) || set.server->start (at.server_link) ||
-            set.hops->start (at.hops_link) || set.gossip->start (at.gossip_link))
+        auto set = startMachineLinks (fleet, n);
+
+        if (! set)
             return false;
+
+        links.push_back (std::move (*set));
     }
 
     return true;
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "soak/link.hpp"
+#include "soak/machine_links.hpp"
 #include "soak/plan.hpp"
 #include "soak/promises.hpp"
 #include "tests/support/sidecar_fleet.hpp"
@@ -24,15 +24,6 @@
     std::function<std::string (unsigned version)> configuration;
 };
 
-/** The links of one machine. */
-struct MachineLinkSet
-{
-    std::unique_ptr<StreamLink> store;
-    std::unique_ptr<StreamLink> server;
-    std::unique_ptr<StreamLink> hops;
-    std::unique_ptr<DatagramLink> gossip;
-};
-
 /** Owns the links of a fleet's machines. Reports acknowledged leaves, and stops that never end, to the
     checker. */
 class FaultInjector
--- a/tests/incidents/gate_retries_test.cpp
+++ b/tests/incidents/gate_retries_test.cpp
@@ -10,43 +10,20 @@
 */
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <deque>
 #include <memory>
 #include <random>
 #include <vector>
 
 #include "retry/gate_budget.hpp"
+#include "sliding_count.hpp"
 
 using namespace anisehold;
 using namespace anisehold::retry;
+using model::SlidingCount;
 
 namespace
 {
 
-/** Counts events of the last three windows by time. */
-class SlidingCount
-{
-public:
-    void add (TimePoint now) { times.push_back (now); }
-
-    /** Number of events in the window that ended `before` ago. */
-    double inWindow (TimePoint now, Duration window, Duration before) const
-    {
-        const auto end = std::upper_bound (times.begin(), times.end(), now - before);
-        const auto begin = std::upper_bound (times.begin(), times.end(), now - before - window);
-        return static_cast<double> (end - begin);
-    }
-
-    void discardOld (TimePoint now, Duration window)
-    {
-        while (! times.empty() && now - times.front() > 3 * window)
-            times.pop_front();
-    }
-
-private:
-    std::deque<TimePoint> times;
-};
-
 constexpr milliseconds silenceDetection{ 3'500 }; /**< Time until peers notice that a daemon is silent. */
 constexpr milliseconds restartTime{ 700 };
 
@@ -174,9 +151,7 @@
 
     void updateMaxUsed()
     {
-        const auto countIn = [&] (Duration before) { return arrivals.inWindow (now, terms.window, before); };
-        const double counted =
-            std::max ({ countIn ({}), countIn (terms.window / 2), countIn (terms.window) });
+        const double counted = arrivals.inLargestWindow (now, terms.window);
         used = retries.inWindow (now, terms.window, {}) / (terms.ratio * counted + terms.extra);
         maxUsed = std::max (maxUsed, used);
         arrivals.discardOld (now, terms.window);
--- a/tests/incidents/restart_retries_test.cpp
+++ b/tests/incidents/restart_retries_test.cpp
@@ -12,43 +12,20 @@
 */
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <deque>
 #include <memory>
 #include <random>
 #include <vector>
 
 #include "retry/window_budget.hpp"
+#include "sliding_count.hpp"
 
 using namespace anisehold;
 using namespace anisehold::retry;
+using model::SlidingCount;
 
 namespace
 {
 
-/** Counts events of the last three windows by time. */
-class SlidingCount
-{
-public:
-    void add (TimePoint now) { times.push_back (now); }
-
-    /** Number of events in the window that ended `before` ago. */
-    double inWindow (TimePoint now, Duration window, Duration before) const
-    {
-        const auto end = std::upper_bound (times.begin(), times.end(), now - before);
-        const auto begin = std::upper_bound (times.begin(), times.end(), now - before - window);
-        return static_cast<double> (end - begin);
-    }
-
-    void discardOld (TimePoint now, Duration window)
-    {
-        while (! times.empty() && now - times.front() > 3 * window)
-            times.pop_front();
-    }
-
-private:
-    std::deque<TimePoint> times;
-};
-
 /** A fleet whose requests are refused with a given probability; each is tried at up to three servers. */
 struct BudgetFleet
 {
@@ -86,13 +63,10 @@
         }
     }
 
-    /** Updates the maximum used share of the bound. Requests are counted in the window with the most
-        requests: the current one, the previous one, or the one half a window earlier. */
+    /** Updates the maximum used share of the bound. */
     void updateMaxUsed()
     {
-        const auto countIn = [&] (Duration before) { return requests.inWindow (now, terms.window, before); };
-        const double counted =
-            std::max ({ countIn ({}), countIn (terms.window / 2), countIn (terms.window) });
+        const double counted = requests.inLargestWindow (now, terms.window);
         const double bound = terms.ratio * counted + terms.extra;
         maxUsed = std::max (maxUsed, retries.inWindow (now, terms.window, {}) / bound);
         requests.discardOld (now, terms.window);
--- a/tests/process/links_test.cpp
+++ b/tests/process/links_test.cpp
@@ -5,7 +5,7 @@
 #include <memory>
 #include <set>
 
-#include "soak/link.hpp"
+#include "soak/machine_links.hpp"
 #include "tests/support/fleet.hpp"
 #include "tests/support/sidecar_fleet.hpp"
 
@@ -29,16 +29,9 @@
                              { "z1", "back", {}, 16, milliseconds (5) },
                              { "z2", "back", {}, 16, milliseconds (5), true } })
     {
-        auto& io = Fleet::loop().io();
-        const auto& at = fleet.machine (3).links;
-        store = std::make_unique<soak::StreamLink> (io, fleet.store_endpoint());
-        hops = std::make_unique<soak::StreamLink> (io, at.hops);
-        gossip = std::make_unique<soak::DatagramLink> (io, at.gossip);
-        server = std::make_unique<soak::StreamLink> (io, at.server);
-        REQUIRE_FALSE (store->start (at.store_link));
-        REQUIRE_FALSE (hops->start (at.hops_link));
-        REQUIRE_FALSE (gossip->start (at.gossip_link));
-        REQUIRE_FALSE (server->start (at.server_link));
+        auto started = soak::startMachineLinks (fleet, 3);
+        REQUIRE (started);
+        links = std::move (*started);
         REQUIRE (fleet.start (configuration_text (1, { "front", "back" }, {})));
     }
 
@@ -58,10 +51,7 @@
     }
 
     SidecarFleet fleet;
-    std::unique_ptr<soak::StreamLink> store;
-    std::unique_ptr<soak::StreamLink> hops;
-    std::unique_ptr<soak::StreamLink> server;
-    std::unique_ptr<soak::DatagramLink> gossip;
+    soak::MachineLinkSet links;
 };
 
 } // namespace
@@ -84,13 +74,13 @@
     soak::LinkBehaviour silent;
     silent.toTargetSilent = true;
     silent.toCallerSilent = true;
-    linked.hops->setBehaviour (silent);
-    linked.gossip->setBehaviour (silent);
+    linked.links.hops->setBehaviour (silent);
+    linked.links.gossip->setBehaviour (silent);
     // Some of the first requests may wait for a response that does not arrive; they are retried at the other
     // server.
     CHECK (linked.serveMany ("silent-", 60) >= 57);
-    linked.hops->setBehaviour ({});
-    linked.gossip->setBehaviour ({});
+    linked.links.hops->setBehaviour ({});
+    linked.links.gossip->setBehaviour ({});
     // Only new requests count: an earlier one may still be in flight.
     int numBack = 0;
     linked.fleet.machine (3).server->observe ([&] (const lab::ServerArrival& it)
@@ -110,7 +100,7 @@
     linked.fleet.machine (3).server->observe ([&] (const lab::ServerArrival& it) { arrived.insert (it.id); });
     soak::LinkBehaviour silent;
     silent.toTargetSilent = true;
-    linked.hops->setBehaviour (silent);
+    linked.links.hops->setBehaviour (silent);
 
     constexpr int numSent = 20;
     int served = 0;
@@ -124,7 +114,7 @@
 
     CHECK (served < numSent);
 
-    linked.hops->setBehaviour ({});
+    linked.links.hops->setBehaviour ({});
     linked.fleet.pause (milliseconds (500));
     const auto isHeld = [] (const std::string& id) { return id.starts_with ("held-"); };
     CHECK (std::none_of (arrived.begin(), arrived.end(), isHeld));
@@ -135,9 +125,9 @@
     LinkedFleet linked (29'100);
     soak::LinkBehaviour resetting;
     resetting.resets = true;
-    linked.server->setBehaviour (resetting);
+    linked.links.server->setBehaviour (resetting);
     CHECK (linked.serveMany ("reset-", 100) >= 97);
-    linked.server->setBehaviour ({});
+    linked.links.server->setBehaviour ({});
     CHECK (linked.serveMany ("after-", 50) == 50);
 }
 
@@ -147,7 +137,7 @@
     LinkedFleet linked (29'200);
     soak::LinkBehaviour resetting;
     resetting.resets = true;
-    linked.store->setBehaviour (resetting);
+    linked.links.store->setBehaviour (resetting);
     linked.fleet.configure (configuration_text (2, { "front" }, { "back" }));
     CHECK (linked.fleet.eventually (settleTime,
                                     [&]
--- a/tests/process/reservation_test.cpp
+++ b/tests/process/reservation_test.cpp
@@ -9,7 +9,7 @@
 #include <vector>
 
 #include "net/event_loop.hpp"
-#include "soak/link.hpp"
+#include "soak/machine_links.hpp"
 #include "tests/support/fleet.hpp"
 #include "tests/support/sidecar_fleet.hpp"
 
@@ -52,16 +52,9 @@
     /** Starts the forwarders of the links of the lost machine. */
     void startLinks()
     {
-        auto& io = Fleet::loop().io();
-        const auto& at = fleet.machine (lostMachine).links;
-        store = std::make_unique<soak::StreamLink> (io, fleet.store_endpoint());
-        hops = std::make_unique<soak::StreamLink> (io, at.hops);
-        gossip = std::make_unique<soak::DatagramLink> (io, at.gossip);
-        server = std::make_unique<soak::StreamLink> (io, at.server);
-        REQUIRE_FALSE (store->start (at.store_link));
-        REQUIRE_FALSE (hops->start (at.hops_link));
-        REQUIRE_FALSE (gossip->start (at.gossip_link));
-        REQUIRE_FALSE (server->start (at.server_link));
+        auto started = soak::startMachineLinks (fleet, lostMachine);
+        REQUIRE (started);
+        links = std::move (*started);
     }
 
     /** Sends all requests at once; `answers` fills up meanwhile. */
@@ -121,10 +114,7 @@
     }
 
     SidecarFleet fleet;
-    std::unique_ptr<soak::StreamLink> store;
-    std::unique_ptr<soak::StreamLink> hops;
-    std::unique_ptr<soak::StreamLink> server;
-    std::unique_ptr<soak::DatagramLink> gossip;
+    soak::MachineLinkSet links;
     std::vector<std::string> ids;
     std::map<std::string, ClientAnswer> answers;
 };
@@ -177,7 +167,7 @@
     SidecarFleet::pause (milliseconds (30));
     soak::LinkBehaviour repliesLost;
     repliesLost.toCallerSilent = true;
-    pay.hops->setBehaviour (repliesLost);
+    pay.links.hops->setBehaviour (repliesLost);
     pay.checkAnswers();
 }
 
