--- a/src/admission/declined_share.hpp
+++ b/src/admission/declined_share.hpp
@@ -18,13 +18,13 @@
     bool is_declining = false;
 };
 
-/// A change of state.
+/// A transition of a server into or out of declining.
 enum class DeclineChange { kNone, kBegan, kEnded };
 
 /// Records the end of an arrival.
 DeclineChange record_arrival_end(DeclinedShare& share, TimePoint now, bool declined);
 
-/// Ends the belief that the server declines once nothing is known of the share.
+/// Ends the declining state if there was no result within `kDeclinedRetention`.
 DeclineChange expire_declined(DeclinedShare& share, TimePoint now);
 
 /// Returns the share, from 0 to 1; decays to 0 within `kDeclinedRetention` without new results.
--- a/src/attribution/call_matcher.cpp
+++ b/src/attribution/call_matcher.cpp
@@ -32,7 +32,8 @@
 
 /** Number of the latest calls of a row, of 32, from which an equal time left is frequent. Where calls were
     measured, inherited times left scatter over 15 ms; 12 equal ones of 32 are then rarer than one in a
-    thousand. But a server that takes always the same time also states them often. */
+    thousand. A server with a constant service time
+    states equal times as well. */
 constexpr long minEqualTimesLeft = 12;
 
 /** A run that may have made the call. */
--- a/src/attribution/call_matcher.hpp
+++ b/src/attribution/call_matcher.hpp
@@ -107,10 +107,8 @@
 /** Maximum number of rows of calls for which the times left are kept; others' own timeouts aren't noticed. */
 inline constexpr std::size_t maxCalledRows = 64;
 
-/** Probability from which a parent row or a root counts as known: a wrong match must be rarer than one in
-    ten of the matched. At a simulated server of 60 slots, 0.9 knew the roots of 0.83 of the calls with 0.003
-    of these wrong (0.52 and 0.010 with a jitter of 5 ms), 0.75 knew 0.89 with 0.017 wrong (0.68 and 0.053).
- */
+/** Probability from which a parent row or a root counts as known. A wrong match must be rarer than one in ten
+   of the matched: at a simulated server of 60 slots with a jitter of 5 ms 0.053 are wrong. */
 inline constexpr double minProbability = 0.75;
 
 } // namespace anisehold::attribution
--- a/src/fairness/caller_demand.cpp
+++ b/src/fairness/caller_demand.cpp
@@ -19,7 +19,8 @@
 constexpr Duration learningTime = seconds (8);
 /** Weight of a request that is part of an excess in the usual demand. */
 constexpr double excessWeight = 0.05;
-/** Time after which a report of a peer no longer counts; reports come every second. */
+/** Age from which a peer's report is ignored. Reports are sent at most once a second, and no more often than
+    records. */
 constexpr Duration maxReportAge = milliseconds (3'500);
 /** Time for which the groups of a row are reported after it was last limited. */
 constexpr Duration reportTime = seconds (5);
--- a/src/fairness/caller_demand.hpp
+++ b/src/fairness/caller_demand.hpp
@@ -25,7 +25,7 @@
 namespace anisehold::fairness
 {
 
-/** Maximum groups in a report, and maximum tenants per row that are counted apart from their zone. */
+/** Maximum groups in a report, and maximum tenants per row that form a group of their own. */
 inline constexpr std::size_t maxGroups = 32;
 /** Maximum tenants whose demand a daemon counts, over all rows; others count with their zone only. */
 inline constexpr std::size_t maxTenants = 8'192;
--- a/src/fairness/group_shares.cpp
+++ b/src/fairness/group_shares.cpp
@@ -11,8 +11,8 @@
 namespace
 {
 
-/** Demand up to this multiple of the usual one counts as usual, and from the second one the usual demand
-   alone is the weight of the group. */
+/** Up to `tolerance` times its usual demand a group has no excess. From `fullExcess` times on its excess is
+   the full ratio; in between it is interpolated. */
 constexpr double tolerance = 1.25;
 constexpr double fullExcess = 1.5;
 /** Part of the zones, by their usual demand, whose multiple of it is common to all. Less than half, so that
--- a/src/hop/hop_header.hpp
+++ b/src/hop/hop_header.hpp
@@ -11,6 +11,7 @@
 
 #include "protocol/error_kind.hpp"
 #include "protocol/request_rate.hpp"
+#include "protocol/slow_percent.hpp"
 #include "protocol/time_types.hpp"
 
 namespace anisehold::hop {
@@ -46,9 +47,6 @@
     unsigned made = 0;  ///< Calls that the parent of the request has made before this one.
 };
 
-/// `HopResult::slow_percent` of a server at its usual speed.
-inline constexpr unsigned kUsualSlowPercent = 100;
-
 /// Outcome of the request at the gate.
 enum class HopOutcome {
     kAnswered,         ///< The message is the server's response.
--- a/src/membership/peer_record.cpp
+++ b/src/membership/peer_record.cpp
@@ -20,7 +20,7 @@
 std::vector<ServerCondition> conditions_of(const std::vector<ServerRecord>& servers) {
     std::vector<ServerCondition> conditions;
     for (const auto& server : servers) {
-        if (server.slow_percent != kUsualSpeed || server.declined_percent != 0) {
+        if (server.slow_percent != kUsualSlowPercent || server.declined_percent != 0) {
             conditions.push_back({server.instance, server.slow_percent, server.declined_percent});
         }
     }
--- a/src/membership/peer_record.hpp
+++ b/src/membership/peer_record.hpp
@@ -14,12 +14,10 @@
 #include "overload/service_pressure.hpp"
 #include "protocol/endpoint.hpp"
 #include "protocol/serialize_all.hpp"
+#include "protocol/slow_percent.hpp"
 
 namespace anisehold::membership {
 
-/// `ServerRecord::slow_percent` of a server that works at its usual speed.
-inline constexpr unsigned kUsualSpeed = 100;
-
 /// A daemon's local server, as its gate sees it.
 struct ServerRecord {
     std::string instance;  ///< May be reused by a restarted server.
@@ -35,8 +33,8 @@
     unsigned busy_percent = 0;     ///< Mean of `in_flight` over the last second or so, as a share of `limit`.
 
     // Sent in the record's shortage report.
-    unsigned slow_percent = kUsualSpeed;  ///< Present duration of work as a share of the usual one.
-    unsigned declined_percent = 0;        ///< Share of arrivals that the server declines whatever its load.
+    unsigned slow_percent = kUsualSlowPercent;  ///< Present duration of work, in percent of the usual one.
+    unsigned declined_percent = 0;  ///< Share of arrivals that the server declines whatever its load.
 
     bool operator==(const ServerRecord&) const = default;
 
@@ -50,7 +48,7 @@
 /// What the gate of one server observes beyond its load.
 struct ServerCondition {
     std::string instance;
-    unsigned slow_percent = kUsualSpeed;
+    unsigned slow_percent = kUsualSlowPercent;
     unsigned declined_percent = 0;
 
     template <typename Archive>
--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -105,12 +105,12 @@
                "a second."},
     EventEntry{
         Event::kReservationExpired, Level::kInfo, "reservation-expired",
-        "So many grants and places in the queue of this daemon's server ended since the last such line "
-        "without a request or a renewal of their callers."},
+        "Grants and places in the queue of this daemon's server expired without a request or a renewal; "
+        "the line counts those since the last such line."},
     EventEntry{
         Event::kGateSilent, Level::kWarn, "gate-silent",
-        "A peer's gate did not reply to reservations, so many since the last such line; their requests "
-        "have not run there."},
+        "Gates of peers did not reply to reservations; the line counts those since the last such line. The "
+        "requests have not run there."},
     EventEntry{Event::kServerDeclining, Level::kWarn, "server-declining",
                "The server beside this daemon began or ceased (`state`) to decline a share of its arrivals, "
                "whatever its load."},
@@ -120,8 +120,8 @@
         "they may still get (`retries_per_s`) limit the requests that are let in (`let_in`)."},
     EventEntry{
         Event::kServerSpeedUsed, Level::kInfo, "server-speed-used",
-        "The slowness that the server beside this daemon states (`percent`) is used, or no longer, by how "
-        "far its response times follow it (`trust`)."},
+        "The response times of the server beside this daemon began or ceased to follow the slowness that it "
+        "states (`percent`); the figure is weighted by `trust` in either case."},
     EventEntry{
         Event::kCallerLimited, Level::kInfo, "caller-limited",
         "A zone or tenant whose demand exceeds its usual one is refused more than others, or no longer."},
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -64,9 +64,10 @@
         "anisehold_server_slowness", "gauge",
         "Present duration of work at the server beside this daemon, as a multiple of the usual one, by "
         "server."},
-    MetricEntry{"anisehold_excess_refusals_total", "counter",
-                "Requests refused beyond the share of their row, for the excess of their zone or tenant, by "
-                "group: zone or tenant."},
+    MetricEntry{
+        "anisehold_excess_refusals_total", "counter",
+        "Requests refused early whose zone or tenant exceeds its usual demand and is admitted less than its "
+        "row, by group: zone or tenant."},
 };
 
 std::string help_of(std::string_view name) {
--- a/src/overload/capacity_forecast.hpp
+++ b/src/overload/capacity_forecast.hpp
@@ -6,9 +6,9 @@
     with the capacity of the servers that can be reached (service_capacity) a few times a second.
 
     Estimates may be wrong by some tenths. So a limit starts only well above the capacity, and a correction
-    factor, learned from the measured utilization and from refusals, heals a wrong forecast within a few
-    periods. Where estimates, demand or capacity are unknown, or refusals continue at the lowest correction,
-    the limit by refusals applies as without the forecast.
+    factor, learned from the measured utilization and from refusals, compensates for a wrong forecast within a
+   few periods. Where estimates, demand or capacity are unknown, or refusals continue at the lowest
+   correction, the limit by refusals applies as without the forecast.
 
     Owns ForecastState and the limit `slotLimit` of each service. Relies on a caller that updates it several
     times a second. Plain state and free functions. Pure.
--- a/src/overload/service_capacity.hpp
+++ b/src/overload/service_capacity.hpp
@@ -24,7 +24,7 @@
     unsigned latencyUs = 0;       /**< Mean service time; 0 if unknown. */
     unsigned failedPercent = 0;   /**< Share of failed requests. */
     unsigned declinedPercent = 0; /**< Share of arrivals that the server declines at any load. */
-    unsigned slowPercent = 100;   /**< Present duration of work as a share of the usual one. */
+    unsigned slowPercent = 100;   /**< Present duration of work, in percent of the usual one. */
     bool isCold = false;          /**< Recently started. */
     bool isReachable = true;
 };
--- a/src/returning/fresh_deadlines.cpp
+++ b/src/returning/fresh_deadlines.cpp
@@ -100,7 +100,7 @@
     {
         below += count;
 
-        // One bin of margin for the way of the request and for rounding.
+        // One bin of margin for network latency and rounding.
         if (below > maxBelow * counts.total)
             return lowerEdge (bin - 1);
     }
--- a/src/returning/return_time.cpp
+++ b/src/returning/return_time.cpp
@@ -12,7 +12,7 @@
 
 /** Half-life of an admitted request in the rate of admissions, in seconds. */
 constexpr double halfLifeS = 1;
-/** Time for the ways of the refusal and of the return, and for timers of the caller. */
+/** Network latency of the refusal and of the returning request, and the error of the caller's timer. */
 constexpr milliseconds latencyMargin{ 10 };
 /** Factor of the mean duration of admitted requests within which most of them end. */
 constexpr double durationMargin = 1.5;
--- a/src/selection/server_selection.cpp
+++ b/src/selection/server_selection.cpp
@@ -148,7 +148,7 @@
     gate reports is that at the usual speed. */
 double presentSlowness (const SelectionState& state, TimePoint now, const KnownServer& known)
 {
-    if (! state.rules.usesPresentSpeed || known.server.slow_percent == membership::kUsualSpeed)
+    if (! state.rules.usesPresentSpeed || known.server.slow_percent == kUsualSlowPercent)
         return 1;
 
     return speed::agedSlowness (known.server.slow_percent,
--- a/src/sidecar/peer_exchange.cpp
+++ b/src/sidecar/peer_exchange.cpp
@@ -2,14 +2,12 @@
 
 #include <algorithm>
 #include <boost/fiber/operations.hpp>
-#include <cmath>
 #include <iomanip>
 #include <sstream>
 
 #include "net/event_loop.hpp"
 #include "net/http_client.hpp"
 #include "observability/events.hpp"
-#include "speed/server_speed.hpp"
 
 namespace anisehold::sidecar {
 namespace {
@@ -36,9 +34,6 @@
 /// Time for which the peers' counts are awaited; the latency between zones is a few milliseconds.
 constexpr milliseconds kOnsetReplyTime{60};
 
-/// Interval at which the capacity forecast is updated: a fraction of the half-life of the demand.
-constexpr milliseconds kForecastPeriod{200};
-
 /// Formats shares as "route/rank:share ..." with two decimals, for the log.
 std::string format_shares(const std::map<std::string, double>& shares) {
     std::ostringstream text;
@@ -49,12 +44,6 @@
     return text.str();
 }
 
-/// The slowness that a server stated `age` ago, faded as in server selection.
-unsigned present_slow_percent(const membership::ServerRecord& server, Duration age) {
-    constexpr double percent = 100;
-    return static_cast<unsigned>(std::lround(percent * speed::agedSlowness(server.slow_percent, age)));
-}
-
 }  // namespace
 
 PeerExchange::PeerExchange(SidecarContext& context, membership::PeerDirectory& directory, LocalGate& gate,
@@ -63,6 +52,7 @@
       directory_(directory),
       gate_(gate),
       configuration_(configuration),
+      forecast_(context, directory, gate),
       socket_(context.io) {}
 
 std::error_code PeerExchange::start() {
@@ -72,9 +62,7 @@
     opened_ = TimePoint::clock::now();
     if (!error) {
         net::EventLoop::spawn([this] { announce_periodically(); });
-        if (context_.has(config::Mechanism::kCapacityForecast)) {
-            net::EventLoop::spawn([this] { forecast_periodically(); });
-        }
+        forecast_.start();
     }
     return error;
 }
@@ -197,82 +185,6 @@
     }
 }
 
-void PeerExchange::forecast_periodically() {
-    while (true) {
-        boost::this_fiber::sleep_for(kForecastPeriod);
-        update_forecast(TimePoint::clock::now());
-    }
-}
-
-void PeerExchange::update_forecast(TimePoint now) {
-    const auto capacities = overload::capacitiesOf(server_supplies(now));
-    for (const auto& change : context_.overload.update_forecast(now, capacities)) {
-        log_event(Event::kCapacityForecast, {{"service", change.service},
-                                             {"capacity", std::to_string(change.capacity)},
-                                             {"demand", std::to_string(change.demand)},
-                                             {"correction", std::to_string(change.correction)},
-                                             {"share", std::to_string(change.share)}});
-    }
-    update_forecast_metrics();
-}
-
-std::vector<overload::ServerSupply> PeerExchange::server_supplies(TimePoint now) {
-    const auto& cut = update_cut_zones(now);
-    std::vector<overload::ServerSupply> supplies;
-    const auto add = [&](const membership::ServerRecord& server, TimePoint reported, TimePoint told,
-                         bool reachable) {
-        const bool is_cold = milliseconds(server.cold_ms) > now - reported;
-        supplies.push_back({server.service, server.limit, server.busy_percent, server.latency_us,
-                            server.failed_percent, server.declined_percent,
-                            present_slow_percent(server, now - told), is_cold, reachable});
-    };
-    directory_.for_each_peer(now, [&](const membership::PeerReach& peer, const auto& servers) {
-        const bool is_cut = cut.contains(peer.zone);
-        if (is_cut || !peer.reachable) {
-            context_.overload.on_peer_unreachable(peer.name);
-        }
-        for (const auto& known : servers) {
-            add(known.server, known.last_seen, std::max(known.last_seen, known.speed_seen),
-                peer.takes_requests && !is_cut);
-        }
-    });
-    for (const auto& own : gate_.servers().records(now)) {
-        add(own, now, now, true);
-    }
-    return supplies;
-}
-
-const std::set<std::string>& PeerExchange::update_cut_zones(TimePoint now) {
-    const auto period = membership::record_periods(directory_.counts()).remote;
-    auto cut = overload::silentZones(zone_contacts_, now, period);
-    for (const auto& zone : cut) {
-        if (!cut_zones_.contains(zone)) {
-            log_event(Event::kZoneSilent, {{"zone", zone}});
-        }
-    }
-    for (const auto& zone : cut_zones_) {
-        if (!cut.contains(zone)) {
-            log_event(Event::kZoneHeard, {{"zone", zone}});
-        }
-    }
-    cut_zones_ = std::move(cut);
-    return cut_zones_;
-}
-
-void PeerExchange::update_forecast_metrics() {
-    const auto& forecasts = context_.overload.forecasts();
-    for (const auto& service : forecast_services_) {
-        if (!forecasts.contains(service)) {
-            context_.metrics.set_forecast(service, {});
-        }
-    }
-    for (const auto& [service, forecast] : forecasts) {
-        forecast_services_.insert(service);
-        context_.metrics.set_forecast(
-            service, {forecast.capacity * forecast.correction, forecast.demand, forecast.share});
-    }
-}
-
 void PeerExchange::tell_service_servers(TimePoint now) {
     const auto& service = context_.settings.service;
     if (!context_.has(config::Mechanism::kGateRetryBudget) || !gate_.servers().serves(service)) {
@@ -366,9 +278,7 @@
     }
     report_declines(now, record.servers);
     context_.overload.on_peer_demand(now, record.name, record.shortage.offered);
-    if (context_.has(config::Mechanism::kCapacityForecast)) {
-        overload::recordHeard(zone_contacts_, now, record.zone, record.name);
-    }
+    forecast_.on_record(now, record);
 }
 
 void PeerExchange::fetch_configuration(const Endpoint& peer, std::uint64_t version) {
--- a/src/sidecar/peer_exchange.hpp
+++ b/src/sidecar/peer_exchange.hpp
@@ -7,14 +7,12 @@
 #pragma once
 
 #include <functional>
-#include <set>
-#include <string>
 #include <vector>
 
 #include "membership/peer_directory.hpp"
 #include "net/udp_socket.hpp"
-#include "overload/zone_contact.hpp"
 #include "sidecar/configuration_holder.hpp"
+#include "sidecar/forecast_updater.hpp"
 #include "sidecar/local_gate.hpp"
 #include "sidecar/sidecar_context.hpp"
 
@@ -52,15 +50,6 @@
     /// Tells the overload tracker which shares of their arrivals the servers of a peer decline.
     void report_declines(TimePoint now, const std::vector<membership::ServerRecord>& servers);
     void announce_periodically();
-    /// Updates the capacity forecast several times a second, and logs its changes.
-    void forecast_periodically();
-    void update_forecast(TimePoint now);
-    /// The servers that this daemon knows, and whether it can reach them. Excludes the demand of peers that
-    /// it can't reach from the forecast.
-    std::vector<overload::ServerSupply> server_supplies(TimePoint now);
-    /// Zones of which no daemon has been heard for too long; logs the changes.
-    const std::set<std::string>& update_cut_zones(TimePoint now);
-    void update_forecast_metrics();
     /// Sends the record to all peers when refusals begin after a period without any, if calls were refused
     /// here.
     void announce_onset();
@@ -79,15 +68,13 @@
     membership::PeerDirectory& directory_;
     LocalGate& gate_;
     ConfigurationHolder& configuration_;
+    ForecastUpdater forecast_;
     net::UdpSocket socket_;
     OtherReceiver other_receiver_;
     std::function<void(const Endpoint& gossip)> appearance_listener_;
     std::uint64_t sequence_ = 0;
     std::uint64_t fetching_version_ = 0;
-    overload::ZoneContacts zone_contacts_;
-    std::set<std::string> cut_zones_;
-    std::set<std::string> forecast_services_;  ///< Services whose metrics have been set.
-    TimePoint opened_;                         ///< Time when the socket was opened.
+    TimePoint opened_;     ///< Time when the socket was opened.
     TimePoint announced_;  ///< Time when this daemon's record was last sent to all known peers.
 };
 
--- a/src/speed/server_speed.cpp
+++ b/src/speed/server_speed.cpp
@@ -73,7 +73,7 @@
     extend (server.range, figure);
 }
 
-/** Returns the recent figure that is nearest to 1. */
+/** Returns 1 if recent figures lie on both sides of it, else the recent figure nearest to 1. */
 double usualFigure (const ServerSpeed& server)
 {
     return std::clamp (1.0, std::min (server.range.lowest, server.rangeBefore.lowest),
@@ -173,7 +173,7 @@
 {
     const double slowness = presentSlowness (server, now);
     return std::abs (slowness - 1) < negligible
-               ? usualPercent
+               ? kUsualSlowPercent
                : static_cast<unsigned> (std::lround (percentOfOne * slowness));
 }
 
--- a/src/speed/server_speed.hpp
+++ b/src/speed/server_speed.hpp
@@ -15,13 +15,12 @@
 */
 #pragma once
 
+#include "protocol/slow_percent.hpp"
 #include "protocol/time_types.hpp"
 
 namespace anisehold::speed
 {
 
-/** Percentage of a server at its usual speed. */
-inline constexpr unsigned usualPercent = 100;
 /** Bounds of the figures that are accepted, in percent. */
 inline constexpr unsigned minPercent = 10;
 inline constexpr unsigned maxPercent = 10'000;
@@ -56,7 +55,7 @@
     FigureRange rangeBefore;
     TimePoint rangeBegan;
     FigureFit fit;
-    bool isUsed = false;  /**< Whether the figure is used, as last told by `updateUse`. */
+    bool isUsed = false;  /**< Whether response times follow the figure, as of the last `updateUse`. */
     TimePoint useChanged; /**< When `isUsed` last changed. */
 };
 
--- a/tests/unit/membership/peer_directory_test.cpp
+++ b/tests/unit/membership/peer_directory_test.cpp
@@ -227,12 +227,12 @@
     auto peers = directory();
     peers.on_record(kStart, record("a", 1, 1));
     const auto& known = *peers.servers_of(kStart, "orders").local.front();
-    CHECK(known.server.slow_percent == membership::kUsualSpeed);
+    CHECK(known.server.slow_percent == kUsualSlowPercent);
     peers.on_speed(kStart + milliseconds(10), "a", known.server.instance, 250);
     CHECK(known.server.slow_percent == 250);
     CHECK(known.speed_seen == kStart + milliseconds(10));
     peers.on_speed(kStart, "unknown", known.server.instance, 300);
     CHECK(known.server.slow_percent == 250);
     peers.on_record(kStart + milliseconds(20), record("a", 1, 2));
-    CHECK(known.server.slow_percent == membership::kUsualSpeed);
+    CHECK(known.server.slow_percent == kUsualSlowPercent);
 }
