--- a/review/1/case.py
+++ b/review/1/case.py
@@ -80,8 +80,10 @@
         count = 0
         while not stopping.is_set():
             count += 1
-            await lab.exchange(front, lab.request_bytes("GET", "delivery.example", "/read/a", f"read{number}x{count}",
-                                                        2000), 3)
+            request_id = f"read{number}x{count}"
+            answer = await lab.exchange(front, lab.request_bytes("GET", "delivery.example", "/read/a", request_id, 2000),
+                                        3)
+            record.line(f"client sent {request_id} and got {answer.status if answer else 'no answer'}")
             await asyncio.sleep(0.08)
     readers = [asyncio.create_task(reader(number)) for number in range(4)]
     await asyncio.sleep(WARM_UP_S)
