--- a/review/support/stand_ins.py
+++ b/review/support/stand_ins.py
@@ -403,6 +403,8 @@
 def main(folder, case):
     """Runs `case(record, work_folder, with_trouble)`, ends all processes, and exits with its verdict."""
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the case through its `finally`, which ends the processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     record = Record(os.path.join(folder, "record.txt"))
     record.line(f"with the disruption: {'yes' if with_trouble else 'no'}")
     machines = []
