--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,6 +13,10 @@
 READ_WORK_S = 0.005
 WARM_UP_S = 12
 ORDERS = 20
+ORDER_GAP_S = 0.25
+# Orders that follow each other closely use up the budget for retries, so that some are refused.
+CLOSE_ORDERS = 60
+CLOSE_ORDER_GAP_S = 0.02
 
 
 class RefusingServer(lab.Server):
@@ -91,14 +95,14 @@
         server.surplus = with_trouble
 
     answers = {}
-    for number in range(ORDERS):
+    for number in range(ORDERS + CLOSE_ORDERS):
         request_id = f"order{number}"
         record.line(f"client sends {request_id}")
         answer = await lab.exchange(front, lab.request_bytes("POST", "delivery.example", f"/order/{number}", request_id,
                                                              3000, b"amount=10"), 4)
         answers[request_id] = answer.status if answer else 0
         record.line(f"client gets {answers[request_id] or 'no answer'} for {request_id}")
-        await asyncio.sleep(0.25)
+        await asyncio.sleep(ORDER_GAP_S if number < ORDERS else CLOSE_ORDER_GAP_S)
     await asyncio.sleep(1)
     stopping.set()
     await asyncio.gather(*readers)
@@ -107,14 +111,14 @@
     served = 0
     for request_id, status in answers.items():
         runs = sum(server.runs.count(request_id) for server in servers)
-        served += status == 200
+        served += status == 200 and int(request_id.removeprefix("order")) < ORDERS
         if runs > 1:
             broken = True
             record.line(f"TWICE: {request_id} ran {runs} times, its client got {status}")
         if runs > 0 and status in (408, 421, 429, 503):
             broken = True
             record.line(f"REFUSED: {request_id} ran {runs} times, its client got {status}")
-    record.line(f"{served} of {ORDERS} orders were served")
+    record.line(f"{served} of the first {ORDERS} orders were served")
     if not with_trouble and served < ORDERS / 2:
         raise lab.CouldNotRun("fewer than half of the orders were served without the disruption")
     return lab.BROKEN if broken else lab.HELD
