--- a/review/support/stand_ins.py
+++ b/review/support/stand_ins.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -38,18 +39,19 @@
 
 
 def free_ports(count):
-    """Ports of 127.0.0.1 that are free for TCP and for UDP now."""
+    """Ports of 127.0.0.1 that are free for TCP and for UDP now, below those that the system gives to connections."""
     held, ports = [], []
     while len(ports) < count:
+        port = random.randrange(15_000, 31_000)
         tcp = socket.socket()
-        tcp.bind(("127.0.0.1", 0))
         udp = socket.socket(type=socket.SOCK_DGRAM)
         held += [tcp, udp]
         try:
-            udp.bind(tcp.getsockname())
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
         except OSError:
             continue
-        ports.append(tcp.getsockname()[1])
+        ports.append(port)
     for each in held:
         each.close()
     return ports
@@ -122,6 +124,10 @@
     async def start(self, port):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", port)
 
+    def headers(self):
+        """Further headers of all answers."""
+        return []
+
     def put(self, key, value, lease=0):
         self.revision += 1
         created = self.items.get(key, {}).get("created", self.revision)
@@ -142,8 +148,8 @@
         try:
             while message := await read_message(reader):
                 status, answer = await self._answer(message)
-                writer.write(response_bytes(status, [("Content-Type", "application/json")],
-                                            json.dumps(answer).encode()))
+                headers = [("Content-Type", "application/json")] + self.headers()
+                writer.write(response_bytes(status, headers, json.dumps(answer).encode()))
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass  # The connection has ended, or the case.
