--- a/review/1/case.py
+++ b/review/1/case.py
@@ -17,31 +17,37 @@
 # Orders that follow each other closely use up the budget for retries, so that some are refused.
 CLOSE_ORDERS = 60
 CLOSE_ORDER_GAP_S = 0.02
+# Of every third order, the refusals come a second time: less than 6 in 100 of all answers, twice the dose of the site file.
+ORDERS_PER_SURPLUS = 3
 
 
 class RefusingServer(lab.Server):
-    """Refuses each order once, for lack of a slot, and runs it when it comes again. With `surplus` it hands out a
-    second answer to a refusal, late: in the place where the next answer of that connection is due."""
+    """Refuses each order once, and runs it when it comes again: its health is good, and it fails part of its requests. With
+    `surplus` it hands out a second answer to some refusals, late: in the place where the next answer of that connection is
+    due."""
 
     surplus = False
 
     def __init__(self, *arguments):
         super().__init__(*arguments)
+        self.answers = self.surplus_answers = 0
         self.refused = set()
         self.late = {}
 
     async def take(self, request, reader, writer):
         request_id = request.header("request-id")
+        self.answers += 1
         if writer in self.late:
             surplus_id, surplus = self.late.pop(writer)
             self.record.line(f"{self.instance} sends a surplus answer to {surplus_id} where that to {request_id} is due")
             writer.write(surplus)
             await writer.drain()
+            self.surplus_answers += 1
         if request.start.startswith("POST") and request_id not in self.refused:
             self.refused.add(request_id)
             self.record.line(f"{self.instance} refuses {request_id}: 503 with Not-Executed")
             writer.write(self.refusal(request))
-            if self.surplus:
+            if self.surplus and int(request_id.removeprefix("order")) % ORDERS_PER_SURPLUS == 0:
                 self.late[writer] = (request_id, self.refusal(request))
             await writer.drain()
             return
@@ -118,6 +124,8 @@
         if runs > 0 and status in (408, 421, 429, 503):
             broken = True
             record.line(f"REFUSED: {request_id} ran {runs} times, its client got {status}")
+    surplus = sum(server.surplus_answers for server in servers)
+    record.line(f"{surplus} surplus answers to {sum(server.answers for server in servers)} requests at the servers")
     record.line(f"{served} of the first {ORDERS} orders were served")
     if not with_trouble and served < ORDERS / 2:
         raise lab.CouldNotRun("fewer than half of the orders were served without the disruption")
