No connection carries a request id twice

Cause: answers are matched to requests by the echoed Request-Id. Where tolerate.zones is above 0 a server that declined a request may be sent it again, under the same id, and the pool handed out the connection used last, over which the refusal had come. A late second copy of the refusal was taken for the answer to the second send.

Evidence: for one order the client's daemon has one ingress-call line, so nobody else sent it; the gate has three gate-call lines at the server, of which the second ends as refused within 1 ms, at the moment at which the server's own record has the surplus copy, followed by a run. Which connection carried a send wasn't in the log: gate-call has the field "connection" now.

Change: a connection remembers the ids that it has carried, and the pool passes over it for these. If no other is idle a new one is opened; in a full pool an idle one that may not be used makes room. A connection ends after 1,000 identified requests, which bounds what it remembers. Why it works: an answer with an id can only be of the one send with this id over its connection.

--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -47,7 +47,8 @@
 struct ExchangeOptions {
     TimePoint deadline;
     CancelSignal* cancel = nullptr;
-    /// Header field that the response must echo; a response without it belongs to another request.
+    /// Header field that the response must echo; a response without it belongs to another request. A request
+    /// with the same field is never sent over the same connection again.
     std::optional<HeaderField> expected_echo = std::nullopt;
     /// Connections that have been idle for longer aren't used for this exchange.
     Duration max_idle = Duration::max();
--- a/src/net/http_connection_pool.cpp
+++ b/src/net/http_connection_pool.cpp
@@ -4,12 +4,17 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <functional>
+#include <iterator>
 
 namespace anisehold::net {
 namespace {
 
 using Tcp = boost::asio::ip::tcp;
 
+/// Identified requests after which a connection is closed. Bounds the memory of `HttpConnection::sent_ids`.
+constexpr std::size_t kMaxIdentifiedRequests = 1'000;
+
 /// Makes the system close a connection whose peer has become unresponsive: if sent bytes aren't acknowledged
 /// and, if enabled in the limits, also while nothing is sent.
 void enable_dead_peer_detection(Tcp::socket& socket, const HttpPoolLimits& limits) {
@@ -43,10 +48,28 @@
 
 }  // namespace
 
+void HttpConnection::record_sent(std::string_view id) {
+    sent_ids.push_back(std::hash<std::string_view>()(id));
+}
+
+bool HttpConnection::has_sent(std::string_view id) const {
+    return std::find(sent_ids.begin(), sent_ids.end(), std::hash<std::string_view>()(id)) != sent_ids.end();
+}
+
 std::unique_ptr<HttpConnection> HttpConnectionPool::acquire(const ExchangeOptions& options,
                                                             ExchangeProgress& progress,
                                                             std::error_code& error) {
-    auto connection = take_idle(TimePoint::clock::now(), options.max_idle);
+    auto connection = acquire_unrecorded(options, progress, error);
+    if (connection && options.expected_echo) {
+        connection->record_sent(options.expected_echo->value);
+    }
+    return connection;
+}
+
+std::unique_ptr<HttpConnection> HttpConnectionPool::acquire_unrecorded(const ExchangeOptions& options,
+                                                                       ExchangeProgress& progress,
+                                                                       std::error_code& error) {
+    auto connection = take_idle(TimePoint::clock::now(), options);
     progress.connection_reused = connection != nullptr;
     if (connection) {
         progress.idle_for = TimePoint::clock::now() - connection->idle_since;
@@ -55,12 +78,17 @@
     return connect(options.deadline, error);
 }
 
-std::unique_ptr<HttpConnection> HttpConnectionPool::take_idle(TimePoint now, Duration max_idle) {
-    while (!idle_.empty()) {
-        // The most recently used connection is tried first, as the server is least likely to have closed it.
-        auto connection = std::move(idle_.back());
-        idle_.pop_back();
-        const auto allowed = std::min({max_idle, connection->max_idle, Duration(limits_.idle_timeout_ms)});
+std::unique_ptr<HttpConnection> HttpConnectionPool::take_idle(TimePoint now, const ExchangeOptions& options) {
+    // The most recently used connection is tried first, as the server is least likely to have closed it.
+    for (auto position = idle_.size(); position > 0; --position) {
+        const auto at = std::next(idle_.begin(), static_cast<std::ptrdiff_t>(position - 1));
+        if (options.expected_echo && (*at)->has_sent(options.expected_echo->value)) {
+            continue;
+        }
+        auto connection = std::move(*at);
+        idle_.erase(at);
+        const auto allowed =
+            std::min({options.max_idle, connection->max_idle, Duration(limits_.idle_timeout_ms)});
         const bool expired = now - connection->idle_since > allowed;
         if (limits_.reuse_unclean || (!expired && !is_stale(*connection))) {
             return connection;
@@ -71,6 +99,10 @@
 }
 
 std::unique_ptr<HttpConnection> HttpConnectionPool::connect(TimePoint deadline, std::error_code& error) {
+    if (open_ >= limits_.connections && !idle_.empty()) {
+        // Idle connections that must not be used for this exchange make room for one that may.
+        discard_oldest_idle();
+    }
     if (open_ >= limits_.connections) {
         error = std::make_error_code(std::errc::too_many_files_open);
         return nullptr;
@@ -93,7 +125,7 @@
 }
 
 void HttpConnectionPool::release(std::unique_ptr<HttpConnection> connection) {
-    if (connection->stream.is_aborted()) {
+    if (connection->stream.is_aborted() || connection->sent_ids.size() >= kMaxIdentifiedRequests) {
         discard(std::move(connection));
         return;
     }
@@ -104,12 +136,16 @@
     }
     idle_.push_back(std::move(connection));
     while (now - idle_.front()->idle_since > limits_.idle_timeout_ms) {
-        auto expired = std::move(idle_.front());
-        idle_.pop_front();
-        discard(std::move(expired));
+        discard_oldest_idle();
     }
 }
 
+void HttpConnectionPool::discard_oldest_idle() {
+    auto oldest = std::move(idle_.front());
+    idle_.pop_front();
+    discard(std::move(oldest));
+}
+
 void HttpConnectionPool::discard(std::unique_ptr<HttpConnection> connection) {
     --open_;
     connection.reset();
--- a/src/net/http_connection_pool.hpp
+++ b/src/net/http_connection_pool.hpp
@@ -6,21 +6,30 @@
 
 #include "net/beast_support.hpp"
 // Beast comes first, see there.
+#include <cstddef>
 #include <deque>
 #include <memory>
+#include <string_view>
+#include <vector>
 
 #include "net/http_client.hpp"
 
 namespace anisehold::net {
 
-/// One connection, and the bytes read after the last response.
+/// One connection, the bytes read after the last response, and the identified requests that were sent over
+/// it.
 struct HttpConnection {
     explicit HttpConnection(boost::asio::io_context& io) : stream(io) {}
 
+    /// Records that a request with this identifier is about to be sent.
+    void record_sent(std::string_view id);
+    bool has_sent(std::string_view id) const;
+
     TimedStream stream;
     beast::flat_buffer buffer;
     TimePoint idle_since;
     Duration max_idle = Duration::max();  ///< As announced by the server.
+    std::vector<std::size_t> sent_ids;    ///< Hashes of the identifiers of the requests sent.
 };
 
 /// Not thread-safe. Shared with the bodies that are still being read, which may outlive the client.
@@ -30,8 +39,9 @@
         : io_(io), server_(std::move(server)), limits_(limits) {}
 
     /// Returns the most recently used idle connection, or a new one; blocks the fiber while connecting.
-    /// `progress` shows which of the two it is. Returns null and an error if too many connections are open,
-    /// or if the server didn't accept one in time.
+    /// `progress` shows which of the two it is. No connection is returned twice for the same expected echo:
+    /// a surplus response to the first request would be taken for the response to the second. Returns null
+    /// and an error if too many connections are open, or if the server didn't accept one in time.
     std::unique_ptr<HttpConnection> acquire(const ExchangeOptions& options, ExchangeProgress& progress,
                                             std::error_code& error);
     /// Returns a connection to the pool for a later exchange.
@@ -49,8 +59,11 @@
     const HttpPoolLimits& limits() const { return limits_; }
 
   private:
-    std::unique_ptr<HttpConnection> take_idle(TimePoint now, Duration max_idle);
+    std::unique_ptr<HttpConnection> acquire_unrecorded(const ExchangeOptions& options,
+                                                       ExchangeProgress& progress, std::error_code& error);
+    std::unique_ptr<HttpConnection> take_idle(TimePoint now, const ExchangeOptions& options);
     std::unique_ptr<HttpConnection> connect(TimePoint deadline, std::error_code& error);
+    void discard_oldest_idle();
 
     boost::asio::io_context& io_;
     Endpoint server_;
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -53,6 +53,14 @@
     return digests;
 }
 
+/// Which connection to the server carried the request, for the log.
+std::string_view connection_text(const net::ExchangeProgress& progress) {
+    if (!progress.request_started) {
+        return "none";
+    }
+    return progress.connection_reused ? "kept" : "new";
+}
+
 /// Describes a run that is sent to the server at `now`, for the attribution of its calls.
 attribution::ServerRun server_run_of(const GateRun& run, TimePoint now) {
     attribution::ServerRun server_run{now + time_left_for_server(run, now), run.call.row};
@@ -409,6 +417,7 @@
                 {"outcome", std::string(hop::outcome_name(result.outcome))},
                 {"status", answer.response ? std::to_string(answer.response->status)
                                            : std::string(answer_for(result.error).name)},
+                {"connection", std::string(connection_text(run.progress))},
                 {"waited_ms", std::to_string(to_milliseconds(waited))},
                 {"taken_ms", std::to_string(to_milliseconds(TimePoint::clock::now() - run.arrived))},
                 {"time_left_ms", std::to_string(run.call.remaining.count())},
--- a/tests/integration/http_client_test.cpp
+++ b/tests/integration/http_client_test.cpp
@@ -1,6 +1,14 @@
 #include "net/http_client.hpp"
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
 
 #include "net/http_server.hpp"
 #include "tests/support/fleet.hpp"
@@ -13,6 +21,99 @@
 
 std::uint16_t next_port = 22'950;
 constexpr unsigned kOk = 200;
+constexpr unsigned kUnavailable = 503;
+constexpr const char* kEchoName = "Request-Id";
+
+/// A server that refuses each identified request once, and runs it when it comes again. A second copy of each
+/// refusal arrives late: when the next response of its connection is due. Runs on threads of its own, since
+/// `net::HttpServer` never sends a surplus response.
+class LateCopyServer {
+  public:
+    explicit LateCopyServer(bool refuses) : refuses_(refuses), acceptor_(io_, address()) {
+        std::thread([this] { accept_connections(); }).detach();
+    }
+
+    const Endpoint& endpoint() const { return endpoint_; }
+    int accepted() {
+        const std::lock_guard lock(mutex_);
+        return accepted_;
+    }
+    int runs_of(const std::string& id) {
+        const std::lock_guard lock(mutex_);
+        return runs_[id];
+    }
+
+  private:
+    using Tcp = boost::asio::ip::tcp;
+
+    Tcp::endpoint address() const { return {boost::asio::ip::make_address(endpoint_.ip), endpoint_.port}; }
+
+    void accept_connections() {
+        for (;;) {
+            auto socket = acceptor_.accept();
+            {
+                const std::lock_guard lock(mutex_);
+                ++accepted_;
+            }
+            std::thread([this, accepted = std::move(socket)]() mutable { serve(accepted); }).detach();
+        }
+    }
+
+    void serve(Tcp::socket& socket) {
+        std::string received;
+        std::string late_copy;
+        boost::system::error_code error;
+        for (;;) {
+            const auto size =
+                boost::asio::read_until(socket, boost::asio::dynamic_buffer(received), "\r\n\r\n", error);
+            if (error) {
+                return;
+            }
+            const auto id = id_of(received.substr(0, size));
+            received.erase(0, size);
+            const bool runs = decide(id);
+            const auto response = std::string("HTTP/1.1 ") + (runs ? "200 OK" : "503 Service Unavailable") +
+                                  "\r\n" + kEchoName + ": " + id + "\r\nContent-Length: 0\r\n\r\n";
+            boost::asio::write(socket, boost::asio::buffer(late_copy + response), error);
+            late_copy = runs ? "" : response;
+        }
+    }
+
+    /// Whether the request runs.
+    bool decide(const std::string& id) {
+        const std::lock_guard lock(mutex_);
+        const bool runs = !refuses_ || ++arrivals_[id] > 1;
+        runs_[id] += runs ? 1 : 0;
+        return runs;
+    }
+
+    static std::string id_of(const std::string& header) {
+        const auto name = std::string(kEchoName) + ": ";
+        const auto begin = header.find(name) + name.size();
+        return header.substr(begin, header.find("\r\n", begin) - begin);
+    }
+
+    const Endpoint endpoint_{"127.0.0.1", shifted_port(next_port++)};
+    const bool refuses_;
+    boost::asio::io_context io_;
+    Tcp::acceptor acceptor_;
+    std::mutex mutex_;
+    int accepted_ = 0;
+    std::map<std::string, int> arrivals_;
+    std::map<std::string, int> runs_;
+};
+
+/// Sends a request with this identifier; returns the status of the response, or 0.
+unsigned send_identified(net::HttpClient& client, const std::string& id, net::ExchangeProgress& progress) {
+    auto request = net::make_request("POST", "/dues");
+    request.fields.set(kEchoName, id);
+    net::ExchangeOptions options{TimePoint::clock::now() + seconds(2), nullptr};
+    options.expected_echo = net::HeaderField{kEchoName, id};
+    std::error_code error;
+    progress = {};
+    const auto response = client.exchange(request, options, progress, error);
+    return response ? response->status : 0;
+}
 
 /// A server that counts its requests and responds to each after a delay.
 struct CountingServer {
@@ -78,3 +179,48 @@
     CHECK(progress.request_started);
     CHECK(error == std::errc::timed_out);
 }
+
+// Guards against an order that ran twice: its server refused it, and a late copy of the refusal was taken for
+// the response to the repeat, which was sent over the same connection with the same id.
+TEST_CASE("a late copy of a refusal is not taken for the response to the repeat", "[path]") {
+    // The server's threads outlive the test.
+    auto& server = *new LateCopyServer(true);
+    net::HttpClient client(Fleet::loop().io(), server.endpoint());
+    net::ExchangeProgress progress;
+    REQUIRE(send_identified(client, "first", progress) == kUnavailable);
+    CHECK(send_identified(client, "first", progress) == kOk);
+    CHECK_FALSE(progress.connection_reused);
+    CHECK(server.runs_of("first") == 1);
+    CHECK(server.accepted() == 2);
+
+    // The other connections remain usable for other requests.
+    send_identified(client, "second", progress);
+    CHECK(progress.connection_reused);
+}
+
+// Guards against a repeat that fails for lack of a connection although the pool holds an idle one.
+TEST_CASE("a connection that has carried a request makes room for its repeat", "[path]") {
+    auto& server = *new LateCopyServer(true);
+    net::HttpPoolLimits limits;
+    limits.connections = 1;
+    net::HttpClient client(Fleet::loop().io(), server.endpoint(), limits);
+    net::ExchangeProgress progress;
+    REQUIRE(send_identified(client, "only", progress) == kUnavailable);
+    CHECK(send_identified(client, "only", progress) == kOk);
+    CHECK(client.open_connections() == 1);
+}
+
+// Guards against a connection whose record of sent requests grows without bound.
+TEST_CASE("a connection is closed after a thousand identified requests", "[path]") {
+    auto& server = *new LateCopyServer(false);
+    net::HttpClient client(Fleet::loop().io(), server.endpoint());
+    net::ExchangeProgress progress;
+    constexpr int requests = 1'001;
+    int served = 0;
+    for (int number = 0; number < requests; ++number) {
+        served += send_identified(client, std::to_string(number), progress) == kOk ? 1 : 0;
+    }
+    CHECK(served == requests);
+    CHECK(server.accepted() == 2);
+    CHECK(client.open_connections() == 1);
+}
