A stopping sidecar begins only requests that it expects to complete

Cause: a planned stop took requests for 60 % of the grace time and ended 400 ms before its end, whatever ran. Nothing asked whether a request could be completed.

Change: stopping/completion decides before a request is sent, repeated, or run at the own server, by the longest time that a completed request of its row took in the last one to two minutes, or by its deadline if nothing is known of the row. What doesn't fit before the end of the process is refused before anything is sent: 503 stopping at the ingress, not-sent at the gate, where its sender tries another server. The same decision holds for calls of the own server, for peers' requests, for granted slots and for repeats.

--- a/src/explain/failure_summary.cpp
+++ b/src/explain/failure_summary.cpp
@@ -16,7 +16,7 @@
     std::string_view name;
 };
 
-constexpr std::array<CauseName, 15> causeNames{ { { FailureCause::refusedEarly, "refused-early" },
+constexpr std::array<CauseName, 16> causeNames{ { { FailureCause::refusedEarly, "refused-early" },
                                                   { FailureCause::rejectedAtGates, "no-room" },
                                                   { FailureCause::noServer, "no-server" },
                                                   { FailureCause::unreachable, "unreachable" },
@@ -26,6 +26,7 @@
                                                   { FailureCause::timeUp, "time-up" },
                                                   { FailureCause::callerLeft, "caller-left" },
                                                   { FailureCause::noConfiguration, "no-configuration" },
+                                                  { FailureCause::daemonStopping, "daemon-stopping" },
                                                   { FailureCause::unauthorized, "unauthorized" },
                                                   { FailureCause::keyUnproven, "key-unproven" },
                                                   { FailureCause::quotaExceeded, "quota-exceeded" },
@@ -81,6 +82,9 @@
     if (outcome == "no-table")
         return FailureCause::noConfiguration;
 
+    if (outcome == "stopping")
+        return FailureCause::daemonStopping;
+
     return tenancyCauseOf (outcome);
 }
 
--- a/src/explain/failure_summary.hpp
+++ b/src/explain/failure_summary.hpp
@@ -27,6 +27,7 @@
     timeUp,          /**< The request's deadline was exceeded. */
     callerLeft,      /**< The caller disconnected. */
     noConfiguration, /**< The daemon had no configuration yet. */
+    daemonStopping,  /**< The request would not have been completed before the daemon's planned stop ended. */
     unauthorized,    /**< The request had no key or a key of no tenant. */
     keyUnproven,     /**< The daemon could not verify that the key was in force. */
     quotaExceeded,   /**< The tenant had exhausted its quota. */
--- a/src/protocol/retry_after.hpp
+++ b/src/protocol/retry_after.hpp
@@ -17,7 +17,8 @@
 // `anisehold sidecar`. Only errors of requests that were certainly not executed carry Retry-After.
 
 /// A request rejected without a more specific delay: no configuration, no server, a server that declined, or
-/// too many connections.
+/// too many connections. A request refused because the daemon is stopping is told `stopping::retryDelay`
+/// instead.
 inline constexpr milliseconds kSidecarDefault{200};
 /// A request whose key cannot be proven to be in force: while the proof is outdated, peers are asked for a
 /// new one every 200 ms.
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -128,6 +128,9 @@
         if (sends && crashes_.is_condemned(now, call.identity)) {
             return {std::nullopt, {ErrorKind::kCrashesServers}, state.plan.may_have_run()};
         }
+        if (step == AttemptStep::kLaunch && !can_complete(call, now)) {
+            return {std::nullopt, stopping_failure(now), state.plan.may_have_run()};
+        }
         const bool caller_left = sends ? cancel.check() : cancel.cancelled();
         active = !caller_left && advance(call, state, step, server, now);
     }
@@ -167,7 +170,8 @@
             state.plan.on_launched(now);
             return true;
         case AttemptStep::kLaunchRetry:
-            if (context_.has(Mechanism::kRetries) && allows_retry(call, state, now)) {
+            if (context_.has(Mechanism::kRetries) && can_complete(call, now) &&
+                allows_retry(call, state, now)) {
                 context_.metrics.count_retry(call.service);
                 launch(call, state, *server, 1, true);
                 state.plan.on_launched(now);
@@ -217,6 +221,15 @@
     return untried != nullptr ? untried : chooser_.choose_again(now, call.service, call.identity, declined);
 }
 
+bool CallAttempts::can_complete(const IncomingCall& call, TimePoint now) const {
+    return context_.call_completion.can_complete(now, {call.row, call.deadline});
+}
+
+CallFailure CallAttempts::stopping_failure(TimePoint now) const {
+    const auto delay = stopping::retryDelay(now, *context_.stop.times());
+    return {ErrorKind::kStopping, milliseconds(to_milliseconds(delay))};
+}
+
 bool CallAttempts::allows_retry(const IncomingCall& call, const RequestState& state, TimePoint now) {
     const auto reason = state.plan.retry_reason();
     // The gate decides on retries of attempts without a response, and records them here when they have
--- a/src/sidecar/call_attempts.hpp
+++ b/src/sidecar/call_attempts.hpp
@@ -45,7 +45,8 @@
     /// 3. gets the next step from the plan: send, retry, wait, or finish (`kDeadlineExceeded` or
     ///    `kQueueTimeout` when the time is up, `kOutcomeUnknown` when the request may have run, otherwise the
     ///    error of the last attempt);
-    /// 4. before sending, checks whether the request has been condemned (`kCrashesServers`) or its caller has
+    /// 4. before sending, checks whether the request has been condemned (`kCrashesServers`), would not be
+    ///    completed before a planned stop ends (`kStopping`; a retry is then not sent), or its caller has
     ///    disconnected (`kCancelled`);
     /// 5. before a retry, asks the budget (`retry::WindowBudget`); without budget the request waits for its
     ///    pending attempts. With `kGateRetryBudget` the server's gate decides instead (retry/gate_budget),
@@ -101,6 +102,10 @@
     /// request if no other server may be tried.
     const membership::KnownServer* choose_server(const IncomingCall& call, const RequestState& state,
                                                  TimePoint now);
+    /// Whether the request would be completed before a planned stop of this daemon ends, if there is one.
+    bool can_complete(const IncomingCall& call, TimePoint now) const;
+    /// The refusal of a request that would not be completed.
+    CallFailure stopping_failure(TimePoint now) const;
     /// Whether this daemon's own budget allows the retry, or leaves the decision to the gate.
     bool allows_retry(const IncomingCall& call, const RequestState& state, TimePoint now);
     /// Processes what the gate decided on an attempt that is a retry.
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -273,6 +273,7 @@
 
 net::HttpResponse CallIngress::answer(const IncomingCall& call, net::HttpResponse response) {
     context_.metrics.count_answer(call.route, response.status, TimePoint::clock::now() - call.received);
+    context_.call_completion.on_response(call.row, call.received, response);
     log(call, std::to_string(response.status), !net::is_server_error(response.status));
     return response;
 }
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -132,6 +132,9 @@
     if (crashes_.is_condemned(TimePoint::clock::now(), run.identity)) {
         return make_failure(HopOutcome::kNotSent, ErrorKind::kCrashesServers);
     }
+    if (!can_complete(run.call.row, run.deadline)) {
+        return make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
+    }
     if (!has_turn) {
         return make_failure(HopOutcome::kNotSent, ErrorKind::kQueueTimeout, server.latency);
     }
@@ -146,6 +149,10 @@
     return refused;
 }
 
+bool LocalGate::can_complete(const std::string& row, TimePoint deadline) const {
+    return context_.run_completion.can_complete(TimePoint::clock::now(), {row, deadline});
+}
+
 bool LocalGate::may_grant(const std::string& instance) const {
     return servers_.is_ready(instance) && !context_.stop.is_leaving();
 }
@@ -175,7 +182,7 @@
     if (call.rate_limit) {
         apply_reported_rate(server, *call.rate_limit, RateSource::kCaller);
     }
-    if (!may_grant(call.instance)) {
+    if (!may_grant(call.instance) || !can_complete(call.row, TimePoint::clock::now() + call.remaining)) {
         if (call.ticket != 0) {
             withdraw_reservation(server, call.ticket);
         }
@@ -204,7 +211,8 @@
 }
 
 std::optional<GateAnswer> LocalGate::refusal_of_admitted(const GateServer& server, const GateRun& run) {
-    if (!servers_.is_ready(run.call.instance)) {
+    // A stop may have begun while the request waited.
+    if (!servers_.is_ready(run.call.instance) || !can_complete(run.call.row, run.deadline)) {
         return make_failure(HopOutcome::kNotSent, ErrorKind::kNoBackend);
     }
     if (!grants_retry(server, run)) {
@@ -239,6 +247,9 @@
     }
     auto end = exchange_with_server(context_, server, request, run);
     attribution::recordRunEnded(context_.attribution, run.id);
+    if (end.answer.response) {
+        context_.run_completion.on_response(run.call.row, now, *end.answer.response);
+    }
     if (context_.has(Mechanism::kServerSpeed)) {
         context_.overload.on_server_slowness(speed::slowPercent(server.speed, TimePoint::clock::now()) /
                                              kPercent);
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -9,15 +9,17 @@
 ///  2. If the request is a suspect: is it its turn? suspects/suspect_slots; `kQueueTimeout`.
 ///  3. Has the request been condemned? suspects/crash_ledger; `kCrashesServers`. This result takes precedence
 ///     over a timeout in 2.
-///  4. Can the server be connected to? connection/connect_backoff; `kConnectFailed`.
-///  5. Is a slot free, and does the server's rate limit allow the request, now or soon?
+///  4. If this daemon is stopping: would the request be completed in time? stopping/completion; `kNoBackend`.
+///  5. Can the server be connected to? connection/connect_backoff; `kConnectFailed`.
+///  6. Is a slot free, and does the server's rate limit allow the request, now or soon?
 ///     admission/server_gate, admission/server_rate; `kOverloaded`, `kQueueTimeout`. A request with a grant
 ///     takes its reserved slot instead (reservation/grant_table); `kQueueTimeout` if the grant has ended.
-///  6. Does the server still accept requests? registration/server_registry; `kNoBackend`.
-///  7. If the request is a retry: does the budget grant it? retry/gate_budget; `kRetriesExhausted`.
-///  8. Is the caller still connected? sidecar/server_exchange; `kCancelled`.
+///  7. Does the server still accept requests, and would the request still be completed in time? As in 1
+///  and 4.
+///  8. If the request is a retry: does the budget grant it? retry/gate_budget; `kRetriesExhausted`.
+///  9. Is the caller still connected? sidecar/server_exchange; `kCancelled`.
 ///
-/// Then the request is sent to the server. Checks 2 and 5 block the request's fiber. A request that is
+/// Then the request is sent to the server. Checks 2 and 6 block the request's fiber. A request that is
 /// refused here has not run, and the caller's daemon may try another server (sidecar/call_attempts).
 #pragma once
 
@@ -55,8 +57,8 @@
                    net::ExchangeProgress& progress);
 
     /// Handles a message about a reservation (src/reservation): asks for a slot, renews a place in the queue,
-    /// or gives one back. Refuses when the server or this daemon is leaving. Blocks the fiber for at most
-    /// `reservation::maxReplyDelay`.
+    /// or gives one back. Refuses when the server or this daemon is leaving, or the request would not be
+    /// completed before a planned stop ends. Blocks the fiber for at most `reservation::maxReplyDelay`.
     GateAnswer reserve(const hop::HopRequest& call, net::CancelSignal* cancel);
 
     /// Processes the health response of the local server, after it has been registered.
@@ -79,7 +81,7 @@
   private:
     /// Waits for the turn of a suspect request; returns nothing if there was none in time. Blocks the fiber.
     std::optional<SuspectQueue::Turn> wait_for_turn(GateServer& server, const GateRun& run) const;
-    /// Runs checks 3 to 5; returns the refusal, if any. Blocks the fiber.
+    /// Runs checks 3 to 6; returns the refusal, if any. Blocks the fiber.
     std::optional<GateAnswer> admit(GateServer& server, const GateRun& run, bool has_turn) const;
     /// Asks for a slot or renews a place. Blocks the fiber.
     GateAnswer reserve_at(GateServer& server, const hop::HopRequest& call, net::CancelSignal* cancel);
@@ -87,7 +89,10 @@
     bool may_grant(const std::string& instance) const;
     /// Records that a request was refused because of the server's rate limit.
     void record_rate_refusal(GateServer& server) const;
-    /// Runs checks 6 and 7; returns the refusal, if any.
+    /// Whether a run of this row would be completed before a planned stop of this daemon ends, if there is
+    /// one.
+    bool can_complete(const std::string& row, TimePoint deadline) const;
+    /// Runs checks 7 and 8; returns the refusal, if any.
     std::optional<GateAnswer> refusal_of_admitted(const GateServer& server, const GateRun& run);
     /// Runs an admitted request and frees its slot. Blocks the fiber.
     GateAnswer run_admitted(GateServer& server, const GateRun& run, net::HttpRequest& request,
--- a/src/sidecar/planned_stop.cpp
+++ b/src/sidecar/planned_stop.cpp
@@ -47,15 +47,17 @@
 void run_planned_stop(const StopParts& parts) {
     const auto grace = parts.context.settings.stop_grace;
     log_event(Event::kStopping, {{"in_flight", std::to_string(parts.calls.requests_in_flight())}});
-    parts.context.stop.begin();
-    parts.calls.begin_closing();
     const auto began = TimePoint::clock::now();
     const auto grace_ends = began + grace - kStopMargin;
-    boost::this_fiber::sleep_for(std::min<Duration>(kLeaveAfter, grace / 3));
+    const auto leave_after = std::min<Duration>(kLeaveAfter, grace / 3);
+    const auto switch_time = std::min<Duration>(kCallerSwitchTime, grace / 10);
+    parts.context.stop.begin({began + leave_after + switch_time, grace_ends});
+    parts.calls.begin_closing();
+    boost::this_fiber::sleep_for(leave_after);
     parts.context.stop.leave();
     parts.peers.announce();
     parts.hops.begin_closing();
-    boost::this_fiber::sleep_for(std::min<Duration>(kCallerSwitchTime, grace / 10));
+    boost::this_fiber::sleep_for(switch_time);
     wait_until_quiet(parts, began + grace * kAcceptPercent / 100);
     // A request may have been read since the wait ended: no new ones are accepted from here on, and those
     // already read are completed.
--- a/src/sidecar/planned_stop.hpp
+++ b/src/sidecar/planned_stop.hpp
@@ -27,6 +27,9 @@
 /// 2. Peers are told that this daemon is leaving, and stop sending requests.
 /// 3. When no request has arrived for a while, no more are accepted.
 /// 4. The requests in flight are completed.
+///
+/// From the first step on, `CallAttempts` and `LocalGate` refuse requests that can't be completed before the
+/// process ends (sidecar/completion_forecast).
 void run_planned_stop(const StopParts& parts);
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -15,8 +16,10 @@
 #include "observability/metrics.hpp"
 #include "protocol/time_types.hpp"
 #include "sidecar/caller_shares.hpp"
+#include "sidecar/completion_forecast.hpp"
 #include "sidecar/overload_tracker.hpp"
 #include "sidecar/wire_dialect.hpp"
+#include "stopping/completion.hpp"
 
 namespace boost::asio {
 class io_context;
@@ -28,15 +31,17 @@
 class StopState {
   public:
     /// A stop has begun: readiness is denied, and periodic work ends.
-    bool has_begun() const { return has_begun_; }
+    bool has_begun() const { return times_.has_value(); }
+    /// Set while a stop is in progress.
+    const std::optional<stopping::StopTimes>& times() const { return times_; }
     /// Peers have been told to send nothing more.
     bool is_leaving() const { return is_leaving_; }
 
-    void begin() { has_begun_ = true; }
+    void begin(const stopping::StopTimes& times) { times_ = times; }
     void leave() { is_leaving_ = true; }
 
   private:
-    bool has_begun_ = false;
+    std::optional<stopping::StopTimes> times_;
     bool is_leaving_ = false;
 };
 
@@ -95,6 +100,10 @@
     /// What servers stated about themselves in responses. Updated by the attempts.
     membership::ServerNotices notices;
     StopState stop;
+    /// Times of this machine's requests, and of the runs at the local server. Updated by the ingress and by
+    /// the gate.
+    CompletionForecast call_completion{stop};
+    CompletionForecast run_completion{stop};
     StoreState store;
 
   private:
--- /dev/null
+++ b/tests/process/planned_stop_test.cpp
@@ -0,0 +1,163 @@
+/** Planned stops of sidecars as processes, under requests of very different durations. */
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <deque>
+#include <string>
+
+#include "net/event_loop.hpp"
+#include "tests/support/fleet.hpp"
+#include "tests/support/sidecar_fleet.hpp"
+
+using namespace anisehold;
+using namespace anisehold::testing;
+
+namespace
+{
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusUnavailable = 503;
+constexpr milliseconds sendInterval{ 20 };
+constexpr milliseconds quickWork{ 30 };
+constexpr unsigned numSlots = 250;
+constexpr seconds startTimeout{ 20 };
+constexpr milliseconds warmUpTime{ 500 };
+/** The route's timeout is longer than the grace time of 3 s, so that it alone would allow no request. */
+constexpr const char* timeout = "4000ms";
+constexpr milliseconds timeLeft{ 4'500 };
+/** Longer than a planned stop. */
+constexpr seconds loadTime{ 4 };
+
+/** A machine of "front", through which clients send, one of "quick" and two of "orders". */
+struct StoppingFleet
+{
+    StoppingFleet (std::uint16_t basePort, milliseconds orderWork)
+        : fleet (basePort, { machine ("front", quickWork), machine ("quick", quickWork),
+                             machine ("orders", orderWork), machine ("orders", orderWork) })
+    {
+        REQUIRE (fleet.launch (configuration_text (1, { "front" }, { "quick", "orders" }, timeout)));
+        REQUIRE (fleet.eventually (startTimeout, [this] { return fleet.is_ready (0) && allServe(); }));
+    }
+
+    /** Whether every server that clients reach through "front" has run a request. Sends enough of each kind
+        for a choice among the servers. */
+    bool allServe()
+    {
+        const auto name = "start-" + std::to_string (sent.size()) + "-";
+        send (name, "quick", warmUpTime);
+        send (name, "orders", warmUpTime);
+        return waitForAnswers() && fleet.machine (1).server->arrivals() > 0 &&
+               fleet.machine (2).server->arrivals() > 0 && fleet.machine (3).server->arrivals() > 0;
+    }
+
+    static SidecarMachinePlan machine (const std::string& service, milliseconds work)
+    {
+        SidecarMachinePlan plan;
+        plan.zone = "z1";
+        plan.service = service;
+        plan.slots = numSlots;
+        plan.work = work;
+        return plan;
+    }
+
+    /** One request and its answer. */
+    struct Sent
+    {
+        std::string id;
+        ClientAnswer answer;
+    };
+
+    /** Sends requests at regular intervals for `duration`, each on a connection of its own. */
+    void send (const std::string& name, const std::string& service, Duration duration)
+    {
+        for (Duration after{}; after < duration; after += sendInterval)
+        {
+            auto& request = sent.emplace_back (Sent{ name + std::to_string (sent.size()), {} });
+            ++pending;
+            net::EventLoop::spawn (
+                [this, &request, service, after]
+                {
+                    SidecarFleet::pause (std::chrono::duration_cast<milliseconds> (after));
+                    request.answer = fleet.send (
+                        0, { "POST", service + ".example", "/" + service + "/x", request.id, timeLeft });
+                    --pending;
+                });
+        }
+    }
+
+    bool waitForAnswers()
+    {
+        return fleet.eventually (seconds (12), [this] { return pending == 0; });
+    }
+
+    unsigned runsOf (const std::string& id)
+    {
+        unsigned runs = 0;
+
+        for (std::size_t n = 0; n < fleet.size(); ++n)
+        {
+            const auto& all = fleet.machine (n).server->runs();
+            const auto found = all.find (id);
+            runs += found == all.end() ? 0 : found->second;
+        }
+
+        return runs;
+    }
+
+    /** Checks the answers to the requests with this name, and returns how many had the given status. A
+       request that ran has its answer, and one that was refused has not run and is told when to return. */
+    int checkAnswers (const std::string& name, unsigned status)
+    {
+        int found = 0;
+
+        for (const auto& it : sent)
+        {
+            if (it.id.rfind (name, 0) != 0)
+                continue;
+
+            INFO (it.id << " status " << it.answer.status);
+            CHECK (runsOf (it.id) == (it.answer.status == statusOk ? 1 : 0));
+
+            if (it.answer.status == statusUnavailable)
+                CHECK (it.answer.fields.find ("Retry-After").has_value());
+
+            found += it.answer.status == status ? 1 : 0;
+        }
+
+        return found;
+    }
+
+    SidecarFleet fleet;
+    std::deque<Sent> sent; /**< Fibers refer to the entries. */
+    int pending = 0;
+};
+
+} // namespace
+
+/** Guards against orders that are taken late in a planned stop, passed on to a server, and cut when the
+   process ends. */
+TEST_CASE ("a stopping daemon begins only requests that it can complete", "[planned-stops]")
+{
+    StoppingFleet it (24'500, milliseconds (1'200));
+    it.fleet.terminate (0);
+    it.send ("quick-", "quick", loadTime);
+    it.send ("orders-", "orders", loadTime);
+    REQUIRE (it.waitForAnswers());
+
+    // Connections are accepted for 60 % of the grace time of 3 s, and the process ends 400 ms before its end.
+    CHECK (it.checkAnswers ("quick-", statusOk) >= 1'700 / sendInterval.count());
+    CHECK (it.checkAnswers ("quick-", statusUnavailable) == 0);
+    CHECK (it.checkAnswers ("orders-", statusOk) >= 1'000 / sendInterval.count());
+    CHECK (it.checkAnswers ("orders-", statusUnavailable) > 0);
+}
+
+/** Guards against the same at the gate: orders that other daemons send to the server of a stopping machine,
+    which are cut with an unknown outcome although another server could run them. */
+TEST_CASE ("the gate of a stopping daemon begins only requests that it can complete", "[planned-stops]")
+{
+    StoppingFleet it (24'600, milliseconds (2'000));
+    it.fleet.terminate (2);
+    it.send ("orders-", "orders", loadTime);
+    REQUIRE (it.waitForAnswers());
+    CHECK (it.checkAnswers ("orders-", statusOk) == static_cast<int> (loadTime / sendInterval));
+}
--- a/tests/unit/explain/failure_summary_test.cpp
+++ b/tests/unit/explain/failure_summary_test.cpp
@@ -50,6 +50,7 @@
         { "cancelled", "", FailureCause::callerLeft },
         { "no-table", "", FailureCause::noConfiguration },
         { "unauthorized", "", FailureCause::unauthorized },
+        { "stopping", "", FailureCause::daemonStopping },
         { "key-unproven", "", FailureCause::keyUnproven },
         { "quota-exceeded", "", FailureCause::quotaExceeded },
         { "quota-unknown", "", FailureCause::quotaUnknown },
