Soak: planned stops under long requests, and late second copies of refusals

- New promise taken-is-answered: a machine that stops as planned breaks off no request that it took, with the excuses of the users' pages (an early request whose server is still at work in the last sixth of the grace time; the request's time is up).
It is checked in a phase of its own at the end of a round, when no other disturbance is left: two machines are stopped, with signals and a change of the configuration between, under requests of 10 ms to 1.2 s on new and kept connections, until the processes are gone.
- New fault refusals-repeated, in every plan: the servers of at-most-once requests refuse half of them, and the link to each server forwards a second copy of a refusal before the next response.
Draws for the other faults are unchanged.

Unit tests show that the new promise can fail.

--- a/lab/platform_server.cpp
+++ b/lab/platform_server.cpp
@@ -16,6 +16,8 @@
 constexpr unsigned kFailed = 500;
 constexpr unsigned kUnavailable = 503;
 constexpr const char* kHealthPath = "/health";
+/// Precedes the duration of its work, in ms, in the target of a request.
+constexpr std::string_view kWorkMark = "/work-";
 constexpr milliseconds kPoll{5};
 constexpr milliseconds kHeartbeatTimeout{1'000};
 constexpr milliseconds kLongestHang{30'000};
@@ -195,10 +197,15 @@
     return faults.slowness_percent > 0 ? load + "," + std::to_string(faults.slowness_percent) : load;
 }
 
-milliseconds PlatformServer::present_work() const {
+milliseconds PlatformServer::work_for(const std::string& target) const {
+    auto work = options_.work;
+    if (const auto at = target.find(kWorkMark); at != std::string::npos) {
+        long long work_ms = work.count();
+        std::from_chars(target.data() + at + kWorkMark.size(), target.data() + target.size(), work_ms);
+        work = milliseconds(work_ms);
+    }
     constexpr unsigned usual_percent = 100;
-    return faults.slowness_percent > 0 ? options_.work * faults.slowness_percent / usual_percent
-                                       : options_.work;
+    return faults.slowness_percent > 0 ? work * faults.slowness_percent / usual_percent : work;
 }
 
 net::HttpResponse PlatformServer::answer_health() const {
@@ -273,7 +280,7 @@
         crash();
         return cut_answer();
     }
-    boost::this_fiber::sleep_for(present_work());
+    boost::this_fiber::sleep_for(work_for(request.target));
     const auto hang_ends = TimePoint::clock::now() + kLongestHang;
     while (faults.hangs && !cancel.cancelled() && TimePoint::clock::now() < hang_ends) {
         boost::this_fiber::sleep_for(kPoll);
--- a/lab/platform_server.hpp
+++ b/lab/platform_server.hpp
@@ -43,7 +43,7 @@
     Endpoint control;     ///< Target of the heartbeats.
     Endpoint outbound;    ///< Target of the server's own calls.
     unsigned slots = 8;
-    milliseconds work{5};
+    milliseconds work{5};  ///< A request whose target contains `/work-MS` takes MS milliseconds instead.
     milliseconds heartbeat_interval{200};
     milliseconds fatal_after{40};   ///< Time from the start of a fatal request to the crash.
     milliseconds down_time{2'500};  ///< Downtime after a crash.
@@ -119,7 +119,8 @@
     void write_notice(net::HttpResponse& response) const;
     /// Text of the load header: requests in flight, waiting, slots, and the slowness if it is stated.
     std::string load_text() const;
-    milliseconds present_work() const;
+    /// Present duration of the work for a request.
+    milliseconds work_for(const std::string& target) const;
     bool make_calls(const std::string& id, TimePoint deadline);
     bool send_heartbeat(bool draining);
     void deregister();
--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -20,6 +20,7 @@
 constexpr milliseconds resetPeriod{ 100 };
 /** Interval between two signals, or two configurations, of a series. */
 constexpr milliseconds seriesPeriod{ 300 };
+constexpr double refusedShare = 0.5;
 
 /** A rate limit as sent by the server, and its value. */
 struct ServerLimit
@@ -40,7 +41,8 @@
 bool affectsServer (FaultKind kind)
 {
     return (kind >= FaultKind::serverDeclines && kind <= FaultKind::serverReplaced) ||
-           kind == FaultKind::serverLimited || kind == FaultKind::serverLeaving;
+           kind == FaultKind::serverLimited || kind == FaultKind::serverLeaving ||
+           kind == FaultKind::refusalsRepeated;
 }
 
 } // namespace
@@ -209,6 +211,12 @@
         return;
     }
 
+    if (kind == FaultKind::refusalsRepeated)
+    {
+        repeatRefusals (ends);
+        return;
+    }
+
     auto& faults = fleet.machine (machine).server->faults;
     auto& flag = kind == FaultKind::serverDeclines       ? faults.declines
                  : kind == FaultKind::serverLosesAnswers ? faults.loses_answers
@@ -252,6 +260,27 @@
     server.faults.says_leaving = false;
 }
 
+void FaultInjector::repeatRefusals (TimePoint ends)
+{
+    const auto apply = [this] (double share)
+    {
+        for (std::size_t n = 0; n < fleet.size(); ++n)
+        {
+            if (fleet.machine (n).service != options.atMostOnceService)
+                continue;
+
+            fleet.machine (n).server->faults.declined_share = share;
+            LinkBehaviour behaviour;
+            behaviour.repeatsRefusals = share > 0;
+            links[n].server->setBehaviour (behaviour);
+        }
+    };
+
+    apply (refusedShare);
+    boost::this_fiber::sleep_until (ends);
+    apply (0);
+}
+
 void FaultInjector::changeConfiguration()
 {
     fleet.configure (options.configuration (++version));
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -22,6 +22,7 @@
     Duration drainTimeout{}; /**< A replaced server continues to serve for twice this time. */
     Duration settleTime{};   /**< A machine counts as disturbed for this time after its fault. */
     std::function<std::string (unsigned version)> configuration;
+    std::string atMostOnceService; /**< The service of requests that may run at most once. */
 };
 
 /** Owns the links of a fleet's machines. Reports acknowledged leaves, and stops that never end, to the
@@ -52,6 +53,7 @@
     void replaceServer (std::size_t machine, TimePoint ends);
     void limitServer (std::size_t machine, TimePoint ends);
     void leaveByResponses (std::size_t machine, TimePoint ends);
+    void repeatRefusals (TimePoint ends);
     void injectStoreFault (FaultKind, TimePoint ends);
 
     testing::SidecarFleet& fleet;
--- a/soak/link.cpp
+++ b/soak/link.cpp
@@ -9,6 +9,8 @@
 #include <boost/fiber/operations.hpp>
 #include <list>
 #include <random>
+#include <string>
+#include <string_view>
 
 #include "net/await_io.hpp"
 #include "net/event_loop.hpp"
@@ -68,6 +70,12 @@
     return got < 0 && errno == ECONNRESET;
 }
 
+/** Whether these bytes are a response to a request that the server has refused to run. */
+bool isRefusal (std::string_view bytes)
+{
+    return bytes.starts_with ("HTTP/1.1 503") && bytes.find ("Not-Executed:") != std::string_view::npos;
+}
+
 enum class Direction
 {
     toTarget,
@@ -144,6 +152,7 @@
         auto& from = direction == Direction::toTarget ? connection.caller : connection.target;
         auto& to = direction == Direction::toTarget ? connection.target : connection.caller;
         std::array<char, chunkBytes> buf{};
+        std::string lateCopy;
 
         while (true)
         {
@@ -162,11 +171,14 @@
             if (behaviour.delay > milliseconds (0))
                 boost::this_fiber::sleep_for (behaviour.delay);
 
-            const auto sent = net::await_io (
-                [&] (auto handler) {
-                    boost::asio::async_write (to, boost::asio::buffer (buf.data(), got.bytes),
-                                              std::move (handler));
-                });
+            const std::string_view bytes (buf.data(), got.bytes);
+            const bool repeats = behaviour.repeatsRefusals && direction == Direction::toCaller;
+            const auto before = std::exchange (lateCopy, repeats && isRefusal (bytes) ? bytes : "");
+            const std::array<boost::asio::const_buffer, 2> parts{
+                boost::asio::buffer (before.data(), repeats ? before.size() : 0), boost::asio::buffer (bytes)
+            };
+            const auto sent = net::await_io ([&] (auto handler)
+                                             { boost::asio::async_write (to, parts, std::move (handler)); });
 
             if (sent.error)
                 break;
--- a/soak/link.hpp
+++ b/soak/link.hpp
@@ -26,6 +26,9 @@
     bool toTargetSilent = false; /**< Nothing is forwarded to the target; no connection is closed. */
     bool toCallerSilent = false; /**< Nothing is forwarded to the caller. */
     bool resets = false; /**< Open connections are reset, and new ones immediately after they are accepted. */
+    /** A second copy of each response that says that the request has not run is forwarded before the next
+        response of its connection. Relies on responses that arrive in one piece. */
+    bool repeatsRefusals = false;
     double datagramsLost = 0; /**< Share of the datagrams that is dropped. */
 };
 
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -10,13 +10,16 @@
 {
 
 constexpr std::array<std::string_view, numFaultKinds> faultNames{
-    "process-killed",      "process-stopped",      "process-paused",          "links-delayed",
-    "links-reset",         "links-silent",         "inbound-silent",          "answers-silent",
-    "datagrams-lost",      "store-link-silent",    "store-link-reset",        "store-refuses",
-    "store-loses-answers", "store-silent",         "store-forgets",           "leases-end",
-    "server-declines",     "server-loses-answers", "server-unsigned",         "server-confused",
-    "server-hangs",        "server-replaced",      "configuration-changed",   "server-limited",
-    "server-leaving",      "process-signalled",    "configurations-in-series"
+    "process-killed",      "process-stopped",       "process-paused",
+    "links-delayed",       "links-reset",           "links-silent",
+    "inbound-silent",      "answers-silent",        "datagrams-lost",
+    "store-link-silent",   "store-link-reset",      "store-refuses",
+    "store-loses-answers", "store-silent",          "store-forgets",
+    "leases-end",          "server-declines",       "server-loses-answers",
+    "server-unsigned",     "server-confused",       "server-hangs",
+    "server-replaced",     "configuration-changed", "server-limited",
+    "server-leaving",      "process-signalled",     "configurations-in-series",
+    "refusals-repeated"
 };
 
 constexpr milliseconds minFaultTime{ 300 };
--- a/soak/plan.hpp
+++ b/soak/plan.hpp
@@ -49,11 +49,13 @@
     serverLeaving,    /**< All responses of the server state that it leaves, its heartbeats do not; another
                          server follows. */
     processSignalled, /**< SIGHUP repeatedly, and two kills, each with an immediate restart. */
-    configurationsInSeries /**< New configuration versions, faster than they propagate. */
+    configurationsInSeries, /**< New configuration versions, faster than they propagate. */
+    refusalsRepeated /**< All servers of at-most-once requests refuse half of them, and a second copy of each
+                        refusal arrives late. */
 };
 
 /** Number of fault kinds. */
-inline constexpr std::size_t numFaultKinds = static_cast<std::size_t> (FaultKind::configurationsInSeries) + 1;
+inline constexpr std::size_t numFaultKinds = static_cast<std::size_t> (FaultKind::refusalsRepeated) + 1;
 /** The first of the kinds that every plan contains one fault of. */
 inline constexpr FaultKind firstGuaranteedKind = FaultKind::serverLimited;
 
--- a/soak/promises.cpp
+++ b/soak/promises.cpp
@@ -9,10 +9,11 @@
 namespace
 {
 
-constexpr std::array<std::string_view, 15> promiseNames{
-    "runs-once",       "refused-never-runs", "answer-is-own",      "nothing-unasked", "right-service",
-    "bounded-servers", "drained-is-left",    "answered-in-time",   "recovers",        "stays-alive",
-    "tenant-is-set",   "key-is-hidden",      "revoked-is-refused", "limit-is-kept",   "leaving-is-final"
+constexpr std::array<std::string_view, 16> promiseNames{
+    "runs-once",          "refused-never-runs", "answer-is-own",    "nothing-unasked",
+    "right-service",      "bounded-servers",    "drained-is-left",  "answered-in-time",
+    "recovers",           "stays-alive",        "tenant-is-set",    "key-is-hidden",
+    "revoked-is-refused", "limit-is-kept",      "leaving-is-final", "taken-is-answered"
 };
 
 constexpr unsigned statusOk = 200;
@@ -32,6 +33,20 @@
 /** A machine must keep a limit from this time after it forwarded the limit. */
 constexpr milliseconds limitForwardTime{ 500 };
 
+/** A connection that ends this long after the request was sent has probably been read. */
+constexpr milliseconds lossSlack{ 200 };
+/** How long after the grace time of a planned stop the machine's requests are checked. */
+constexpr seconds stopCheckTime{ 1 };
+
+/** Whether the response is a failure of the machine's own that promises nothing, in place of a server's
+    response. */
+bool isOwnFailure (const ReceivedAnswer& answer)
+{
+    constexpr unsigned badGateway = 502;
+    constexpr unsigned gatewayTimeout = 504;
+    return answer.signature.empty() && (answer.status == badGateway || answer.status == gatewayTimeout);
+}
+
 /** Nested calls made by servers have this mark in their id and are not known in advance. */
 bool isNestedCall (const RequestId& id)
 {
@@ -156,6 +171,8 @@
         checkSuccess (request, answer);
     }
 
+    checkTaken (request, answer);
+
     if (promisesNoRun (answer.status) && ! request.sent.mayRepeat)
         request.refusedWith = answer.status;
 }
@@ -229,6 +246,40 @@
         std::erase_if (leavingForwardedAt, isOfMachine);
 }
 
+void PromiseChecker::onStopPlanned (std::size_t machine, TimePoint at, Duration grace)
+{
+    stops[machine] = { at, grace };
+}
+
+void PromiseChecker::checkTaken (const Request& request, const ReceivedAnswer& answer)
+{
+    const auto& sent = request.sent;
+    const auto found = stops.find (sent.machine);
+
+    if (found == stops.end())
+        return;
+
+    const auto& [stoppedAt, grace] = found->second;
+    const bool isDuringStop = answer.at >= stoppedAt && answer.at <= stoppedAt + grace + stopCheckTime;
+    const bool isBrokenOff = answer.status == 0 || isOwnFailure (answer);
+    const bool isTimeUp = answer.at - sent.at >= sent.timeLeft;
+
+    if (! isDuringStop || ! isBrokenOff || isTimeUp)
+        return;
+
+    const bool wasRead = request.runs > 0 || (answer.status == 0 && answer.at > sent.at + lossSlack);
+    // A server that is still at work in the last sixth of the grace time excuses the loss of an early
+    // request.
+    const bool isExcused =
+        sent.at <= stoppedAt + grace / 2 && answer.at >= stoppedAt + grace * 5 / 6 && request.runs > 0;
+
+    if (wasRead && ! isExcused)
+        report (Promise::takenIsAnswered,
+                sent.id.value + " sent " + std::to_string (to_milliseconds (sent.at - stoppedAt)) +
+                    " ms after the signal, broken off after " +
+                    std::to_string (to_milliseconds (answer.at - stoppedAt)) + " ms");
+}
+
 void PromiseChecker::onLeaveAcknowledged (const InstanceId& instance, TimePoint at)
 {
     left.emplace (instance, at);
--- a/soak/promises.hpp
+++ b/soak/promises.hpp
@@ -39,9 +39,10 @@
     tenantIsSet,      /**< A server received another tenant than the key's. */
     keyIsHidden,      /**< A server received the caller's key. */
     revokedIsRefused, /**< The request ran although its key had been revoked long before. */
-    limitIsKept,   /**< A server received more than its stated rate from machines that forwarded the limit. */
-    leavingIsFinal /**< The request reached a server long after its machine had forwarded that the server
-                      leaves. */
+    limitIsKept, /**< A server received more than its stated rate from machines that forwarded the limit. */
+    leavingIsFinal, /**< The request reached a server long after its machine had forwarded that the server
+                       leaves. */
+    takenIsAnswered /**< A machine that stopped as planned broke off a request that it had taken. */
 };
 
 /** Returns the promise's name in reports. */
@@ -64,7 +65,8 @@
     std::string tenant{};        /**< The tenant that holds the request's key; empty without a key. */
     bool usesRevokedKey = false; /**< The key is revoked during the round. */
     TimePoint at{};
-    std::size_t machine = 0; /**< The machine to which the client sent the request. */
+    std::size_t machine = 0;             /**< The machine to which the client sent the request. */
+    Duration timeLeft = Duration::max(); /**< Time for which the client waits. */
     /** Maximum number of sends to servers. More than `maxServers` where a request that a server declined, and
         that has not run, may be offered to the same servers again. */
     unsigned maxArrivals = 2;
@@ -121,6 +123,10 @@
     void onMachineDisturbed (std::size_t machine, TimePoint until, bool isProcess);
     void report (Promise, std::string detail);
 
+    /** The machine got a stop signal at `at` and may take `grace` to end. No other disturbance of the fleet
+       is allowed from some seconds before until the machine has ended. */
+    void onStopPlanned (std::size_t machine, TimePoint at, Duration grace);
+
     /** Checks at the end of a round that no refused request ran. */
     void finish();
 
@@ -141,6 +147,12 @@
     /** A machine and a server. */
     using Pair = std::pair<std::size_t, InstanceId>;
 
+    struct PlannedStop
+    {
+        TimePoint at;
+        Duration grace{};
+    };
+
     struct NamedLimit
     {
         double perS = 0;
@@ -155,6 +167,7 @@
     void checkLeaving (const SentRequest&, const Arrival&);
     void checkSuccess (const Request&, const ReceivedAnswer&);
     void checkTenant (const SentRequest&, const Arrival&);
+    void checkTaken (const Request&, const ReceivedAnswer&);
 
     Duration drainTimeout;
     Duration revocation;
@@ -167,6 +180,7 @@
     std::map<Pair, TimePoint>
         leavingForwardedAt; /**< When the machine first forwarded a response that states leaving. */
     std::map<std::size_t, TimePoint> disturbedUntil;
+    std::map<std::size_t, PlannedStop> stops; /**< By machine. */
     std::vector<BrokenPromise> found;
     std::size_t served = 0;
 };
--- a/soak/round.cpp
+++ b/soak/round.cpp
@@ -1,6 +1,8 @@
 #include "soak/round.hpp"
 
+#include <array>
 #include <boost/fiber/operations.hpp>
+#include <map>
 #include <nlohmann/json.hpp>
 
 #include "net/event_loop.hpp"
@@ -30,6 +32,19 @@
 constexpr milliseconds clientPause{ 30 };
 constexpr std::size_t clientsPerMachine = 2;
 constexpr unsigned statusOk = 200;
+/** The service of requests that may run at most once. */
+constexpr const char* atMostOnceService = "pay";
+
+// The planned stops at the end of a round, when no other disturbance is left.
+/** Grace time in the settings of the fleet's machines. */
+constexpr milliseconds stopGrace{ 3'000 };
+/** Time in which the machines learn how long the long requests take. */
+constexpr milliseconds longLoadTime{ 2'000 };
+/** Maximum time between the two stop signals. */
+constexpr milliseconds maxStopGap{ 1'200 };
+constexpr std::size_t longClientsPerMachine = 8;
+constexpr std::array<milliseconds, 3> longWorks{ milliseconds (300), milliseconds (700),
+                                                 milliseconds (1'200) };
 
 /** One machine of each service in each zone; "front" calls "back"; "pay" runs at most once and also calls
     "back". */
@@ -101,9 +116,10 @@
         : options (optionsToUse),
           fleet (options.basePort, machinePlans (options.numZones, toleratedZones (options.seed))),
           checker (drainTimeout, fleet.machine (0).key_revocation),
-          injector (fleet, checker, { drainTimeout, requestTime, [this] (unsigned version) {
-                                         return configuration (version, holdsLastKey);
-                                     } })
+          injector (fleet, checker,
+                    { drainTimeout, requestTime,
+                      [this] (unsigned version) { return configuration (version, holdsLastKey); },
+                      atMostOnceService })
     {
     }
 
@@ -126,6 +142,8 @@
         checkProcesses();
         isWatched = true;
         boost::this_fiber::sleep_for (watchTime);
+        isWatched = false;
+        stopMachines();
         isOver = true;
         SidecarFleet::pause (requestTime + answerSlack);
         finish (result);
@@ -177,18 +195,89 @@
                                  std::to_string (client) + "-" + std::to_string (n));
             sent.service = service;
             sent.target = "/" + service + "/" + std::to_string (n);
-            sent.mayRepeat = service != "pay";
+            sent.mayRepeat = service != atMostOnceService;
             sent.maxArrivals = toleratedZones (options.seed) > 0 ? retry::kMaxSends : sent.maxServers;
             const auto& key = clientKeys()[n % clientKeys().size()];
             sent.tenant = key.tenant;
             sent.usesRevokedKey = &key == &clientKeys().back();
             sent.at = TimePoint::clock::now();
             sent.machine = machine;
+            sent.timeLeft = requestTime;
             sendOne (connection, sent, key.key);
             boost::this_fiber::sleep_for (clientPause);
         }
     }
 
+    //==============================================================================
+    /** Stops two machines as planned, at different times, amid changes of the settings and the configuration.
+        Their clients send long requests too, and go on until the processes are gone. */
+    void stopMachines()
+    {
+        const auto first = static_cast<std::size_t> (options.seed % fleet.size());
+        const auto distance = static_cast<std::size_t> (options.seed / fleet.size() % (fleet.size() - 1));
+        const auto second = (first + 1 + distance) % fleet.size();
+        const auto gap = milliseconds (static_cast<long long> (options.seed % 7) * maxStopGap.count() / 6);
+
+        for (const auto machine : { first, second })
+            for (std::size_t n = 0; n < longClientsPerMachine; ++n)
+                net::EventLoop::spawn ([this, machine, n] { runLongClient (machine, n); });
+
+        boost::this_fiber::sleep_for (longLoadTime);
+        stopMachine (first);
+        fleet.reload (first);
+        injector.changeConfiguration();
+        boost::this_fiber::sleep_for (gap);
+        stopMachine (second);
+        fleet.reload (second);
+
+        for (const auto& [machine, stoppedAt] : stops)
+            if (fleet.wait_for_exit (machine, stoppedAt + stopGrace - TimePoint::clock::now()) != 0)
+                checker.report (Promise::staysAlive,
+                                "machine-" + std::to_string (machine) + " did not stop in its grace time");
+    }
+
+    void stopMachine (std::size_t machine)
+    {
+        const auto now = TimePoint::clock::now();
+        stops[machine] = now;
+        checker.onStopPlanned (machine, now, stopGrace);
+        fleet.terminate (machine);
+    }
+
+    /** Sends requests of very different durations; every other client opens a connection for each. */
+    void runLongClient (std::size_t machine, std::size_t client)
+    {
+        auto kept = fleet.client_of (machine);
+
+        for (std::size_t n = 0; ! isOver; ++n)
+        {
+            const auto work = longWorks.at ((n + client) % longWorks.size());
+            const auto number = std::to_string (client) + "-" + std::to_string (n);
+            SentRequest sent;
+            sent.id = RequestId ("s" + std::to_string (options.seed) + "-" + std::to_string (machine) +
+                                 "-long-" + number);
+            sent.service = atMostOnceService;
+            sent.target = "/" + sent.service + "/" + number + "/work-" + std::to_string (work.count());
+            sent.maxArrivals = toleratedZones (options.seed) > 0 ? retry::kMaxSends : sent.maxServers;
+            sent.tenant = clientKeys().front().tenant;
+            sent.at = TimePoint::clock::now();
+            sent.machine = machine;
+            sent.timeLeft = requestTime;
+
+            if (client % 2 == 0)
+            {
+                sendOne (kept, sent, clientKeys().front().key);
+            }
+            else
+            {
+                auto connection = fleet.client_of (machine);
+                sendOne (connection, sent, clientKeys().front().key);
+            }
+
+            boost::this_fiber::sleep_for (clientPause);
+        }
+    }
+
     void sendOne (net::HttpClient& connection, const SentRequest& sent, const std::string& key)
     {
         const auto machine = sent.machine;
@@ -223,7 +312,7 @@
     {
         for (std::size_t n = 0; n < fleet.size(); ++n)
         {
-            if (fleet.is_running (n))
+            if (stops.contains (n) || fleet.is_running (n))
                 continue;
 
             checker.report (Promise::staysAlive, "machine-" + std::to_string (n) + " ended by itself");
@@ -254,6 +343,7 @@
     SidecarFleet fleet;
     PromiseChecker checker;
     FaultInjector injector;
+    std::map<std::size_t, TimePoint> stops; /**< Stop signals at the end of the round, by machine. */
     bool holdsLastKey = true;
     bool isWatched = false;
     bool isOver = false;
--- a/tests/unit/soak/promises_test.cpp
+++ b/tests/unit/soak/promises_test.cpp
@@ -355,3 +355,92 @@
     arrive (checker, 0, named + milliseconds (700));
     CHECK (checker.broken().size() == (isBound ? 1 : 0));
 }
+
+TEST_CASE ("a stopping machine must answer the requests that it takes", "[soak]")
+{
+    constexpr milliseconds grace{ 3'000 };
+    const TimePoint signalled (seconds (10));
+    PromiseChecker checker (milliseconds (500), seconds (3));
+    checker.onStopPlanned (1, signalled, grace);
+
+    /** Sends a request to the machine, which a server runs at once if `runs`. */
+    const auto send = [&] (milliseconds after, bool runs, std::size_t machine = 1)
+    {
+        SentRequest sent{ payment, "pay", "/pay/1", false, 2 };
+        sent.at = signalled + after;
+        sent.machine = machine;
+        sent.timeLeft = milliseconds (1'500);
+        checker.onSent (sent);
+
+        if (runs)
+            checker.onArrival (arrivalOf (payment, one));
+    };
+    /** Ends the request with a status of the machine's own; 0: the connection ends without a response. */
+    const auto end = [&] (milliseconds after, unsigned status)
+    {
+        ReceivedAnswer answer{ payment, status, "", "", "" };
+        answer.at = signalled + after;
+        checker.onAnswer (answer);
+    };
+
+    SECTION ("a running request whose connection ends is lost")
+    {
+        send (milliseconds (1'600), true);
+        end (milliseconds (2'600), 0);
+        checkOnly (checker, Promise::takenIsAnswered);
+    }
+    SECTION ("a running request that gets a failure of the machine's own is lost")
+    {
+        send (milliseconds (1'600), true);
+        end (milliseconds (2'600), 502);
+        checkOnly (checker, Promise::takenIsAnswered);
+    }
+    SECTION ("a request that was read long before its connection ends is lost")
+    {
+        send (milliseconds (1'600), false);
+        end (milliseconds (1'900), 0);
+        checkOnly (checker, Promise::takenIsAnswered);
+    }
+    SECTION ("an early request is lost if its server wasn't at work near the end of the grace time")
+    {
+        send (milliseconds (1'000), true);
+        end (milliseconds (2'400), 0);
+        checkOnly (checker, Promise::takenIsAnswered);
+    }
+    SECTION ("an early request may be lost if its server was still at work near the end")
+    {
+        send (milliseconds (1'400), true);
+        end (milliseconds (2'600), 0);
+        CHECK (checker.broken().empty());
+    }
+    SECTION ("a request that was never read may be lost")
+    {
+        send (milliseconds (1'600), false);
+        end (milliseconds (1'700), 0);
+        CHECK (checker.broken().empty());
+    }
+    SECTION ("a request whose time is up may be lost")
+    {
+        send (milliseconds (1'000), true);
+        end (milliseconds (2'500), 504);
+        CHECK (checker.broken().empty());
+    }
+    SECTION ("a refused request is not lost")
+    {
+        send (milliseconds (1'600), false);
+        end (milliseconds (1'610), 503);
+        CHECK (checker.broken().empty());
+    }
+    SECTION ("a request of another machine is not checked")
+    {
+        send (milliseconds (1'600), true, 2);
+        end (milliseconds (2'600), 0);
+        CHECK (checker.broken().empty());
+    }
+    SECTION ("a request after the stop is not checked")
+    {
+        send (milliseconds (4'000), true);
+        end (milliseconds (4'100), 0);
+        CHECK (checker.broken().empty());
+    }
+}
