--- a/src/net/http_connection_pool.hpp
+++ b/src/net/http_connection_pool.hpp
@@ -59,6 +59,7 @@
     const HttpPoolLimits& limits() const { return limits_; }
 
   private:
+    /// Like `acquire`, but doesn't record the request as sent.
     std::unique_ptr<HttpConnection> acquire_unrecorded(const ExchangeOptions& options,
                                                        ExchangeProgress& progress, std::error_code& error);
     std::unique_ptr<HttpConnection> take_idle(TimePoint now, const ExchangeOptions& options);
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -15,7 +15,7 @@
 ///     admission/server_gate, admission/server_rate; `kOverloaded`, `kQueueTimeout`. A request with a grant
 ///     takes its reserved slot instead (reservation/grant_table); `kQueueTimeout` if the grant has ended.
 ///  7. Does the server still accept requests, and would the request still be completed in time? As in 1
-///  and 4.
+///     and 4.
 ///  8. If the request is a retry: does the budget grant it? retry/gate_budget; `kRetriesExhausted`.
 ///  9. Is the caller still connected? sidecar/server_exchange; `kCancelled`.
 ///
--- a/src/stopping/completion.cpp
+++ b/src/stopping/completion.cpp
@@ -7,7 +7,7 @@
 namespace
 {
 
-/** Relative excess over the longest of `count` times that is allowed for, multiplied by `count`: the fewer
+/** The next request may exceed the longest of n recorded times by this share of it, divided by n: the fewer
     requests were seen, the more probable is a longer one. */
 constexpr double smallSampleExcess = 2;
 
