Tests: one count of a request's runs over the fleet's servers

The sum of a request's runs at all servers stood three times, once more since the test of planned stops: in sidecar_test, reservation_test and planned_stop_test. SidecarFleet::runs_of serves all three.

--- a/tests/integration/sidecar_test.cpp
+++ b/tests/integration/sidecar_test.cpp
@@ -37,16 +37,6 @@
     return fleet.store().calls() - fleet.store().stale_reads();
 }
 
-unsigned runs_of(SidecarFleet& fleet, const std::string& id) {
-    unsigned runs = 0;
-    for (std::size_t index = 0; index < fleet.size(); ++index) {
-        const auto& counted = fleet.machine(index).server->runs();
-        const auto found = counted.find(id);
-        runs += found == counted.end() ? 0 : found->second;
-    }
-    return runs;
-}
-
 /// Sends `count` requests to all machines in turn, and counts the responses by status.
 std::map<unsigned, unsigned> send_many(SidecarFleet& fleet, const ClientRequest& pattern, int count) {
     std::map<unsigned, unsigned> statuses;
@@ -69,7 +59,7 @@
     CHECK(answer.fields.find("Request-Id") == "one");
     CHECK(answer.fields.find("Server-Signature"));
     CHECK_FALSE(answer.fields.find("Anisehold-Hop-Result"));
-    CHECK(runs_of(fleet, "one") == 1);
+    CHECK(fleet.runs_of("one") == 1);
     CHECK(send_many(fleet, {"GET", "front.example", "/front/a", "many"}, 60)[200] == 60);
     CHECK(fleet.send(0, {"GET", "front.example", "/nowhere/", "two"}).status == 404);
     CHECK(fleet.send(0, {"GET", "front.example", "/front/", ""}).status == 400);
@@ -104,7 +94,7 @@
         const auto answer = fleet.send(static_cast<std::size_t>(request) % fleet.size(),
                                        {"POST", "pay.example", "/pay/", id});
         CHECK(answer.status == 502);
-        CHECK(runs_of(fleet, id) == 1);
+        CHECK(fleet.runs_of(id) == 1);
     }
 }
 
@@ -119,7 +109,7 @@
         const auto answer = fleet.send(static_cast<std::size_t>(request) % fleet.size(),
                                        {"POST", "pay.example", "/pay/", id});
         CHECK((answer.status == 200 || answer.status == 503));
-        CHECK(runs_of(fleet, id) == (answer.status == 200 ? 1 : 0));
+        CHECK(fleet.runs_of(id) == (answer.status == 200 ? 1 : 0));
         served += answer.status == 200 ? 1 : 0;
     }
     CHECK(served > 10);
@@ -320,7 +310,7 @@
                 const auto id = "last-" + std::to_string(client) + "-" + std::to_string(number);
                 served = fleet.send(1, {"GET", "back.example", "/back/", id}).status != 0;
                 answered += served ? 1 : 0;
-                lost += !served && runs_of(fleet, id) > 0 ? 1 : 0;
+                lost += !served && fleet.runs_of(id) > 0 ? 1 : 0;
                 // Callers that are refused one after the other leave idle moments.
                 fleet.pause(milliseconds(17 * (client + 1)));
             }
@@ -348,7 +338,7 @@
                 answer = fleet.send(static_cast<std::size_t>(client) % 2,
                                     {"GET", "back.example", "/back/", id, milliseconds(2'000)});
                 if (answer.status == 503) {
-                    refused_and_run += runs_of(fleet, id);
+                    refused_and_run += fleet.runs_of(id);
                     const auto told = answer.fields.find("Retry-After").value_or("1");
                     fleet.pause(milliseconds(static_cast<int>(1'000 * std::stod(std::string(told)))));
                 }
@@ -385,8 +375,8 @@
               .find("HTTP/1.1 400") == 0);
     CHECK(raw_exchange(calls, start + "Content-Length: 10\r\n\r\nabc", true).find("HTTP/1.1 2") ==
           std::string::npos);
-    CHECK(runs_of(fleet, "smuggle") == 0);
-    CHECK(runs_of(fleet, "inner") == 0);
+    CHECK(fleet.runs_of("smuggle") == 0);
+    CHECK(fleet.runs_of("inner") == 0);
 
     const auto hops = port_after(1);
     CHECK(raw_exchange(hops, "GET /pay/ HTTP/1.1\r\nHost: h\r\n\r\n").find("HTTP/1.1 404") == 0);
@@ -421,12 +411,12 @@
     fleet.thaw(2);
     REQUIRE(fleet.eventually(seconds(3), [&] { return fleet.is_ready(2); }));
     fleet.pause(milliseconds(500));
-    CHECK(runs_of(fleet, "left-the-gate") == 0);
-    CHECK(runs_of(fleet, "left-the-ingress") == 0);
+    CHECK(fleet.runs_of("left-the-gate") == 0);
+    CHECK(fleet.runs_of("left-the-ingress") == 0);
     // The same requests are run if the caller stays connected.
     auto exchange =
         std::async(std::launch::async, [&] { return raw_exchange(hops, request("stays", hop), true); });
-    CHECK(fleet.eventually(seconds(3), [&] { return runs_of(fleet, "stays") == 1; }));
+    CHECK(fleet.eventually(seconds(3), [&] { return fleet.runs_of("stays") == 1; }));
     exchange.wait();
 }
 
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -90,20 +90,6 @@
         return fleet.eventually (seconds (12), [this] { return pending == 0; });
     }
 
-    unsigned runsOf (const std::string& id)
-    {
-        unsigned runs = 0;
-
-        for (std::size_t n = 0; n < fleet.size(); ++n)
-        {
-            const auto& all = fleet.machine (n).server->runs();
-            const auto found = all.find (id);
-            runs += found == all.end() ? 0 : found->second;
-        }
-
-        return runs;
-    }
-
     /** Checks the answers to the requests with this name, and returns how many had the given status. A
        request that ran has its answer, and one that was refused has not run and is told when to return. */
     int checkAnswers (const std::string& name, unsigned status)
@@ -116,7 +102,7 @@
                 continue;
 
             INFO (it.id << " status " << it.answer.status);
-            CHECK (runsOf (it.id) == (it.answer.status == statusOk ? 1 : 0));
+            CHECK (fleet.runs_of (it.id) == (it.answer.status == statusOk ? 1 : 0));
 
             if (it.answer.status == statusUnavailable)
                 CHECK (it.answer.fields.find ("Retry-After").has_value());
--- a/tests/process/reservation_test.cpp
+++ b/tests/process/reservation_test.cpp
@@ -71,20 +71,6 @@
         }
     }
 
-    unsigned runsOf (const std::string& id)
-    {
-        unsigned runs = 0;
-
-        for (std::size_t n = 0; n < fleet.size(); ++n)
-        {
-            const auto& all = fleet.machine (n).server->runs();
-            const auto found = all.find (id);
-            runs += found == all.end() ? 0 : found->second;
-        }
-
-        return runs;
-    }
-
     /** Waits for all answers and checks what callers were told. */
     void checkAnswers()
     {
@@ -94,7 +80,7 @@
         for (const auto& id : ids)
         {
             const auto status = answers.at (id).status;
-            const auto runs = runsOf (id);
+            const auto runs = fleet.runs_of (id);
             INFO (id << " status " << status << " runs " << runs);
             CHECK (runs <= 1);
             served += status == statusOk ? 1 : 0;
@@ -138,8 +124,8 @@
     for (const auto& id : pay.ids)
     {
         INFO (id);
-        CHECK (pay.runsOf (id) <= 1);
-        CHECK ((pay.answers.at (id).status != statusUnavailable || pay.runsOf (id) == 0));
+        CHECK (pay.fleet.runs_of (id) <= 1);
+        CHECK ((pay.answers.at (id).status != statusUnavailable || pay.fleet.runs_of (id) == 0));
     }
 
     CHECK (pay.fleet.metrics_of (0).find ("anisehold_reservations_total{result=\"timed-out\"}") !=
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -290,6 +290,16 @@
     return std::move(text).str();
 }
 
+unsigned SidecarFleet::runs_of(const std::string& id) const {
+    unsigned runs = 0;
+    for (const auto& machine : machines_) {
+        const auto& counted = machine->server->runs();
+        const auto found = counted.find(id);
+        runs += found == counted.end() ? 0 : found->second;
+    }
+    return runs;
+}
+
 std::string SidecarFleet::metrics_of(std::size_t machine) {
     return fetch_from_admin_address(machine, "GET", "/metrics");
 }
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -116,6 +116,8 @@
     std::optional<int> wait_for_exit(std::size_t machine, Duration timeout);
     std::string log_of(std::size_t machine) const;
     std::string metrics_of(std::size_t machine);
+    /// Number of runs of a request at all servers together.
+    unsigned runs_of(const std::string& id) const;
     /// Returns the response of the sidecar's metrics address to a request; nothing if the status is not 200.
     std::string fetch_from_admin_address(std::size_t machine, const std::string& method,
                                          const std::string& target);
