Gate calls name their connection, and the response that came in place of theirs

An order that runs twice can come from a late response to an earlier send of it, over the same connection or another one, or from a daemon that takes a sent request for one that wasn't. The log didn't tell these apart: gate-call named neither the connection nor the response that ended a request as unknown. It has connection_number now, and for a response that echoes another id surplus_id, surplus_status, surplus_class and surplus_connection (same: that id was sent over this connection). anisehold_surplus_responses_total counts them. No decision has changed.

Tests: http_client_test, a response to an earlier request of the connection is reported; it can't compile before. Golden files: the new metric added, nothing else.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -102,8 +102,11 @@
     response.fields = copy_end_to_end_fields(parser.get());
     response.connection_close = !parser.keep_alive();
     connection.max_idle = announced_idle_time(parser.get()["Keep-Alive"]);
-    const auto& echo = options.expected_echo;
-    if (echo && response.fields.find(echo->name) != echo->value) {
+    const auto& expected = options.expected_echo;
+    if (expected && response.fields.find(expected->name) != expected->value) {
+        const auto echo = response.fields.find(expected->name);
+        const bool is_known = echo && connection.has_sent(*echo);
+        progress.surplus = SurplusResponse{std::move(response), is_known};
         return make_error_code(ErrorKind::kBackendFailed);
     }
     return {};
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -3,6 +3,7 @@
 /// (`http_connection_pool`); doesn't choose servers, retry or log. Every call blocks its fiber.
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -34,13 +35,21 @@
     bool reuse_unclean = false;
 };
 
+/// A response that arrived where that to another request was due: it echoes another identifier, or none.
+struct SurplusResponse {
+    HttpResponse head;                 ///< Without its body.
+    bool is_to_known_request = false;  ///< Its request was sent over the same connection before.
+};
+
 /// Progress of an exchange; determines what is known about whether the call ran.
 struct ExchangeProgress {
     bool connected = false;
     bool request_started = false;  ///< At least one byte may have been sent.
     bool connection_reused = false;
-    bool answer_started = false;  ///< The response header has arrived.
-    Duration idle_for{};          ///< Idle time of the connection before this exchange, if it was reused.
+    bool answer_started = false;   ///< The response header has arrived.
+    Duration idle_for{};           ///< Idle time of the connection before this exchange, if it was reused.
+    std::uint64_t connection = 0;  ///< Number of the connection among those of its client, from 1.
+    std::optional<SurplusResponse> surplus{};
 };
 
 /// Options of one exchange.
--- a/src/net/http_connection_pool.cpp
+++ b/src/net/http_connection_pool.cpp
@@ -60,6 +60,9 @@
                                                             ExchangeProgress& progress,
                                                             std::error_code& error) {
     auto connection = acquire_unrecorded(options, progress, error);
+    if (connection) {
+        progress.connection = connection->number;
+    }
     if (connection && options.expected_echo) {
         connection->record_sent(options.expected_echo->value);
     }
@@ -108,7 +111,7 @@
         return nullptr;
     }
     ++open_;
-    auto connection = std::make_unique<HttpConnection>(io_);
+    auto connection = std::make_unique<HttpConnection>(io_, ++opened_);
     const auto address = boost::asio::ip::make_address(server_.ip);
     const auto connect_deadline = std::min(deadline, TimePoint::clock::now() + limits_.connect_timeout_ms);
     connection->stream.writes_expire_at(connect_deadline);
--- a/src/net/http_connection_pool.hpp
+++ b/src/net/http_connection_pool.hpp
@@ -7,6 +7,7 @@
 #include "net/beast_support.hpp"
 // Beast comes first, see there.
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <memory>
 #include <string_view>
@@ -19,12 +20,14 @@
 /// One connection, the bytes read after the last response, and the identified requests that were sent over
 /// it.
 struct HttpConnection {
-    explicit HttpConnection(boost::asio::io_context& io) : stream(io) {}
+    HttpConnection(boost::asio::io_context& io, std::uint64_t number_to_use)
+        : number(number_to_use), stream(io) {}
 
     /// Records that a request with this identifier is about to be sent.
     void record_sent(std::string_view id);
     bool has_sent(std::string_view id) const;
 
+    const std::uint64_t number;  ///< Unique in the pool.
     TimedStream stream;
     beast::flat_buffer buffer;
     TimePoint idle_since;
@@ -71,6 +74,7 @@
     HttpPoolLimits limits_;
     std::deque<std::unique_ptr<HttpConnection>> idle_;  ///< The most recently used connection is at the back.
     std::size_t open_ = 0;
+    std::uint64_t opened_ = 0;  ///< Connections opened so far.
 };
 
 /// Holds a connection for one exchange, and returns it to the pool only after a clean one. An aborted
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -68,6 +68,10 @@
         "anisehold_excess_refusals_total", "counter",
         "Requests refused early whose zone or tenant exceeds its usual demand and is admitted less than its "
         "row, by group: zone or tenant."},
+    MetricEntry{"anisehold_surplus_responses_total", "counter",
+                "Responses of the server beside this daemon that came where another request's was due, by "
+                "service and "
+                "by the connection that carried their own request: same or other."},
 };
 
 std::string help_of(std::string_view name) {
@@ -126,6 +130,7 @@
     prometheus::Family<prometheus::Counter>& returning = counter("anisehold_returning_requests_total");
     prometheus::Family<prometheus::Gauge>& server_slowness = gauge("anisehold_server_slowness");
     prometheus::Family<prometheus::Counter>& excess_refusals = counter("anisehold_excess_refusals_total");
+    prometheus::Family<prometheus::Counter>& surplus_responses = counter("anisehold_surplus_responses_total");
 };
 
 std::span<const MetricEntry> metric_catalogue() {
@@ -185,6 +190,11 @@
     families_->rate_refusals.Add({{"service", service}}).Increment();
 }
 
+void Metrics::count_surplus_response(const std::string& service, std::string_view connection) {
+    families_->surplus_responses.Add({{"service", service}, {"connection", std::string(connection)}})
+        .Increment();
+}
+
 void Metrics::count_reservation(std::string_view result) {
     families_->reservations.Add({{"result", std::string(result)}}).Increment();
 }
--- a/src/observability/metrics.hpp
+++ b/src/observability/metrics.hpp
@@ -64,6 +64,9 @@
     /// none.
     void set_server_rate(const std::string& service, double per_second);
     void count_rate_refusal(const std::string& service);
+    /// Counts a response in place of another one. `connection`: "same" if its request was sent over the same
+    /// connection, else "other".
+    void count_surplus_response(const std::string& service, std::string_view connection);
     /// Counts an ended reservation: "granted", "refused", "timed-out", "withdrawn" or "expired".
     void count_reservation(std::string_view result);
     void count_server_crash(const std::string& service);
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -13,6 +13,7 @@
 using config::Mechanism;
 using hop::HopOutcome;
 using observability::Event;
+using observability::EventField;
 using observability::log_event;
 
 constexpr double kPercent = 100;
@@ -61,6 +62,23 @@
     return progress.connection_reused ? "kept" : "new";
 }
 
+std::string_view name_of(ResponseClass response_class) {
+    switch (response_class) {
+        case ResponseClass::kGenuine:
+            return "genuine";
+        case ResponseClass::kNotRun:
+            return "not-run";
+        case ResponseClass::kUntrusted:
+            break;
+    }
+    return "untrusted";
+}
+
+/// Over which connection the request of a surplus response was sent, as far as is known.
+std::string_view connection_of(const net::SurplusResponse& surplus) {
+    return surplus.is_to_known_request ? "same" : "other";
+}
+
 /// Describes a run that is sent to the server at `now`, for the attribution of its calls.
 attribution::ServerRun server_run_of(const GateRun& run, TimePoint now) {
     attribution::ServerRun server_run{now + time_left_for_server(run, now), run.call.row};
@@ -247,6 +265,10 @@
     }
     auto end = exchange_with_server(context_, server, request, run);
     attribution::recordRunEnded(context_.attribution, run.id);
+    if (run.progress.surplus) {
+        context_.metrics.count_surplus_response(context_.settings.service,
+                                                connection_of(*run.progress.surplus));
+    }
     if (end.answer.response) {
         context_.run_completion.on_response(run.call.row, now, *end.answer.response);
     }
@@ -420,22 +442,36 @@
 void LocalGate::log(const GateRun& run, const GateAnswer& answer, Duration waited) const {
     const auto& result = answer.result;
     const auto write_line = is_good_answer(answer) ? observability::log_routine : log_event;
-    write_line(Event::kGateCall,
-               {{"request_id", run.request_id},
-                {"digest", run.identity.digest.text()},
-                {"server", run.call.instance},
-                {"priority", std::to_string(run.call.priority)},
-                {"outcome", std::string(hop::outcome_name(result.outcome))},
-                {"status", answer.response ? std::to_string(answer.response->status)
-                                           : std::string(answer_for(result.error).name)},
-                {"connection", std::string(connection_text(run.progress))},
-                {"waited_ms", std::to_string(to_milliseconds(waited))},
-                {"taken_ms", std::to_string(to_milliseconds(TimePoint::clock::now() - run.arrived))},
-                {"time_left_ms", std::to_string(run.call.remaining.count())},
-                {"in_flight", std::to_string(result.in_flight)},
-                {"queued", std::to_string(result.queued)},
-                {"limit", std::to_string(result.limit)},
-                {"per_s", rate_text(result.rate_limit)}});
+    const auto write = [&](const auto&... more) {
+        write_line(Event::kGateCall,
+                   {{"request_id", run.request_id},
+                    {"digest", run.identity.digest.text()},
+                    {"server", run.call.instance},
+                    {"priority", std::to_string(run.call.priority)},
+                    {"outcome", std::string(hop::outcome_name(result.outcome))},
+                    {"status", answer.response ? std::to_string(answer.response->status)
+                                               : std::string(answer_for(result.error).name)},
+                    {"connection", std::string(connection_text(run.progress))},
+                    {"connection_number", std::to_string(run.progress.connection)},
+                    {"waited_ms", std::to_string(to_milliseconds(waited))},
+                    {"taken_ms", std::to_string(to_milliseconds(TimePoint::clock::now() - run.arrived))},
+                    {"time_left_ms", std::to_string(run.call.remaining.count())},
+                    {"in_flight", std::to_string(result.in_flight)},
+                    {"queued", std::to_string(result.queued)},
+                    {"limit", std::to_string(result.limit)},
+                    {"per_s", rate_text(result.rate_limit)},
+                    more...});
+    };
+    if (!run.progress.surplus) {
+        write();
+        return;
+    }
+    const auto& surplus = *run.progress.surplus;
+    const auto name = context_.dialect.echoed_field(run.request_id).name;
+    write(EventField{"surplus_id", std::string(surplus.head.fields.find(name).value_or(""))},
+          EventField{"surplus_status", std::to_string(surplus.head.status)},
+          EventField{"surplus_class", std::string(name_of(context_.dialect.classify_response(surplus.head)))},
+          EventField{"surplus_connection", std::string(connection_of(surplus))});
 }
 
 }  // namespace anisehold::sidecar
--- a/tests/integration/http_client_test.cpp
+++ b/tests/integration/http_client_test.cpp
@@ -198,6 +198,24 @@
     CHECK(progress.connection_reused);
 }
 
+// Guards against a failure without a trace of the response that caused it.
+TEST_CASE("a response to an earlier request of the connection is reported", "[path]") {
+    auto& server = *new LateCopyServer(true);
+    net::HttpClient client(Fleet::loop().io(), server.endpoint());
+    net::ExchangeProgress progress;
+    REQUIRE(send_identified(client, "first", progress) == kUnavailable);
+    CHECK_FALSE(progress.surplus);
+    const auto connection = progress.connection;
+    REQUIRE(send_identified(client, "second", progress) == 0);
+    CHECK(progress.connection == connection);
+    REQUIRE(progress.surplus);
+    CHECK(progress.surplus->head.fields.find(kEchoName) == std::string_view("first"));
+    CHECK(progress.surplus->head.status == kUnavailable);
+    CHECK(progress.surplus->is_to_known_request);
+    CHECK(send_identified(client, "third", progress) == kUnavailable);
+    CHECK(progress.connection != connection);
+}
+
 // Guards against a repeat that fails for lack of a connection although the pool holds an idle one.
 TEST_CASE("a connection that has carried a request makes room for its repeat", "[path]") {
     auto& server = *new LateCopyServer(true);
--- a/tests/unit/wire/catalogue_golden_test.cpp
+++ b/tests/unit/wire/catalogue_golden_test.cpp
@@ -144,6 +144,7 @@
     metrics.set_declined_share("orders", 0.55);
     metrics.set_server_slowness("server", 2.5);
     metrics.count_excess_refusal("tenant");
+    metrics.count_surplus_response("orders", "same");
     golden::check("catalogue_metrics_text.txt", sorted_lines(metrics.text()));
 }
 
