Serve: requests that may not be repeated go over connections of their own

Cause: answers on a kept connection are matched by their order alone, since back ends echo no id. The copy of one payment's refusal was taken for the answer to the next payment; if it came within 20 ms it counted as proof that this one hadn't begun.

Change: ExchangeOptions::exclusive_connection: a new connection, closed after the exchange. The gate of `anisehold serve` sets it for rows with repeatable = no. Why it works: no other request was sent over the connection, so every answer on it is this request's. The price is one connection a request.

--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -166,10 +166,13 @@
     context_.decisions.add(call.context.root_id, call.context.call_id, DecisionStep::kDispatched,
                            call.service + " " + server.text());
     auto request = server_request(call);
+    net::ExchangeOptions options{call.deadline, call.cancel};
+    // Servers echo no identifier, so only the connection ties a response to its request.
+    options.exclusive_connection = !call.route.row.repeatable && context_.has(Mechanism::kConnectionHygiene);
     net::ExchangeProgress progress;
     std::error_code error;
     const auto sent = TimePoint::clock::now();
-    auto response = gate->client.exchange(request, {call.deadline, call.cancel}, progress, error);
+    auto response = gate->client.exchange(request, options, progress, error);
     const auto now = TimePoint::clock::now();
     if (!response) {
         auto result = failure_result(progress, call, *admission);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -61,6 +61,9 @@
     std::optional<HeaderField> expected_echo = std::nullopt;
     /// Connections that have been idle for longer aren't used for this exchange.
     Duration max_idle = Duration::max();
+    /// The exchange gets a new connection, which is closed after it, so that no response to another request
+    /// can be taken for its response.
+    bool exclusive_connection = false;
 };
 
 /// A client with a pool of connections to one server. A connection returns to the pool only after a complete,
--- a/src/net/http_connection_pool.cpp
+++ b/src/net/http_connection_pool.cpp
@@ -72,13 +72,17 @@
 std::unique_ptr<HttpConnection> HttpConnectionPool::acquire_unrecorded(const ExchangeOptions& options,
                                                                        ExchangeProgress& progress,
                                                                        std::error_code& error) {
-    auto connection = take_idle(TimePoint::clock::now(), options);
+    auto connection = options.exclusive_connection ? nullptr : take_idle(TimePoint::clock::now(), options);
     progress.connection_reused = connection != nullptr;
     if (connection) {
         progress.idle_for = TimePoint::clock::now() - connection->idle_since;
         return connection;
     }
-    return connect(options.deadline, error);
+    connection = connect(options.deadline, error);
+    if (connection) {
+        connection->is_exclusive = options.exclusive_connection;
+    }
+    return connection;
 }
 
 std::unique_ptr<HttpConnection> HttpConnectionPool::take_idle(TimePoint now, const ExchangeOptions& options) {
@@ -128,7 +132,8 @@
 }
 
 void HttpConnectionPool::release(std::unique_ptr<HttpConnection> connection) {
-    if (connection->stream.is_aborted() || connection->sent_ids.size() >= kMaxIdentifiedRequests) {
+    const bool is_used_up = connection->is_exclusive || connection->sent_ids.size() >= kMaxIdentifiedRequests;
+    if (connection->stream.is_aborted() || is_used_up) {
         discard(std::move(connection));
         return;
     }
--- a/src/net/http_connection_pool.hpp
+++ b/src/net/http_connection_pool.hpp
@@ -32,6 +32,7 @@
     beast::flat_buffer buffer;
     TimePoint idle_since;
     Duration max_idle = Duration::max();  ///< As announced by the server.
+    bool is_exclusive = false;            ///< Used for one exchange only.
     std::vector<std::size_t> sent_ids;    ///< Hashes of the identifiers of the requests sent.
 };
 
--- a/tests/integration/http_client_test.cpp
+++ b/tests/integration/http_client_test.cpp
@@ -228,6 +228,26 @@
     CHECK(client.open_connections() == 1);
 }
 
+// Guards against a payment that takes the late response to another request for its own.
+TEST_CASE("an exclusive connection carries one exchange", "[path]") {
+    auto& server = *new CountingServer;
+    net::HttpClient client(Fleet::loop().io(), server.endpoint);
+    const auto is_reused = [&](bool exclusive) {
+        auto request = net::make_request("POST", "/dues");
+        net::ExchangeOptions options{TimePoint::clock::now() + seconds(2), nullptr};
+        options.exclusive_connection = exclusive;
+        net::ExchangeProgress progress;
+        std::error_code error;
+        REQUIRE(client.exchange(request, options, progress, error));
+        return progress.connection_reused;
+    };
+    CHECK_FALSE(is_reused(false));
+    CHECK_FALSE(is_reused(true));
+    CHECK(client.open_connections() == 1);
+    CHECK(is_reused(false));
+    CHECK_FALSE(is_reused(true));
+}
+
 // Guards against a connection whose record of sent requests grows without bound.
 TEST_CASE("a connection is closed after a thousand identified requests", "[path]") {
     auto& server = *new LateCopyServer(false);
