Soak: second copies that follow a refusal soon, stuttering processes, orders with bodies

Two kinds of fault in every plan: the servers of at-most-once requests refuse half of them and send a second copy up to 20 ms after each refusal (real sockets separate the two writes, so that the copy may come while the repeat is under way), and all processes are paused for 10 to 100 ms at random, many at once, as by a processor quota. At-most-once requests have a body of 4,000 bytes. Draws for the other faults are unchanged.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -21,6 +21,10 @@
 /** Interval between two signals, or two configurations, of a series. */
 constexpr milliseconds seriesPeriod{ 300 };
 constexpr double refusedShare = 0.5;
+// Pauses of a process that stutters, and the longest time that it runs between two of them.
+constexpr milliseconds minPause{ 10 };
+constexpr milliseconds maxPause{ 100 };
+constexpr milliseconds maxRunTime{ 300 };
 
 /** A rate limit as sent by the server, and its value. */
 struct ServerLimit
@@ -42,7 +46,7 @@
 {
     return (kind >= FaultKind::serverDeclines && kind <= FaultKind::serverReplaced) ||
            kind == FaultKind::serverLimited || kind == FaultKind::serverLeaving ||
-           kind == FaultKind::refusalsRepeated;
+           kind == FaultKind::refusalsRepeated || kind == FaultKind::refusalsDoubled;
 }
 
 } // namespace
@@ -84,6 +88,13 @@
     boost::this_fiber::sleep_until (loadStarted + fault.at);
     const auto machine = fault.machine.value;
     const auto ends = loadStarted + fault.at + fault.duration;
+
+    if (fault.kind == FaultKind::processesStutter)
+    {
+        stutter (ends);
+        return;
+    }
+
     disturbedUntil[machine] = std::max (disturbedUntil[machine], ends + options.settleTime);
 
     if (affectsProcess (fault.kind) || affectsLinks (fault.kind))
@@ -137,6 +148,36 @@
     fleet.start_sidecar (machine);
 }
 
+void FaultInjector::stutter (TimePoint ends)
+{
+    for (std::size_t n = 0; n < fleet.size(); ++n)
+    {
+        disturbedUntil[n] = std::max (disturbedUntil[n], ends + options.settleTime);
+        checker.onMachineDisturbed (n, ends, true);
+        net::EventLoop::spawn ([this, n, ends] { pauseOften (n, ends); });
+    }
+}
+
+void FaultInjector::pauseOften (std::size_t machine, TimePoint ends)
+{
+    const auto draw = [this] (milliseconds min, milliseconds max)
+    { return milliseconds (std::uniform_int_distribution<long long> (min.count(), max.count()) (random)); };
+
+    while (TimePoint::clock::now() < ends)
+    {
+        boost::this_fiber::sleep_for (draw (milliseconds (0), maxRunTime));
+
+        if (! fleet.is_running (machine))
+            continue;
+
+        fleet.freeze (machine);
+        boost::this_fiber::sleep_for (draw (minPause, maxPause));
+
+        if (fleet.is_running (machine))
+            fleet.thaw (machine);
+    }
+}
+
 void FaultInjector::signalInSeries (std::size_t machine, TimePoint ends)
 {
     for (std::size_t n = 0; TimePoint::clock::now() < ends; ++n)
@@ -211,9 +252,11 @@
         return;
     }
 
-    if (kind == FaultKind::refusalsRepeated)
+    if (kind == FaultKind::refusalsRepeated || kind == FaultKind::refusalsDoubled)
     {
-        repeatRefusals (ends);
+        repeatRefusals (kind == FaultKind::refusalsRepeated ? RefusalCopy::beforeNextResponse
+                                                            : RefusalCopy::soonAfter,
+                        ends);
         return;
     }
 
@@ -260,9 +303,9 @@
     server.faults.says_leaving = false;
 }
 
-void FaultInjector::repeatRefusals (TimePoint ends)
+void FaultInjector::repeatRefusals (RefusalCopy copy, TimePoint ends)
 {
-    const auto apply = [this] (double share)
+    const auto apply = [this, copy] (double share)
     {
         for (std::size_t n = 0; n < fleet.size(); ++n)
         {
@@ -271,7 +314,7 @@
 
             fleet.machine (n).server->faults.declined_share = share;
             LinkBehaviour behaviour;
-            behaviour.repeatsRefusals = share > 0;
+            behaviour.refusalCopy = share > 0 ? copy : RefusalCopy::none;
             links[n].server->setBehaviour (behaviour);
         }
     };
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -53,7 +54,9 @@
     void replaceServer (std::size_t machine, TimePoint ends);
     void limitServer (std::size_t machine, TimePoint ends);
     void leaveByResponses (std::size_t machine, TimePoint ends);
-    void repeatRefusals (TimePoint ends);
+    void repeatRefusals (RefusalCopy, TimePoint ends);
+    void stutter (TimePoint ends);
+    void pauseOften (std::size_t machine, TimePoint ends);
     void injectStoreFault (FaultKind, TimePoint ends);
 
     testing::SidecarFleet& fleet;
@@ -64,6 +67,7 @@
     TimePoint loadStarted;
     unsigned version = 1; /**< Latest version of the configuration. */
     std::size_t replacements = 0;
+    std::minstd_rand random{ std::random_device{}() };
 };
 
 } // namespace anisehold::soak
--- a/soak/link.cpp
+++ b/soak/link.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t chunkBytes = 16 * 1024;
 /** Interval at which a silent direction checks whether it may forward again. */
 constexpr milliseconds silentPoll{ 10 };
+constexpr milliseconds maxCopyDelay{ 20 };
 
 /** Closes the socket with a TCP reset. */
 void resetSocket (Tcp::socket& socket)
@@ -36,7 +37,7 @@
     socket.close (ignored);
 }
 
-struct Connection
+struct Connection : std::enable_shared_from_this<Connection>
 {
     explicit Connection (boost::asio::io_context& io)
         : caller (io),
@@ -172,26 +173,45 @@
                 boost::this_fiber::sleep_for (behaviour.delay);
 
             const std::string_view bytes (buf.data(), got.bytes);
-            const bool repeats = behaviour.repeatsRefusals && direction == Direction::toCaller;
-            const auto before = std::exchange (lateCopy, repeats && isRefusal (bytes) ? bytes : "");
+            const bool isCopied = direction == Direction::toCaller && isRefusal (bytes);
+            const bool isLate = behaviour.refusalCopy == RefusalCopy::beforeNextResponse;
+            const auto before = std::exchange (lateCopy, isCopied && isLate ? bytes : "");
             const std::array<boost::asio::const_buffer, 2> parts{
-                boost::asio::buffer (before.data(), repeats ? before.size() : 0), boost::asio::buffer (bytes)
+                boost::asio::buffer (before.data(), isLate ? before.size() : 0), boost::asio::buffer (bytes)
             };
             const auto sent = net::await_io ([&] (auto handler)
                                              { boost::asio::async_write (to, parts, std::move (handler)); });
 
             if (sent.error)
                 break;
+
+            if (isCopied && behaviour.refusalCopy == RefusalCopy::soonAfter)
+                sendSoon (connection.shared_from_this(), std::string (bytes));
         }
 
         connection.close();
     }
 
+    /** Sends bytes to the caller of the connection after a short random time. They are few, so that no other
+        write to the caller mixes with them. */
+    void sendSoon (const std::shared_ptr<Connection>& connection, std::string bytes)
+    {
+        std::uniform_int_distribution<long long> delayMs (0, maxCopyDelay.count());
+        net::EventLoop::spawn (
+            [connection, bytes = std::move (bytes), delay = milliseconds (delayMs (random))]
+            {
+                boost::this_fiber::sleep_for (delay);
+                boost::system::error_code ignored;
+                connection->caller.write_some (boost::asio::buffer (bytes), ignored);
+            });
+    }
+
     boost::asio::io_context& io;
     Tcp::acceptor acceptor;
     Endpoint target;
     LinkBehaviour behaviour;
     std::list<std::shared_ptr<Connection>> connections;
+    std::minstd_rand random{ std::random_device{}() };
 };
 
 StreamLink::StreamLink (boost::asio::io_context& io, Endpoint target)
--- a/soak/link.hpp
+++ b/soak/link.hpp
@@ -19,6 +19,15 @@
 namespace anisehold::soak
 {
 
+/** When a second copy of a response that says that the request has not run is forwarded. Relies on responses
+    that arrive in one piece. */
+enum class RefusalCopy
+{
+    none,
+    beforeNextResponse, /**< Directly before the next response of the connection. */
+    soonAfter           /**< Up to 20 ms after the refusal. */
+};
+
 /** How a link treats the traffic that it forwards. */
 struct LinkBehaviour
 {
@@ -26,9 +35,7 @@
     bool toTargetSilent = false; /**< Nothing is forwarded to the target; no connection is closed. */
     bool toCallerSilent = false; /**< Nothing is forwarded to the caller. */
     bool resets = false; /**< Open connections are reset, and new ones immediately after they are accepted. */
-    /** A second copy of each response that says that the request has not run is forwarded before the next
-        response of its connection. Relies on responses that arrive in one piece. */
-    bool repeatsRefusals = false;
+    RefusalCopy refusalCopy = RefusalCopy::none;
     double datagramsLost = 0; /**< Share of the datagrams that is dropped. */
 };
 
--- a/soak/plan.cpp
+++ b/soak/plan.cpp
@@ -19,7 +19,7 @@
     "server-unsigned",     "server-confused",       "server-hangs",
     "server-replaced",     "configuration-changed", "server-limited",
     "server-leaving",      "process-signalled",     "configurations-in-series",
-    "refusals-repeated"
+    "refusals-repeated",   "refusals-doubled",      "processes-stutter"
 };
 
 constexpr milliseconds minFaultTime{ 300 };
@@ -52,12 +52,21 @@
            kind == FaultKind::serverLeaving;
 }
 
+/** Whether the fault makes all servers of at-most-once requests refuse. */
+bool affectsRefusals (FaultKind kind)
+{
+    return kind == FaultKind::refusalsRepeated || kind == FaultKind::refusalsDoubled;
+}
+
 /** Whether both faults affect the same target, so that the end of one would end the other too. */
 bool sharesTarget (const Fault& a, const Fault& b)
 {
     const bool bothProcess = affectsProcess (a.kind) && affectsProcess (b.kind);
     const bool bothInstance = needsInstance (a.kind) && needsInstance (b.kind);
 
+    if (affectsRefusals (a.kind) && affectsRefusals (b.kind))
+        return true;
+
     if (bothProcess || bothInstance)
         return a.machine == b.machine;
 
--- a/soak/plan.hpp
+++ b/soak/plan.hpp
@@ -50,12 +50,14 @@
                          server follows. */
     processSignalled, /**< SIGHUP repeatedly, and two kills, each with an immediate restart. */
     configurationsInSeries, /**< New configuration versions, faster than they propagate. */
-    refusalsRepeated /**< All servers of at-most-once requests refuse half of them, and a second copy of each
-                        refusal arrives late. */
+    refusalsRepeated, /**< All servers of at-most-once requests refuse half of them, and a second copy of each
+                         refusal arrives late. */
+    refusalsDoubled,  /**< As `refusalsRepeated`, but the second copy follows the refusal shortly. */
+    processesStutter  /**< All processes are paused for short times at random, many at once. */
 };
 
 /** Number of fault kinds. */
-inline constexpr std::size_t numFaultKinds = static_cast<std::size_t> (FaultKind::refusalsRepeated) + 1;
+inline constexpr std::size_t numFaultKinds = static_cast<std::size_t> (FaultKind::processesStutter) + 1;
 /** The first of the kinds that every plan contains one fault of. */
 inline constexpr FaultKind firstGuaranteedKind = FaultKind::serverLimited;
 
--- a/soak/round.cpp
+++ b/soak/round.cpp
@@ -32,6 +32,8 @@
 constexpr milliseconds clientPause{ 30 };
 constexpr std::size_t clientsPerMachine = 2;
 constexpr unsigned statusOk = 200;
+/** Size of the body of an at-most-once request. */
+constexpr std::size_t bodyBytes = 4'000;
 /** The service of requests that may run at most once. */
 constexpr const char* atMostOnceService = "pay";
 
@@ -289,6 +291,7 @@
         testing::ClientRequest request{ sent.mayRepeat ? "GET" : "POST", sent.service + ".example",
                                         sent.target, sent.id.value, requestTime };
         request.fields.add ("Authorization", "Bearer " + key);
+        request.body = std::string (sent.mayRepeat ? 0 : bodyBytes, 'x');
         const auto got = fleet.send_over (machine, connection, request);
         const auto elapsed = TimePoint::clock::now() - started;
         checker.onAnswer ({ sent.id, got.status, std::string (got.fields.find ("Request-Id").value_or ("")),
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -215,7 +215,7 @@
 
 ClientAnswer SidecarFleet::send_over(std::size_t machine, net::HttpClient& client,
                                      const ClientRequest& client_request) {
-    auto request = net::make_request(client_request.method, client_request.target);
+    auto request = net::make_request(client_request.method, client_request.target, client_request.body);
     request.fields.set("Host", client_request.host);
     request.fields.set("Request-Id", client_request.id);
     request.fields.set("Deadline-Milliseconds", std::to_string(client_request.time_left.count()));
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -75,6 +75,7 @@
     std::string id;
     milliseconds time_left{2'000};
     net::HeaderFields fields{};  ///< Additional header fields.
+    std::string body{};
 };
 
 /// The processes of the fleet. The destructor ends all of them.
