A declaration that its status contradicts doesn't show that a request has not run

What callers would see: an order answered with a success, or with the server's own 500 or 504, that also says Not-Executed is taken for refused, sent again, and runs twice, or ends with 503, which promises that it has not run. Seen in a test only.

Cause: Not-Executed was believed on any status, interim heads included. The protocol says that a 500 of a server, and its 504 at the deadline, count as run, and names 503, 429, 421 and 400 as the statuses of refusals. Class: evidence that isn't tied to the send, or contradicts itself, is taken for proof that nothing has run.

Evidence: integration.evidence, with servers that send any bytes.

--- /dev/null
+++ b/tests/process/evidence_test.cpp
@@ -0,0 +1,316 @@
+/** What a server's bytes may prove: a request that must not run twice is reported as not run only if the
+   server has refused this very send of it. */
+
+#include <algorithm>
+#include <utility>
+// <utility> comes first: Boost 1.74's Asio needs std::exchange under C++20.
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "net/await_io.hpp"
+#include "net/event_loop.hpp"
+#include "net/listen.hpp"
+#include "soak/machine_links.hpp"
+#include "tests/support/fleet.hpp"
+#include "tests/support/sidecar_fleet.hpp"
+
+using namespace anisehold;
+using namespace anisehold::testing;
+
+namespace
+{
+
+constexpr std::array<unsigned, 4> promisingStatuses{ 408, 421, 429, 503 };
+constexpr std::size_t payMachine = 1;
+constexpr int requestsPerCase = 10;
+constexpr milliseconds copyDelay{ 3 };
+
+std::string response (const std::string& statusLine, const std::string& fields)
+{
+    return "HTTP/1.1 " + statusLine + "\r\n" + fields + "Content-Length: 0\r\n\r\n";
+}
+
+std::string echoOf (const std::string& id)
+{
+    return "Request-Id: " + id + "\r\n";
+}
+
+std::string refusalOf (const std::string& id)
+{
+    return response ("503 Service Unavailable", echoOf (id) + "Not-Executed: 1\r\n");
+}
+
+std::string successOf (const std::string& id)
+{
+    return response ("200 OK", echoOf (id) + "Server-Signature: s." + id + "\r\n");
+}
+
+/** What the server does with one arrival of a request. */
+struct Reaction
+{
+    bool runs = false;
+    std::string bytes;       /**< Sent at once. */
+    std::string bytesSoon{}; /**< Sent after `copyDelay`. */
+    std::string copy{};      /**< Sent before the response to the next request of the connection. */
+    bool closesAfter = false;
+};
+
+/** Decides on an arrival of the request `id`, the `n`-th one, from 1. */
+using Script = std::function<Reaction (const std::string& id, unsigned n)>;
+
+/** A server that sends any bytes. */
+class ScriptedServer
+{
+public:
+    using Tcp = boost::asio::ip::tcp;
+
+    explicit ScriptedServer (boost::asio::io_context& ioToUse)
+        : io (ioToUse),
+          acceptor (ioToUse)
+    {
+    }
+
+    std::error_code start (const Endpoint& listen)
+    {
+        if (const auto ec = net::listen_on (acceptor, listen))
+            return ec;
+
+        net::EventLoop::spawn ([this] { acceptAll(); });
+        return {};
+    }
+
+    Script script;
+    std::map<std::string, unsigned> runs; /**< By id. */
+
+private:
+    void acceptAll()
+    {
+        while (acceptor.is_open())
+        {
+            const auto socket = std::make_shared<Tcp::socket> (io);
+            const auto accepted =
+                net::await_io ([&] (auto handler) { acceptor.async_accept (*socket, std::move (handler)); });
+
+            if (! accepted.error)
+                net::EventLoop::spawn ([this, socket] { serve (*socket); });
+        }
+    }
+
+    void serve (Tcp::socket& socket)
+    {
+        std::string received;
+        std::string copy;
+        bool isOpen = true;
+
+        while (isOpen)
+        {
+            const auto id = readRequest (socket, received);
+
+            if (id.empty())
+                return;
+
+            const auto reaction = script (id, ++arrivals[id]);
+            runs[id] += reaction.runs ? 1 : 0;
+            send (socket, std::exchange (copy, reaction.copy) + reaction.bytes);
+
+            if (! reaction.bytesSoon.empty())
+            {
+                boost::this_fiber::sleep_for (copyDelay);
+                send (socket, reaction.bytesSoon);
+            }
+
+            isOpen = ! reaction.closesAfter;
+        }
+
+        boost::system::error_code ignored;
+        socket.close (ignored);
+    }
+
+    /** Returns the id of the next request, or an empty one at the end of the connection. */
+    static std::string readRequest (Tcp::socket& socket, std::string& received)
+    {
+        const auto head = net::await_io (
+            [&] (auto handler)
+            {
+                boost::asio::async_read_until (socket, boost::asio::dynamic_buffer (received), "\r\n\r\n",
+                                               std::move (handler));
+            });
+
+        if (head.error)
+            return {};
+
+        const auto text = received.substr (0, head.bytes);
+        received.erase (0, head.bytes);
+        const auto length = std::stoul ("0" + fieldOf (text, "Content-Length"));
+
+        if (received.size() < length)
+        {
+            const auto body = net::await_io (
+                [&] (auto handler)
+                {
+                    boost::asio::async_read (socket, boost::asio::dynamic_buffer (received),
+                                             boost::asio::transfer_exactly (length - received.size()),
+                                             std::move (handler));
+                });
+
+            if (body.error)
+                return {};
+        }
+
+        received.erase (0, length);
+        return fieldOf (text, "Request-Id");
+    }
+
+    static std::string fieldOf (const std::string& head, const std::string& name)
+    {
+        const auto begin = head.find (name + ": ");
+
+        if (begin == std::string::npos)
+            return {};
+
+        const auto value = begin + name.size() + 2;
+        return head.substr (value, head.find ("\r\n", value) - value);
+    }
+
+    static void send (Tcp::socket& socket, const std::string& bytes)
+    {
+        net::await_io (
+            [&] (auto handler)
+            { boost::asio::async_write (socket, boost::asio::buffer (bytes), std::move (handler)); });
+    }
+
+    boost::asio::io_context& io;
+    Tcp::acceptor acceptor;
+    std::map<std::string, unsigned> arrivals;
+};
+
+/** A machine of "front", through which clients send, and one of "pay" whose server is scripted. */
+struct EvidenceFleet
+{
+    explicit EvidenceFleet (std::uint16_t basePort)
+        : fleet (basePort, { machine ("front", false), machine ("pay", true) }),
+          server (*new ScriptedServer (Fleet::loop().io())) // Its fibers outlive the test.
+    {
+        auto links = soak::startMachineLinks (fleet, payMachine);
+        REQUIRE (links);
+        set = std::move (*links);
+        REQUIRE (fleet.start (configuration_text (1, { "front" }, { "pay" })));
+        set.server.reset();
+        server.script = [] (const std::string& id, unsigned) { return Reaction{ true, successOf (id) }; };
+        REQUIRE_FALSE (server.start (fleet.machine (payMachine).links.server_link));
+    }
+
+    static SidecarMachinePlan machine (const std::string& service, bool isLinked)
+    {
+        SidecarMachinePlan plan{ "z1", service, {}, 16, milliseconds (5), isLinked };
+        plan.tolerated_zone_losses = 1; // A request that was refused is offered to the same server again.
+        return plan;
+    }
+
+    /** Sends requests under this script; returns the number of each status, and checks every promise. */
+    std::map<unsigned, int> send (const std::string& name, Script script)
+    {
+        INFO (name);
+        server.script = std::move (script);
+        std::map<unsigned, int> statuses;
+
+        for (int n = 0; n < requestsPerCase; ++n)
+        {
+            const auto id = name + std::to_string (n);
+            const auto status = fleet.send (0, { "POST", "pay.example", "/pay/x", id, seconds (1) }).status;
+            const bool isPromise = std::find (promisingStatuses.begin(), promisingStatuses.end(), status) !=
+                                   promisingStatuses.end();
+            CAPTURE (id, status);
+            CHECK (server.runs[id] <= 1);
+            CHECK ((! isPromise || server.runs[id] == 0));
+            ++statuses[status];
+        }
+
+        return statuses;
+    }
+
+    SidecarFleet fleet;
+    soak::MachineLinkSet set;
+    ScriptedServer& server;
+};
+
+/** A script in which every arrival runs, and gets the same response. */
+Script running (std::function<std::string (const std::string& id)> response)
+{
+    return [response = std::move (response)] (const std::string& id, unsigned) {
+        return Reaction{ true, response (id) };
+    };
+}
+
+} // namespace
+
+TEST_CASE ("only a refusal of this send shows that an order has not run", "[evidence]")
+{
+    EvidenceFleet evidence (28'900);
+
+    CHECK (evidence.send ("served", running (successOf))[200] == requestsPerCase);
+    CHECK (evidence.send ("refused",
+                          [] (const std::string& id, unsigned) {
+                              return Reaction{ false, refusalOf (id) };
+                          })[503] == requestsPerCase);
+
+    // Copies of the refusal of an earlier send.
+    evidence.send ("late-copy",
+                   [] (const std::string& id, unsigned n)
+                   {
+                       return n == 1 ? Reaction{ false, refusalOf (id), {}, refusalOf (id) }
+                                     : Reaction{ true, successOf (id) };
+                   });
+    evidence.send ("copy-soon",
+                   [] (const std::string& id, unsigned n) {
+                       return n == 1 ? Reaction{ false, refusalOf (id), refusalOf (id) }
+                                     : Reaction{ true, successOf (id) };
+                   });
+
+    // Refusals that belong to no request, or to another one.
+    evidence.send ("another", running ([] (const std::string&) { return refusalOf ("another"); }));
+    evidence.send ("without-id",
+                   running ([] (const std::string&)
+                            { return response ("503 Service Unavailable", "Not-Executed: 1\r\n"); }));
+
+    // Responses that break off.
+    evidence.send ("cut-refusal",
+                   [] (const std::string& id, unsigned)
+                   {
+                       return Reaction{ true,
+                                        "HTTP/1.1 503 Service Unavailable\r\n" + echoOf (id) +
+                                            "Not-Executed: 1\r\nContent-Length: 9\r\n\r\ncut",
+                                        {},
+                                        {},
+                                        true };
+                   });
+    evidence.send ("closed",
+                   [] (const std::string&, unsigned) {
+                       return Reaction{ true, {}, {}, {}, true };
+                   });
+
+    // Statuses that promise, without the server's declaration.
+    for (const auto* status : { "408 Request Timeout", "429 Too Many Requests", "503 Service Unavailable" })
+        evidence.send (std::string (status, 3) + "-undeclared",
+                       running ([status] (const std::string& id) { return response (status, echoOf (id)); }));
+}
+
+TEST_CASE ("a declaration that the status contradicts does not show that an order has not run", "[evidence]")
+{
+    EvidenceFleet evidence (28'950);
+
+    for (const auto* status :
+         { "103 Early Hints", "200 OK", "302 Found", "500 Internal Server Error", "504 Gateway Timeout" })
+        evidence.send (std::string (status, 3) + "-declared",
+                       running ([status] (const std::string& id)
+                                { return response (status, echoOf (id) + "Not-Executed: 1\r\n"); }));
+}
--- a/tests/unit/platform/dialect_test.cpp
+++ b/tests/unit/platform/dialect_test.cpp
@@ -58,6 +58,15 @@
     }
 }
 
+// Guards against an order that is reported as not run, or runs again, although its server has begun it.
+TEST_CASE("a declaration that the status contradicts is not trusted") {
+    for (const unsigned status : {103U, 200U, 302U, 500U, 504U}) {
+        auto contradictory = answer(status, true);
+        contradictory.fields.set("Not-Executed", "1");
+        CHECK(Dialect().classify_response(contradictory) == ResponseClass::kUntrusted);
+    }
+}
+
 TEST_CASE("heartbeats and leaves are parsed") {
     const std::string body =
         R"({"address":"10.128.0.9:8080","information":{"service":"s","version":"v1","zone":"z","slots":87},)"
