Refusals repeated over another connection: a test that fails, and what its mend costs

Tried and taken back: a server gets a request that must not run twice only once, whatever it answers.

--- a/tests/process/evidence_test.cpp
+++ b/tests/process/evidence_test.cpp
@@ -31,8 +31,11 @@
 
 constexpr std::array<unsigned, 4> promisingStatuses{ 408, 421, 429, 503 };
 constexpr std::size_t payMachine = 1;
-constexpr int requestsPerCase = 10;
+constexpr int requestsPerCase = 40;
 constexpr milliseconds copyDelay{ 3 };
+constexpr milliseconds requestPause{ 20 };
+/** A new process has no share of the extra retries in its first windows. */
+constexpr milliseconds retryWarmUp{ 4'000 };
 
 std::string response (const std::string& statusLine, const std::string& fields)
 {
@@ -207,6 +210,7 @@
         set.server.reset();
         server.script = [] (const std::string& id, unsigned) { return Reaction{ true, successOf (id) }; };
         REQUIRE_FALSE (server.start (fleet.machine (payMachine).links.server_link));
+        SidecarFleet::pause (retryWarmUp);
     }
 
     static SidecarMachinePlan machine (const std::string& service, bool isLinked)
@@ -233,6 +237,7 @@
             CHECK (server.runs[id] <= 1);
             CHECK ((! isPromise || server.runs[id] == 0));
             ++statuses[status];
+            SidecarFleet::pause (requestPause); // Lets the budget for retries grow.
         }
 
         return statuses;
@@ -314,3 +319,15 @@
                        running ([status] (const std::string& id)
                                 { return response (status, echoOf (id) + "Not-Executed: 1\r\n"); }));
 }
+
+TEST_CASE ("a refusal repeated over another connection does not show that an order has not run",
+           "[copy-elsewhere]")
+{
+    EvidenceFleet evidence (28'500);
+
+    evidence.send ("copy-elsewhere",
+                   [] (const std::string& id, unsigned n) {
+                       return n == 1 ? Reaction{ false, refusalOf (id) }
+                                     : Reaction{ true, refusalOf (id) + successOf (id) };
+                   });
+}
