--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -67,7 +67,7 @@
     TimePoint loadStarted;
     unsigned version = 1; /**< Latest version of the configuration. */
     std::size_t replacements = 0;
-    std::minstd_rand random{ std::random_device{}() };
+    std::minstd_rand random;
 };
 
 } // namespace anisehold::soak
--- a/soak/link.cpp
+++ b/soak/link.cpp
@@ -211,7 +211,7 @@
     Endpoint target;
     LinkBehaviour behaviour;
     std::list<std::shared_ptr<Connection>> connections;
-    std::minstd_rand random{ std::random_device{}() };
+    std::minstd_rand random;
 };
 
 StreamLink::StreamLink (boost::asio::io_context& io, Endpoint target)
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -49,7 +49,7 @@
     bool answer_started = false;   ///< The response header has arrived.
     Duration idle_for{};           ///< Idle time of the connection before this exchange, if it was reused.
     std::uint64_t connection = 0;  ///< Number of the connection among those of its client, from 1.
-    std::optional<SurplusResponse> surplus{};
+    std::optional<SurplusResponse> surplus{};  ///< The response that ended the exchange, if it was another's.
 };
 
 /// Options of one exchange.
--- a/src/observability/metrics.cpp
+++ b/src/observability/metrics.cpp
@@ -70,8 +70,7 @@
         "row, by group: zone or tenant."},
     MetricEntry{"anisehold_surplus_responses_total", "counter",
                 "Responses of the server beside this daemon that came where another request's was due, by "
-                "service and "
-                "by the connection that carried their own request: same or other."},
+                "service and by the connection that carried their own request: same or other."},
 };
 
 std::string help_of(std::string_view name) {
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -74,8 +74,9 @@
     return "untrusted";
 }
 
-/// Over which connection the request of a surplus response was sent, as far as is known.
-std::string_view connection_of(const net::SurplusResponse& surplus) {
+/// Over which connection the request of a surplus response was sent: the one that the response came over, or
+/// another.
+std::string_view request_connection(const net::SurplusResponse& surplus) {
     return surplus.is_to_known_request ? "same" : "other";
 }
 
@@ -267,7 +268,7 @@
     attribution::recordRunEnded(context_.attribution, run.id);
     if (run.progress.surplus) {
         context_.metrics.count_surplus_response(context_.settings.service,
-                                                connection_of(*run.progress.surplus));
+                                                request_connection(*run.progress.surplus));
     }
     if (end.answer.response) {
         context_.run_completion.on_response(run.call.row, now, *end.answer.response);
@@ -467,11 +468,11 @@
         return;
     }
     const auto& surplus = *run.progress.surplus;
-    const auto name = context_.dialect.echoed_field(run.request_id).name;
-    write(EventField{"surplus_id", std::string(surplus.head.fields.find(name).value_or(""))},
+    const auto echo_name = context_.dialect.echoed_field(run.request_id).name;
+    write(EventField{"surplus_id", std::string(surplus.head.fields.find(echo_name).value_or(""))},
           EventField{"surplus_status", std::to_string(surplus.head.status)},
           EventField{"surplus_class", std::string(name_of(context_.dialect.classify_response(surplus.head)))},
-          EventField{"surplus_connection", std::string(connection_of(surplus))});
+          EventField{"surplus_connection", std::string(request_connection(surplus))});
 }
 
 }  // namespace anisehold::sidecar
