--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import re
+import shutil
 import signal
 import socket
 import subprocess
@@ -321,7 +322,7 @@
 
 
 class Machine:
-    PORTS = ["app", "inbound", "outbound", "ready", "control", "gossip", "metrics"]
+    PORTS = ["app", "inbound", "outbound", "ready", "control", "gossip", "metrics", "hops-link", "gossip-link"]
 
     def __init__(self, fleet, number, zone, service):
         self.fleet = fleet
@@ -363,6 +364,9 @@
         path = os.path.join(self.fleet.folder, self.name + ".conf")
         with open(path, "w", encoding="utf-8") as file:
             file.write(re.sub(r"\{\{([A-Za-z0-9.]+)\}\}", value, text))
+            if self.fleet.linked:
+                file.write("\n[advertise]\nhops = \"%s:%d\"\ngossip = \"%s:%d\"\n" % (
+                    self.ip, self.port("hops-link"), self.ip, self.port("gossip-link")))
         return path
 
     def start(self):
@@ -387,8 +391,9 @@
 class Fleet:
     """The machines of one case: (zone, service) each. `stop` ends all processes that were started."""
 
-    def __init__(self, record, plans, net=1, bounds=None):
+    def __init__(self, record, plans, net=1, bounds=None, linked=False):
         self.record = record
+        self.linked = linked
         self.bounds = bounds or {}
         self.net = net
         self.folder = tempfile.mkdtemp(prefix="anisehold-review-")
@@ -424,6 +429,10 @@
         for machine in self.machines:
             if machine.process:
                 machine.process.wait()
+        if "KEEP_LOGS" in os.environ:
+            print("logs in %s" % self.folder)
+        else:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class CannotRun(Exception):
