--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -59,7 +59,10 @@
 
     @property
     def status(self):
-        return int(self.start.split(" ")[1])
+        found = re.match(r"HTTP/1\.[01] (\d\d\d)( |$)", self.start)
+        if not found:
+            raise Broken("no status line: %r" % self.start)
+        return int(found.group(1))
 
 
 async def read_head(reader):
@@ -88,7 +91,7 @@
                 body += chunk[:-2]
         elif "content-length" in fields:
             body = await reader.readexactly(int(fields["content-length"]))
-        elif is_answer:
+        elif is_answer and not re.match(r"HTTP/1\.1 (1\d\d|204|304)", start):
             body = await reader.read(-1)
     except (asyncio.IncompleteReadError, ConnectionError, ValueError) as error:
         raise Broken(str(error) or type(error).__name__) from error
