--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -444,7 +444,8 @@
 
 def free_ports(count, machines, net):
     """The first of `count` consecutive ports that are free on all addresses."""
-    first = 21000 + (os.getpid() * 37) % 20000
+    # Below the range from which the system takes ports for connections.
+    first = 12000 + (os.getpid() * 37) % 15000
     for base in range(first, first + 4000, 16):
         sockets = []
         try:
@@ -484,8 +485,12 @@
 
     async def bounded():
         # Connections that are still served when the case ends are no errors.
-        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
-        return await asyncio.wait_for(main(record), 110)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, context: None)
+        case = asyncio.ensure_future(asyncio.wait_for(main(record), 110))
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, case.cancel)
+        return await case
 
     try:
         breaches = asyncio.run(bounded())
@@ -493,9 +498,10 @@
         record("could not run: %s" % problem)
         print("could not run: %s" % problem)
         sys.exit(2)
-    except asyncio.TimeoutError:
-        record("could not run: the case took too long")
-        print("could not run: the case took too long")
+    except (asyncio.TimeoutError, asyncio.CancelledError) as end:
+        reason = "the case took too long" if isinstance(end, asyncio.TimeoutError) else "it was interrupted"
+        record("could not run: %s" % reason)
+        print("could not run: %s" % reason)
         sys.exit(2)
     finally:
         record.close()
