--- a/review/4/case.py
+++ b/review/4/case.py
@@ -36,6 +36,7 @@
             if writer is None:
                 reader, writer = await asyncio.open_connection(machine.ip, machine.port("outbound"))
             state["sent"][identity] = time.monotonic()
+            record("sent   %s to %s" % (identity, machine.name))
             writer.write(f.request_bytes("GET", "/back/1", [("Host", "back.example"), ("Request-Id", identity),
                                                             ("Authorization", "Bearer key-of-t1"),
                                                             ("Deadline-Milliseconds", 400)]))
