--- a/review/support-2/fleet.py
+++ b/review/support-2/fleet.py
@@ -488,7 +488,7 @@
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda loop, context: None)
         case = asyncio.ensure_future(asyncio.wait_for(main(record), 110))
-        for number in (signal.SIGTERM, signal.SIGINT):
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             loop.add_signal_handler(number, case.cancel)
         return await case
 
@@ -503,6 +503,10 @@
         record("could not run: %s" % reason)
         print("could not run: %s" % reason)
         sys.exit(2)
+    except Exception as problem:  # A fault of the script says nothing about the rule.
+        record("could not run: %r" % problem)
+        print("could not run: %r" % problem)
+        sys.exit(2)
     finally:
         record.close()
     for breach in breaches:
