Tests: the scripted server stands in the support folder, beside a client of raw bytes

The server that sends any bytes was part of evidence_test.cpp; further tests of what daemons take for a response need it, and a client that sends and receives any bytes.

--- a/tests/process/evidence_test.cpp
+++ b/tests/process/evidence_test.cpp
@@ -2,25 +2,14 @@
    server has refused this very send of it. */
 
 #include <algorithm>
-#include <utility>
-// <utility> comes first: Boost 1.74's Asio needs std::exchange under C++20.
 #include <array>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/write.hpp>
-#include <boost/fiber/operations.hpp>
 #include <catch2/catch.hpp>
 #include <map>
-#include <memory>
 #include <string>
 
-#include "net/await_io.hpp"
-#include "net/event_loop.hpp"
-#include "net/listen.hpp"
 #include "soak/machine_links.hpp"
 #include "tests/support/fleet.hpp"
+#include "tests/support/scripted_server.hpp"
 #include "tests/support/sidecar_fleet.hpp"
 
 using namespace anisehold;
@@ -32,7 +21,6 @@
 constexpr std::array<unsigned, 4> promisingStatuses{ 408, 421, 429, 503 };
 constexpr std::size_t payMachine = 1;
 constexpr int requestsPerCase = 40;
-constexpr milliseconds copyDelay{ 3 };
 constexpr milliseconds requestPause{ 20 };
 /** A new process has no share of the extra retries in its first windows. */
 constexpr milliseconds retryWarmUp{ 4'000 };
@@ -57,145 +45,6 @@
     return response ("200 OK", echoOf (id) + "Server-Signature: s." + id + "\r\n");
 }
 
-/** What the server does with one arrival of a request. */
-struct Reaction
-{
-    bool runs = false;
-    std::string bytes;       /**< Sent at once. */
-    std::string bytesSoon{}; /**< Sent after `copyDelay`. */
-    std::string copy{};      /**< Sent before the response to the next request of the connection. */
-    bool closesAfter = false;
-};
-
-/** Decides on an arrival of the request `id`, the `n`-th one, from 1. */
-using Script = std::function<Reaction (const std::string& id, unsigned n)>;
-
-/** A server that sends any bytes. */
-class ScriptedServer
-{
-public:
-    using Tcp = boost::asio::ip::tcp;
-
-    explicit ScriptedServer (boost::asio::io_context& ioToUse)
-        : io (ioToUse),
-          acceptor (ioToUse)
-    {
-    }
-
-    std::error_code start (const Endpoint& listen)
-    {
-        if (const auto ec = net::listen_on (acceptor, listen))
-            return ec;
-
-        net::EventLoop::spawn ([this] { acceptAll(); });
-        return {};
-    }
-
-    Script script;
-    std::map<std::string, unsigned> runs; /**< By id. */
-
-private:
-    void acceptAll()
-    {
-        while (acceptor.is_open())
-        {
-            const auto socket = std::make_shared<Tcp::socket> (io);
-            const auto accepted =
-                net::await_io ([&] (auto handler) { acceptor.async_accept (*socket, std::move (handler)); });
-
-            if (! accepted.error)
-                net::EventLoop::spawn ([this, socket] { serve (*socket); });
-        }
-    }
-
-    void serve (Tcp::socket& socket)
-    {
-        std::string received;
-        std::string copy;
-        bool isOpen = true;
-
-        while (isOpen)
-        {
-            const auto id = readRequest (socket, received);
-
-            if (id.empty())
-                return;
-
-            const auto reaction = script (id, ++arrivals[id]);
-            runs[id] += reaction.runs ? 1 : 0;
-            send (socket, std::exchange (copy, reaction.copy) + reaction.bytes);
-
-            if (! reaction.bytesSoon.empty())
-            {
-                boost::this_fiber::sleep_for (copyDelay);
-                send (socket, reaction.bytesSoon);
-            }
-
-            isOpen = ! reaction.closesAfter;
-        }
-
-        boost::system::error_code ignored;
-        socket.close (ignored);
-    }
-
-    /** Returns the id of the next request, or an empty one at the end of the connection. */
-    static std::string readRequest (Tcp::socket& socket, std::string& received)
-    {
-        const auto head = net::await_io (
-            [&] (auto handler)
-            {
-                boost::asio::async_read_until (socket, boost::asio::dynamic_buffer (received), "\r\n\r\n",
-                                               std::move (handler));
-            });
-
-        if (head.error)
-            return {};
-
-        const auto text = received.substr (0, head.bytes);
-        received.erase (0, head.bytes);
-        const auto length = std::stoul ("0" + fieldOf (text, "Content-Length"));
-
-        if (received.size() < length)
-        {
-            const auto body = net::await_io (
-                [&] (auto handler)
-                {
-                    boost::asio::async_read (socket, boost::asio::dynamic_buffer (received),
-                                             boost::asio::transfer_exactly (length - received.size()),
-                                             std::move (handler));
-                });
-
-            if (body.error)
-                return {};
-        }
-
-        received.erase (0, length);
-        return fieldOf (text, "Request-Id");
-    }
-
-    static std::string fieldOf (const std::string& head, const std::string& name)
-    {
-        const auto begin = head.find (name + ": ");
-
-        if (begin == std::string::npos)
-            return {};
-
-        const auto value = begin + name.size() + 2;
-        return head.substr (value, head.find ("\r\n", value) - value);
-    }
-
-    static void send (Tcp::socket& socket, const std::string& bytes)
-    {
-        net::await_io (
-            [&] (auto handler)
-            { boost::asio::async_write (socket, boost::asio::buffer (bytes), std::move (handler)); });
-    }
-
-    boost::asio::io_context& io;
-    Tcp::acceptor acceptor;
-    std::map<std::string, unsigned> arrivals;
-};
-
 /** A machine of "front", through which clients send, and one of "pay" whose server is scripted. */
 struct EvidenceFleet
 {
