A status that HTTP doesn't have is no response

Cause: the parser accepts any three digits as a status, and `receive_header` took every header that could be parsed for a response.

Change: `classify_status` (net/response_kind) decides which statuses are responses, and `receive_header`, through which servers, health checks, peers and the store are read, reports any other one like a header that can't be parsed. The outcome of the request is unknown then, its connection is closed, and notices in such a header aren't read.

Evidence: tests/incidents/broken_answers_test.cpp, `integration_tests "[broken-answers]"`.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "net/http_client.hpp"
+#include "net/response_kind.hpp"
 #include "protocol/error_kind.hpp"
 
 namespace anisehold::net {
@@ -89,7 +90,7 @@
 }
 
 /// Reads the response header into `response`. A response without the expected echo belongs to another
-/// request.
+/// request; one with an invalid status is reported like a header that can't be parsed.
 std::error_code receive_header(HttpConnection& connection, ResponseParser& parser,
                                const ExchangeOptions& options, ExchangeProgress& progress,
                                HttpResponse& response) {
@@ -99,6 +100,9 @@
         return error;
     }
     response.status = parser.get().result_int();
+    if (classify_status(response.status) == ResponseKind::kInvalid) {
+        return boost::system::error_code(http::error::bad_status);
+    }
     response.fields = copy_end_to_end_fields(parser.get());
     response.connection_close = !parser.keep_alive();
     connection.max_idle = announced_idle_time(parser.get()["Keep-Alive"]);
--- /dev/null
+++ b/tests/incidents/broken_answers_test.cpp
@@ -0,0 +1,252 @@
+/** Bytes of a server that are no response in HTTP never reach a client as one.
+
+    A server in trouble responded with the status 000, and its client received "HTTP/1.1 000 <unknown-status>"
+   as the response to its request. The parser accepts any three digits, and whether a status exists was
+   checked nowhere: a status was only compared with those that mean something to a daemon. 000, 099, 600 and
+   999 were forwarded, as was 101 without a request to switch protocols.
+*/
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "platform/store_client.hpp"
+#include "soak/machine_links.hpp"
+#include "tests/support/fleet.hpp"
+#include "tests/support/raw_client.hpp"
+#include "tests/support/run_folder.hpp"
+#include "tests/support/scripted_server.hpp"
+#include "tests/support/sidecar_fleet.hpp"
+
+using namespace std::string_literals;
+
+using namespace anisehold;
+using namespace anisehold::testing;
+
+namespace
+{
+
+constexpr std::size_t payMachine = 1;
+constexpr int requestsPerKind = 5;
+/** Stands for the id of the request in the bytes of a response. */
+const std::string idPlaceholder = "{id}";
+const std::string ownFields = "Request-Id: {id}\r\nServer-Signature: s.{id}\r\n";
+
+/** Bytes that a server sends in place of a response. */
+struct BrokenResponse
+{
+    std::string name;
+    std::string bytes;
+};
+
+std::string withId (std::string bytes, const std::string& id)
+{
+    for (auto at = bytes.find (idPlaceholder); at != std::string::npos; at = bytes.find (idPlaceholder))
+        bytes.replace (at, idPlaceholder.size(), id);
+
+    return bytes;
+}
+
+std::string withStatusLine (const std::string& statusLine)
+{
+    return statusLine + "\r\n" + ownFields + "Content-Length: 2\r\n\r\nok";
+}
+
+std::string withFieldLine (const std::string& line)
+{
+    return "HTTP/1.1 200 OK\r\n" + ownFields + "Content-Length: 2\r\n" + line + "\r\n\r\nok";
+}
+
+std::string withFraming (const std::string& fields, const std::string& body)
+{
+    return "HTTP/1.1 200 OK\r\n" + ownFields + fields + "\r\n\r\n" + body;
+}
+
+std::string withChunks (const std::string& body)
+{
+    return withFraming ("Transfer-Encoding: chunked", body);
+}
+
+const std::vector<BrokenResponse>& unknownStatuses()
+{
+    static const std::vector<BrokenResponse> responses{
+        { "000", withStatusLine ("HTTP/1.1 000 -") },
+        { "000-without-reason", withStatusLine ("HTTP/1.1 000 ") },
+        { "099", withStatusLine ("HTTP/1.1 099 -") },
+        { "600", withStatusLine ("HTTP/1.1 600 -") },
+        { "999", withStatusLine ("HTTP/1.1 999 -") },
+        { "101",
+          "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n" + ownFields + "\r\n" },
+    };
+    return responses;
+}
+
+const std::vector<BrokenResponse>& brokenStatusLines()
+{
+    static const std::vector<BrokenResponse> responses{
+        { "two-digits", withStatusLine ("HTTP/1.1 20 OK") },
+        { "four-digits", withStatusLine ("HTTP/1.1 2000 OK") },
+        { "letter", withStatusLine ("HTTP/1.1 2x0 OK") },
+        { "negative", withStatusLine ("HTTP/1.1 -20 OK") },
+        { "no-status", withStatusLine ("HTTP/1.1") },
+        { "http-2", withStatusLine ("HTTP/2.0 200 OK") },
+        { "lower-case", withStatusLine ("http/1.1 200 OK") },
+        { "two-blanks", withStatusLine ("HTTP/1.1  200 OK") },
+        { "tab", withStatusLine ("HTTP/1.1\t200 OK") },
+        { "leading-blank", withStatusLine (" HTTP/1.1 200 OK") },
+        { "no-version", withStatusLine ("200 OK") },
+        { "reason-with-nul", withStatusLine ("HTTP/1.1 200 O\0K"s) },
+        { "reason-with-control", withStatusLine ("HTTP/1.1 200 O\x01K") },
+        { "no-http", "\x16\x03\x01 {id} bytes of another protocol\r\n\r\n" },
+    };
+    return responses;
+}
+
+const std::vector<BrokenResponse>& brokenFields()
+{
+    static const std::vector<BrokenResponse> responses{
+        { "name-with-blank", withFieldLine ("X Bad: 1") },
+        { "name-with-tab", withFieldLine ("X\tBad: 1") },
+        { "name-with-control", withFieldLine ("X\x01"
+                                              "Bad: 1") },
+        { "name-with-nul", withFieldLine ("X\0Bad: 1"s) },
+        { "name-with-del", withFieldLine ("X\x7f"
+                                          "Bad: 1") },
+        { "name-above-126", withFieldLine ("X\xc3\xa4: 1") },
+        { "name-with-separator", withFieldLine ("X(Bad): 1") },
+        { "blank-before-colon", withFieldLine ("X-Bad : 1") },
+        { "empty-name", withFieldLine (": 1") },
+        { "no-colon", withFieldLine ("X-Bad") },
+        { "folded-first-line",
+          "HTTP/1.1 200 OK\r\n X-Bad: 1\r\n" + ownFields + "Content-Length: 2\r\n\r\nok" },
+        { "value-with-control", withFieldLine ("X-Bad: a\x01"
+                                               "b") },
+        { "value-with-nul", withFieldLine ("X-Bad: a\0b"s) },
+        { "value-with-del", withFieldLine ("X-Bad: a\x7f"
+                                           "b") },
+        { "value-with-bare-cr", withFieldLine ("X-Bad: a\rb") },
+    };
+    return responses;
+}
+
+const std::vector<BrokenResponse>& brokenFraming()
+{
+    static const std::vector<BrokenResponse> responses{
+        { "two-lengths", withFraming ("Content-Length: 2\r\nContent-Length: 3", "ok") },
+        { "list-of-lengths", withFraming ("Content-Length: 2, 3", "ok") },
+        { "negative-length", withFraming ("Content-Length: -2", "ok") },
+        { "signed-length", withFraming ("Content-Length: +2", "ok") },
+        { "hexadecimal-length", withFraming ("Content-Length: 0x2", "ok") },
+        { "huge-length", withFraming ("Content-Length: 99999999999999999999999", "ok") },
+        { "empty-length", withFraming ("Content-Length: ", "ok") },
+        { "length-and-chunks",
+          withFraming ("Content-Length: 2\r\nTransfer-Encoding: chunked", "2\r\nok\r\n0\r\n\r\n") },
+        { "chunks-and-length",
+          withFraming ("Transfer-Encoding: chunked\r\nContent-Length: 2", "2\r\nok\r\n0\r\n\r\n") },
+        { "chunk-size-of-letters", withChunks ("zz\r\nok\r\n0\r\n\r\n") },
+        { "chunk-size-missing", withChunks ("\r\nok\r\n0\r\n\r\n") },
+        { "chunk-size-huge", withChunks ("fffffffffffffffffff\r\nok\r\n0\r\n\r\n") },
+        { "chunk-without-end", withChunks ("2\r\nokok0\r\n\r\n") },
+        { "trailer-name-with-blank", withChunks ("2\r\nok\r\n0\r\nX Bad: 1\r\n\r\n") },
+        { "trailer-without-colon", withChunks ("2\r\nok\r\n0\r\nX-Bad\r\n\r\n") },
+    };
+    return responses;
+}
+
+/** A machine of "front", through which clients send, and one of "pay" whose server is scripted. */
+struct BrokenAnswersFleet
+{
+    explicit BrokenAnswersFleet (std::uint16_t basePort)
+        : fleet (basePort, { { "z1", "front", {} }, { "z1", "pay", {}, 16, milliseconds (5), true } }),
+          server (*new ScriptedServer (Fleet::loop().io())) // Its fibers outlive the test.
+    {
+        auto started = soak::startMachineLinks (fleet, payMachine);
+        REQUIRE (started);
+        links = std::move (*started);
+        REQUIRE (fleet.start (configuration_text (1, { "front" }, { "pay" })));
+        links.server.reset(); // The scripted server takes its address.
+        server.script = soundScript();
+        REQUIRE_FALSE (server.start (fleet.machine (payMachine).links.server_link));
+    }
+
+    static Script soundScript()
+    {
+        return [] (const std::string& id, unsigned) {
+            return Reaction{ true, withId (withStatusLine ("HTTP/1.1 200 OK"), id) };
+        };
+    }
+
+    RawResponse send (const std::string& id)
+    {
+        return exchange_raw (
+            fleet.machine (0).calls,
+            { "POST /pay/x HTTP/1.1\r\nHost: pay.example\r\nConnection: close\r\nRequest-Id: " + id +
+              "\r\nDeadline-Milliseconds: 1500\r\nContent-Length: 0\r\n\r\n" });
+    }
+
+    /** Checks that no client receives these bytes, and that the next request is served. */
+    void check (const std::vector<BrokenResponse>& responses)
+    {
+        for (const auto& it : responses)
+        {
+            server.script = [&] (const std::string& id, unsigned) {
+                return Reaction{ true, withId (it.bytes, id), {}, {}, true };
+            };
+
+            for (int n = 0; n < requestsPerKind; ++n)
+            {
+                const auto id = it.name + "-" + std::to_string (n);
+                const auto response = send (id);
+                CAPTURE (it.name, response.beginning);
+                CHECK (response.begins_with ("HTTP/1.1 502 "));
+                CHECK (response.beginning.find ("Server-Signature") == std::string::npos);
+                CHECK (server.runs[id] == 1);
+            }
+
+            server.script = soundScript();
+            CAPTURE (it.name);
+            CHECK (send (it.name + "-sound").begins_with ("HTTP/1.1 200 "));
+        }
+    }
+
+    SidecarFleet fleet;
+    soak::MachineLinkSet links;
+    ScriptedServer& server;
+};
+
+} // namespace
+
+TEST_CASE ("a response whose status HTTP does not have is not forwarded", "[broken-answers]")
+{
+    BrokenAnswersFleet (26'000).check (unknownStatuses());
+}
+
+TEST_CASE ("a status that HTTP does not have does not show that the store has rejected a write",
+           "[broken-answers]")
+{
+    auto& server = *new ScriptedServer (Fleet::loop().io());
+    const Endpoint address{ "127.0.0.1", shifted_port (26'090) };
+    REQUIRE_FALSE (server.start (address));
+    platform::StoreClient client (Fleet::loop().io(), address);
+
+    for (const auto& it : unknownStatuses())
+    {
+        server.script = [&] (const std::string&, unsigned) { return Reaction{ true, it.bytes }; };
+        const auto reply =
+            client.write ({ { "anisehold/key", "value", 0 } }, TimePoint::clock::now() + seconds (1));
+        CAPTURE (it.name);
+        CHECK (reply.outcome == store::CallOutcome::kUnknown);
+    }
+}
+
+TEST_CASE ("bytes that are no response header are not forwarded", "[broken-answers]")
+{
+    BrokenAnswersFleet it (26'100);
+    it.check (brokenStatusLines());
+    it.check (brokenFields());
+}
+
+TEST_CASE ("a response whose body has no clear end is not forwarded", "[broken-answers]")
+{
+    BrokenAnswersFleet (26'200).check (brokenFraming());
+}
