An interim response is skipped, not taken for the answer

Cause: the client took the first header of a connection for the response, whatever its class, and found it complete, since a 1xx has no body.

Change: `receive_final_header` reads on, 16 interim responses at most, until the header of the final response. They are not forwarded: no request is sent with an `Expect`, and nothing in them is read. `accept_header` is what follows it.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -15,6 +15,8 @@
 /// Fraction of the announced idle time after which a connection isn't reused: the server counts from an
 /// earlier moment, and the next request takes time to arrive.
 constexpr double kKeepAliveShare = 0.7;
+/// Maximum interim responses before a final one; a server may send them without end.
+constexpr int kMaxInterimResponses = 16;
 
 /// Parses the server's idle timeout from `Keep-Alive: timeout=SECONDS`; returns the maximum if there is none.
 Duration announced_idle_time(beast::string_view keep_alive) {
@@ -89,20 +91,37 @@
     return parser;
 }
 
-/// Reads the response header into `response`. A response without the expected echo belongs to another
-/// request; one with an invalid status is reported like a header that can't be parsed.
-std::error_code receive_header(HttpConnection& connection, ResponseParser& parser,
-                               const ExchangeOptions& options, ExchangeProgress& progress,
-                               HttpResponse& response) {
-    const auto error = read_header(connection.stream, connection.buffer, parser);
-    progress.answer_started = !error;
-    if (error) {
-        return error;
+/// Reads headers up to that of the final response, whose parser it returns. Interim responses are skipped.
+/// Returns null and sets `error` for a response with an invalid status, as for a header that can't be parsed.
+std::unique_ptr<ResponseParser> receive_final_header(HttpConnection& connection, const HttpRequest& request,
+                                                     ExchangeProgress& progress,
+                                                     boost::system::error_code& error) {
+    for (int skipped = 0; skipped <= kMaxInterimResponses; ++skipped) {
+        auto parser = parser_for(request);
+        error = read_header(connection.stream, connection.buffer, *parser);
+        progress.answer_started = progress.answer_started || !error;
+        if (error) {
+            return nullptr;
+        }
+        switch (classify_status(parser->get().result_int())) {
+            case ResponseKind::kFinal:
+                return parser;
+            case ResponseKind::kInterim:
+                break;
+            case ResponseKind::kInvalid:
+                error = http::error::bad_status;
+                return nullptr;
+        }
     }
+    error = http::error::header_limit;
+    return nullptr;
+}
+
+/// Fills `response` from the final header. A response without the expected echo belongs to another request.
+std::error_code accept_header(HttpConnection& connection, const ResponseParser& parser,
+                              const ExchangeOptions& options, ExchangeProgress& progress,
+                              HttpResponse& response) {
     response.status = parser.get().result_int();
-    if (classify_status(response.status) == ResponseKind::kInvalid) {
-        return boost::system::error_code(http::error::bad_status);
-    }
     response.fields = copy_end_to_end_fields(parser.get());
     response.connection_close = !parser.keep_alive();
     connection.max_idle = announced_idle_time(parser.get()["Keep-Alive"]);
@@ -191,9 +210,12 @@
     progress.request_started = true;
     auto failure = send_request(*lease, request, pool_->server());
     HttpResponse response;
-    auto parser = parser_for(request);
+    std::unique_ptr<ResponseParser> parser;
     if (!failure) {
-        failure = receive_header(*lease, *parser, options, progress, response);
+        boost::system::error_code header_error;
+        parser = receive_final_header(*lease, request, progress, header_error);
+        failure = parser ? accept_header(*lease, *parser, options, progress, response)
+                         : std::error_code(header_error);
     }
     if (!failure) {
         failure = receive_body(lease, std::move(parser), buffered_bytes, pool_->limits().body_timeout_ms,
--- a/tests/incidents/broken_answers_test.cpp
+++ b/tests/incidents/broken_answers_test.cpp
@@ -153,6 +153,20 @@
     return responses;
 }
 
+/** Interim responses, which precede the response to the request. */
+const std::vector<BrokenResponse>& interimResponses()
+{
+    static const std::vector<BrokenResponse> responses{
+        { "100", "HTTP/1.1 100 Continue\r\n\r\n" },
+        { "102", "HTTP/1.1 102 Processing\r\n" + ownFields + "\r\n" },
+        { "103", "HTTP/1.1 103 Early Hints\r\n" + ownFields + "Content-Length: 2\r\n\r\n" },
+        { "103-of-another", "HTTP/1.1 103 Early Hints\r\nRequest-Id: another\r\n\r\n" },
+        { "103-not-executed", "HTTP/1.1 103 Early Hints\r\n" + ownFields + "Not-Executed: 1\r\n\r\n" },
+        { "199-twice", "HTTP/1.1 199 -\r\n\r\nHTTP/1.1 199 -\r\n\r\n" },
+    };
+    return responses;
+}
+
 /** A machine of "front", through which clients send, and one of "pay" whose server is scripted. */
 struct BrokenAnswersFleet
 {
@@ -221,6 +235,33 @@
     BrokenAnswersFleet (26'000).check (unknownStatuses());
 }
 
+TEST_CASE ("an interim response is not the response to the request", "[broken-answers]")
+{
+    BrokenAnswersFleet it (26'250);
+    std::vector<BrokenResponse> alone;
+
+    for (const auto& interim : interimResponses())
+    {
+        it.server.script = [&] (const std::string& id, unsigned) {
+            return Reaction{ true, withId (interim.bytes + withStatusLine ("HTTP/1.1 200 OK"), id) };
+        };
+
+        for (int n = 0; n < requestsPerKind; ++n)
+        {
+            const auto id = interim.name + "-before-" + std::to_string (n);
+            const auto response = it.send (id);
+            CAPTURE (interim.name, response.beginning);
+            CHECK (response.begins_with ("HTTP/1.1 200 "));
+            CHECK (response.beginning.find ("Server-Signature: s." + id) != std::string::npos);
+            CHECK (it.server.runs[id] == 1);
+        }
+
+        alone.push_back ({ interim.name + "-alone", interim.bytes });
+    }
+
+    it.check (alone);
+}
+
 TEST_CASE ("a status that HTTP does not have does not show that the store has rejected a write",
            "[broken-answers]")
 {
