A response body ends at the deadline of its request

Cause: the deadline bounded the header and the first 64 KiB. `ResponseBodyReader` then set a new limit for each read, the longest pause of a body (60 s at sidecars), and no limit at all applied while bytes were there, since a read that needn't wait isn't checked against the time. The same loop never gave way to other fibers while chunk extensions came without data.

Change: the remainder of a body is read until the deadline of the exchange (`BodyLimits`); responses that are endless by their nature, the store's watches of `anisehold serve`, have none. `read_body_bytes` checks the deadline after every read. The connection to the server is reset then, and the client's ends without the last chunk, as with a server that breaks off.

--- a/src/net/beast_support.hpp
+++ b/src/net/beast_support.hpp
@@ -59,7 +59,8 @@
 }
 
 /// Reads body bytes into `data` through a parser over `buffer_body`. Returns the count; 0 without an error at
-/// the end of the message.
+/// the end of the message. A body that has bytes available at all times is checked against the deadline of
+/// the stream as well.
 template <typename Parser>
 std::size_t read_body_bytes(TimedStream& stream, beast::flat_buffer& buffer, Parser& parser, char* data,
                             std::size_t size, boost::system::error_code& error) {
@@ -75,6 +76,14 @@
             error = read_error;
             return filled;
         }
+        if (!parser.is_done() && stream.reads_expired()) {
+            error = beast::error::timeout;
+            return filled;
+        }
+        if (filled == 0) {
+            // Chunk extensions and trailers may arrive without a pause, so other fibers get a turn.
+            boost::this_fiber::yield();
+        }
     }
     return filled;
 }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -33,20 +33,28 @@
     return std::chrono::duration_cast<Duration>(seconds(timeout_s) * kKeepAliveShare);
 }
 
+/// Translates Beast's timeout error, which equals no `std::errc`; otherwise callers would take a timed-out
+/// request for a broken connection.
+std::error_code translate_timeout(const std::error_code& failure) {
+    static const std::error_code beast_timeout = boost::system::error_code(beast::error::timeout);
+    return failure == beast_timeout ? std::make_error_code(std::errc::timed_out) : failure;
+}
+
 /// Reads the unbuffered remainder of a response body, and then returns the connection to the pool.
 class ResponseBodyReader final : public BodyReader {
   public:
-    ResponseBodyReader(HttpConnectionLease lease, std::unique_ptr<ResponseParser> parser, Duration pause)
-        : lease_(std::move(lease)), parser_(std::move(parser)), pause_(pause) {}
+    ResponseBodyReader(HttpConnectionLease lease, std::unique_ptr<ResponseParser> parser, Duration pause,
+                       TimePoint deadline)
+        : lease_(std::move(lease)), parser_(std::move(parser)), pause_(pause), deadline_(deadline) {}
 
     std::size_t read(char* data, std::size_t size, std::error_code& error) override {
         if (parser_->is_done()) {
             return 0;
         }
-        lease_->stream.reads_expire_after(pause_);
+        lease_->stream.reads_expire_at(std::min(deadline_, TimePoint::clock::now() + pause_));
         boost::system::error_code read_error;
         const auto count = read_body_bytes(lease_->stream, lease_->buffer, *parser_, data, size, read_error);
-        error = read_error;
+        error = translate_timeout(read_error);
         if (!read_error && parser_->is_done()) {
             lease_.finish(parser_->keep_alive());
         }
@@ -57,6 +65,7 @@
     HttpConnectionLease lease_;
     std::unique_ptr<ResponseParser> parser_;
     Duration pause_;
+    TimePoint deadline_;
 };
 
 http::request<http::buffer_body> request_head(const HttpRequest& request, const Endpoint& server) {
@@ -135,19 +144,11 @@
     return {};
 }
 
-/// Translates Beast's timeout error, which equals no `std::errc`; otherwise callers would take a timed-out
-/// request for a broken connection.
-std::error_code translate_timeout(const std::error_code& failure) {
-    static const std::error_code beast_timeout = boost::system::error_code(beast::error::timeout);
-    return failure == beast_timeout ? std::make_error_code(std::errc::timed_out) : failure;
-}
-
-/// Reads up to `buffered_bytes` of the body. A longer body keeps the connection until all of it has been
-/// read.
+/// Reads the beginning of the body. A longer body keeps the connection until all of it has been read.
 std::error_code receive_body(HttpConnectionLease& lease, std::unique_ptr<ResponseParser> parser,
-                             std::size_t buffered_bytes, Duration max_pause, Body& body) {
+                             const BodyLimits& limits, Body& body) {
     boost::system::error_code error;
-    read_body_prefix(lease->stream, lease->buffer, *parser, body.prefix, buffered_bytes, error);
+    read_body_prefix(lease->stream, lease->buffer, *parser, body.prefix, limits.buffered_bytes, error);
     if (error) {
         return error;
     }
@@ -159,7 +160,8 @@
     if (parser->content_length()) {
         body.length = *parser->content_length();
     }
-    body.rest = std::make_unique<ResponseBodyReader>(std::move(lease), std::move(parser), max_pause);
+    body.rest = std::make_unique<ResponseBodyReader>(std::move(lease), std::move(parser), limits.max_pause,
+                                                     limits.deadline);
     return {};
 }
 
@@ -174,17 +176,19 @@
 
 std::optional<HttpResponse> HttpClient::exchange(HttpRequest& request, const ExchangeOptions& options,
                                                  ExchangeProgress& progress, std::error_code& error) {
-    return run_exchange(request, options, kBufferedBodyBytes, progress, error);
+    const BodyLimits limits{kBufferedBodyBytes, pool_->limits().body_timeout_ms, options.deadline};
+    return run_exchange(request, options, limits, progress, error);
 }
 
 std::optional<HttpResponse> HttpClient::exchange_streaming(HttpRequest& request, TimePoint deadline,
                                                            ExchangeProgress& progress,
                                                            std::error_code& error) {
-    return run_exchange(request, {deadline, nullptr}, 0, progress, error);
+    const BodyLimits limits{0, pool_->limits().body_timeout_ms, TimePoint::max()};
+    return run_exchange(request, {deadline, nullptr}, limits, progress, error);
 }
 
 std::optional<HttpResponse> HttpClient::run_exchange(HttpRequest& request, const ExchangeOptions& options,
-                                                     std::size_t buffered_bytes, ExchangeProgress& progress,
+                                                     const BodyLimits& limits, ExchangeProgress& progress,
                                                      std::error_code& error) {
     auto connection = pool_->acquire(options, progress, error);
     if (!connection) {
@@ -218,8 +222,7 @@
                          : std::error_code(header_error);
     }
     if (!failure) {
-        failure = receive_body(lease, std::move(parser), buffered_bytes, pool_->limits().body_timeout_ms,
-                               response.body);
+        failure = receive_body(lease, std::move(parser), limits, response.body);
     }
     if (failure) {
         error = translate_timeout(failure);
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -66,6 +66,13 @@
     bool exclusive_connection = false;
 };
 
+/// Limits of reading a response body.
+struct BodyLimits {
+    std::size_t buffered_bytes;  ///< Bytes that are read before the exchange returns.
+    Duration max_pause;          ///< Maximum wait for further bytes of the remainder.
+    TimePoint deadline;          ///< End of reading the remainder, even if it never pauses.
+};
+
 /// A client with a pool of connections to one server. A connection returns to the pool only after a complete,
 /// clean exchange; any other is closed.
 class HttpClient {
@@ -76,7 +83,8 @@
     HttpClient& operator=(const HttpClient&) = delete;
 
     /// Sends `request`, and reads the response header and up to `kBufferedBodyBytes` of the body. The
-    /// remainder of a larger body is read through the response, which holds the connection until then.
+    /// remainder of a larger body is read through the response, which holds the connection until then; the
+    /// deadline applies to it as well.
     /// Returns nothing and sets `error` if no complete header arrived, or only part of a small body:
     /// `ErrorKind::kCancelled` if the exchange was canceled before the request was sent, `kBackendFailed` for
     /// the response to another request, `too_many_files_open` for a full pool, `timed_out` if the deadline
@@ -84,7 +92,8 @@
     std::optional<HttpResponse> exchange(HttpRequest& request, const ExchangeOptions& options,
                                          ExchangeProgress& progress, std::error_code& error);
 
-    /// Like `exchange`, but returns as soon as the response header has arrived; for endless responses.
+    /// Like `exchange`, but returns as soon as the response header has arrived, and sets no deadline for the
+    /// body; for endless responses.
     std::optional<HttpResponse> exchange_streaming(HttpRequest& request, TimePoint deadline,
                                                    ExchangeProgress& progress, std::error_code& error);
 
@@ -96,7 +105,7 @@
 
   private:
     std::optional<HttpResponse> run_exchange(HttpRequest& request, const ExchangeOptions& options,
-                                             std::size_t buffered_bytes, ExchangeProgress& progress,
+                                             const BodyLimits& limits, ExchangeProgress& progress,
                                              std::error_code& error);
 
     std::shared_ptr<HttpConnectionPool> pool_;
--- a/src/net/timed_stream.hpp
+++ b/src/net/timed_stream.hpp
@@ -28,6 +28,8 @@
     void reads_expire_at(TimePoint deadline) { read_deadline_ = deadline; }
     void reads_expire_after(Duration time) { read_deadline_ = TimePoint::clock::now() + time; }
     void reads_expire_never() { read_deadline_ = TimePoint::max(); }
+    /// Whether the deadline of reads has passed. Reads that needn't wait succeed even then.
+    bool reads_expired() const { return TimePoint::clock::now() >= read_deadline_; }
     void writes_expire_at(TimePoint deadline) { write_deadline_ = deadline; }
     void writes_expire_after(Duration time) { write_deadline_ = TimePoint::clock::now() + time; }
 
--- a/tests/support/raw_client.cpp
+++ b/tests/support/raw_client.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::size_t kKeptBytes = 4'096;
+constexpr std::size_t kKeptEnding = 16;
 constexpr std::size_t kReadBytes = 64 * 1024;
 constexpr milliseconds kPollInterval{2};
 
--- a/tests/support/raw_client.hpp
+++ b/tests/support/raw_client.hpp
@@ -19,6 +19,7 @@
 
 struct RawResponse {
     std::string beginning;  ///< The first bytes received, up to a few kilobytes.
+    std::string ending;     ///< The last few bytes received.
     std::size_t bytes_received = 0;
     std::size_t bytes_sent = 0;
     bool closed = false;  ///< Whether the peer closed the connection within the patience.
