What follows the last response of a connection is read within limits

Cause: `discard_until_closed` reads on so that the client can receive its answer, but each read had a new limit of one second, and neither the bytes nor the whole time were limited. It didn't give way to other fibers either.

Change: the bytes are limited like a body, since the client may still be sending the body of a rejected request, and the time after the last response to 5 s. A connection with requests in progress is read no further after the same number of bytes, and these requests get their answers.

--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -2,6 +2,8 @@
 
 #include <sys/socket.h>
 
+#include <boost/fiber/operations.hpp>
+
 #include "net/event_loop.hpp"
 #include "net/fiber_event.hpp"
 
@@ -10,8 +12,10 @@
 
 using Tcp = boost::asio::ip::tcp;
 
-/// Time for which unexpected bytes are read from a connection after its last response.
-constexpr milliseconds kLingerTime{1'000};
+/// Maximum pause between unexpected bytes that are read from a connection after its last response.
+constexpr milliseconds kLingerPause{1'000};
+/// Maximum time for which they are read.
+constexpr milliseconds kLingerTime{5'000};
 /// Maximum requests of one connection that are handled concurrently.
 constexpr std::size_t kMaxPipelinedRequests = 8;
 
@@ -202,23 +206,30 @@
 }
 
 /// Reads and discards bytes that belong to no request. This detects that the peer disconnects, and prevents
-/// their arrival from destroying a response that is still being transmitted.
+/// their arrival from destroying a response that is still being transmitted. The peer may still be sending
+/// the body of a rejected request, so the limit of bodies applies to these bytes.
 void HttpServerConnection::discard_until_closed() {
     std::array<char, kStreamChunkBytes> scratch;
-    while (!peer_disconnected_) {
+    std::uint64_t discarded = 0;
+    auto linger_end = TimePoint::max();
+    while (!peer_disconnected_ && discarded <= server_->limits.body_bytes) {
         const bool lingering = answers_closed_ || open_exchanges_.empty();
         if (lingering) {
             close_sending();
-            stream_.reads_expire_after(kLingerTime);
+            const auto now = TimePoint::clock::now();
+            linger_end = std::min(linger_end, now + kLingerTime);
+            stream_.reads_expire_at(std::min(linger_end, now + kLingerPause));
         } else {
             stream_.reads_expire_never();
         }
         const auto error = stream_.complete_read(
-            [&](auto& ec) { stream_.socket().read_some(boost::asio::buffer(scratch), ec); });
+            [&](auto& ec) { discarded += stream_.socket().read_some(boost::asio::buffer(scratch), ec); });
         const bool answers_just_closed = !lingering && answers_closed_;
-        if (error && !answers_just_closed) {
+        if ((error && !answers_just_closed) || TimePoint::clock::now() >= linger_end) {
             cancel_all();
         }
+        // The bytes may arrive without a pause, so other fibers get a turn.
+        boost::this_fiber::yield();
     }
 }
 
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -26,8 +26,15 @@
 /** Time by which an exchange ends at the latest: the route's timeout, and half a second. */
 constexpr milliseconds latestEnd{ 3'500 };
 constexpr milliseconds patience{ 6'000 };
+/** Time for which a client would go on sending after its rejection. */
+constexpr milliseconds floodPatience{ 8'000 };
+/** Interval of a client that sends slowly, without ever pausing for long. */
+constexpr milliseconds dripInterval{ 100 };
 /** Maximum growth of a daemon's memory by a few exchanges with buffers of limited size. */
 constexpr long maxGrowthKilobytes = 64 * 1024;
+/** Maximum bytes accepted from a client after the response that closes its connection: its largest request,
+    which is 1 MiB, and the buffers of the sockets. */
+constexpr std::size_t maxUnreadBytes = 16 * 1024 * 1024;
 constexpr std::size_t blockBytes = 64 * 1024;
 
 std::string responseHead (const std::string& id, const std::string& fields)
@@ -101,7 +108,8 @@
                 [this, &responses, request]
                 { responses.push_back (exchange_raw (fleet.machine (frontMachine).calls, request)); });
 
-        REQUIRE (fleet.eventually (patience + seconds (2), [&] { return responses.size() == numExchanges; }));
+        REQUIRE (fleet.eventually (request.patience + seconds (2),
+                                   [&] { return responses.size() == numExchanges; }));
         return responses;
     }
 
@@ -166,6 +174,18 @@
         }
     }
 
+    /** Checks that the request is rejected, and that only so many of its bytes are read. */
+    static void checkRejected (const std::vector<RawResponse>& responses, const std::string& status)
+    {
+        for (const auto& it : responses)
+        {
+            CAPTURE (it.beginning, it.bytes_sent, it.elapsed.count());
+            CHECK (it.begins_with ("HTTP/1.1 " + status));
+            CHECK (it.closed);
+            CHECK (it.bytes_sent < maxUnreadBytes);
+        }
+    }
+
     SidecarFleet fleet;
     soak::MachineLinkSet links;
     ScriptedServer& server;
@@ -232,3 +252,32 @@
 
     it.checkDaemons();
 }
+
+TEST_CASE ("a rejected request is not read without an end", "[endless-bytes]")
+{
+    EndlessFleet it (26'900);
+
+    it.checkRejected (it.send ({ requestHead ("endless", "X-Long: "), filler, {}, floodPatience }), "431 ");
+    it.checkRejected (it.send ({ "NONSENSE\r\n\r\n", filler, {}, floodPatience }), "400 ");
+    it.checkRejected (
+        it.send (
+            { requestHead ("endless", "Content-Length: 9999999999\r\n\r\n"), filler, {}, floodPatience }),
+        "413 ");
+    it.checkRejected (it.send ({ "NONSENSE\r\n\r\n", "x", dripInterval, floodPatience }), "400 ");
+    it.checkDaemons();
+}
+
+TEST_CASE ("bytes after the last request of a connection are not read without an end", "[endless-bytes]")
+{
+    EndlessFleet it (27'000);
+
+    for (const auto& response :
+         it.send ({ requestHead ("last", "Content-Length: 0\r\n\r\n"), filler, {}, floodPatience }))
+    {
+        CAPTURE (response.beginning, response.bytes_sent, response.elapsed.count());
+        CHECK (response.closed);
+        CHECK (response.bytes_sent < maxUnreadBytes);
+    }
+
+    it.checkDaemons();
+}
--- a/tests/support/raw_client.cpp
+++ b/tests/support/raw_client.cpp
@@ -50,14 +50,14 @@
     /// Sends and receives what the socket allows.
     void step(int timeout_ms) {
         const bool sends = !pending_.empty();
-        pollfd ready{descriptor_, static_cast<short>(POLLIN | (sends ? POLLOUT : 0)), 0};
+        pollfd ready{descriptor_, static_cast<short>((receives_ ? POLLIN : 0) | (sends ? POLLOUT : 0)), 0};
         poll(&ready, 1, timeout_ms);
-        if ((ready.revents & POLLOUT) != 0) {
-            send_pending();
-        }
-        if ((ready.revents & (POLLIN | POLLHUP | POLLERR)) != 0) {
+        if (receives_ && (ready.revents & (POLLIN | POLLHUP | POLLERR)) != 0) {
             receive();
         }
+        if (sends && (ready.revents & (POLLOUT | POLLHUP | POLLERR)) != 0) {
+            send_pending();
+        }
     }
 
     RawResponse response;
@@ -85,7 +85,8 @@
             response.bytes_received += size;
             response.beginning.append(chunk.data(), std::min(size, kKeptBytes - response.beginning.size()));
         } else if (!would_block(count)) {
-            response.closed = true;
+            receives_ = false;
+            response.closed = response.closed || count < 0 || repeated_.empty();
         }
     }
 
@@ -93,6 +94,7 @@
     std::string pending_;
     const std::string repeated_;
     const milliseconds interval_;
+    bool receives_ = true;
 };
 
 RawResponse run_exchange(const Endpoint& server, const RawRequest& request) {
--- a/tests/support/raw_client.hpp
+++ b/tests/support/raw_client.hpp
@@ -12,7 +12,7 @@
 
 struct RawRequest {
     std::string bytes;
-    std::string repeated{};    ///< Sent again and again after `bytes`, until the peer closes.
+    std::string repeated{};  ///< Sent again and again after `bytes`, even after the peer has stopped sending.
     milliseconds interval{0};  ///< Pause before each repetition.
     milliseconds patience{5'000};
 };
@@ -22,7 +22,7 @@
     std::string ending;     ///< The last few bytes received.
     std::size_t bytes_received = 0;
     std::size_t bytes_sent = 0;
-    bool closed = false;  ///< Whether the peer closed the connection within the patience.
+    bool closed = false;  ///< Whether the peer ended the connection within the patience.
     milliseconds elapsed{0};
 
     bool begins_with(const std::string& text) const { return beginning.rfind(text, 0) == 0; }
