Chunk extensions and trailers are limited like a header

What was seen: six answers, or six requests, whose chunk extension or trailer never ends took 2.1 GB of the gate's memory and 4.1 GB of the ingress's in seconds: any server, and any client, could end a daemon.

Cause: header limit and body limit leave out what frames a body. The parser keeps a chunk's size line, and all trailers, in the read buffer until they are complete, and the buffer had no limit.

Change: a read buffer holds as much as a header may have and one read more (`limit_buffer`), at servers' and peers' connections as at clients'. A message beyond it is malformed: 502 for a response, 400 for a request.

--- a/src/net/beast_support.hpp
+++ b/src/net/beast_support.hpp
@@ -51,6 +51,13 @@
 /// Size of the read buffer: header and body of most messages arrive with one system call.
 inline constexpr std::size_t kReadBytes = 8 * 1024;
 
+/// Limits a read buffer so that it holds a header of `header_bytes`, and whatever follows it in the same
+/// read. The buffer also holds a chunk's size with its extensions, and the trailers, until they are complete;
+/// the parser limits only the header.
+inline void limit_buffer(beast::flat_buffer& buffer, std::size_t header_bytes) {
+    buffer.max_size(std::max(buffer.size(), header_bytes + kReadBytes));
+}
+
 /// Reads a message header.
 template <typename Parser>
 boost::system::error_code read_header(TimedStream& stream, beast::flat_buffer& buffer, Parser& parser) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -92,6 +92,7 @@
 
 std::unique_ptr<ResponseParser> parser_for(const HttpRequest& request) {
     auto parser = std::make_unique<ResponseParser>();
+    parser->header_limit(kMaxResponseHeaderBytes);
     // Beast 1.74 treats "no limit" as a limit of zero if the length is declared.
     parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     if (request.method == "HEAD") {
--- a/src/net/http_connection_pool.hpp
+++ b/src/net/http_connection_pool.hpp
@@ -17,11 +17,16 @@
 
 namespace anisehold::net {
 
+/// Maximum size of a response header.
+inline constexpr std::uint32_t kMaxResponseHeaderBytes = 8 * 1024;
+
 /// One connection, the bytes read after the last response, and the identified requests that were sent over
 /// it.
 struct HttpConnection {
     HttpConnection(boost::asio::io_context& io, std::uint64_t number_to_use)
-        : number(number_to_use), stream(io) {}
+        : number(number_to_use), stream(io) {
+        limit_buffer(buffer, kMaxResponseHeaderBytes);
+    }
 
     /// Records that a request with this identifier is about to be sent.
     void record_sent(std::string_view id);
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -136,6 +136,7 @@
 boost::system::error_code HttpServerConnection::receive(RequestParser& parser, HttpRequest& request) {
     const auto& limits = server_->limits;
     parser.header_limit(static_cast<std::uint32_t>(limits.header_bytes));
+    limit_buffer(buffer_, limits.header_bytes);
     parser.body_limit(limits.body_bytes);
     stream_.reads_expire_after(limits.header_timeout_ms);
     auto error = read_header(stream_, buffer_, parser);
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -235,6 +235,19 @@
     it.checkDaemons();
 }
 
+TEST_CASE ("chunk extensions and trailers of a response are limited in size", "[endless-bytes]")
+{
+    EndlessFleet it (26'600);
+
+    it.respond ("Transfer-Encoding: chunked\r\n\r\n2;x=", filler);
+    it.checkFailed (it.send());
+    it.respond ("Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX-Long: ", filler);
+    it.checkFailed (it.send());
+    it.respond ("Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n", repeat ("X-Many: 1\r\n", blockBytes));
+    it.checkFailed (it.send());
+    it.checkDaemons();
+}
+
 TEST_CASE ("a response whose bytes are mostly chunk extensions ends at the route's timeout",
            "[endless-bytes]")
 {
@@ -253,6 +266,19 @@
     it.checkDaemons();
 }
 
+TEST_CASE ("chunk extensions and trailers of a request are limited in size", "[endless-bytes]")
+{
+    EndlessFleet it (26'800);
+    const auto head = requestHead ("endless", "Transfer-Encoding: chunked\r\n\r\n");
+
+    it.checkRejected (it.send ({ head + "2;x=", filler, {}, floodPatience }), "400 ");
+    it.checkRejected (it.send ({ head + "2\r\nok\r\n0\r\nX-Long: ", filler, {}, floodPatience }), "400 ");
+    it.checkRejected (
+        it.send ({ head + "2\r\nok\r\n0\r\n", repeat ("X-Many: 1\r\n", blockBytes), {}, floodPatience }),
+        "400 ");
+    it.checkDaemons();
+}
+
 TEST_CASE ("a rejected request is not read without an end", "[endless-bytes]")
 {
     EndlessFleet it (26'900);
