Tests: requests that come late in a planned stop, on connections that are already open

51 orders of 1.2 s on idle connections, every 55 ms of a grace time of 3 s, while three requests of 2 s keep the process: each is served, refused with a time to come back, or not read; none that ran is cut.

--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -3,9 +3,12 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <deque>
+#include <memory>
 #include <string>
+#include <vector>
 
 #include "net/event_loop.hpp"
+#include "net/http_client.hpp"
 #include "tests/support/fleet.hpp"
 #include "tests/support/sidecar_fleet.hpp"
 
@@ -27,6 +30,16 @@
 constexpr milliseconds timeLeft{ 4'500 };
 /** Longer than a planned stop. */
 constexpr seconds loadTime{ 4 };
+/** Requests that keep a stopping process until shortly before the end of its grace time of 3 s. */
+constexpr int numLongRequests = 3;
+constexpr const char* longWork = "/work-2000";
+/** Requests that arrive late, on idle connections: the first and the last one after the signal, and their
+ * interval.
+ */
+constexpr milliseconds firstLate{ 150 };
+constexpr milliseconds lastLate{ 2'900 };
+constexpr milliseconds lateInterval{ 55 };
+constexpr const char* lateWork = "/work-1200";
 
 /** A machine of "front", through which clients send, one of "quick" and two of "orders". */
 struct StoppingFleet
@@ -85,6 +98,31 @@
         }
     }
 
+    /** Sends one request over a client's connections, `after` this time. */
+    void sendOver (net::HttpClient& client, const std::string& name, const std::string& target,
+                   milliseconds after)
+    {
+        auto& request = sent.emplace_back (Sent{ name + std::to_string (sent.size()), {} });
+        ++pending;
+        net::EventLoop::spawn (
+            [this, &client, &request, target, after]
+            {
+                SidecarFleet::pause (after);
+                request.answer = fleet.send_over (
+                    0, client, { "POST", "orders.example", "/orders" + target, request.id, timeLeft });
+                --pending;
+            });
+    }
+
+    /** A client with an idle connection to the machine that clients use. */
+    net::HttpClient& addIdleClient()
+    {
+        auto& client = *clients.emplace_back (
+            std::make_unique<net::HttpClient> (Fleet::loop().io(), fleet.machine (0).calls));
+        sendOver (client, "idle-", "/x", milliseconds (0));
+        return client;
+    }
+
     bool waitForAnswers()
     {
         return fleet.eventually (seconds (12), [this] { return pending == 0; });
@@ -114,7 +152,8 @@
     }
 
     SidecarFleet fleet;
-    std::deque<Sent> sent; /**< Fibers refer to the entries. */
+    std::vector<std::unique_ptr<net::HttpClient>> clients; /**< Each with connections of its own. */
+    std::deque<Sent> sent;                                 /**< Fibers refer to the entries. */
     int pending = 0;
 };
 
@@ -147,3 +186,32 @@
     REQUIRE (it.waitForAnswers());
     CHECK (it.checkAnswers ("orders-", statusOk) == static_cast<int> (loadTime / sendInterval));
 }
+
+/** Guards against requests that arrive late in the grace time on connections that are already open, are
+   passed on, and are cut when the process ends. Long requests keep the process until then. */
+TEST_CASE ("a stopping daemon cuts no request that comes late on an open connection", "[planned-stops]")
+{
+    StoppingFleet it (27'100, quickWork);
+    const auto numLate = (lastLate - firstLate) / lateInterval + 1;
+
+    for (int n = 0; n < numLongRequests + numLate; ++n)
+        it.addIdleClient();
+
+    REQUIRE (it.waitForAnswers());
+    REQUIRE (it.checkAnswers ("idle-", statusOk) == numLongRequests + numLate);
+
+    for (int n = 0; n < numLongRequests; ++n)
+        it.sendOver (*it.clients[n], "long-", longWork, milliseconds (0));
+
+    SidecarFleet::pause (milliseconds (50));
+    it.fleet.terminate (0);
+
+    for (int n = 0; n < numLate; ++n)
+        it.sendOver (*it.clients[numLongRequests + n], "late-", lateWork, firstLate + n * lateInterval);
+
+    REQUIRE (it.waitForAnswers());
+    CHECK (it.checkAnswers ("long-", statusOk) == numLongRequests);
+    CHECK (it.checkAnswers ("late-", statusOk) > 0);
+    CHECK (it.checkAnswers ("late-", statusUnavailable) > 0);
+    CHECK (it.fleet.wait_for_exit (0, seconds (2)) == 0);
+}
