Heartbeats with overlong names are rejected

Cause: the daemon's record names its servers and travels in one datagram. A record beyond 65,507 bytes is never sent, so peers hear nothing of the machine and take it for gone.

Change: the id, the service and the zone of a heartbeat have 1 to 255 bytes, or it gets 400 with the field and the limit. A heartbeat whose address has the port 0 is rejected as well; a server there can't be called.

--- a/tests/unit/platform/dialect_test.cpp
+++ b/tests/unit/platform/dialect_test.cpp
@@ -96,6 +96,32 @@
     }
 }
 
+// Guards against names that make the machine's record too large for a datagram.
+TEST_CASE("a heartbeat with an overlong or empty name, or without a port, is rejected") {
+    const auto problem_of = [](const std::string& instance, const std::string& address,
+                               const std::string& service, const std::string& zone) {
+        const auto body = R"({"address":")" + address + R"(","information":{"service":")" + service +
+                          R"(","zone":")" + zone + R"(","slots":1},"status":{"state":"ready","sequence":1}})";
+        std::string problem;
+        Dialect().read_registration(net::make_request("PUT", "/-/instances/" + instance, body), problem);
+        return problem;
+    };
+    const std::string longest(255, 'x');
+    const std::string overlong(256, 'x');
+    CHECK(problem_of(longest, "127.0.0.1:1", longest, longest).empty());
+    CHECK_FALSE(problem_of(overlong, "127.0.0.1:1", "back", "z1").empty());
+    CHECK_FALSE(problem_of("i-1", "127.0.0.1:1", overlong, "z1").empty());
+    CHECK_FALSE(problem_of("i-1", "127.0.0.1:1", "back", overlong).empty());
+    CHECK_FALSE(problem_of("i-1", "127.0.0.1:1", "", "z1").empty());
+    CHECK_FALSE(problem_of("i-1", "127.0.0.1:1", "back", "").empty());
+    CHECK_FALSE(problem_of("i-1", "127.0.0.1:0", "back", "z1").empty());
+
+    std::string problem;
+    CHECK_FALSE(
+        Dialect().read_registration(net::make_request("DELETE", "/-/instances/" + overlong), problem));
+    CHECK_FALSE(problem.empty());
+}
+
 TEST_CASE("a configuration is parsed") {
     const std::string text =
         R"({"version":"r7","routes":{"one":{"host":"a.example","pathPrefix":"/x/","kind":"unsafe",)"
