The slots in a health response are limited like those in a heartbeat

Cause: a heartbeat's slots are limited to a million, so that the gate's arithmetic stays within range; those that a health response states were taken up to 4,294,967,295, and beyond that the response's were ignored.

What a gate with so many slots did to its server wasn't tried.

--- a/tests/unit/platform/dialect_test.cpp
+++ b/tests/unit/platform/dialect_test.cpp
@@ -218,6 +218,19 @@
     }
 }
 
+// Guards against a gate that computes with more slots than its numbers hold.
+TEST_CASE("the slots in a health response are limited like those in a heartbeat") {
+    auto well = answer(200, false);
+    well.fields.set("Instance-Id", "i-1");
+    for (const auto* load : {"3,0,1000001", "3,0,4294967295", "3,0,18446744073709551615"}) {
+        well.fields.set("Server-Load", load);
+        REQUIRE(Dialect().read_health(well));
+        CHECK(Dialect().read_health(well)->slots == 1'000'000U);
+    }
+    well.fields.set("Server-Load", "3,0,18446744073709551616");
+    CHECK_FALSE(Dialect().read_health(well)->slots);
+}
+
 namespace {
 
 tenancy::Credentials credentials_of(const std::vector<std::string>& lines) {
