--- a/tests/process/odd_entries_test.cpp
+++ b/tests/process/odd_entries_test.cpp
@@ -5,7 +5,10 @@
 #include <string>
 #include <vector>
 
+#include "platform/store_client.hpp"
 #include "tests/support/fleet.hpp"
+#include "tests/support/run_folder.hpp"
+#include "tests/support/scripted_server.hpp"
 #include "tests/support/sidecar_fleet.hpp"
 
 using namespace anisehold;
@@ -226,3 +229,47 @@
         it.checkAllServe();
     }
 }
+
+/** Guards against a daemon that ends because a field of the store's response has another type. */
+TEST_CASE ("fields of other types in a response of the store end no daemon and hide no item", "[odd-entries]")
+{
+    auto& server = *new ScriptedServer (Fleet::loop().io()); // Its fibers outlive the test.
+    const Endpoint address{ "127.0.0.1", shifted_port (27'290) };
+    REQUIRE_FALSE (server.start (address));
+    platform::StoreClient client (Fleet::loop().io(), address);
+    const auto deadline = [] { return TimePoint::clock::now() + seconds (1); };
+    const auto respond = [&] (const std::string& status, const std::string& body)
+    {
+        server.script = [=] (const std::string&, unsigned)
+        {
+            return Reaction{ true, "HTTP/1.1 " + status + "\r\nContent-Length: " +
+                                       std::to_string (body.size()) + "\r\n\r\n" + body };
+        };
+    };
+
+    for (const std::string at : { R"("x")", "null", "[]", "{}", "true" })
+    {
+        CAPTURE (at);
+        respond ("404 Not Found", R"({"at":)" + at + "}");
+        CHECK (client.read ("key", store::ReadMode::kLatest, deadline()).outcome ==
+               store::CallOutcome::kUnknown);
+    }
+
+    respond ("404 Not Found", R"({"at":7})");
+    const auto missing = client.read ("key", store::ReadMode::kLatest, deadline());
+    CHECK (missing.outcome == store::CallOutcome::kNotFound);
+    CHECK (missing.store_revision == 7);
+
+    const std::string sound = R"({"privateKey":"k","value":"","revision":1,"created":1,"lease":0})";
+
+    for (const std::string odd :
+         { R"({"gone":1})", R"({"gone":"x"})", "7", "null", "[]", R"({"privateKey":1})" })
+    {
+        CAPTURE (odd);
+        respond ("200 OK", R"({"items":[)" + odd + "," + sound + R"(],"more":false,"at":7})");
+        const auto listed = client.list ("", "", store::ReadMode::kLatest, deadline());
+        CHECK (listed.outcome == store::CallOutcome::kDone);
+        CHECK (listed.items.size() == 1);
+        CHECK (listed.unreadable == 1);
+    }
+}
