A stored verdict has a time after 1970

Cause: the age of a verdict in the store is worked out from its time; for times far below zero the sum overflows, which is undefined, and the entry counts as fresh or as old by chance. Another writer can leave such an entry.

Evidence: two rows added to the texts that `decodeStoredVerdict` rejects (`unit_tests "a stored verdict survives*"`) failed before. No daemon was seen ending or refusing by it.

--- a/src/suspects/crash_report.cpp
+++ b/src/suspects/crash_report.cpp
@@ -108,7 +108,7 @@
     StoredVerdict verdict;
 
     if (! takeNumber (text, verdict.numCrashes) || ! takeBlank (text) ||
-        ! takeNumber (text, verdict.latestUnixMs))
+        ! takeNumber (text, verdict.latestUnixMs) || verdict.latestUnixMs < 0)
         return std::nullopt;
 
     while (! text.empty() && verdict.callers.size() < callersToGeneralize)
--- a/tests/unit/suspects/crash_report_test.cpp
+++ b/tests/unit/suspects/crash_report_test.cpp
@@ -102,7 +102,8 @@
     CHECK (verdict->latestUnixMs == 1'796'253'560'006);
     CHECK (verdict->callers == std::vector<CallerDigest>{ shop, desk });
     const auto refused = GENERATE (as<std::string>(), "", "3", "3 ", "3 17", "3 17 ", "3 17 x", "x 17 1",
-                                   "3 17 1 2 3", "3  17 1", "3 17 1 ", "-3 17 1", "3 99999999999999999999 1");
+                                   "3 17 1 2 3", "3  17 1", "3 17 1 ", "-3 17 1", "3 99999999999999999999 1",
+                                   "3 -1 1", "3 -9223372036854775808 1");
     CAPTURE (refused);
     CHECK_FALSE (decodeStoredVerdict (refused));
 }
