--- a/tests/incidents/broken_answers_test.cpp
+++ b/tests/incidents/broken_answers_test.cpp
@@ -1,9 +1,9 @@
 /** Bytes of a server that are no response in HTTP never reach a client as one.
 
-    A server in trouble responded with the status 000, and its client received "HTTP/1.1 000 <unknown-status>"
-   as the response to its request. The parser accepts any three digits, and whether a status exists was
-   checked nowhere: a status was only compared with those that mean something to a daemon. 000, 099, 600 and
-   999 were forwarded, as was 101 without a request to switch protocols.
+    A server in trouble responded with the status 000, and its client received
+    "HTTP/1.1 000 <unknown-status>" as the response to its request. The parser accepts any three digits, and
+    whether a status exists was checked nowhere: a status was only compared with those that mean something to
+    a daemon. 000, 099, 600 and 999 were forwarded, as was 101 without a request to switch protocols.
 */
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -11,12 +11,9 @@
 #include <vector>
 
 #include "platform/store_client.hpp"
-#include "soak/machine_links.hpp"
-#include "tests/support/fleet.hpp"
 #include "tests/support/raw_client.hpp"
 #include "tests/support/run_folder.hpp"
-#include "tests/support/scripted_server.hpp"
-#include "tests/support/sidecar_fleet.hpp"
+#include "tests/support/scripted_fleet.hpp"
 
 using namespace std::string_literals;
 
@@ -26,7 +23,6 @@
 namespace
 {
 
-constexpr std::size_t payMachine = 1;
 constexpr int requestsPerKind = 5;
 /** Stands for the id of the request in the bytes of a response. */
 const std::string idPlaceholder = "{id}";
@@ -167,20 +163,12 @@
     return responses;
 }
 
-/** A machine of "front", through which clients send, and one of "pay" whose server is scripted. */
-struct BrokenAnswersFleet
+/** Each request is sent to the scripted server once. */
+struct BrokenAnswersFleet : ScriptedFleet
 {
     explicit BrokenAnswersFleet (std::uint16_t basePort)
-        : fleet (basePort, { { "z1", "front", {} }, { "z1", "pay", {}, 16, milliseconds (5), true } }),
-          server (*new ScriptedServer (Fleet::loop().io())) // Its fibers outlive the test.
+        : ScriptedFleet (basePort, configuration_text (1, { "front" }, { "pay" }), soundScript())
     {
-        auto started = soak::startMachineLinks (fleet, payMachine);
-        REQUIRE (started);
-        links = std::move (*started);
-        REQUIRE (fleet.start (configuration_text (1, { "front" }, { "pay" })));
-        links.server.reset(); // The scripted server takes its address.
-        server.script = soundScript();
-        REQUIRE_FALSE (server.start (fleet.machine (payMachine).links.server_link));
     }
 
     static Script soundScript()
@@ -222,10 +210,6 @@
             CHECK (send (it.name + "-sound").begins_with ("HTTP/1.1 200 "));
         }
     }
-
-    SidecarFleet fleet;
-    soak::MachineLinkSet links;
-    ScriptedServer& server;
 };
 
 } // namespace
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -7,11 +7,8 @@
 #include <vector>
 
 #include "net/event_loop.hpp"
-#include "soak/machine_links.hpp"
-#include "tests/support/fleet.hpp"
 #include "tests/support/raw_client.hpp"
-#include "tests/support/scripted_server.hpp"
-#include "tests/support/sidecar_fleet.hpp"
+#include "tests/support/scripted_fleet.hpp"
 
 using namespace anisehold;
 using namespace anisehold::testing;
@@ -20,7 +17,6 @@
 {
 
 constexpr std::size_t frontMachine = 0;
-constexpr std::size_t payMachine = 1;
 constexpr int numExchanges = 6;
 constexpr const char* routeTimeout = "3000ms";
 /** Time by which an exchange ends at the latest: the route's timeout, and half a second. */
@@ -59,27 +55,19 @@
            id + "\r\n" + fields;
 }
 
-/** A machine of "front", through which clients send, and one of "pay" whose server is scripted. */
-struct EndlessFleet
+/** Watches the memory of both daemons. */
+struct EndlessFleet : ScriptedFleet
 {
     explicit EndlessFleet (std::uint16_t basePort)
-        : fleet (basePort, { { "z1", "front", {} }, { "z1", "pay", {}, 16, milliseconds (5), true } }),
-          server (*new ScriptedServer (Fleet::loop().io())) // Its fibers outlive the test.
+        : ScriptedFleet (basePort, configuration_text (1, { "front" }, { "pay" }, routeTimeout),
+                         soundScript()),
+          peaks{ peakKilobytes (frontMachine), peakKilobytes (kPayMachine) }
     {
-        auto started = soak::startMachineLinks (fleet, payMachine);
-        REQUIRE (started);
-        links = std::move (*started);
-        REQUIRE (fleet.start (configuration_text (1, { "front" }, { "pay" }, routeTimeout)));
-        links.server.reset(); // The scripted server takes its address.
-        serve();
-        REQUIRE_FALSE (server.start (fleet.machine (payMachine).links.server_link));
-        peaks = { peakKilobytes (frontMachine), peakKilobytes (payMachine) };
     }
 
-    /** Makes the server respond as it should. */
-    void serve()
+    static Script soundScript()
     {
-        server.script = [] (const std::string& id, unsigned) {
+        return [] (const std::string& id, unsigned) {
             return Reaction{ true, responseHead (id, "Content-Length: 2\r\n\r\nok") };
         };
     }
@@ -136,7 +124,7 @@
     /** Checks that both daemons still serve, and that neither of them needed much more memory than before. */
     void checkDaemons()
     {
-        for (const auto machine : { frontMachine, payMachine })
+        for (const auto machine : { frontMachine, kPayMachine })
         {
             const auto growth = peakKilobytes (machine) - peaks[machine];
             CAPTURE (machine, growth);
@@ -144,7 +132,7 @@
             CHECK (growth < maxGrowthKilobytes);
         }
 
-        serve();
+        server.script = soundScript();
         CHECK (
             fleet.eventually (seconds (3), [this] { return send().front().begins_with ("HTTP/1.1 200 "); }));
     }
@@ -186,9 +174,6 @@
         }
     }
 
-    SidecarFleet fleet;
-    soak::MachineLinkSet links;
-    ScriptedServer& server;
     int numSent = 0;
     std::vector<long> peaks; /**< Peak memory of each daemon at the start, in kilobytes. */
 };
--- a/tests/process/evidence_test.cpp
+++ b/tests/process/evidence_test.cpp
@@ -7,10 +7,7 @@
 #include <map>
 #include <string>
 
-#include "soak/machine_links.hpp"
-#include "tests/support/fleet.hpp"
-#include "tests/support/scripted_server.hpp"
-#include "tests/support/sidecar_fleet.hpp"
+#include "tests/support/scripted_fleet.hpp"
 
 using namespace anisehold;
 using namespace anisehold::testing;
@@ -19,9 +16,10 @@
 {
 
 constexpr std::array<unsigned, 4> promisingStatuses{ 408, 421, 429, 503 };
-constexpr std::size_t payMachine = 1;
 constexpr int requestsPerCase = 40;
 constexpr milliseconds requestPause{ 20 };
+/** With this setting, a request that was refused is offered to the same server again. */
+constexpr unsigned toleratedZoneLosses = 1;
 /** A new process has no share of the extra retries in its first windows. */
 constexpr milliseconds retryWarmUp{ 4'000 };
 
@@ -45,30 +43,20 @@
     return response ("200 OK", echoOf (id) + "Server-Signature: s." + id + "\r\n");
 }
 
-/** A machine of "front", through which clients send, and one of "pay" whose server is scripted. */
-struct EvidenceFleet
+/** A fleet whose server may be sent a request again that it refused. */
+struct EvidenceFleet : ScriptedFleet
 {
     explicit EvidenceFleet (std::uint16_t basePort)
-        : fleet (basePort, { machine ("front", false), machine ("pay", true) }),
-          server (*new ScriptedServer (Fleet::loop().io())) // Its fibers outlive the test.
+        : ScriptedFleet (
+              basePort, configuration_text (1, { "front" }, { "pay" }),
+              [] (const std::string& id, unsigned) {
+                  return Reaction{ true, successOf (id) };
+              },
+              toleratedZoneLosses)
     {
-        auto started = soak::startMachineLinks (fleet, payMachine);
-        REQUIRE (started);
-        links = std::move (*started);
-        REQUIRE (fleet.start (configuration_text (1, { "front" }, { "pay" })));
-        links.server.reset(); // The scripted server takes its address.
-        server.script = [] (const std::string& id, unsigned) { return Reaction{ true, successOf (id) }; };
-        REQUIRE_FALSE (server.start (fleet.machine (payMachine).links.server_link));
         SidecarFleet::pause (retryWarmUp);
     }
 
-    static SidecarMachinePlan machine (const std::string& service, bool isLinked)
-    {
-        SidecarMachinePlan plan{ "z1", service, {}, 16, milliseconds (5), isLinked };
-        plan.tolerated_zone_losses = 1; // A request that was refused is offered to the same server again.
-        return plan;
-    }
-
     /** Sends requests under this script; returns the number of each status, and checks every promise. */
     std::map<unsigned, int> send (const std::string& name, Script script)
     {
@@ -91,10 +79,6 @@
 
         return statuses;
     }
-
-    SidecarFleet fleet;
-    soak::MachineLinkSet links;
-    ScriptedServer& server;
 };
 
 /** A script in which every arrival runs, and gets the same response. */
