Tests: the raw client keeps the last bytes that it received, and the lint of the new tests is clean

The check that a broken-off response doesn't appear complete read an ending that was never set, so it couldn't fail; the linter found the unused constant. It is set now, and the check for it, and for a body short of its announced length, holds: `integration_tests "[endless-bytes]"`, 482 assertions.

--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -156,6 +156,7 @@
         {
             CAPTURE (it.bytes_received, it.elapsed.count());
             CHECK (it.begins_with ("HTTP/1.1 200 "));
+            CHECK_FALSE (it.ending.empty());
             CHECK (it.ending.find ("\r\n0\r\n\r\n") == std::string::npos);
             CHECK (it.closed);
             CHECK (it.elapsed <= latestEnd);
@@ -215,8 +216,15 @@
 {
     EndlessFleet it (26'500);
 
-    it.respond ("Content-Length: 262144\r\n\r\n" + repeat (filler, 2 * blockBytes), {});
-    it.checkBrokenOff (it.send());
+    const auto announced = 4 * blockBytes;
+    it.respond (
+        "Content-Length: " + std::to_string (announced) + "\r\n\r\n" + repeat (filler, 2 * blockBytes), {});
+    const auto responses = it.send();
+    it.checkBrokenOff (responses);
+
+    for (const auto& response : responses)
+        CHECK (response.bytes_received < announced);
+
     it.checkDaemons();
 }
 
--- a/tests/process/odd_entries_test.cpp
+++ b/tests/process/odd_entries_test.cpp
@@ -260,13 +260,14 @@
     CHECK (missing.outcome == store::CallOutcome::kNotFound);
     CHECK (missing.store_revision == 7);
 
-    const std::string sound = R"({"privateKey":"k","value":"","revision":1,"created":1,"lease":0})";
+    const std::string rest = R"(,{"privateKey":"k","value":"","revision":1}],"more":false,"at":7})";
 
     for (const std::string odd :
          { R"({"gone":1})", R"({"gone":"x"})", "7", "null", "[]", R"({"privateKey":1})" })
     {
         CAPTURE (odd);
-        respond ("200 OK", R"({"items":[)" + odd + "," + sound + R"(],"more":false,"at":7})");
+        std::string body = R"({"items":[)";
+        respond ("200 OK", body.append (odd).append (rest));
         const auto listed = client.list ("", "", store::ReadMode::kLatest, deadline());
         CHECK (listed.outcome == store::CallOutcome::kDone);
         CHECK (listed.items.size() == 1);
--- a/tests/support/raw_client.cpp
+++ b/tests/support/raw_client.cpp
@@ -84,6 +84,8 @@
             const auto size = static_cast<std::size_t>(count);
             response.bytes_received += size;
             response.beginning.append(chunk.data(), std::min(size, kKeptBytes - response.beginning.size()));
+            response.ending.append(chunk.data(), size);
+            response.ending.erase(0, response.ending.size() - std::min(response.ending.size(), kKeptEnding));
         } else if (!would_block(count)) {
             receives_ = false;
             response.closed = response.closed || count < 0 || repeated_.empty();
