Tests: a peer's status is checked like a server's

With a scripted peer in place of the gate's daemon, its response marked as the server's answer: on all six statuses that HTTP doesn't have were passed on to the client; now each becomes 502.

--- a/tests/incidents/broken_answers_test.cpp
+++ b/tests/incidents/broken_answers_test.cpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "hop/hop_header.hpp"
 #include "platform/store_client.hpp"
 #include "tests/support/raw_client.hpp"
 #include "tests/support/run_folder.hpp"
@@ -246,6 +247,39 @@
     it.check (alone);
 }
 
+TEST_CASE ("a status that HTTP does not have is not believed of a peer", "[broken-answers]")
+{
+    BrokenAnswersFleet it (27'700);
+    hop::HopResult answered;
+    answered.outcome = hop::HopOutcome::kAnswered;
+    const auto result = std::string (hop::kResultHeader) + ": " + encode (answered) + "\r\n";
+    auto& peer = *new ScriptedServer (Fleet::loop().io()); // Its fibers outlive the test.
+    peer.script = it.server.script;
+    it.links.hops.reset(); // The scripted peer takes its address.
+    REQUIRE_FALSE (peer.start (it.fleet.machine (kPayMachine).links.hops_link));
+
+    for (const auto& status : unknownStatuses())
+    {
+        peer.script = [&] (const std::string& id, unsigned)
+        {
+            auto bytes = withId (status.bytes, id);
+            return Reaction{ true, bytes.insert (bytes.find ("\r\n") + 2, result), {}, {}, true };
+        };
+        RawResponse response;
+        int n = 0;
+        // A peer counts as unreachable after such a response, until its next record.
+        const auto reachesPeer = [&]
+        {
+            const auto id = "peer-" + status.name + std::to_string (++n);
+            response = it.send (id);
+            return peer.runs.contains (id);
+        };
+        REQUIRE (it.fleet.eventually (seconds (5), reachesPeer));
+        CAPTURE (status.name, response.beginning);
+        CHECK (response.begins_with ("HTTP/1.1 502 "));
+    }
+}
+
 TEST_CASE ("a status that HTTP does not have does not show that the store has rejected a write",
            "[broken-answers]")
 {
