--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -46,7 +46,7 @@
     bool connected = false;
     bool request_started = false;  ///< At least one byte may have been sent.
     bool connection_reused = false;
-    bool answer_started = false;   ///< The response header has arrived.
+    bool answer_started = false;   ///< A header of the response, interim or final, has arrived.
     Duration idle_for{};           ///< Idle time of the connection before this exchange, if it was reused.
     std::uint64_t connection = 0;  ///< Number of the connection among those of its client, from 1.
     std::optional<SurplusResponse> surplus{};  ///< The response that ended the exchange, if it was another's.
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -33,9 +33,7 @@
 /** Requests that keep a stopping process until shortly before the end of its grace time of 3 s. */
 constexpr int numLongRequests = 3;
 constexpr const char* longWork = "/work-2000";
-/** Requests that arrive late, on idle connections: the first and the last one after the signal, and their
- * interval.
- */
+/** Requests that arrive late, on idle connections; the times count from the signal. */
 constexpr milliseconds firstLate{ 150 };
 constexpr milliseconds lastLate{ 2'900 };
 constexpr milliseconds lateInterval{ 55 };
@@ -114,13 +112,12 @@
             });
     }
 
-    /** A client with an idle connection to the machine that clients use. */
-    net::HttpClient& addIdleClient()
+    /** Adds a client with an idle connection to the machine that clients use. */
+    void addIdleClient()
     {
         auto& client = *clients.emplace_back (
             std::make_unique<net::HttpClient> (Fleet::loop().io(), fleet.machine (0).calls));
         sendOver (client, "idle-", "/x", milliseconds (0));
-        return client;
     }
 
     bool waitForAnswers()
