A second stop signal no longer ends a daemon

Cause: the signal set existed only while the daemon waited for the first signal. Its end restored the default action, with which the planned stop ran. `serve` waited the same way, and SIGHUP ended it at any time.

Change: net::StopSignals takes SIGTERM and SIGINT, and ignores SIGHUP, before the first address is bound and until the process exits. Later stop signals are logged (event 1008) and change nothing.

--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -14,6 +14,7 @@
 #include "lab/replay.hpp"
 #include "lab/store.hpp"
 #include "net/event_loop.hpp"
+#include "net/stop_signals.hpp"
 
 namespace anisehold::lab {
 namespace {
@@ -86,7 +87,7 @@
     if (!started(stand_in.start(listen), options.listen)) {
         return kFailed;
     }
-    loop.wait_for_stop_signal();
+    net::StopSignals(loop).wait();
     net::exit_process(kDone);
 }
 
@@ -102,7 +103,7 @@
     if (!started(backend.start(listen), options.listen)) {
         return kFailed;
     }
-    loop.wait_for_stop_signal();
+    net::StopSignals(loop).wait();
     backend.drain();
     boost::this_fiber::sleep_for(kDrainLinger);
     while (backend.in_flight() > 0) {
@@ -142,7 +143,7 @@
     if (!started(proxy.start(listen, control), options.listen)) {
         return kFailed;
     }
-    loop.wait_for_stop_signal();
+    net::StopSignals(loop).wait();
     net::exit_process(kDone);
 }
 
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -6,6 +6,7 @@
 #include <iostream>
 
 #include "cli/exit_status.hpp"
+#include "cli/planned_exit.hpp"
 #include "cli/settings_options.hpp"
 #include "cli/sidecar_command.hpp"
 #include "cli/status_commands.hpp"
@@ -13,6 +14,7 @@
 #include "config/table.hpp"
 #include "daemon/daemon.hpp"
 #include "net/event_loop.hpp"
+#include "net/stop_signals.hpp"
 #include "observability/events.hpp"
 
 namespace anisehold::cli {
@@ -24,12 +26,13 @@
         return kExitUsage;
     }
     observability::start_logging(settings.log_level, settings.log_layout, settings.daemon_id);
+    net::StopSignals signals(loop);
     daemon::Daemon daemon(loop, settings);
     if (!daemon.start()) {
         observability::stop_logging();
         return kExitFailure;
     }
-    loop.wait_for_stop_signal();
+    wait_for_stop(signals);
     daemon.stop();
     observability::stop_logging();
     // Detached fibers still refer to the daemon, so the process ends without unwinding them.
--- /dev/null
+++ b/src/cli/planned_exit.cpp
@@ -0,0 +1,22 @@
+#include <utility>
+// <utility> comes first: Boost 1.74's Asio needs std::exchange under C++20.
+#include <cstring>
+
+#include "cli/planned_exit.hpp"
+#include "net/stop_signals.hpp"
+#include "observability/events.hpp"
+
+namespace anisehold::cli {
+
+void wait_for_stop(net::StopSignals& signals) {
+    signals.wait();
+    net::EventLoop::spawn([&signals] {
+        while (true) {
+            const int number = signals.wait();
+            observability::log_event(observability::Event::kStopSignalRepeated,
+                                     {{"signal", ::strsignal(number)}});
+        }
+    });
+}
+
+}  // namespace anisehold::cli
--- a/src/cli/sidecar_command.cpp
+++ b/src/cli/sidecar_command.cpp
@@ -1,13 +1,14 @@
 #include "cli/sidecar_command.hpp"
 
 #include <boost/fiber/operations.hpp>
-#include <csignal>
 #include <iostream>
 
 #include "cli/exit_status.hpp"
+#include "cli/planned_exit.hpp"
 #include "cli/settings_options.hpp"
 #include "config/sidecar_settings.hpp"
 #include "net/event_loop.hpp"
+#include "net/stop_signals.hpp"
 #include "observability/events.hpp"
 #include "platform/dialect.hpp"
 #include "platform/store_client.hpp"
@@ -28,10 +29,8 @@
 }
 
 int serve(const config::SidecarSettings& settings, const std::string& settings_file) {
-    // Changes of the settings file are detected without a signal, so SIGHUP is ignored: its default action
-    // would end the process.
-    std::signal(SIGHUP, SIG_IGN);
     net::EventLoop loop;
+    net::StopSignals signals(loop);
     observability::start_logging(config::SidecarSettings::kLogLevel, "json", settings.name,
                                  observability::LogOutput::kStandardOutput);
     observability::set_log_scheduler(flush_log_later);
@@ -40,7 +39,7 @@
     sidecar::Sidecar sidecar(loop, dialect, store, settings, settings_file);
     const bool started = sidecar.start();
     if (started) {
-        loop.wait_for_stop_signal();
+        wait_for_stop(signals);
         sidecar.stop();
     }
     // The log has no writer thread here, so the buffered lines are written explicitly. The process then ends
--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -1,6 +1,6 @@
 #include <utility>
 // <utility> comes first: Boost 1.74's Asio needs std::exchange under C++20.
-#include <boost/asio/signal_set.hpp>
+#include <boost/asio/io_context.hpp>
 #include <boost/fiber/fiber.hpp>
 #include <boost/fiber/operations.hpp>
 #include <boost/fiber/pooled_fixedsize_stack.hpp>
@@ -9,7 +9,6 @@
 #include <cstdlib>
 
 #include "net/asio_scheduler.hpp"
-#include "net/await_io.hpp"
 #include "net/event_loop.hpp"
 
 namespace anisehold::net {
@@ -33,14 +32,6 @@
     boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg, *stacks, std::move(body)).detach();
 }
 
-void EventLoop::wait_for_stop_signal() {
-    boost::asio::signal_set signals(*io_, SIGTERM, SIGINT);
-    await_io([&](auto handler) {
-        signals.async_wait(
-            [handler](boost::system::error_code error, int /*signal*/) mutable { handler(error, 0); });
-    });
-}
-
 void exit_process(int status) {
     std::fflush(nullptr);
     std::_Exit(status);
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -26,9 +26,6 @@
     /// defect.
     static void spawn(std::function<void()> body);
 
-    /// Blocks the calling fiber until SIGTERM or SIGINT arrives.
-    void wait_for_stop_signal();
-
   private:
     boost::asio::io_context* io_;  // Never freed: fibers refer to the context until the process ends.
 };
--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -21,6 +21,8 @@
     EventEntry{Event::kMachineSuspended, Level::kWarn, "machine-suspended",
                "The machine stood still for `suspended_ms`, which its steady clock doesn't count; all that "
                "this daemon knew has aged by that."},
+    EventEntry{Event::kStopSignalRepeated, Level::kInfo, "stop-signal-repeated",
+               "A stop signal arrived during a planned stop, which it doesn't change."},
     EventEntry{Event::kTableInForce, Level::kInfo, "table-in-force",
                "A table with a higher revision is in force."},
     EventEntry{Event::kTableRejected, Level::kError, "table-rejected",
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -26,6 +26,7 @@
     kSettingsReloaded = 1005,
     kSettingsRejected = 1006,
     kMachineSuspended = 1007,
+    kStopSignalRepeated = 1008,
     kTableInForce = 1101,
     kTableRejected = 1102,
     kStoreUnreachable = 1103,
--- a/tests/integration/leaving_proof_test.cpp
+++ b/tests/integration/leaving_proof_test.cpp
@@ -1,4 +1,5 @@
 #include <catch2/catch.hpp>
+#include <csignal>
 
 #include "tests/integration/proof.hpp"
 
@@ -69,3 +70,25 @@
     }
     CHECK(whole == sent);
 }
+
+// Guards against a second stop signal, or SIGHUP, that ends `anisehold serve` at once and cuts the requests
+// in flight. The load consists of requests that are repeated at another daemon only if they have not run.
+TEST_CASE("stops: further stop signals do not shorten a daemon's planned stop", "[proof][stops]") {
+    Fleet fleet(proof_options("cooperative", 23'200));
+    REQUIRE(fleet.start());
+    fleet.start_load("clients", {"--rate", "100", "--duration-ms", "5000", "--kind", "download-pack"});
+    const auto& place = fleet.daemons().front();
+    Fleet::pause(milliseconds(1'000));
+    fleet.signal(place.name, SIGHUP);
+    Fleet::pause(milliseconds(500));
+    fleet.signal(place.name, SIGTERM);
+    for (const int number : {SIGTERM, SIGHUP, SIGINT, SIGTERM}) {
+        Fleet::pause(milliseconds(100));
+        fleet.signal(place.name, number);
+    }
+    CHECK(fleet.wait_for_exit(place.name, seconds(15)) == 0);
+    const auto result = fleet.finish_load("clients");
+    INFO(result.dump());
+    CHECK(result["failed"] == 0);
+    CHECK(result["whole"] == result["sent"]);
+}
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <deque>
 #include <memory>
 #include <string>
@@ -212,3 +213,38 @@
     CHECK (it.checkAnswers ("late-", statusUnavailable) > 0);
     CHECK (it.fleet.wait_for_exit (0, seconds (2)) == 0);
 }
+
+/** Guards against a second stop signal that ends the process at once and cuts the requests in flight. Signals
+    come at the same moment as the first one, right after it, and while the daemon waits for its requests. */
+TEST_CASE ("further stop signals do not shorten a planned stop", "[planned-stops]")
+{
+    const auto [firstSignal, basePort] =
+        GENERATE (table<int, std::uint16_t> ({ { SIGTERM, 27'200 }, { SIGINT, 27'600 } }));
+    StoppingFleet it (basePort, quickWork);
+
+    for (int n = 0; n < numLongRequests; ++n)
+        it.addIdleClient();
+
+    REQUIRE (it.waitForAnswers());
+
+    for (int n = 0; n < numLongRequests; ++n)
+        it.sendOver (*it.clients[n], "long-", longWork, milliseconds (0));
+
+    SidecarFleet::pause (milliseconds (50));
+    it.fleet.signal (0, firstSignal);
+
+    for (const int number : { SIGTERM, SIGINT, SIGHUP })
+        it.fleet.signal (0, number);
+
+    for (const auto pause : { milliseconds (50), milliseconds (450), milliseconds (800) })
+    {
+        SidecarFleet::pause (pause);
+
+        for (const int number : { SIGHUP, SIGINT, SIGTERM })
+            it.fleet.signal (0, number);
+    }
+
+    REQUIRE (it.waitForAnswers());
+    CHECK (it.checkAnswers ("long-", statusOk) == numLongRequests);
+    CHECK (it.fleet.wait_for_exit (0, seconds (3)) == 0);
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -128,7 +128,11 @@
 }
 
 void Fleet::terminate(const std::string& name) {
-    ::kill(process(name).child.id(), SIGTERM);
+    signal(name, SIGTERM);
+}
+
+void Fleet::signal(const std::string& name, int number) {
+    ::kill(process(name).child.id(), number);
 }
 
 std::optional<int> Fleet::wait_for_exit(const std::string& name, Duration timeout) {
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -76,6 +76,7 @@
     void freeze(const std::string& name);
     void thaw(const std::string& name);
     void terminate(const std::string& name);
+    void signal(const std::string& name, int number);
     /// Waits for a process to end; returns its exit status, or nothing on a time-out.
     std::optional<int> wait_for_exit(const std::string& name, Duration timeout);
     /// Restarts a process that has ended.
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -256,11 +256,15 @@
 }
 
 void SidecarFleet::terminate(std::size_t machine) {
-    ::kill(machines_.at(machine)->child.id(), SIGTERM);
+    signal(machine, SIGTERM);
+}
+
+void SidecarFleet::signal(std::size_t machine, int number) {
+    ::kill(machines_.at(machine)->child.id(), number);
 }
 
 void SidecarFleet::reload(std::size_t machine) {
-    ::kill(machines_.at(machine)->child.id(), SIGHUP);
+    signal(machine, SIGHUP);
 }
 
 void SidecarFleet::freeze(std::size_t machine) {
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -106,6 +106,7 @@
     void configure(const std::string& configuration);
     void kill(std::size_t machine);
     void terminate(std::size_t machine);
+    void signal(std::size_t machine, int number);
     /// Signals that the settings file has changed.
     void reload(std::size_t machine);
     /// Pause the process with SIGSTOP, and resume it.
