Quotas hold while daemons don't reach each other

Cause: each daemon judged on its own, from evidence of different age, who counts a tenant: an owner was passed over after 180 ms, reach was lost after 3.5 s, and an owner that the others had left went on granting. No step of one daemon waited for the other's.

Change: every member leases its equal share of a quota to one daemon at a time (tenancy/quota_leases). An owner uses a lease for a time that begins when it sent the update that was answered; the member gives the share to another one after that time on its own clock, or when the owner has confirmed the end of the lease, has restarted or has left. The sum of all shares is never more than the quota. Each side of a cut serves the shares of its members.

--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -50,7 +50,8 @@
     EventEntry{Event::kKeysProven, Level::kInfo, "keys-proven",
                "The configuration was shown to be the newest: requests with keys are served again."},
     EventEntry{Event::kQuotaOwnerSilent, Level::kWarn, "quota-owner-silent",
-               "The daemon that counts a tenant's requests didn't answer; another one is asked."},
+               "The daemon that counts a tenant's requests didn't answer; it is asked again until its "
+               "leases have ended."},
     EventEntry{Event::kStoreItemsRefused, Level::kWarn, "store-items-refused",
                "Items of the store couldn't be read and were left out; the others hold."},
     EventEntry{Event::kHolderViewInForce, Level::kInfo, "holder-view-in-force",
--- a/src/sidecar/quota_exchange.cpp
+++ b/src/sidecar/quota_exchange.cpp
@@ -20,45 +20,125 @@
 /// Timeout of one request to an owner, after which it is sent again. An owner replies within about 2 ms; the
 /// reply may be late if the owner is busy, or missing if a datagram was lost.
 constexpr milliseconds kReplyTimeout{60};
-/// Unanswered requests after which the next owner is asked: 180 ms in all, so that the waiting call can still
-/// be served in time.
+/// Unanswered requests after which the owner counts as silent for this round.
 constexpr int kMaxRequestsPerOwner = 3;
-/// Maximum owners asked in one round: the second one is asked if the first is dead.
-constexpr int kMaxOwnersPerRound = 2;
-/// An owner that failed to reply is suspected for at least this time, and until it is seen again after the
-/// failure.
-constexpr milliseconds kSuspicionTime{1'000};
+/// Pause before an owner is asked again that has no share of the quota yet, or did not reply.
+constexpr milliseconds kOwnerRetryPause{30};
 /// A daemon that can't read the member list assumes after this time that it is alone.
 constexpr milliseconds kAloneTimeout{5'000};
-/// Lifetime of a fleet view, and interval of its renewal while there are no requests.
-constexpr milliseconds kViewLifetime{200};
-constexpr milliseconds kReviewPeriod{500};
+/// Interval at which changes of members, tenants and leases are noticed.
+constexpr milliseconds kLeaseCheckInterval{50};
+constexpr milliseconds kMemberReviewInterval{200};
 /// Bounds of the time for which an owner that had no token isn't asked again. With the minimum, 71 daemons
 /// ask the owner of the busiest tenant about 1,400 times a second.
 constexpr milliseconds kMinRefusalTime{5};
 constexpr milliseconds kMaxRefusalTime = retry_after::kMinQuotaExceeded;
-/// Fraction of the rate that a daemon grants for a tenant that is owned by another daemon according to its
-/// own view. Operators tolerate an excess of this size; without the reduction, daemons with an outdated view
-/// would double the quota.
-constexpr double kDisputedOwnerShare = 0.1;
 
 }  // namespace
 
 void QuotaExchange::start(Send send) {
     send_ = std::move(send);
-    net::EventLoop::spawn([this] { review_fleet(); });
+    net::EventLoop::spawn([this] { exchange_leases(); });
 }
 
-void QuotaExchange::review_fleet() {
+void QuotaExchange::exchange_leases() {
     while (true) {
-        const auto configuration = configuration_.current();
-        if (configuration && configuration->has_tenants()) {
-            fleet(TimePoint::clock::now());
+        const auto now = TimePoint::clock::now();
+        if (now - reviewed_ >= kMemberReviewInterval) {
+            review_fleet(now);
+        }
+        if (!tenants_.empty()) {
+            fill_buckets(now);
+            send_updates(now);
+        }
+        boost::this_fiber::sleep_for(kLeaseCheckInterval);
+    }
+}
+
+void QuotaExchange::review_fleet(TimePoint now) {
+    reviewed_ = now;
+    const auto configuration = configuration_.current();
+    std::set<TenantName> limited;
+    // A daemon that has just started and knows no peers must not assume that it is the whole fleet.
+    const bool knows_members = context_.store.has_listed() || now - started_ >= kAloneTimeout;
+    if (configuration && knows_members && context_.has(config::Mechanism::kQuotas)) {
+        for (const auto& [name, terms] : configuration->keys.tenants) {
+            if (terms.quota.isLimited()) {
+                limited.insert(name);
+            }
+        }
+    }
+    addresses_.clear();
+    std::set<std::string> names;
+    for (const auto& member : directory_.members(now)) {
+        addresses_[member.name] = member.gossip;
+        names.insert(member.name);
+    }
+    leases_.setMembers(names);
+    if (limited != tenants_) {
+        tenants_ = std::move(limited);
+        leases_.setTenants(tenants_);
+    }
+}
+
+void QuotaExchange::send_updates(TimePoint now) {
+    const bool is_due = now >= next_updates_;
+    if (!is_due) {
+        for (const auto& name : leases_.membersToUpdate(now)) {
+            send_update(name);
+        }
+        return;
+    }
+    const std::chrono::duration<double> period =
+        leases_.times().period * (0.9 + 0.2 * context_.random_unit());
+    next_updates_ = now + std::chrono::duration_cast<Duration>(period);
+    for (const auto& [name, address] : addresses_) {
+        send_update(name);
+    }
+}
+
+void QuotaExchange::send_update(const std::string& member) {
+    const auto address = addresses_.find(member);
+    if (address != addresses_.end()) {
+        send_(address->second, tenancy::encode(leases_.updateFor(TimePoint::clock::now(), member)));
+    }
+}
+
+void QuotaExchange::on_lease_update(const tenancy::LeaseUpdate& update) {
+    const auto now = TimePoint::clock::now();
+    if (!leases_.receive(now, update)) {
+        return;
+    }
+    send_update(update.sender);
+    for (const auto& name : leases_.membersToUpdate(now)) {
+        send_update(name);
+    }
+}
+
+void QuotaExchange::fill_buckets(TimePoint now) {
+    const auto configuration = configuration_.current();
+    for (const auto& tenant : tenants_) {
+        const auto* terms = configuration ? tenancy::termsOf(configuration->keys, tenant) : nullptr;
+        if (terms != nullptr && terms->quota.isLimited()) {
+            bucket_of(now, *terms);
         }
-        boost::this_fiber::sleep_for(kReviewPeriod);
     }
 }
 
+tenancy::QuotaBucket* QuotaExchange::bucket_of(TimePoint now, const TenantTerms& terms) {
+    const double share = leases_.shareOf(now, terms.name);
+    if (share <= 0) {
+        buckets_.erase(terms.name);
+        return nullptr;
+    }
+    const auto found = buckets_.find(terms.name);
+    if (found == buckets_.end()) {
+        return &buckets_.emplace(terms.name, tenancy::makeBucket(terms.quota, now, share)).first->second;
+    }
+    tenancy::fillShare(found->second, now, terms.quota, share);
+    return &found->second;
+}
+
 QuotaDecision QuotaExchange::take(const TenantTerms& tenant, TimePoint latest) {
     auto now = TimePoint::clock::now();
     auto& account = accounts_[tenant.name];
@@ -78,7 +158,7 @@
             round->ended.wait_until(latest);
             --account.waiting;
             if (round->ended.is_set() && !round->found_owner) {
-                return {Verdict::kUnknown, retry_after::kQuotaUnknown};
+                boost::this_fiber::sleep_for(kOwnerRetryPause);
             }
         } else {
             --account.waiting;
@@ -102,54 +182,43 @@
 }
 
 void QuotaExchange::begin_round(const TenantTerms& tenant, Account& account) {
-    const auto now = TimePoint::clock::now();
-    const auto owner = owner_of(now, tenant.name);
-    if (owner && owner->name == context_.settings.name) {
-        const auto unused = std::exchange(account.cache.unused, 0);
-        apply_reply(account, now,
-                    grant(tenant.name, tenancy::tokensWanted(account.cache, account.waiting), unused));
+    if (take_own_grant(tenant.name, account)) {
         return;
     }
     const auto round = std::make_shared<Round>();
     account.round = round;
-    net::EventLoop::spawn([this, name = tenant.name, owner, round] { run_round(name, owner, round); });
+    net::EventLoop::spawn([this, name = tenant.name, round] { run_round(name, round); });
 }
 
-void QuotaExchange::run_round(const TenantName& tenant, std::optional<Owner> owner,
-                              const std::shared_ptr<Round>& round) {
+void QuotaExchange::run_round(const TenantName& tenant, const std::shared_ptr<Round>& round) {
     auto& account = accounts_[tenant];
-    auto outcome = RequestOutcome::kNoReply;
-    for (int owners = 0; owners < kMaxOwnersPerRound && owner && outcome == RequestOutcome::kNoReply;
-         ++owners) {
-        outcome = request_tokens(tenant, account, round, *owner);
-        if (outcome == RequestOutcome::kNoReply) {
-            owner = mark_suspected(tenant, *owner);
-        }
-    }
-    round->found_owner = outcome == RequestOutcome::kGranted;
+    round->found_owner = request_tokens(tenant, account, round);
     account.round.reset();
     round->ended.set();
 }
 
-std::optional<QuotaExchange::Owner> QuotaExchange::mark_suspected(const TenantName& tenant,
-                                                                  const Owner& owner) {
+bool QuotaExchange::take_own_grant(const TenantName& tenant, Account& account) {
     const auto now = TimePoint::clock::now();
-    suspected_[owner.name] = now;
-    fleet_.created = TimePoint{};
-    log_event(Event::kQuotaOwnerSilent, {{"tenant", tenant.value}, {"owner", owner.name}});
-    return owner_of(now, tenant);
+    if (leases_.ownerOf(now, tenant) != context_.settings.name) {
+        return false;
+    }
+    const auto reply = grant(tenant, tenancy::tokensWanted(account.cache, account.waiting),
+                             std::exchange(account.cache.unused, 0));
+    if (reply.owns) {
+        apply_reply(account, now, reply);
+    }
+    return reply.owns;
 }
 
-QuotaExchange::RequestOutcome QuotaExchange::request_tokens(const TenantName& tenant, Account& account,
-                                                            const std::shared_ptr<Round>& round,
-                                                            const Owner& owner) {
-    if (owner.name == context_.settings.name) {
-        apply_reply(account, TimePoint::clock::now(),
-                    grant(tenant, tenancy::tokensWanted(account.cache, account.waiting), 0));
-        return RequestOutcome::kGranted;
-    }
+bool QuotaExchange::request_tokens(const TenantName& tenant, Account& account,
+                                   const std::shared_ptr<Round>& round) {
+    const auto owner = leases_.ownerOf(TimePoint::clock::now(), tenant);
     const auto returned = std::exchange(account.cache.unused, 0);
     for (int requests = 0; requests < kMaxRequestsPerOwner; ++requests) {
+        const auto address = addresses_.find(owner);
+        if (address == addresses_.end()) {
+            return false;
+        }
         const auto sent = TimePoint::clock::now();
         tenancy::QuotaRequest request;
         request.requester = tenancy::requesterAt(sent, context_.settings.advertised_gossip, context_.boot_id);
@@ -158,24 +227,16 @@
         // Unused tokens are returned only once: the request may have been received even if its reply was
         // lost.
         request.returned = requests == 0 ? returned : 0;
-        send_(owner.gossip, tenancy::encode(request));
+        send_(address->second, tenancy::encode(request));
         if (round->replied.wait_until(sent + kReplyTimeout)) {
-            record_owner_reply(owner, *round->reply);
-            if (!round->reply->owns) {
-                return RequestOutcome::kDeclined;
+            if (round->reply->owns) {
+                apply_reply(account, tenancy::sentAt(round->reply->requester), *round->reply);
             }
-            apply_reply(account, tenancy::sentAt(round->reply->requester), *round->reply);
-            return RequestOutcome::kGranted;
+            return round->reply->owns;
         }
     }
-    return RequestOutcome::kNoReply;
-}
-
-void QuotaExchange::record_owner_reply(const Owner& owner, const QuotaReply& reply) {
-    replied_[owner.name] = TimePoint::clock::now();
-    if (!reply.firstOwner.empty() && suspected_.erase(reply.firstOwner) > 0) {
-        fleet_.created = TimePoint{};
-    }
+    log_event(Event::kQuotaOwnerSilent, {{"tenant", tenant.value}, {"owner", owner}});
+    return false;
 }
 
 void QuotaExchange::apply_reply(Account& account, TimePoint sent, const QuotaReply& reply) {
@@ -199,26 +260,9 @@
 }
 
 void QuotaExchange::on_request(const tenancy::QuotaRequest& request) {
-    const TenantName tenant(request.tenant);
-    auto reply = grant(tenant, request.wanted, request.returned);
+    auto reply = grant(TenantName(request.tenant), request.wanted, request.returned);
     reply.requester = request.requester;
     send_(request.requester.replyTo, tenancy::encode(reply));
-    const auto owner = owner_of(TimePoint::clock::now(), tenant);
-    if (reply.owns && owner && owner->name != context_.settings.name) {
-        check_owner(tenant);
-    }
-}
-
-void QuotaExchange::check_owner(const TenantName& tenant) {
-    const auto configuration = configuration_.current();
-    const auto* terms = tenancy::termsOf(configuration->keys, tenant);
-    if (terms == nullptr) {
-        return;
-    }
-    auto& account = accounts_[tenant];
-    if (!account.round) {
-        begin_round(*terms, account);
-    }
 }
 
 QuotaReply QuotaExchange::grant(const TenantName& tenant, unsigned wanted, unsigned returned) {
@@ -227,92 +271,26 @@
     reply.tenant = tenant.value;
     const auto configuration = configuration_.current();
     const auto* terms = configuration ? tenancy::termsOf(configuration->keys, tenant) : nullptr;
-    const auto owner = owner_of(now, tenant);
-    if (terms == nullptr || context_.stop.is_leaving() || !owner) {
+    if (terms == nullptr || context_.stop.is_leaving()) {
         return reply;
     }
-    auto quota = terms->quota;
-    if (owner->name != context_.settings.name) {
-        quota.ratePerS *= kDisputedOwnerShare;
-        quota.burst *= kDisputedOwnerShare;
-        const auto replied = replied_.find(owner->name);
-        if (replied != replied_.end() && now - replied->second < kSuspicionTime) {
-            reply.firstOwner = owner->name;
-        }
-    }
-    reply.owns = true;
-    if (!quota.isLimited()) {
+    if (!terms->quota.isLimited()) {
+        reply.owns = true;
         reply.granted = wanted;
         return reply;
     }
-    const auto found = buckets_.find(tenant);
-    auto& bucket =
-        found != buckets_.end()
-            ? found->second
-            : buckets_.emplace(tenant, tenancy::makeBucket(quota, now, fleet_.stable_since)).first->second;
-    tenancy::returnTokens(bucket, now, quota, returned);
-    const auto given = tenancy::takeTokens(bucket, now, quota, wanted);
+    auto* bucket = bucket_of(now, *terms);
+    if (bucket == nullptr) {
+        return reply;
+    }
+    reply.owns = true;
+    const auto share_terms = bucket->terms;
+    tenancy::returnTokens(*bucket, now, share_terms, returned);
+    const auto given = tenancy::takeTokens(*bucket, now, share_terms, wanted);
     reply.granted = given.granted;
     reply.untilNextMs = tenancy::roundedUpMs(given.untilNext);
     reply.retryAfterMs = tenancy::roundedUpMs(given.retryAfter);
     return reply;
 }
 
-bool QuotaExchange::is_suspected(TimePoint now, const membership::FleetMember& member) const {
-    const auto found = suspected_.find(member.name);
-    return found != suspected_.end() &&
-           (now - found->second < kSuspicionTime || member.last_seen < found->second);
-}
-
-const QuotaExchange::FleetView& QuotaExchange::fleet(TimePoint now) {
-    if (now - fleet_.created < kViewLifetime) {
-        return fleet_;
-    }
-    const auto members = directory_.members(now);
-    tenancy::OwnerCandidates candidates;
-    std::vector<Endpoint> addresses;
-    candidates.members = members.size() + 1;
-    candidates.reachable = 1;
-    if (!context_.stop.is_leaving()) {
-        candidates.names.push_back(context_.settings.name);
-        addresses.push_back(context_.settings.advertised_gossip);
-    }
-    for (const auto& member : members) {
-        candidates.reachable += member.takes_requests ? 1 : 0;
-        if (is_suspected(now, member)) {
-            continue;
-        }
-        candidates.names.push_back(member.name);
-        addresses.push_back(member.gossip);
-    }
-    const auto reachable = candidates.reachable;
-    if (candidates.names != fleet_.candidates.names) {
-        fleet_.stable_since = now;
-        fleet_.candidates = std::move(candidates);
-        fleet_.addresses = std::move(addresses);
-        // A new owner starts with a new bucket, because the tokens granted by the previous owner are unknown.
-        std::erase_if(buckets_, [&](const auto& entry) {
-            const auto owner = tenancy::ownerOf(fleet_.candidates, entry.first);
-            return !owner || fleet_.candidates.names[*owner] != context_.settings.name;
-        });
-    }
-    fleet_.candidates.reachable = reachable;
-    fleet_.candidates.members = members.size() + 1;
-    fleet_.created = now;
-    return fleet_;
-}
-
-std::optional<QuotaExchange::Owner> QuotaExchange::owner_of(TimePoint now, const TenantName& tenant) {
-    const auto& view = fleet(now);
-    // A daemon that has just started and knows no peers must not assume that it is the whole fleet.
-    if (!context_.store.has_listed() && now - started_ < kAloneTimeout) {
-        return std::nullopt;
-    }
-    const auto owner = tenancy::ownerOf(view.candidates, tenant);
-    if (!owner) {
-        return std::nullopt;
-    }
-    return Owner{view.candidates.names[*owner], view.addresses[*owner]};
-}
-
 }  // namespace anisehold::sidecar
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -101,6 +101,8 @@
         quotas.on_request(*quota_request);
     } else if (const auto* quota_reply = boost::get<tenancy::QuotaReply>(&*message)) {
         quotas.on_reply(*quota_reply);
+    } else if (const auto* lease_update = boost::get<tenancy::LeaseUpdate>(&*message)) {
+        quotas.on_lease_update(*lease_update);
     }
     return true;
 }
--- /dev/null
+++ b/src/tenancy/quota_leases.hpp
@@ -0,0 +1,115 @@
+/** Determines which daemons count a tenant's requests, and which share of its quota each of them may grant.
+
+    Every member of the fleet holds an equal share of each tenant's quota and leases it to one daemon, the
+    tenant's owner. Members rank the daemons by rendezvous hash and choose the first one that they are in
+   touch with, in both directions. Without faults all choose the same owner, which grants the whole quota; in
+   a network partition each side has an owner for the shares of its members. The leases of one share never
+    overlap, so that all owners together never grant more than the quota:
+
+    - An owner uses a lease for a time that begins when it sent the update which the member has received.
+    - A member leases a share to another daemon only after that time, measured from the receipt and with an
+      allowance for clocks of different rates; or after the previous owner has received the update that ends
+      the lease, has restarted, or has left the fleet. A refused connection doesn't show that an owner has
+      ended, since a partition may refuse connections, too.
+    - A member that has just started may have leased its shares before. It waits until all other members have
+      heard of its start and have dropped those leases, or until they have ended.
+
+    Times are on the boot clock of one daemon each; a daemon only compares its own readings, which the updates
+    return. Relies on sidecar/quota_exchange for members and updates. Pure.
+*/
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "protocol/time_types.hpp"
+#include "tenancy/tenancy_messages.hpp"
+#include "tenancy/tenant_types.hpp"
+
+namespace anisehold::tenancy
+{
+
+/** Interval of the updates between two members, and for how long a lease is valid. */
+struct LeaseTimes
+{
+    Duration period{};
+    Duration lease{};
+};
+
+/** Returns the times of a fleet with `numMembers` daemons. */
+LeaseTimes leaseTimes (std::size_t numMembers);
+
+/** The leases that one daemon has given and received. */
+class QuotaLeases
+{
+public:
+    /** @param bootId identifies this process; @param started when it started */
+    QuotaLeases (std::string ownName, std::uint64_t bootId, TimePoint started);
+
+    /** Sets the other members of the fleet, whether or not they can be reached. */
+    void setMembers (const std::set<std::string>& others);
+    /** Sets the tenants that have a quota. */
+    void setTenants (const std::set<TenantName>& limited);
+
+    /** Handles a member's update. Returns true if the member should get an update at once. */
+    bool receive (TimePoint now, const LeaseUpdate& update);
+
+    /** Returns this daemon's update for a member, which must be sent. */
+    LeaseUpdate updateFor (TimePoint now, const std::string& member);
+    /** Returns the members that have not been told of all leases that this daemon would give or end now. */
+    std::vector<std::string> membersToUpdate (TimePoint now) const;
+
+    /** Returns the daemon that this daemon requests tokens of the tenant from. */
+    const std::string& ownerOf (TimePoint now, const TenantName& tenant) const;
+    /** Returns which share of the tenant's quota this daemon may grant now: 0 to 1. */
+    double shareOf (TimePoint now, const TenantName& tenant);
+    LeaseTimes times() const { return leaseTimes (members.size() + 1); }
+
+private:
+    /** What the updates of another member said. */
+    struct Member
+    {
+        std::uint64_t bootId = 0; /**< 0 before the first update. */
+        std::int64_t sentNs = 0;  /**< The sender's clock in its latest update. */
+        Duration lease{};         /**< Validity of leases, as told by the sender. */
+        TimePoint receivedAt{};
+        /** When this daemon sent the newest update that the member has received. */
+        std::optional<TimePoint> reachedAt;
+        Duration ownLease{};         /**< Validity of leases in that update. */
+        std::set<TenantName> leased; /**< Tenants whose share the member leases to this daemon. */
+        std::set<TenantName> told;   /**< Leases in the latest update to the member. */
+    };
+
+    /** The lease of this daemon's own share of one tenant. */
+    struct Lease
+    {
+        std::string owner;
+        std::uint64_t ownerBootId = 0;
+        TimePoint ends;                       /**< The owner uses the lease until then at most. */
+        std::optional<TimePoint> revokedAt{}; /**< When the update that ends the lease was sent. */
+    };
+
+    bool isInTouch (TimePoint now, const Member& member) const;
+    /** Whether this daemon has no lease of before its start. */
+    bool isReady (TimePoint now) const;
+    bool mayLease (TimePoint now, const TenantName& tenant, const std::string& owner) const;
+    bool hasEnded (const Lease& lease) const;
+    void updateOwnLease (TimePoint now, const TenantName& tenant);
+    std::set<TenantName> leasesFor (TimePoint now, const std::string& member) const;
+    TimePoint nextSendTime (TimePoint now);
+
+    std::string ownName;
+    std::uint64_t ownBootId;
+    TimePoint started;
+    std::map<std::string, Member> members;
+    /** All daemons by rendezvous score, highest first. */
+    std::map<TenantName, std::vector<std::string>> rankings;
+    std::map<TenantName, Lease> leases;
+    TimePoint lastSent{};
+};
+
+} // namespace anisehold::tenancy
--- a/src/tenancy/tenancy_messages.hpp
+++ b/src/tenancy/tenancy_messages.hpp
@@ -1,4 +1,4 @@
-/** The requests and replies between daemons about keys and quotas, one message per datagram.
+/** The messages between daemons about keys and quotas, one per datagram.
 
     A request carries the requester's clock reading, which the reply repeats: the requester counts all ages
     from before it sent the request, however long a datagram took. The order of `serialize_all` and of Message
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "protocol/endpoint.hpp"
 #include "protocol/serialize_all.hpp"
@@ -100,9 +101,8 @@
 {
     Requester requester;
     std::string tenant;
-    bool owns = false; /**< False if the daemon does not know the tenant or is about to leave. */
-    std::string
-        firstOwner; /**< Another daemon that counts for the tenant and has replied to the sender recently. */
+    bool owns = false;    /**< False if the daemon can't grant anything of the tenant's quota at present. */
+    std::string reserved; /**< Empty; keeps the layout that earlier versions can read. */
     std::uint32_t granted = 0;
     std::uint32_t untilNextMs = 0;
     std::uint32_t retryAfterMs = 0;
@@ -110,11 +110,36 @@
     template <typename Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
-        serialize_all (archive, requester, tenant, owns, firstOwner, granted, untilNextMs, retryAfterMs);
+        serialize_all (archive, requester, tenant, owns, reserved, granted, untilNextMs, retryAfterMs);
     }
 };
 
-using Message = boost::variant<ProofRequest, ProofReply, QuotaRequest, QuotaReply>;
+/** A member's update to another one: that it is alive, which update of the receiver it has received, and
+    which leases it gives to the receiver (quota_leases.hpp). */
+struct LeaseUpdate
+{
+    std::string sender;       /**< Name of the sending daemon. */
+    std::uint64_t bootId = 0; /**< Boot id of the sending process; never 0. */
+    std::int64_t sentNs = 0;  /**< The sender's boot clock; increases with every update. */
+    std::uint32_t leaseMs =
+        0; /**< How long the sender uses a lease, counted from `sentNs`, that is given in answer to this. */
+
+    // Fields of the receiver's latest update; 0 if none has arrived.
+    std::uint64_t receivedBootId = 0;
+    std::int64_t receivedNs = 0;
+    std::uint32_t receivedLeaseMs = 0;
+
+    std::vector<std::string> tenants; /**< Tenants whose share is leased to the receiver. */
+
+    template <typename Archive>
+    void serialize (Archive& archive, unsigned /*version*/)
+    {
+        serialize_all (archive, sender, bootId, sentNs, leaseMs, receivedBootId, receivedNs, receivedLeaseMs,
+                       tenants);
+    }
+};
+
+using Message = boost::variant<ProofRequest, ProofReply, QuotaRequest, QuotaReply, LeaseUpdate>;
 
 std::string encode (const Message&);
 /** Returns nothing if the bytes are not a valid message. */
