A notified fiber keeps the deadlines of its operations

Callers saw: an answer beyond 64 KiB that falls silent, from the server of the machine that took the request, had no end; client and server connections were open after 75 s with a timeout of 2 s.

Cause: Boost.Fiber 1.74 doesn't wake a fiber at the deadline of a plain wait if its last wait for a condition was ended by a notification. await_io_until was such a wait, so that these fibers had no deadline for any socket operation. In a trial with lines in the reader and in the wait, each read had the right deadline, 3,012 ms ahead, and its fiber was never woken.

Change: await_io_until resets that status before it waits, as the library's own sleeps do.

Evidence: both new tests failed before: no time-out after 2 s, and six of six clients without an end until they gave up at 6.0 s. They pass now.

--- a/src/net/await_io.hpp
+++ b/src/net/await_io.hpp
@@ -2,6 +2,7 @@
 /// Blocks the calling fiber, not the thread, until an Asio operation completes or times out.
 #pragma once
 
+#include <atomic>
 #include <boost/fiber/context.hpp>
 #include <boost/system/error_code.hpp>
 #include <cstddef>
@@ -43,6 +44,9 @@
         if (deadline == TimePoint::max() || state.result.timed_out) {
             state.waiter->suspend();
         } else {
+            // Boost.Fiber doesn't wake a fiber at its deadline whose status still says that its last wait for
+            // a condition was ended by a notification.
+            state.waiter->twstatus.store(0, std::memory_order_release);
             state.waiter->wait_until(on_steady_clock(deadline));
         }
         state.suspended = false;
--- a/tests/integration/http_client_test.cpp
+++ b/tests/integration/http_client_test.cpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <thread>
 
+#include "net/fiber_event.hpp"
 #include "net/http_server.hpp"
 #include "tests/support/fleet.hpp"
 #include "tests/support/run_folder.hpp"
@@ -180,6 +181,27 @@
     CHECK(error == std::errc::timed_out);
 }
 
+// Guards against a fiber that waits for a response without an end, because its last wait, for a condition,
+// was ended by a notification.
+TEST_CASE("a request times out in a fiber that was notified before", "[path]") {
+    auto& server = *new CountingServer(seconds(1));
+    net::HttpClient client(Fleet::loop().io(), server.endpoint);
+    net::FiberEvent notified;
+    net::FiberEvent ended;
+    std::error_code error;
+    net::EventLoop::spawn([&] {
+        notified.wait_until(TimePoint::clock::now() + seconds(10));
+        auto request = net::make_request("GET", "/slow");
+        net::ExchangeProgress progress;
+        client.exchange(request, {TimePoint::clock::now() + milliseconds(100), nullptr}, progress, error);
+        ended.set();
+    });
+    Fleet::pause(milliseconds(50));
+    notified.set();
+    ended.wait();
+    CHECK(error == std::errc::timed_out);
+}
+
 // Guards against an order that ran twice: its server refused it, and a late copy of the refusal was taken for
 // the response to the repeat, which was sent over the same connection with the same id.
 TEST_CASE("a late copy of a refusal is not taken for the response to the repeat", "[path]") {
--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -94,7 +94,7 @@
         for (int n = 0; n < numExchanges; ++n)
             net::EventLoop::spawn (
                 [this, &responses, request]
-                { responses.push_back (exchange_raw (fleet.machine (frontMachine).calls, request)); });
+                { responses.push_back (exchange_raw (fleet.machine (entryMachine).calls, request)); });
 
         REQUIRE (fleet.eventually (request.patience + seconds (2),
                                    [&] { return responses.size() == numExchanges; }));
@@ -176,7 +176,8 @@
     }
 
     int numSent = 0;
-    std::vector<long> peaks; /**< Peak memory of each daemon at the start, in kilobytes. */
+    std::size_t entryMachine = frontMachine; /**< The machine that clients send to. */
+    std::vector<long> peaks;                 /**< Peak memory of each daemon at the start, in kilobytes. */
 };
 
 const std::string filler (blockBytes, 'x');
@@ -228,6 +229,26 @@
     it.checkDaemons();
 }
 
+/** Guards against an exchange without an end: the server is on the machine that took the request, so that the
+    response isn't read from another daemon, whose read ends in time. */
+TEST_CASE ("a response of the machine's own server that falls silent is broken off at the route's timeout",
+           "[endless-bytes]")
+{
+    EndlessFleet it (27'800);
+    it.entryMachine = kPayMachine;
+
+    const auto announced = 4 * blockBytes;
+    it.respond (
+        "Content-Length: " + std::to_string (announced) + "\r\n\r\n" + repeat (filler, 2 * blockBytes), {});
+    const auto responses = it.send();
+    it.checkBrokenOff (responses);
+
+    for (const auto& response : responses)
+        CHECK (response.bytes_received < announced);
+
+    it.checkDaemons();
+}
+
 TEST_CASE ("chunk extensions and trailers of a response are limited in size", "[endless-bytes]")
 {
     EndlessFleet it (26'600);
