Tests: a response that breaks off after whichever byte is not forwarded

Other operators reported a 200 with an empty or short body after a server that stopped within its header.

--- a/tests/incidents/broken_answers_test.cpp
+++ b/tests/incidents/broken_answers_test.cpp
@@ -309,3 +309,33 @@
 {
     BrokenAnswersFleet (26'200).check (brokenFraming());
 }
+
+/** Guards against a response that breaks off in its header or body, and reaches the client as a whole one
+   with an empty or a short body. */
+TEST_CASE ("a response that breaks off is not forwarded, after whichever byte", "[broken-answers]")
+{
+    BrokenAnswersFleet it (26'150);
+    const std::vector<BrokenResponse> whole{
+        { "length", withStatusLine ("HTTP/1.1 200 OK") },
+        { "chunks", withChunks ("2\r\nok\r\n0\r\nX-Trailer: 1\r\n\r\n") },
+        { "interim", "HTTP/1.1 103 Early Hints\r\n\r\n" + withStatusLine ("HTTP/1.1 200 OK") },
+    };
+
+    for (const auto& response : whole)
+    {
+        const auto size = withId (response.bytes, response.name + "-000").size();
+
+        for (std::size_t n = 0; n < size; ++n)
+        {
+            auto id = std::to_string (n);
+            id = response.name + "-" + std::string (3 - id.size(), '0') + id;
+            it.server.script = [&] (const std::string& requestId, unsigned) {
+                return Reaction{ true, withId (response.bytes, requestId).substr (0, n), {}, {}, true };
+            };
+            const auto received = it.send (id);
+            CAPTURE (id, received.beginning);
+            CHECK (received.begins_with ("HTTP/1.1 502 "));
+            CHECK (it.server.runs[id] == 1);
+        }
+    }
+}
