--- a/soak/round.cpp
+++ b/soak/round.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <boost/fiber/operations.hpp>
+#include <csignal>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -44,6 +45,9 @@
 constexpr milliseconds longLoadTime{ 2'000 };
 /** Maximum time between the two stop signals. */
 constexpr milliseconds maxStopGap{ 1'200 };
+/** Signals that a stopping machine gets in turn until its process has ended. */
+constexpr std::array repeatedSignals{ SIGTERM, SIGHUP, SIGINT };
+constexpr milliseconds repeatedSignalPeriod{ 250 };
 constexpr std::size_t longClientsPerMachine = 8;
 constexpr std::array<milliseconds, 3> longWorks{ milliseconds (300), milliseconds (700),
                                                  milliseconds (1'200) };
@@ -244,6 +248,17 @@
         stops[machine] = now;
         checker.onStopPlanned (machine, now, stopGrace);
         fleet.terminate (machine);
+        net::EventLoop::spawn ([this, machine] { repeatStopSignals (machine); });
+    }
+
+    /** Sends further signals to a stopping machine, which must not shorten its stop. */
+    void repeatStopSignals (std::size_t machine)
+    {
+        for (std::size_t n = 0; fleet.is_running (machine); ++n)
+        {
+            fleet.signal (machine, repeatedSignals[n % repeatedSignals.size()]);
+            boost::this_fiber::sleep_for (repeatedSignalPeriod);
+        }
     }
 
     /** Sends requests of very different durations; every other client opens a connection for each. */
