A leaving daemon is no owner, and one that knows no fleet has no share

Cause, found by reading the diff: a daemon that had begun to leave still came first in its own ranking of the tenants that it owned, declined to itself, and refused their requests with quota-unknown until it ended. And a daemon that asked for its share before it had read the member list counted itself as the whole fleet, and so had the whole quota.

Change: a leaving daemon ranks only the others; a share exists only of tenants that were set, which happens after the member list is known.

Both have a test; they were not run on the code before.

--- a/src/sidecar/quota_exchange.cpp
+++ b/src/sidecar/quota_exchange.cpp
@@ -75,6 +75,9 @@
         names.insert(member.name);
     }
     leases_.setMembers(names);
+    if (context_.stop.is_leaving()) {
+        leases_.leave();
+    }
     if (limited != tenants_) {
         tenants_ = std::move(limited);
         leases_.setTenants(tenants_);
@@ -82,25 +85,28 @@
 }
 
 void QuotaExchange::send_updates(TimePoint now) {
-    const bool is_due = now >= next_updates_;
-    if (!is_due) {
-        for (const auto& name : leases_.membersToUpdate(now)) {
-            send_update(name);
-        }
+    if (now < next_updates_) {
+        send_changes(now);
         return;
     }
     const std::chrono::duration<double> period =
         leases_.times().period * (0.9 + 0.2 * context_.random_unit());
     next_updates_ = now + std::chrono::duration_cast<Duration>(period);
-    for (const auto& [name, address] : addresses_) {
-        send_update(name);
+    for (const auto& [member, update] : leases_.updatesForAll(now)) {
+        send_update(member, update);
+    }
+}
+
+void QuotaExchange::send_changes(TimePoint now) {
+    for (const auto& member : leases_.membersToUpdate(now)) {
+        send_update(member, leases_.updateFor(now, member));
     }
 }
 
-void QuotaExchange::send_update(const std::string& member) {
+void QuotaExchange::send_update(const std::string& member, const tenancy::LeaseUpdate& update) {
     const auto address = addresses_.find(member);
     if (address != addresses_.end()) {
-        send_(address->second, tenancy::encode(leases_.updateFor(TimePoint::clock::now(), member)));
+        send_(address->second, tenancy::encode(update));
     }
 }
 
@@ -109,17 +115,17 @@
     if (!leases_.receive(now, update)) {
         return;
     }
-    send_update(update.sender);
-    for (const auto& name : leases_.membersToUpdate(now)) {
-        send_update(name);
-    }
+    send_update(update.sender, leases_.updateFor(now, update.sender));
+    send_changes(now);
 }
 
 void QuotaExchange::fill_buckets(TimePoint now) {
     const auto configuration = configuration_.current();
     for (const auto& tenant : tenants_) {
         const auto* terms = configuration ? tenancy::termsOf(configuration->keys, tenant) : nullptr;
-        if (terms != nullptr && terms->quota.isLimited()) {
+        const bool counts =
+            buckets_.contains(tenant) || leases_.ownerOf(now, tenant) == context_.settings.name;
+        if (terms != nullptr && terms->quota.isLimited() && counts) {
             bucket_of(now, *terms);
         }
     }
@@ -271,6 +277,7 @@
     reply.tenant = tenant.value;
     const auto configuration = configuration_.current();
     const auto* terms = configuration ? tenancy::termsOf(configuration->keys, tenant) : nullptr;
+    // The others give this daemon's leases to another one as soon as they hear that it leaves.
     if (terms == nullptr || context_.stop.is_leaving()) {
         return reply;
     }
--- a/src/sidecar/quota_exchange.hpp
+++ b/src/sidecar/quota_exchange.hpp
@@ -94,10 +94,11 @@
     void exchange_leases();
     /// Passes the current members and tenants on to the leases.
     void review_fleet(TimePoint now);
-    /// Sends updates to all members if they are due, and otherwise to those that have not been told of a
-    /// change.
+    /// Sends updates to all members if they are due, and otherwise only changes.
     void send_updates(TimePoint now);
-    void send_update(const std::string& member);
+    /// Sends updates to the members that have not been told of a change.
+    void send_changes(TimePoint now);
+    void send_update(const std::string& member, const tenancy::LeaseUpdate& update);
     Duration refusal_pause(TimePoint now, const tenancy::TokenCache& cache);
 
     SidecarContext& context_;
--- a/src/tenancy/quota_leases.cpp
+++ b/src/tenancy/quota_leases.cpp
@@ -138,14 +138,29 @@
 }
 
 LeaseUpdate QuotaLeases::updateFor (TimePoint now, const std::string& name)
+{
+    return makeUpdate (now, name, leasesToGive (now));
+}
+
+std::map<std::string, LeaseUpdate> QuotaLeases::updatesForAll (TimePoint now)
+{
+    const auto toGive = leasesToGive (now);
+    std::map<std::string, LeaseUpdate> updates;
+
+    for (const auto& [name, member] : members)
+        updates.emplace (name, makeUpdate (now, name, toGive));
+
+    return updates;
+}
+
+LeaseUpdate QuotaLeases::makeUpdate (TimePoint now, const std::string& name, const LeasesByOwner& toGive)
 {
     LeaseUpdate update;
     const auto sent = nextSendTime (now);
-    const auto lease = times().lease;
     update.sender = ownName;
     update.bootId = ownBootId;
     update.sentNs = nanoseconds (sent);
-    update.leaseMs = static_cast<std::uint32_t> (to_milliseconds (lease));
+    update.leaseMs = static_cast<std::uint32_t> (to_milliseconds (times().lease));
 
     const auto found = members.find (name);
 
@@ -153,20 +168,21 @@
         return update;
 
     auto& member = found->second;
-    member.told = leasesFor (now, name);
+    const auto given = toGive.find (name);
+    member.told = given == toGive.end() ? std::set<TenantName>{} : given->second;
 
     for (const auto& tenant : member.told)
     {
-        auto& given = leases[tenant];
-        const bool isRenewed = given.owner == name && given.ownerBootId == member.bootId;
+        auto& lease = leases[tenant];
+        const bool isRenewed = lease.owner == name && lease.ownerBootId == member.bootId;
         const auto ends = member.receivedAt + withClockAllowance (member.lease);
-        given = { name, member.bootId, isRenewed ? std::max (given.ends, ends) : ends, std::nullopt };
+        lease = { name, member.bootId, isRenewed ? std::max (lease.ends, ends) : ends, std::nullopt };
         update.tenants.push_back (tenant.value);
     }
 
-    for (auto& [tenant, given] : leases)
-        if (given.owner == name && ! given.revokedAt && ! member.told.contains (tenant))
-            given.revokedAt = sent;
+    for (auto& [tenant, lease] : leases)
+        if (lease.owner == name && ! lease.revokedAt && ! member.told.contains (tenant))
+            lease.revokedAt = sent;
 
     update.receivedBootId = member.bootId;
     update.receivedNs = member.sentNs;
@@ -176,22 +192,13 @@
 
 std::vector<std::string> QuotaLeases::membersToUpdate (TimePoint now) const
 {
-    std::map<std::string, std::set<TenantName>> wanted;
-
-    for (const auto& [tenant, ranking] : rankings)
-    {
-        const auto& owner = ownerOf (now, tenant);
-
-        if (owner != ownName && mayLease (now, tenant, owner))
-            wanted[owner].insert (tenant);
-    }
-
+    const auto toGive = leasesToGive (now);
     std::vector<std::string> names;
 
     for (const auto& [name, member] : members)
     {
-        const auto found = wanted.find (name);
-        const bool isSame = found == wanted.end() ? member.told.empty() : member.told == found->second;
+        const auto found = toGive.find (name);
+        const bool isSame = found == toGive.end() ? member.told.empty() : member.told == found->second;
 
         if (! isSame && member.bootId != 0)
             names.push_back (name);
@@ -210,8 +217,9 @@
     for (const auto& name : found->second)
     {
         const auto member = members.find (name);
+        const bool isOwn = member == members.end();
 
-        if (member == members.end() || isInTouch (now, member->second))
+        if (isLeaving ? ! isOwn : isOwn || isInTouch (now, member->second))
             return name;
     }
 
@@ -220,6 +228,9 @@
 
 double QuotaLeases::shareOf (TimePoint now, const TenantName& tenant)
 {
+    if (isLeaving || ! rankings.contains (tenant))
+        return 0;
+
     updateOwnLease (now, tenant);
     const auto own = leases.find (tenant);
     std::size_t shares = own != leases.end() && own->second.owner == ownName ? 1 : 0;
@@ -297,15 +308,19 @@
         leases.erase (found);
 }
 
-std::set<TenantName> QuotaLeases::leasesFor (TimePoint now, const std::string& member) const
+QuotaLeases::LeasesByOwner QuotaLeases::leasesToGive (TimePoint now) const
 {
-    std::set<TenantName> tenants;
+    LeasesByOwner toGive;
 
     for (const auto& [tenant, ranking] : rankings)
-        if (ownerOf (now, tenant) == member && mayLease (now, tenant, member))
-            tenants.insert (tenant);
+    {
+        const auto& owner = ownerOf (now, tenant);
+
+        if (owner != ownName && mayLease (now, tenant, owner))
+            toGive[owner].insert (tenant);
+    }
 
-    return tenants;
+    return toGive;
 }
 
 TimePoint QuotaLeases::nextSendTime (TimePoint now)
--- a/src/tenancy/quota_leases.hpp
+++ b/src/tenancy/quota_leases.hpp
@@ -1,10 +1,10 @@
 /** Determines which daemons count a tenant's requests, and which share of its quota each of them may grant.
 
     Every member of the fleet holds an equal share of each tenant's quota and leases it to one daemon, the
-    tenant's owner. Members rank the daemons by rendezvous hash and choose the first one that they are in
-   touch with, in both directions. Without faults all choose the same owner, which grants the whole quota; in
-   a network partition each side has an owner for the shares of its members. The leases of one share never
-    overlap, so that all owners together never grant more than the quota:
+    tenant's owner. Members rank the daemons by rendezvous hash, and choose the first one that they are in
+    touch with in both directions. Without faults all choose the same owner, which grants the whole quota.
+    In a network partition each side has an owner for the shares of its members. The leases of one share
+    never overlap, so that all owners together never grant more than the quota:
 
     - An owner uses a lease for a time that begins when it sent the update which the member has received.
     - A member leases a share to another daemon only after that time, measured from the receipt and with an
@@ -12,7 +12,7 @@
       the lease, has restarted, or has left the fleet. A refused connection doesn't show that an owner has
       ended, since a partition may refuse connections, too.
     - A member that has just started may have leased its shares before. It waits until all other members have
-      heard of its start and have dropped those leases, or until they have ended.
+      heard of its start and have dropped those leases, or until the leases have ended.
 
     Times are on the boot clock of one daemon each; a daemon only compares its own readings, which the updates
     return. Relies on sidecar/quota_exchange for members and updates. Pure.
@@ -52,14 +52,18 @@
 
     /** Sets the other members of the fleet, whether or not they can be reached. */
     void setMembers (const std::set<std::string>& others);
-    /** Sets the tenants that have a quota. */
+    /** Sets the tenants that have a quota. This daemon has no share of any other one. */
     void setTenants (const std::set<TenantName>& limited);
+    /** This daemon leaves the fleet: it is no owner any more, and the others don't send it updates. */
+    void leave() { isLeaving = true; }
 
     /** Handles a member's update. Returns true if the member should get an update at once. */
     bool receive (TimePoint now, const LeaseUpdate& update);
 
     /** Returns this daemon's update for a member, which must be sent. */
     LeaseUpdate updateFor (TimePoint now, const std::string& member);
+    /** Returns the updates for all members, by name, which must be sent. */
+    std::map<std::string, LeaseUpdate> updatesForAll (TimePoint now);
     /** Returns the members that have not been told of all leases that this daemon would give or end now. */
     std::vector<std::string> membersToUpdate (TimePoint now) const;
 
@@ -99,7 +103,10 @@
     bool mayLease (TimePoint now, const TenantName& tenant, const std::string& owner) const;
     bool hasEnded (const Lease& lease) const;
     void updateOwnLease (TimePoint now, const TenantName& tenant);
-    std::set<TenantName> leasesFor (TimePoint now, const std::string& member) const;
+    /** Tenants whose share this daemon may lease to another one now, by the name of that one. */
+    using LeasesByOwner = std::map<std::string, std::set<TenantName>>;
+    LeasesByOwner leasesToGive (TimePoint now) const;
+    LeaseUpdate makeUpdate (TimePoint now, const std::string& member, const LeasesByOwner& toGive);
     TimePoint nextSendTime (TimePoint now);
 
     std::string ownName;
@@ -110,6 +117,7 @@
     std::map<TenantName, std::vector<std::string>> rankings;
     std::map<TenantName, Lease> leases;
     TimePoint lastSent{};
+    bool isLeaving = false;
 };
 
 } // namespace anisehold::tenancy
--- a/tests/unit/tenancy/quota_leases_test.cpp
+++ b/tests/unit/tenancy/quota_leases_test.cpp
@@ -409,6 +409,50 @@
     CHECK (fleet.largestSum <= 1.0 + rounding);
 }
 
+/** Guards against a daemon that has just started, takes itself for the whole fleet, and grants a whole quota.
+ */
+TEST_CASE ("a daemon has no share before it knows the tenants and the fleet")
+{
+    const auto now = TimePoint (seconds (1'000));
+    QuotaLeases leases ("daemon-0", 1, now);
+    CHECK (leases.shareOf (now, blue) == 0);
+    leases.setTenants ({ TenantName ("green") });
+    CHECK (leases.shareOf (now, blue) == 0);
+    leases.setTenants ({ blue });
+    CHECK (leases.shareOf (now, blue) == 1);
+}
+
+/** Guards against requests that are refused at a stopping daemon, because it takes itself for their tenant's
+    owner. */
+TEST_CASE ("a daemon that leaves is no owner, and requests tokens from another one")
+{
+    SimulatedFleet fleet (3, 8);
+    fleet.run (seconds (1));
+    const auto owner = ownerOfBlue (fleet);
+    auto& leaving = fleet.daemons[owner];
+    leaving.leases->leave();
+    auto rest = fleet.names;
+    rest.erase (leaving.name);
+
+    for (auto& it : fleet.daemons)
+    {
+        auto others = rest;
+        others.erase (it.name);
+
+        if (it.name != leaving.name)
+            it.leases->setMembers (others);
+    }
+
+    fleet.run (milliseconds (300));
+    const auto next = ownerOfBlue (fleet);
+    CHECK (next != owner);
+    CHECK (fleet.shareAt (owner, blue) == 0);
+    CHECK (fleet.shareAt (next, blue) == Approx (1.0));
+    fleet.run (seconds (3));
+    CHECK (leaving.leases->ownerOf (fleet.clockOf (leaving), blue) == fleet.daemons[next].name);
+    CHECK (fleet.largestSum <= 1.0 + rounding);
+}
+
 TEST_CASE ("invalid updates change nothing")
 {
     SimulatedFleet fleet (3, 7);
