Quota leases of eight groups, of half a second

A lease of a second kept tenants of a zone that is cut off waiting for longer than the 0.4 s that a request waits.

Change: tenants are divided into eight groups; a lease is of a group, and only owners and their members exchange updates. A daemon that is in touch with nobody of a higher rank offers itself to all of a lower one. Leases last half a second.

--- a/src/sidecar/quota_exchange.cpp
+++ b/src/sidecar/quota_exchange.cpp
@@ -58,14 +58,15 @@
 void QuotaExchange::review_fleet(TimePoint now) {
     reviewed_ = now;
     const auto configuration = configuration_.current();
-    std::set<TenantName> limited;
+    tenants_.clear();
     // A daemon that has just started and knows no peers must not assume that it is the whole fleet.
     const bool knows_members = context_.store.has_listed() || now - started_ >= kAloneTimeout;
-    if (configuration && knows_members && context_.has(config::Mechanism::kQuotas)) {
-        for (const auto& [name, terms] : configuration->keys.tenants) {
-            if (terms.quota.isLimited()) {
-                limited.insert(name);
-            }
+    if (!configuration || !knows_members || !context_.has(config::Mechanism::kQuotas)) {
+        return;
+    }
+    for (const auto& [name, terms] : configuration->keys.tenants) {
+        if (terms.quota.isLimited()) {
+            tenants_.insert(name);
         }
     }
     addresses_.clear();
@@ -78,10 +79,6 @@
     if (context_.stop.is_leaving()) {
         leases_.leave();
     }
-    if (limited != tenants_) {
-        tenants_ = std::move(limited);
-        leases_.setTenants(tenants_);
-    }
 }
 
 void QuotaExchange::send_updates(TimePoint now) {
@@ -92,21 +89,21 @@
     const std::chrono::duration<double> period =
         leases_.times().period * (0.9 + 0.2 * context_.random_unit());
     next_updates_ = now + std::chrono::duration_cast<Duration>(period);
-    for (const auto& [member, update] : leases_.updatesForAll(now)) {
-        send_update(member, update);
+    for (const auto& member : leases_.contacts(now)) {
+        send_update(member);
     }
 }
 
 void QuotaExchange::send_changes(TimePoint now) {
     for (const auto& member : leases_.membersToUpdate(now)) {
-        send_update(member, leases_.updateFor(now, member));
+        send_update(member);
     }
 }
 
-void QuotaExchange::send_update(const std::string& member, const tenancy::LeaseUpdate& update) {
+void QuotaExchange::send_update(const std::string& member) {
     const auto address = addresses_.find(member);
     if (address != addresses_.end()) {
-        send_(address->second, tenancy::encode(update));
+        send_(address->second, tenancy::encode(leases_.updateFor(TimePoint::clock::now(), member)));
     }
 }
 
@@ -115,7 +112,7 @@
     if (!leases_.receive(now, update)) {
         return;
     }
-    send_update(update.sender, leases_.updateFor(now, update.sender));
+    send_update(update.sender);
     send_changes(now);
 }
 
@@ -123,8 +120,8 @@
     const auto configuration = configuration_.current();
     for (const auto& tenant : tenants_) {
         const auto* terms = configuration ? tenancy::termsOf(configuration->keys, tenant) : nullptr;
-        const bool counts =
-            buckets_.contains(tenant) || leases_.ownerOf(now, tenant) == context_.settings.name;
+        const bool counts = buckets_.contains(tenant) ||
+                            leases_.ownerOf(now, tenancy::groupOf(tenant)) == context_.settings.name;
         if (terms != nullptr && terms->quota.isLimited() && counts) {
             bucket_of(now, *terms);
         }
@@ -132,7 +129,7 @@
 }
 
 tenancy::QuotaBucket* QuotaExchange::bucket_of(TimePoint now, const TenantTerms& terms) {
-    const double share = leases_.shareOf(now, terms.name);
+    const double share = leases_.shareOf(now, tenancy::groupOf(terms.name));
     if (share <= 0) {
         buckets_.erase(terms.name);
         return nullptr;
@@ -205,7 +202,7 @@
 
 bool QuotaExchange::take_own_grant(const TenantName& tenant, Account& account) {
     const auto now = TimePoint::clock::now();
-    if (leases_.ownerOf(now, tenant) != context_.settings.name) {
+    if (leases_.ownerOf(now, tenancy::groupOf(tenant)) != context_.settings.name) {
         return false;
     }
     const auto reply = grant(tenant, tenancy::tokensWanted(account.cache, account.waiting),
@@ -218,7 +215,7 @@
 
 bool QuotaExchange::request_tokens(const TenantName& tenant, Account& account,
                                    const std::shared_ptr<Round>& round) {
-    const auto owner = leases_.ownerOf(TimePoint::clock::now(), tenant);
+    const auto owner = leases_.ownerOf(TimePoint::clock::now(), tenancy::groupOf(tenant));
     const auto returned = std::exchange(account.cache.unused, 0);
     for (int requests = 0; requests < kMaxRequestsPerOwner; ++requests) {
         const auto address = addresses_.find(owner);
--- a/src/sidecar/quota_exchange.hpp
+++ b/src/sidecar/quota_exchange.hpp
@@ -94,11 +94,11 @@
     void exchange_leases();
     /// Passes the current members and tenants on to the leases.
     void review_fleet(TimePoint now);
-    /// Sends updates to all members if they are due, and otherwise only changes.
+    /// Sends updates to all contacts if they are due, and otherwise only changes.
     void send_updates(TimePoint now);
     /// Sends updates to the members that have not been told of a change.
     void send_changes(TimePoint now);
-    void send_update(const std::string& member, const tenancy::LeaseUpdate& update);
+    void send_update(const std::string& member);
     Duration refusal_pause(TimePoint now, const tenancy::TokenCache& cache);
 
     SidecarContext& context_;
@@ -112,7 +112,7 @@
     std::set<tenancy::TenantName> tenants_;      ///< Tenants with a quota.
     std::map<std::string, Endpoint> addresses_;  ///< Members' addresses of datagrams, by name.
     TimePoint reviewed_;                         ///< Time of the last review of the fleet.
-    TimePoint next_updates_;                     ///< When updates are due to all members.
+    TimePoint next_updates_;                     ///< When updates are due to all contacts.
     TimePoint started_ = TimePoint::clock::now();
 };
 
--- a/src/tenancy/quota_leases.cpp
+++ b/src/tenancy/quota_leases.cpp
@@ -10,11 +10,11 @@
 {
 
 constexpr milliseconds minPeriod{ 100 };
-/** At most 250 updates a second are sent by one daemon. */
-constexpr milliseconds periodPerMember{ 4 };
+/** At most 500 updates a second are sent by an owner. */
+constexpr milliseconds periodPerMember{ 2 };
 /** A lease outlasts the loss of an update, and pauses of some hundred milliseconds. */
 constexpr double periodsPerLease = 3.5;
-constexpr milliseconds minLease{ 600 };
+constexpr milliseconds minLease{ 500 };
 /** Members of a very large fleet, and updates with invalid fields, can't extend a lease beyond this time. */
 constexpr seconds maxLease{ 30 };
 /** How far the rates of two clocks may differ, and a margin for their resolution. */
@@ -34,6 +34,11 @@
 
 } // namespace
 
+QuotaGroup groupOf (const TenantName& tenant)
+{
+    return routing::rendezvous_score (tenant.value, "quota-group") % numQuotaGroups;
+}
+
 LeaseTimes leaseTimes (std::size_t numMembers)
 {
     const auto period = std::max<Duration> (minPeriod, periodPerMember * static_cast<long long> (numMembers));
@@ -51,43 +56,26 @@
 
 void QuotaLeases::setMembers (const std::set<std::string>& others)
 {
-    const bool same = std::equal (members.begin(), members.end(), others.begin(), others.end(),
-                                  [] (const auto& known, const auto& name) { return known.first == name; });
+    const bool isSame = std::equal (members.begin(), members.end(), others.begin(), others.end(),
+                                    [] (const auto& known, const auto& name) { return known.first == name; });
 
-    if (same)
+    if (isSame && ! rankings.front().empty())
         return;
 
     std::erase_if (members, [&] (const auto& entry) { return ! others.contains (entry.first); });
 
     for (const auto& name : others)
-        if (name != ownName)
-            members.try_emplace (name);
+        members.try_emplace (name);
 
-    std::set<TenantName> tenants;
-
-    for (const auto& [tenant, ranking] : rankings)
-        tenants.insert (tenant);
-
-    rankings.clear();
-    setTenants (tenants);
-}
+    std::vector<std::string> names (others.begin(), others.end());
+    names.push_back (ownName);
 
-void QuotaLeases::setTenants (const std::set<TenantName>& limited)
-{
-    std::erase_if (rankings, [&] (const auto& entry) { return ! limited.contains (entry.first); });
-    std::vector<std::string> names{ ownName };
-
-    for (const auto& [name, member] : members)
-        names.push_back (name);
-
-    for (const auto& tenant : limited)
+    for (QuotaGroup group = 0; group < numQuotaGroups; ++group)
     {
-        auto& ranking = rankings[tenant];
-
-        if (! ranking.empty())
-            continue;
+        auto& ranking = rankings[group];
+        ranking.clear();
 
-        for (const auto index : routing::rendezvous_order (names, tenant.value))
+        for (const auto index : routing::rendezvous_order (names, "quota-group-" + std::to_string (group)))
             ranking.push_back (names[index]);
     }
 }
@@ -119,41 +107,24 @@
         member.bootId = update.bootId;
     }
 
-    const auto before = member.leased.size();
+    const auto before = member.leased;
     member.sentNs = update.sentNs;
     member.lease = std::min<Duration> (milliseconds (update.leaseMs), maxLease);
     member.receivedAt = now;
-    member.leased.clear();
+    member.leased.reset();
 
     if (isAnswer)
     {
         member.reachedAt = reachedAt;
         member.ownLease = std::min<Duration> (milliseconds (update.receivedLeaseMs), maxLease);
-
-        for (const auto& tenant : update.tenants)
-            member.leased.insert (TenantName (tenant));
+        member.leased = QuotaGroups (update.groups);
     }
 
-    return ! wasInTouch || member.leased.size() < before;
+    const bool hasEndedLease = (before & ~member.leased).any();
+    return ! wasInTouch || hasEndedLease;
 }
 
 LeaseUpdate QuotaLeases::updateFor (TimePoint now, const std::string& name)
-{
-    return makeUpdate (now, name, leasesToGive (now));
-}
-
-std::map<std::string, LeaseUpdate> QuotaLeases::updatesForAll (TimePoint now)
-{
-    const auto toGive = leasesToGive (now);
-    std::map<std::string, LeaseUpdate> updates;
-
-    for (const auto& [name, member] : members)
-        updates.emplace (name, makeUpdate (now, name, toGive));
-
-    return updates;
-}
-
-LeaseUpdate QuotaLeases::makeUpdate (TimePoint now, const std::string& name, const LeasesByOwner& toGive)
 {
     LeaseUpdate update;
     const auto sent = nextSendTime (now);
@@ -168,53 +139,74 @@
         return update;
 
     auto& member = found->second;
-    const auto given = toGive.find (name);
-    member.told = given == toGive.end() ? std::set<TenantName>{} : given->second;
+    member.told = leasesToGive (now)[name];
 
-    for (const auto& tenant : member.told)
+    for (QuotaGroup group = 0; group < numQuotaGroups; ++group)
     {
-        auto& lease = leases[tenant];
-        const bool isRenewed = lease.owner == name && lease.ownerBootId == member.bootId;
-        const auto ends = member.receivedAt + withClockAllowance (member.lease);
-        lease = { name, member.bootId, isRenewed ? std::max (lease.ends, ends) : ends, std::nullopt };
-        update.tenants.push_back (tenant.value);
+        auto& lease = leases[group];
+        const bool isRenewed = lease && lease->owner == name && lease->ownerBootId == member.bootId;
+
+        if (member.told.test (group))
+        {
+            const auto ends = member.receivedAt + withClockAllowance (member.lease);
+            lease = { name, member.bootId, isRenewed ? std::max (lease->ends, ends) : ends, std::nullopt };
+        }
+        else if (isRenewed && ! lease->revokedAt)
+        {
+            lease->revokedAt = sent;
+        }
     }
 
-    for (auto& [tenant, lease] : leases)
-        if (lease.owner == name && ! lease.revokedAt && ! member.told.contains (tenant))
-            lease.revokedAt = sent;
-
+    update.groups = static_cast<std::uint32_t> (member.told.to_ulong());
     update.receivedBootId = member.bootId;
     update.receivedNs = member.sentNs;
     update.receivedLeaseMs = static_cast<std::uint32_t> (to_milliseconds (member.lease));
     return update;
 }
 
-std::vector<std::string> QuotaLeases::membersToUpdate (TimePoint now) const
+std::vector<std::string> QuotaLeases::contacts (TimePoint now) const
 {
-    const auto toGive = leasesToGive (now);
-    std::vector<std::string> names;
+    std::set<std::string> names;
+
+    // The others drop leases of before the start when they hear of it.
+    if (! isReady (now))
+        for (const auto& [name, member] : members)
+            names.insert (name);
 
     for (const auto& [name, member] : members)
-    {
-        const auto found = toGive.find (name);
-        const bool isSame = found == toGive.end() ? member.told.empty() : member.told == found->second;
+        if ((isUsable (now, member) && member.leased.any()) || member.told.any())
+            names.insert (name);
 
-        if (! isSame && member.bootId != 0)
-            names.push_back (name);
+    for (QuotaGroup group = 0; group < numQuotaGroups; ++group)
+    {
+        const auto& ranking = rankings[group];
+        const auto& owner = ownerOf (now, group);
+        const auto own = std::find (ranking.begin(), ranking.end(), ownName);
+
+        if (owner != ownName)
+            names.insert (owner);
+        else if (own != ranking.end())
+            names.insert (std::next (own), ranking.end());
     }
 
-    return names;
+    return { names.begin(), names.end() };
 }
 
-const std::string& QuotaLeases::ownerOf (TimePoint now, const TenantName& tenant) const
+std::vector<std::string> QuotaLeases::membersToUpdate (TimePoint now) const
 {
-    const auto found = rankings.find (tenant);
+    auto toGive = leasesToGive (now);
+    std::vector<std::string> names;
 
-    if (found == rankings.end())
-        return ownName;
+    for (const auto& [name, member] : members)
+        if (member.bootId != 0 && member.told != toGive[name])
+            names.push_back (name);
 
-    for (const auto& name : found->second)
+    return names;
+}
+
+const std::string& QuotaLeases::ownerOf (TimePoint now, QuotaGroup group) const
+{
+    for (const auto& name : rankings[group])
     {
         const auto member = members.find (name);
         const bool isOwn = member == members.end();
@@ -226,24 +218,26 @@
     return ownName;
 }
 
-double QuotaLeases::shareOf (TimePoint now, const TenantName& tenant)
+double QuotaLeases::shareOf (TimePoint now, QuotaGroup group)
 {
-    if (isLeaving || ! rankings.contains (tenant))
+    if (isLeaving || rankings[group].empty())
         return 0;
 
-    updateOwnLease (now, tenant);
-    const auto own = leases.find (tenant);
-    std::size_t shares = own != leases.end() && own->second.owner == ownName ? 1 : 0;
+    updateOwnLease (now, group);
+    const auto& own = leases[group];
+    std::size_t shares = own && own->owner == ownName ? 1 : 0;
 
     for (const auto& [name, member] : members)
-    {
-        const bool isValid = member.reachedAt && now < *member.reachedAt + member.ownLease;
-        shares += isValid && member.leased.contains (tenant) ? 1 : 0;
-    }
+        shares += isUsable (now, member) && member.leased.test (group) ? 1 : 0;
 
     return static_cast<double> (shares) / static_cast<double> (members.size() + 1);
 }
 
+bool QuotaLeases::isUsable (TimePoint now, const Member& member)
+{
+    return member.reachedAt && now < *member.reachedAt + member.ownLease;
+}
+
 bool QuotaLeases::isInTouch (TimePoint now, const Member& member) const
 {
     const auto silence = withClockAllowance (times().lease);
@@ -262,22 +256,21 @@
            std::all_of (members.begin(), members.end(), knowsStart);
 }
 
-bool QuotaLeases::mayLease (TimePoint now, const TenantName& tenant, const std::string& owner) const
+bool QuotaLeases::mayLease (TimePoint now, QuotaGroup group, const std::string& owner) const
 {
     const auto member = members.find (owner);
 
     if (member != members.end() && ! member->second.reachedAt)
         return false;
 
-    const auto found = leases.find (tenant);
+    const auto& lease = leases[group];
 
-    if (found == leases.end())
+    if (! lease)
         return isReady (now);
 
-    const auto& lease = found->second;
     const bool isSame =
-        lease.owner == owner && (owner == ownName || lease.ownerBootId == member->second.bootId);
-    return isSame || now >= lease.ends || hasEnded (lease);
+        lease->owner == owner && (owner == ownName || lease->ownerBootId == member->second.bootId);
+    return isSame || now >= lease->ends || hasEnded (*lease);
 }
 
 bool QuotaLeases::hasEnded (const Lease& lease) const
@@ -296,28 +289,28 @@
     return owner.bootId != lease.ownerBootId || isRevoked;
 }
 
-void QuotaLeases::updateOwnLease (TimePoint now, const TenantName& tenant)
+void QuotaLeases::updateOwnLease (TimePoint now, QuotaGroup group)
 {
-    const bool ownsIt = ownerOf (now, tenant) == ownName;
-    const auto found = leases.find (tenant);
-    const bool hasIt = found != leases.end() && found->second.owner == ownName;
-
-    if (ownsIt && ! hasIt && mayLease (now, tenant, ownName))
-        leases[tenant] = { ownName, ownBootId, now, std::nullopt };
-    else if (! ownsIt && hasIt)
-        leases.erase (found);
+    auto& lease = leases[group];
+    const bool isOwner = ownerOf (now, group) == ownName;
+    const bool hasLease = lease && lease->owner == ownName;
+
+    if (isOwner && ! hasLease && mayLease (now, group, ownName))
+        lease = { ownName, ownBootId, now, std::nullopt };
+    else if (! isOwner && hasLease)
+        lease.reset();
 }
 
 QuotaLeases::LeasesByOwner QuotaLeases::leasesToGive (TimePoint now) const
 {
     LeasesByOwner toGive;
 
-    for (const auto& [tenant, ranking] : rankings)
+    for (QuotaGroup group = 0; group < numQuotaGroups; ++group)
     {
-        const auto& owner = ownerOf (now, tenant);
+        const auto& owner = ownerOf (now, group);
 
-        if (owner != ownName && mayLease (now, tenant, owner))
-            toGive[owner].insert (tenant);
+        if (owner != ownName && mayLease (now, group, owner))
+            toGive[owner].set (group);
     }
 
     return toGive;
--- a/src/tenancy/tenancy_messages.hpp
+++ b/src/tenancy/tenancy_messages.hpp
@@ -12,7 +12,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "protocol/endpoint.hpp"
 #include "protocol/serialize_all.hpp"
@@ -129,13 +128,13 @@
     std::int64_t receivedNs = 0;
     std::uint32_t receivedLeaseMs = 0;
 
-    std::vector<std::string> tenants; /**< Tenants whose share is leased to the receiver. */
+    std::uint32_t groups = 0; /**< Bit n: the share of group n is leased to the receiver. */
 
     template <typename Archive>
     void serialize (Archive& archive, unsigned /*version*/)
     {
         serialize_all (archive, sender, bootId, sentNs, leaseMs, receivedBootId, receivedNs, receivedLeaseMs,
-                       tenants);
+                       groups);
     }
 };
 
