--- a/src/cli/planned_exit.hpp
+++ b/src/cli/planned_exit.hpp
@@ -1,5 +1,5 @@
 /// @file
-/// The part that both daemons' commands share: when a daemon stops.
+/// How the commands that run a daemon wait for its end.
 #pragma once
 
 namespace anisehold::net {
--- a/src/sidecar/quota_exchange.cpp
+++ b/src/sidecar/quota_exchange.cpp
@@ -157,20 +157,24 @@
         if (!account.round) {
             begin_round(tenant, account);
         }
-        if (const auto round = account.round) {
-            round->ended.wait_until(latest);
-            --account.waiting;
-            if (round->ended.is_set() && !round->found_owner) {
-                boost::this_fiber::sleep_for(kOwnerRetryPause);
-            }
-        } else {
-            --account.waiting;
-        }
+        wait_for_round(account.round, latest);
+        --account.waiting;
         now = TimePoint::clock::now();
     }
     return {};
 }
 
+void QuotaExchange::wait_for_round(std::shared_ptr<Round> round, TimePoint latest) {
+    if (!round) {
+        return;
+    }
+    round->ended.wait_until(latest);
+    if (round->ended.is_set() && !round->found_owner) {
+        const auto pause_ends = TimePoint::clock::now() + kOwnerRetryPause;
+        boost::this_fiber::sleep_until(on_steady_clock(std::min<TimePoint>(pause_ends, latest)));
+    }
+}
+
 void QuotaExchange::return_token(const TenantName& tenant) {
     const auto found = accounts_.find(tenant);
     if (found != accounts_.end()) {
--- a/src/sidecar/quota_exchange.hpp
+++ b/src/sidecar/quota_exchange.hpp
@@ -76,6 +76,8 @@
     };
 
     void begin_round(const tenancy::TenantTerms& tenant, Account& account);
+    /// Waits for the end of a round, if there is one, and a pause longer if it found no owner.
+    static void wait_for_round(std::shared_ptr<Round> round, TimePoint latest);
     /// Grants tokens to this daemon itself. Returns false if it isn't the owner, or has no share yet.
     bool take_own_grant(const tenancy::TenantName& tenant, Account& account);
     /// Requests tokens from the owner, and ends the round. Blocks its fiber.
@@ -91,8 +93,9 @@
     /// Fills all buckets even while there are no requests, since shares change meanwhile.
     void fill_buckets(TimePoint now);
 
+    /// Exchanges updates as long as the process runs.
     void exchange_leases();
-    /// Passes the current members and tenants on to the leases.
+    /// Tells the leases which members there are, and finds the tenants with a quota.
     void review_fleet(TimePoint now);
     /// Sends updates to all contacts if they are due, and otherwise only changes.
     void send_updates(TimePoint now);
