--- a/src/membership/peer_directory.cpp
+++ b/src/membership/peer_directory.cpp
@@ -272,8 +272,8 @@
         if (!is_member(now, peer)) {
             continue;
         }
-        members.push_back({name, peer.record.gossip, peer.last_seen, takes_requests(now, peer),
-                           peer.record.watches_store, is_in_local_zone(peer)});
+        members.push_back({name, peer.record.gossip, takes_requests(now, peer), peer.record.watches_store,
+                           is_in_local_zone(peer)});
     }
     return members;
 }
--- a/src/membership/peer_directory.hpp
+++ b/src/membership/peer_directory.hpp
@@ -66,7 +66,6 @@
 struct FleetMember {
     std::string name;
     Endpoint gossip;
-    TimePoint last_seen;
     bool takes_requests = false;  ///< The peer is reachable and not leaving.
     bool watches_store = false;
     bool local = false;  ///< The peer is in the local zone.
