--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -6,11 +6,11 @@
 #include <iostream>
 
 #include "cli/exit_status.hpp"
-#include "cli/planned_exit.hpp"
 #include "cli/settings_options.hpp"
 #include "cli/sidecar_command.hpp"
 #include "cli/status_commands.hpp"
 #include "cli/table_commands.hpp"
+#include "cli/wait_for_stop.hpp"
 #include "config/table.hpp"
 #include "daemon/daemon.hpp"
 #include "net/event_loop.hpp"
--- a/src/cli/sidecar_command.cpp
+++ b/src/cli/sidecar_command.cpp
@@ -4,8 +4,8 @@
 #include <iostream>
 
 #include "cli/exit_status.hpp"
-#include "cli/planned_exit.hpp"
 #include "cli/settings_options.hpp"
+#include "cli/wait_for_stop.hpp"
 #include "config/sidecar_settings.hpp"
 #include "net/event_loop.hpp"
 #include "net/stop_signals.hpp"
--- a/src/cli/wait_for_stop.cpp
+++ b/src/cli/wait_for_stop.cpp
@@ -2,7 +2,7 @@
 // <utility> comes first: Boost 1.74's Asio needs std::exchange under C++20.
 #include <cstring>
 
-#include "cli/planned_exit.hpp"
+#include "cli/wait_for_stop.hpp"
 #include "net/stop_signals.hpp"
 #include "observability/events.hpp"
 
