--- a/tests/process/endless_bytes_test.cpp
+++ b/tests/process/endless_bytes_test.cpp
@@ -182,6 +182,21 @@
 
 const std::string filler (blockBytes, 'x');
 
+/** Checks that a response which falls silent beyond the first blocks of its body is broken off. */
+void checkSilentBody (EndlessFleet& it)
+{
+    const auto announced = 4 * blockBytes;
+    it.respond (
+        "Content-Length: " + std::to_string (announced) + "\r\n\r\n" + repeat (filler, 2 * blockBytes), {});
+    const auto responses = it.send();
+    it.checkBrokenOff (responses);
+
+    for (const auto& response : responses)
+        CHECK (response.bytes_received < announced);
+
+    it.checkDaemons();
+}
+
 } // namespace
 
 TEST_CASE ("a response header without an end becomes a failure", "[endless-bytes]")
@@ -216,17 +231,7 @@
 TEST_CASE ("a response that falls silent in its body is broken off at the route's timeout", "[endless-bytes]")
 {
     EndlessFleet it (26'500);
-
-    const auto announced = 4 * blockBytes;
-    it.respond (
-        "Content-Length: " + std::to_string (announced) + "\r\n\r\n" + repeat (filler, 2 * blockBytes), {});
-    const auto responses = it.send();
-    it.checkBrokenOff (responses);
-
-    for (const auto& response : responses)
-        CHECK (response.bytes_received < announced);
-
-    it.checkDaemons();
+    checkSilentBody (it);
 }
 
 /** Guards against an exchange without an end: the server is on the machine that took the request, so that the
@@ -236,17 +241,7 @@
 {
     EndlessFleet it (27'800);
     it.entryMachine = kPayMachine;
-
-    const auto announced = 4 * blockBytes;
-    it.respond (
-        "Content-Length: " + std::to_string (announced) + "\r\n\r\n" + repeat (filler, 2 * blockBytes), {});
-    const auto responses = it.send();
-    it.checkBrokenOff (responses);
-
-    for (const auto& response : responses)
-        CHECK (response.bytes_received < announced);
-
-    it.checkDaemons();
+    checkSilentBody (it);
 }
 
 TEST_CASE ("chunk extensions and trailers of a response are limited in size", "[endless-bytes]")
