--- a/tests/unit/tenancy/quota_leases_test.cpp
+++ b/tests/unit/tenancy/quota_leases_test.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <cstdlib>
 #include <functional>
@@ -418,6 +419,30 @@
     CHECK (leases.shareOf (now, blue) == 1);
 }
 
+TEST_CASE ("a removed member changes the owner of its own groups only")
+{
+    const auto now = TimePoint (seconds (1'000));
+    std::set<std::string> others;
+
+    for (int i = 1; i < 71; ++i)
+        others.insert ("daemon-" + std::to_string (i));
+
+    QuotaLeases leases ("daemon-0", 1, now);
+    leases.setMembers (others);
+    std::vector<std::string> owners;
+
+    for (QuotaGroup group = 0; group < numQuotaGroups; ++group)
+        owners.push_back (leases.ownerOf (now, group));
+
+    const auto removed =
+        *std::find_if (owners.begin(), owners.end(), [] (const auto& name) { return name != "daemon-0"; });
+    others.erase (removed);
+    leases.setMembers (others);
+
+    for (QuotaGroup group = 0; group < numQuotaGroups; ++group)
+        CHECK ((leases.ownerOf (now, group) == owners[group]) == (owners[group] != removed));
+}
+
 TEST_CASE ("tenants are spread over all groups")
 {
     std::set<QuotaGroup> groups;
