--- a/tests/support/scripted_fleet.hpp
+++ b/tests/support/scripted_fleet.hpp
@@ -19,10 +19,10 @@
 
 struct ScriptedFleet {
     /// Starts both machines with `configuration`, and then the server that follows `script` in place of that
-    /// of "pay". `tolerated_zone_losses` is the setting of both machines.
+    /// of "pay". `tolerated_zone_losses` and `memory_megabytes` are settings of both machines.
     ScriptedFleet(std::uint16_t base_port, const std::string& configuration, Script script,
-                  unsigned tolerated_zone_losses = 0)
-        : fleet(base_port, plans(tolerated_zone_losses)),
+                  unsigned tolerated_zone_losses = 0, unsigned memory_megabytes = 0)
+        : fleet(base_port, plans(tolerated_zone_losses, memory_megabytes)),
           server(*new ScriptedServer(Fleet::loop().io())) {  // Its fibers outlive the test.
         auto started = soak::startMachineLinks(fleet, kPayMachine);
         REQUIRE(started);
@@ -33,11 +33,13 @@
         REQUIRE_FALSE(server.start(fleet.machine(kPayMachine).links.server_link));
     }
 
-    static std::vector<SidecarMachinePlan> plans(unsigned tolerated_zone_losses) {
+    static std::vector<SidecarMachinePlan> plans(unsigned tolerated_zone_losses, unsigned memory_megabytes) {
         SidecarMachinePlan front{"z1", "front", {}, 16, milliseconds(5)};
         SidecarMachinePlan pay{"z1", "pay", {}, 16, milliseconds(5), true};
         front.tolerated_zone_losses = tolerated_zone_losses;
         pay.tolerated_zone_losses = tolerated_zone_losses;
+        front.memory_megabytes = memory_megabytes;
+        pay.memory_megabytes = memory_megabytes;
         return {front, pay};
     }
 
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -1,9 +1,11 @@
 #include "tests/support/sidecar_fleet.hpp"
 
 #include <signal.h>
+#include <sys/resource.h>
 
 #include <boost/fiber/operations.hpp>
 #include <boost/process/args.hpp>
+#include <boost/process/extend.hpp>
 #include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
 #include <fstream>
@@ -28,6 +30,14 @@
     return {"127.0.0.1", port};
 }
 
+/// Limits the open descriptors of the calling process, unless `limit` is 0.
+void limit_descriptors(unsigned limit) {
+    const rlimit limits{limit, limit};
+    if (limit > 0) {
+        (void)setrlimit(RLIMIT_NOFILE, &limits);
+    }
+}
+
 }  // namespace
 
 std::string configuration_text(unsigned version, const std::vector<std::string>& safe_services,
@@ -83,6 +93,8 @@
         machine->linked = plan.linked;
         machine->heartbeat_interval = plan.heartbeat_interval;
         machine->tolerated_zone_losses = plan.tolerated_zone_losses;
+        machine->memory_megabytes = plan.memory_megabytes;
+        machine->descriptors = plan.descriptors;
         const auto at = [&](int offset) { return local(static_cast<std::uint16_t>(first_port + offset)); };
         machine->links = {at(7), at(8), at(6), at(9), at(1), at(10), at(4)};
         lab::PlatformServerOptions options;
@@ -137,6 +149,9 @@
     if (machine.tolerated_zone_losses > 0) {
         file << "[tolerate]\nzones = \"" << machine.tolerated_zone_losses << "\"\n";
     }
+    if (machine.memory_megabytes > 0) {
+        file << "[limits]\nmemory_mb = \"" << machine.memory_megabytes << "\"\n";
+    }
     if (const auto* without = std::getenv("ANISEHOLD_WITHOUT"); without != nullptr && *without != '\0') {
         file << "[lab]\nwithout = \"" << without << "\"\n";
     }
@@ -154,13 +169,15 @@
     namespace process = boost::process;
     keep_earlier_output(machine.log_file);
     keep_earlier_output(machine.log_file + ".err");
-    machine.child =
-        process::child(std::string(ANISEHOLD_BINARY_DIR) + "/anisehold",
-                       process::args(std::vector<std::string>{"sidecar", "--config", machine.settings_file}),
-                       process::std_out > machine.log_file, process::std_err > machine.log_file + ".err",
-                       // A socket of a test server that a child process inherits would stay open after the
-                       // test server ends.
-                       process::limit_handles);
+    machine.child = process::child(
+        std::string(ANISEHOLD_BINARY_DIR) + "/anisehold",
+        process::args(std::vector<std::string>{"sidecar", "--config", machine.settings_file}),
+        process::std_out > machine.log_file, process::std_err > machine.log_file + ".err",
+        process::extend::on_exec_setup =
+            [limit = machine.descriptors](auto& /*executor*/) { limit_descriptors(limit); },
+        // A socket of a test server that a child process inherits would stay open after the
+        // test server ends.
+        process::limit_handles);
 }
 
 void SidecarFleet::configure(const std::string& configuration) {
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -38,6 +38,8 @@
     milliseconds heartbeat_interval{200};
     milliseconds key_revocation{3'000};
     unsigned tolerated_zone_losses = 0;
+    unsigned memory_megabytes = 0;
+    unsigned descriptors = 0;
     MachineLinks links;
     Endpoint calls;
     Endpoint readiness;
@@ -59,6 +61,8 @@
     milliseconds heartbeat_interval{200};
     bool keeps_instance = false;         ///< The server keeps its id when it restarts after a crash.
     unsigned tolerated_zone_losses = 0;  ///< Setting `tolerate.zones`.
+    unsigned memory_megabytes = 0;       ///< Setting `limits.memory_mb`, unless 0.
+    unsigned descriptors = 0;            ///< Limit of the sidecar's open descriptors, unless 0.
 };
 
 /// The response that a client received.
