A request body that its sender breaks off counts against no server

Callers saw: after a client had closed its connection in the middle of a long body, requests of other clients got 503 no-backend until the next record of the peer; five such uploads a second refused all of them.

Cause: the exchange returned one error for a broken server and for a broken source of the body. The hop marked the peer unreachable, the gate recorded a failure and looked for a crash, serve counted one for ejection.

Change: ExchangeProgress::request_cut, set where the body's source fails, and asked before anybody judges the server.

Server selection and serve: by reading, no test.

--- a/src/daemon/gate_service.cpp
+++ b/src/daemon/gate_service.cpp
@@ -176,7 +176,7 @@
     const auto now = TimePoint::clock::now();
     if (!response) {
         auto result = failure_result(progress, call, *admission);
-        const bool was_attempted = progress.request_started || !progress.connected;
+        const bool was_attempted = !progress.request_cut && (progress.request_started || !progress.connected);
         if (result.error != ErrorKind::kCancelled && was_attempted) {
             registry_.on_outcome(now, server, routing::ServerOutcome::kFailure);
             if (registry_.is_ejected(now, server)) {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -82,11 +82,13 @@
     return message;
 }
 
-std::error_code send_request(HttpConnection& connection, HttpRequest& request, const Endpoint& server) {
+std::error_code send_request(HttpConnection& connection, HttpRequest& request, const Endpoint& server,
+                             ExchangeProgress& progress) {
     auto message = request_head(request, server);
     boost::system::error_code io_error;
     std::error_code source_error;
     write_message(connection.stream, message, request.body, Duration::zero(), io_error, source_error);
+    progress.request_cut = static_cast<bool>(source_error);
     return source_error ? source_error : std::error_code(io_error);
 }
 
@@ -213,7 +215,7 @@
     lease->stream.writes_expire_at(options.deadline);
 
     progress.request_started = true;
-    auto failure = send_request(*lease, request, pool_->server());
+    auto failure = send_request(*lease, request, pool_->server(), progress);
     HttpResponse response;
     std::unique_ptr<ResponseParser> parser;
     if (!failure) {
--- a/src/net/http_client.hpp
+++ b/src/net/http_client.hpp
@@ -45,6 +45,7 @@
 struct ExchangeProgress {
     bool connected = false;
     bool request_started = false;  ///< At least one byte may have been sent.
+    bool request_cut = false;      ///< The request's body ended early at its source, not at the server.
     bool connection_reused = false;
     bool answer_started = false;   ///< A header of the response, interim or final, has arrived.
     Duration idle_for{};           ///< Idle time of the connection before this exchange, if it was reused.
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -302,9 +302,11 @@
     if (result.server_leaves) {
         context_.notices.on_leaving(now, attempt.server.server);
     }
-    chooser_.on_ended(
-        now, attempt.server.server.instance,
-        {attempt.cancel.cancelled(), is_server_failure(attempt.answer), now - attempt.started, slow_after});
+    // The time that a sender took until it broke off its body is not the server's.
+    const bool is_cut = attempt.progress.request_cut;
+    chooser_.on_ended(now, attempt.server.server.instance,
+                      {attempt.cancel.cancelled() || is_cut, is_server_failure(attempt.answer),
+                       is_cut ? Duration::zero() : now - attempt.started, slow_after});
     record_declined(attempt, now);
     attempt_set->changed.notify();
 }
--- a/src/sidecar/gate_server.hpp
+++ b/src/sidecar/gate_server.hpp
@@ -41,6 +41,9 @@
     bool orders_by_root = false;  ///< Whether the request waits in the order of its root.
 
     bool is_cancelled() const { return cancel != nullptr && cancel->cancelled(); }
+    /// Whether the caller left or broke off the request's body, so that the end says nothing about the
+    /// server.
+    bool is_abandoned() const { return is_cancelled() || progress.request_cut; }
 };
 
 /// A request that waits for a slot.
--- a/src/sidecar/hop_client.cpp
+++ b/src/sidecar/hop_client.cpp
@@ -71,7 +71,7 @@
     auto response = client->exchange(request, options, progress, error);
     if (!response) {
         const bool gave_up = cancel != nullptr && cancel->cancelled();
-        if (!gave_up && error != std::errc::timed_out) {
+        if (!gave_up && !progress.request_cut && error != std::errc::timed_out) {
             directory_.on_unreachable(server.peer, server.boot_id);
         }
         if (!progress.request_started) {
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -358,7 +358,8 @@
 void LocalGate::finish(GateServer& server, const GateRun& run, TimePoint started, const GateAnswer& answer) {
     const auto now = TimePoint::clock::now();
     // A server whose calls were declined fails through no fault of its own.
-    if (!is_failed_answer(answer) || !context_.overload.has_declined_calls(started)) {
+    const bool has_declined_calls = is_failed_answer(answer) && context_.overload.has_declined_calls(started);
+    if (!has_declined_calls && !run.progress.request_cut) {
         record_end(server, started, now, answer, run.is_cancelled());
     }
     const auto limit_before = server.gate.load().limit;
--- a/src/sidecar/server_exchange.cpp
+++ b/src/sidecar/server_exchange.cpp
@@ -44,13 +44,13 @@
     auto response = server.client.exchange(request, options, run.progress, error);
     const auto now = TimePoint::clock::now();
     const auto& progress = run.progress;
-    const bool cancelled = run.is_cancelled();
+    const bool is_abandoned = run.is_abandoned();
     if (progress.connected) {
         connection::recordConnected(server.backoff);
-    } else if (!cancelled && error != std::errc::too_many_files_open) {
+    } else if (!is_abandoned && error != std::errc::too_many_files_open) {
         connection::recordConnectFailure(server.backoff, now);
     }
-    if (!response && !cancelled && progress.connection_reused && !progress.answer_started &&
+    if (!response && !is_abandoned && progress.connection_reused && !progress.answer_started &&
         now - sent < kImmediateLossTime) {
         connection::recordLostConnection(server.idle_limit, now, progress.idle_for);
         log_event(Event::kConnectionForgotten,
@@ -123,7 +123,7 @@
         return {make_failure(HopOutcome::kNotSent, ErrorKind::kConnectFailed)};
     }
     return {make_failure(HopOutcome::kUnknown, ErrorKind::kBackendFailed),
-            !run.is_cancelled() && error != std::errc::timed_out};
+            !run.is_abandoned() && error != std::errc::timed_out};
 }
 
 }  // namespace anisehold::sidecar
