Names in a Connection field are parsed once for a header

Callers saw: no answers while 100 connections sent heads whose Connection field names 4,000 fields.

Cause: each of a header's fields was looked up by parsing the whole value again, 3.6 million names for a header of 16 KiB.

Change: the names are sorted once, each field is searched among them.

--- a/src/net/beast_support.hpp
+++ b/src/net/beast_support.hpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/operations.hpp>
+#include <vector>
 
 #include "net/http_types.hpp"
 #include "net/timed_stream.hpp"
@@ -35,13 +36,28 @@
                        [&](const char* known) { return beast::iequals(known, name); });
 }
 
+/// Returns the sorted names of the fields that a `Connection` field declares as those of the connection.
+inline std::vector<beast::string_view> nominated_names(beast::string_view connection) {
+    std::vector<beast::string_view> names;
+    for (const auto& token : http::token_list(connection)) {
+        names.push_back(token);
+    }
+    std::sort(names.begin(), names.end(), beast::iless());
+    names.erase(std::unique(names.begin(), names.end(), beast::iequal()), names.end());
+    return names;
+}
+
 /// Copies the end-to-end header fields from Beast's container.
 template <typename Fields>
 HeaderFields copy_end_to_end_fields(const Fields& source) {
     HeaderFields fields;
-    http::token_list nominated(source[http::field::connection]);
+    // Searched once for each field: a header may have thousands of fields, and name as many.
+    const auto nominated = nominated_names(source[http::field::connection]);
+    const auto is_nominated = [&](beast::string_view name) {
+        return std::binary_search(nominated.begin(), nominated.end(), name, beast::iless());
+    };
     for (const auto& field : source) {
-        if (!is_hop_by_hop(field.name_string()) && !nominated.exists(field.name_string())) {
+        if (!is_hop_by_hop(field.name_string()) && !is_nominated(field.name_string())) {
             fields.add(std::string(field.name_string()), std::string(field.value()));
         }
     }
