A header takes as much memory as it has bytes

Callers saw: a process that ran out of memory under clients whose headers are inside the limits, and consist of fields of four bytes.

Cause: each field became a node of Beast's container, then two strings of ours, and so again for each attempt and for sending: 200 to 350 bytes for four.

Change: HeaderFields keeps the lines as they are sent. MessageParser, on Beast's basic_parser, writes them there while it reads; messages are sent by appending the lines. Trailers are checked and dropped. A value that holds a line break can no longer add a field.

--- a/src/daemon/handles/claim_route.cpp
+++ b/src/daemon/handles/claim_route.cpp
@@ -29,7 +29,7 @@
     answer.status = response.status;
     answer.body = response.body.prefix;
     for (const auto& field : response.fields) {
-        answer.fields.push_back({field.name, field.value});
+        answer.fields.push_back({std::string(field.name), std::string(field.value)});
     }
     return answer;
 }
--- a/src/net/beast_support.hpp
+++ b/src/net/beast_support.hpp
@@ -10,9 +10,12 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <boost/fiber/operations.hpp>
+#include <charconv>
+#include <string>
 #include <vector>
 
 #include "net/http_types.hpp"
+#include "net/message_parser.hpp"
 #include "net/timed_stream.hpp"
 #include "protocol/time_types.hpp"
 
@@ -27,6 +30,10 @@
 /// Size of one chunk of a streamed body.
 inline constexpr std::size_t kStreamChunkBytes = 16 * 1024;
 
+inline beast::string_view to_beast(std::string_view text) {
+    return {text.data(), text.size()};
+}
+
 /// Whether a header field applies to a single connection and is never forwarded.
 inline bool is_hop_by_hop(beast::string_view name) {
     static constexpr std::array<const char*, 10> names{
@@ -36,29 +43,32 @@
                        [&](const char* known) { return beast::iequals(known, name); });
 }
 
-/// Returns the sorted names of the fields that a `Connection` field declares as those of the connection.
-inline std::vector<beast::string_view> nominated_names(beast::string_view connection) {
+/// Returns the sorted names of the fields that the `Connection` fields declare as those of the connection.
+inline std::vector<beast::string_view> nominated_names(const HeaderFields& fields) {
     std::vector<beast::string_view> names;
-    for (const auto& token : http::token_list(connection)) {
-        names.push_back(token);
+    for (const auto& field : fields) {
+        if (!beast::iequals(to_beast(field.name), "connection")) {
+            continue;
+        }
+        for (const auto& token : http::token_list(to_beast(field.value))) {
+            names.push_back(token);
+        }
     }
     std::sort(names.begin(), names.end(), beast::iless());
     names.erase(std::unique(names.begin(), names.end(), beast::iequal()), names.end());
     return names;
 }
 
-/// Copies the end-to-end header fields from Beast's container.
-template <typename Fields>
-HeaderFields copy_end_to_end_fields(const Fields& source) {
-    HeaderFields fields;
+/// Copies the end-to-end header fields.
+inline HeaderFields copy_end_to_end_fields(const HeaderFields& source) {
     // Searched once for each field: a header may have thousands of fields, and name as many.
-    const auto nominated = nominated_names(source[http::field::connection]);
-    const auto is_nominated = [&](beast::string_view name) {
-        return std::binary_search(nominated.begin(), nominated.end(), name, beast::iless());
-    };
+    const auto nominated = nominated_names(source);
+    HeaderFields fields;
     for (const auto& field : source) {
-        if (!is_hop_by_hop(field.name_string()) && !is_nominated(field.name_string())) {
-            fields.add(std::string(field.name_string()), std::string(field.value()));
+        const auto name = to_beast(field.name);
+        if (!is_hop_by_hop(name) &&
+            !std::binary_search(nominated.begin(), nominated.end(), name, beast::iless())) {
+            fields.add(field.name, field.value);
         }
     }
     return fields;
@@ -81,19 +91,17 @@
     return stream.complete_read([&](auto& ec) { http::read_header(stream.socket(), buffer, parser, ec); });
 }
 
-/// Reads body bytes into `data` through a parser over `buffer_body`. Returns the count; 0 without an error at
-/// the end of the message. A body that has bytes available at all times is checked against the deadline of
-/// the stream as well.
+/// Reads body bytes into `data`. Returns the count; 0 without an error at the end of the message. A body that
+/// has bytes available at all times is checked against the deadline of the stream as well.
 template <typename Parser>
 std::size_t read_body_bytes(TimedStream& stream, beast::flat_buffer& buffer, Parser& parser, char* data,
                             std::size_t size, boost::system::error_code& error) {
     std::size_t filled = 0;
     while (filled == 0 && !parser.is_done()) {
-        parser.get().body().data = data;
-        parser.get().body().size = size;
+        parser.set_body_buffer(data, size);
         const auto read_error =
             stream.complete_read([&](auto& ec) { http::read_some(stream.socket(), buffer, parser, ec); });
-        filled = size - parser.get().body().size;
+        filled = size - parser.body_space();
         const bool failed = read_error && read_error != http::error::need_buffer;
         if (failed) {
             error = read_error;
@@ -123,44 +131,67 @@
     }
 }
 
-/// Writes `message` with `body`. For streamed bodies `pause` bounds each wait; zero keeps the current
-/// deadline of the stream. On an error of the body's source, sets `source_error` and leaves the message
-/// incomplete.
-template <bool IsRequest>
-void write_message(TimedStream& stream, http::message<IsRequest, http::buffer_body>& message, Body& body,
-                   Duration pause, boost::system::error_code& error, std::error_code& source_error) {
-    if (body.rest && !body.length) {
-        message.chunked(true);
-    } else {
-        message.content_length(body.length.value_or(body.prefix.size()));
+/// Writes all bytes of a sequence of buffers.
+template <typename Buffers>
+boost::system::error_code write_buffers(TimedStream& stream, const Buffers& buffers) {
+    beast::buffers_suffix<Buffers> rest(buffers);
+    boost::system::error_code error;
+    while (!error && beast::buffer_bytes(rest) > 0) {
+        error = stream.complete_write([&](auto& ec) { rest.consume(stream.socket().write_some(rest, ec)); });
     }
-    // An empty buffer would be sent as the chunk that terminates the body.
-    message.body().data = body.prefix.empty() ? nullptr : body.prefix.data();
-    message.body().size = body.prefix.size();
-    message.body().more = !body.whole();
-    http::serializer<IsRequest, http::buffer_body> serializer(message);
-    const auto write_rest = [&] {
-        error = stream.complete_write([&](auto& ec) { http::write(stream.socket(), serializer, ec); });
-        if (error == http::error::need_buffer) {
-            error = {};
-        }
-    };
-    write_rest();
-    std::array<char, kStreamChunkBytes> chunk;
+    return error;
+}
+
+/// Size line of a chunk.
+inline std::string chunk_header(std::size_t size) {
+    std::array<char, 2 * sizeof(size)> digits;
+    constexpr int hexadecimal = 16;
+    const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), size, hexadecimal).ptr;
+    return std::string(digits.data(), end) + "\r\n";
+}
+
+/// Header field that states the length of a body, or that it is sent in chunks.
+inline std::string framing_field(const Body& body, bool chunked) {
+    return chunked ? "Transfer-Encoding: chunked\r\n"
+                   : "Content-Length: " + std::to_string(body.length.value_or(body.prefix.size())) + "\r\n";
+}
+
+/// Writes one part of a body, after the bytes of `head`. An empty part ends a chunked body.
+inline boost::system::error_code write_body_part(TimedStream& stream, std::string head, const char* data,
+                                                 std::size_t size, bool chunked) {
+    std::string_view tail;
+    if (chunked) {
+        head += chunk_header(size);
+        tail = "\r\n";
+    }
+    const std::array<boost::asio::const_buffer, 3> buffers{boost::asio::buffer(head),
+                                                           boost::asio::buffer(data, size),
+                                                           boost::asio::buffer(tail.data(), tail.size())};
+    return write_buffers(stream, buffers);
+}
+
+/// Writes a message whose start line and fields are `head`. For streamed bodies `pause` bounds each wait;
+/// zero keeps the current deadline of the stream. On an error of the body's source, sets `source_error` and
+/// leaves the message incomplete.
+inline void write_message(TimedStream& stream, std::string head, Body& body, Duration pause,
+                          boost::system::error_code& error, std::error_code& source_error) {
+    const bool chunked = body.rest && !body.length;
+    head += framing_field(body, chunked) + "\r\n";
+    // An empty part would end a chunked body.
+    const bool has_chunk = chunked && !body.prefix.empty();
+    error = write_body_part(stream, std::move(head), body.prefix.data(), body.prefix.size(), has_chunk);
+    std::array<char, kStreamChunkBytes> part;
     bool more = !body.whole();
     while (more && !error) {
-        const auto count = body.rest->read(chunk.data(), chunk.size(), source_error);
+        const auto count = body.rest->read(part.data(), part.size(), source_error);
         if (source_error) {
             return;
         }
         more = count > 0;
-        message.body().data = more ? chunk.data() : nullptr;
-        message.body().size = count;
-        message.body().more = more;
         if (pause != Duration::zero()) {
             stream.writes_expire_after(pause);
         }
-        write_rest();
+        error = write_body_part(stream, {}, part.data(), count, chunked);
         // Both sockets may stay ready for a long time, so other fibers get a turn.
         boost::this_fiber::yield();
     }
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -10,7 +10,7 @@
 namespace anisehold::net {
 namespace {
 
-using ResponseParser = http::response_parser<http::buffer_body>;
+using ResponseParser = MessageParser<false>;
 
 /// Fraction of the announced idle time after which a connection isn't reused: the server counts from an
 /// earlier moment, and the next request takes time to arrive.
@@ -19,10 +19,10 @@
 constexpr int kMaxInterimResponses = 16;
 
 /// Parses the server's idle timeout from `Keep-Alive: timeout=SECONDS`; returns the maximum if there is none.
-Duration announced_idle_time(beast::string_view keep_alive) {
-    constexpr beast::string_view name = "timeout=";
+Duration announced_idle_time(std::string_view keep_alive) {
+    constexpr std::string_view name = "timeout=";
     const auto at = keep_alive.find(name);
-    if (at == beast::string_view::npos) {
+    if (at == std::string_view::npos) {
         return Duration::max();
     }
     const auto text = keep_alive.substr(at + name.size());
@@ -68,26 +68,21 @@
     TimePoint deadline_;
 };
 
-http::request<http::buffer_body> request_head(const HttpRequest& request, const Endpoint& server) {
-    http::request<http::buffer_body> message;
-    message.version(kHttp11);
-    message.method_string(request.method);
-    message.target(request.target);
-    for (const auto& field : request.fields) {
-        message.insert(field.name, field.value);
+/// Start line and fields of a request.
+std::string request_head(const HttpRequest& request, const Endpoint& server) {
+    auto head = request.method + " " + request.target + " HTTP/1.1\r\n" + request.fields.lines();
+    if (!request.fields.find("Host")) {
+        head += "Host: " + server.text() + "\r\n";
     }
-    if (message.find(http::field::host) == message.end()) {
-        message.set(http::field::host, server.text());
-    }
-    return message;
+    return head;
 }
 
 std::error_code send_request(HttpConnection& connection, HttpRequest& request, const Endpoint& server,
                              ExchangeProgress& progress) {
-    auto message = request_head(request, server);
     boost::system::error_code io_error;
     std::error_code source_error;
-    write_message(connection.stream, message, request.body, Duration::zero(), io_error, source_error);
+    write_message(connection.stream, request_head(request, server), request.body, Duration::zero(), io_error,
+                  source_error);
     progress.request_cut = static_cast<bool>(source_error);
     return source_error ? source_error : std::error_code(io_error);
 }
@@ -115,7 +110,7 @@
         if (error) {
             return nullptr;
         }
-        switch (classify_status(parser->get().result_int())) {
+        switch (classify_status(parser->status())) {
             case ResponseKind::kFinal:
                 return parser;
             case ResponseKind::kInterim:
@@ -133,10 +128,10 @@
 std::error_code accept_header(HttpConnection& connection, const ResponseParser& parser,
                               const ExchangeOptions& options, ExchangeProgress& progress,
                               HttpResponse& response) {
-    response.status = parser.get().result_int();
-    response.fields = copy_end_to_end_fields(parser.get());
+    response.status = parser.status();
+    response.fields = copy_end_to_end_fields(parser.fields());
     response.connection_close = !parser.keep_alive();
-    connection.max_idle = announced_idle_time(parser.get()["Keep-Alive"]);
+    connection.max_idle = announced_idle_time(parser.fields().find("Keep-Alive").value_or(""));
     const auto& expected = options.expected_echo;
     if (expected && response.fields.find(expected->name) != expected->value) {
         const auto echo = response.fields.find(expected->name);
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -18,11 +18,18 @@
 constexpr milliseconds kLingerTime{5'000};
 /// Maximum requests of one connection that are handled concurrently.
 constexpr std::size_t kMaxPipelinedRequests = 8;
+constexpr unsigned kContinue = 100;
 
 const boost::system::error_category& parse_category() {
     return make_error_code(http::error::bad_method).category();
 }
 
+std::string status_line(unsigned status, unsigned version) {
+    const auto reason = http::obsolete_reason(http::int_to_status(status));
+    return (version == kHttp11 ? "HTTP/1.1 " : "HTTP/1.0 ") + std::to_string(status) + " " +
+           std::string(reason) + "\r\n";
+}
+
 /// Returns the rejection for a failed read of a request, if a response is due.
 std::optional<ErrorKind> rejection_for(const boost::system::error_code& error, bool anything_received) {
     if (error == http::error::header_limit) {
@@ -110,7 +117,7 @@
         return false;
     }
     exchange->keep_alive = parser.keep_alive();
-    exchange->version = parser.get().version();
+    exchange->version = parser.version();
     const bool whole = parser.is_done();
     auto& body = exchange->request.body;
     if (whole) {
@@ -143,16 +150,16 @@
     if (error) {
         return error;
     }
-    request.method = std::string(parser.get().method_string());
-    request.target = std::string(parser.get().target());
-    request.fields = copy_end_to_end_fields(parser.get());
+    request.method = parser.method();
+    request.target = parser.target();
+    request.fields = copy_end_to_end_fields(parser.fields());
     if (parser.content_length()) {
         request.body.length = *parser.content_length();
     }
     stream_.reads_expire_after(limits.body_timeout_ms);
-    if (beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-        http::response<http::empty_body> continue_response(http::status::continue_, parser.get().version());
-        stream_.complete_write([&](auto& ec) { http::write(stream_.socket(), continue_response, ec); });
+    if (beast::iequals(to_beast(parser.fields().find("Expect").value_or("")), "100-continue")) {
+        const auto interim = status_line(kContinue, parser.version()) + "\r\n";
+        write_buffers(stream_, boost::asio::buffer(interim));
     }
     read_body_prefix(stream_, buffer_, parser, request.body.prefix, kBufferedBodyBytes, error);
     return error;
@@ -243,18 +250,15 @@
 }
 
 bool HttpServerConnection::write_response(HttpResponse& response, unsigned version, bool keep_alive) {
-    http::response<http::buffer_body> message;
-    message.version(static_cast<int>(version));
-    message.result(response.status);
-    for (const auto& field : response.fields) {
-        message.insert(field.name, field.value);
+    auto head = status_line(response.status, version) + response.fields.lines();
+    if (keep_alive != (version == kHttp11)) {
+        head += keep_alive ? "Connection: keep-alive\r\n" : "Connection: close\r\n";
     }
-    message.keep_alive(keep_alive);
     boost::system::error_code error;
     std::error_code source_error;
     const auto max_pause = server_->limits.body_timeout_ms;
     stream_.writes_expire_after(max_pause);
-    write_message(stream_, message, response.body, max_pause, error, source_error);
+    write_message(stream_, std::move(head), response.body, max_pause, error, source_error);
     return !error && !source_error;
 }
 
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -38,7 +38,7 @@
     void reset();
 
   private:
-    using RequestParser = http::request_parser<http::buffer_body>;
+    using RequestParser = MessageParser<true>;
 
     struct PendingExchange;
     class RequestBodyReader;
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -5,12 +5,12 @@
 
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <system_error>
-#include <vector>
 
 namespace anisehold::net {
 
@@ -20,21 +20,53 @@
     std::string value;
 };
 
-/// Header fields in order; names are compared case-insensitively.
+/// A field of a `HeaderFields`; valid until that is changed.
+struct HeaderFieldView {
+    std::string_view name;
+    std::string_view value;
+};
+
+/// Header fields in order; names are compared case-insensitively. The fields are stored as the lines that are
+/// sent, because a sender may split a header into thousands of fields of a few bytes.
 class HeaderFields {
   public:
-    /// Returns the value of the first field with this name.
+    class Iterator {
+      public:
+        using iterator_category = std::input_iterator_tag;
+        using value_type = HeaderFieldView;
+        using difference_type = std::ptrdiff_t;
+        using pointer = const HeaderFieldView*;
+        using reference = const HeaderFieldView&;
+
+        /// `lines`: the field, and those behind it.
+        explicit Iterator(std::string_view lines) : lines_(lines) { parse(); }
+        reference operator*() const { return field_; }
+        pointer operator->() const { return &field_; }
+        Iterator& operator++();
+        bool operator==(const Iterator& other) const { return lines_.size() == other.lines_.size(); }
+
+      private:
+        void parse();
+
+        std::string_view lines_;
+        HeaderFieldView field_;
+    };
+
+    /// Returns the value of the first field with this name; valid until the fields are changed.
     std::optional<std::string_view> find(std::string_view name) const;
     /// Replaces all fields with this name by one.
-    void set(std::string_view name, std::string value);
-    void add(std::string name, std::string value) { fields_.push_back({std::move(name), std::move(value)}); }
+    void set(std::string_view name, std::string_view value);
+    /// Adds a field. Line breaks in the value become blanks.
+    void add(std::string_view name, std::string_view value);
     void remove(std::string_view name);
 
-    auto begin() const { return fields_.begin(); }
-    auto end() const { return fields_.end(); }
+    Iterator begin() const { return Iterator(lines_); }
+    Iterator end() const { return Iterator({}); }
+    /// The lines of all fields, each with its line break.
+    const std::string& lines() const { return lines_; }
 
   private:
-    std::vector<HeaderField> fields_;
+    std::string lines_;
 };
 
 /// Reads the part of a body that wasn't buffered.
--- a/tests/unit/wire/platform_calls_test.cpp
+++ b/tests/unit/wire/platform_calls_test.cpp
@@ -18,7 +18,7 @@
 std::string text_of(const net::HeaderFields& fields) {
     std::string text;
     for (const auto& field : fields) {
-        text += "  " + field.name + ": " + field.value + "\n";
+        text += "  " + std::string(field.name) + ": " + std::string(field.value) + "\n";
     }
     return text;
 }
--- a/tests/unit/wire/platform_daemon_problem_test.cpp
+++ b/tests/unit/wire/platform_daemon_problem_test.cpp
@@ -40,8 +40,8 @@
 std::string text_of(const net::HttpResponse& response) {
     std::string text = "  " + std::to_string(response.status) + "\n";
     for (const auto& field : response.fields) {
-        text += "  " + field.name;
-        text += ": " + field.value + "\n";
+        text += "  " + std::string(field.name);
+        text += ": " + std::string(field.value) + "\n";
     }
     return text + "  " + with_masked_pause(response.body.prefix) + "\n";
 }
--- a/tests/unit/wire/platform_problem_test.cpp
+++ b/tests/unit/wire/platform_problem_test.cpp
@@ -75,7 +75,7 @@
 std::string text_of(const net::HttpResponse& response) {
     std::string text = "  " + std::to_string(response.status) + "\n";
     for (const auto& field : response.fields) {
-        text += "  " + field.name + ": " + field.value + "\n";
+        text += "  " + std::string(field.name) + ": " + std::string(field.value) + "\n";
     }
     return text + "  " + response.body.prefix + "\n";
 }
