Listeners leave a quarter of the descriptors to the process itself

Callers saw: no answers while idle clients, or clients with half a header, held all descriptors; the daemon itself had none for peers, its server and the store.

Cause: 4,096 connections a listener where a machine has 4,100 descriptors, and a full listener closed each new connection while idle ones stayed.

Change: a listener's connections are a part of the process's descriptors (the system's limit, or limits.descriptors if that is lower): 3/8 for callers, 1/4 for peers, 1/24 for each of the others; at most half for the callers of serve. The longest waiting connection is closed for a new one.

--- a/src/config/sidecar_settings.cpp
+++ b/src/config/sidecar_settings.cpp
@@ -158,6 +158,7 @@
     }
     reader.whole_number("tolerate.zones", settings.tolerated_zone_losses);
     reader.whole_number("limits.memory_mb", settings.memory_mb, kMinMemoryMb);
+    reader.whole_number("limits.descriptors", settings.descriptors);
     reader.mechanisms_without("lab.without", settings.mechanisms);
     if (settings.tolerated_zone_losses == 0) {
         settings.mechanisms.disable_shortage_mechanisms();
--- a/src/config/sidecar_settings.hpp
+++ b/src/config/sidecar_settings.hpp
@@ -45,6 +45,8 @@
     unsigned tolerated_zone_losses = 0;
     /// Memory that the process may use, in MiB. Bounds what is kept for callers.
     unsigned memory_mb = 256;
+    /// Descriptors that the process may open; 0 for as many as the system allows it.
+    unsigned descriptors = 0;
     /// The mechanisms that the deployment calls for, except those that the lab switches off.
     MechanismSet mechanisms;
 };
--- a/src/daemon/http_limits.cpp
+++ b/src/daemon/http_limits.cpp
@@ -1,10 +1,16 @@
 #include "daemon/http_limits.hpp"
 
+#include <algorithm>
+
+#include "net/descriptor_limit.hpp"
+
 namespace anisehold::daemon {
 namespace {
 
 /// Maximum body size of a request to the admin port: an edited table and its base version, as CSV.
 constexpr std::uint64_t kMaxAdminBodyBytes = 4 * 1024 * 1024;
+/// Part of the process's descriptors for the connections of callers.
+constexpr net::DescriptorPart kCallerDescriptors{1, 2};
 
 }  // namespace
 
@@ -14,7 +20,8 @@
     limits.body_bytes = static_cast<std::uint64_t>(settings.limits_body_bytes);
     limits.header_timeout_ms = milliseconds(settings.limits_header_timeout_ms);
     limits.body_timeout_ms = milliseconds(settings.limits_body_timeout_ms);
-    limits.connections = static_cast<std::size_t>(settings.limits_connections);
+    limits.connections = std::min(static_cast<std::size_t>(settings.limits_connections),
+                                  kCallerDescriptors.of(net::descriptor_limit()));
     return limits;
 }
 
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -39,6 +39,9 @@
         const auto result =
             await_io([&](auto handler) { acceptor.async_accept(socket, std::move(handler)); });
         if (result.error) {
+            if (result.error == boost::asio::error::no_descriptors) {
+                shared->give_up(connection::giveUpLongestWaiting(shared->budget));
+            }
             boost::this_fiber::sleep_for(kAcceptPause);
             continue;
         }
--- a/src/sidecar/connection_limits.hpp
+++ b/src/sidecar/connection_limits.hpp
@@ -3,7 +3,10 @@
 /// listeners.
 #pragma once
 
+#include <algorithm>
+
 #include "config/sidecar_settings.hpp"
+#include "net/descriptor_limit.hpp"
 #include "net/http_client.hpp"
 #include "net/http_server.hpp"
 #include "protocol/time_types.hpp"
@@ -45,17 +48,39 @@
 inline constexpr std::size_t kCallMemoryDivisor = 4;
 inline constexpr std::size_t kHopMemoryDivisor = 4;
 inline constexpr std::size_t kAdminMemoryDivisor = 32;
+/// Parts of the process's descriptors for the connections of each of these. The rest, a quarter, is for its
+/// connections to peers, its server and the store, and for files.
+inline constexpr net::DescriptorPart kCallDescriptors{3, 8};
+inline constexpr net::DescriptorPart kHopDescriptors{1, 4};
+inline constexpr net::DescriptorPart kAdminDescriptors{1, 24};
+
+/// Parts of the process's memory and descriptors.
+struct ResourceParts {
+    std::size_t memory_divisor;
+    net::DescriptorPart descriptors;
+};
 
-inline std::size_t memory_part(const config::SidecarSettings& settings, std::size_t divisor) {
+inline constexpr ResourceParts kCallParts{kCallMemoryDivisor, kCallDescriptors};
+inline constexpr ResourceParts kHopParts{kHopMemoryDivisor, kHopDescriptors};
+inline constexpr ResourceParts kAdminParts{kAdminMemoryDivisor, kAdminDescriptors};
+
+/// Limits of a listener by the resources that its connections may use together.
+inline net::HttpServerLimits limits_by_resources(const config::SidecarSettings& settings,
+                                                 const ResourceParts& parts) {
     constexpr std::size_t bytes_per_mb = 1024UL * 1024UL;
-    return settings.memory_mb * bytes_per_mb / divisor;
+    const auto allowed = net::descriptor_limit();
+    const auto descriptors =
+        settings.descriptors > 0 ? std::min<std::size_t>(settings.descriptors, allowed) : allowed;
+    net::HttpServerLimits limits;
+    limits.held_bytes = settings.memory_mb * bytes_per_mb / parts.memory_divisor;
+    limits.connections = std::min(limits.connections, parts.descriptors.of(descriptors));
+    return limits;
 }
 
 /// Connections from this machine's clients and server, within the limits of the configuration.
 inline net::HttpServerLimits call_server_limits(const config::SidecarSettings& settings,
                                                 const routing::ClientBounds& bounds) {
-    net::HttpServerLimits limits;
-    limits.held_bytes = memory_part(settings, kCallMemoryDivisor);
+    auto limits = limits_by_resources(settings, kCallParts);
     limits.header_bytes = bounds.header_bytes;
     limits.body_bytes = bounds.body_bytes;
     limits.header_timeout_ms = bounds.header_timeout;
@@ -64,12 +89,11 @@
     return limits;
 }
 
-/// Connections from peers, the local server, operators and the platform, which may hold this part of the
-/// process's memory. The idle timeout is longer than the reuse time in `peer_pool_limits`.
+/// Connections from peers, the local server, operators and the platform, which may use these parts of the
+/// process's resources. The idle timeout is longer than the reuse time in `peer_pool_limits`.
 inline net::HttpServerLimits internal_server_limits(const config::SidecarSettings& settings,
-                                                    std::size_t memory_divisor) {
-    net::HttpServerLimits limits;
-    limits.held_bytes = memory_part(settings, memory_divisor);
+                                                    const ResourceParts& parts) {
+    auto limits = limits_by_resources(settings, parts);
     limits.header_bytes = 64 * 1024;
     limits.idle_timeout_ms = milliseconds(120'000);
     limits.body_timeout_ms = kBodyTimeout;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -39,15 +39,15 @@
                 handlers([this](net::HttpRequest& request, net::CancelSignal& cancel) {
                     return ingress.handle(request, cancel);
                 })),
-          hops(loop.io(), internal_server_limits(context.settings, kHopMemoryDivisor),
+          hops(loop.io(), internal_server_limits(context.settings, kHopParts),
                handlers([this](net::HttpRequest& request, net::CancelSignal& cancel) {
                    return endpoints.handle_hop(request, cancel);
                })),
-          control(loop.io(), internal_server_limits(context.settings, kAdminMemoryDivisor),
+          control(loop.io(), internal_server_limits(context.settings, kAdminParts),
                   endpoint_handlers(&Endpoints::handle_registration)),
-          readiness(loop.io(), internal_server_limits(context.settings, kAdminMemoryDivisor),
+          readiness(loop.io(), internal_server_limits(context.settings, kAdminParts),
                     endpoint_handlers(&Endpoints::handle_readiness)),
-          metrics(loop.io(), internal_server_limits(context.settings, kAdminMemoryDivisor),
+          metrics(loop.io(), internal_server_limits(context.settings, kAdminParts),
                   endpoint_handlers(&Endpoints::handle_admin)),
           settings_watch(context, ingress, std::move(settings_file)) {}
 
--- a/tests/unit/config/sidecar_settings_test.cpp
+++ b/tests/unit/config/sidecar_settings_test.cpp
@@ -86,6 +86,14 @@
     CHECK(wrong.errors.front().text() == "f.toml limits.memory_mb: isn't a whole number from 32");
 }
 
+TEST_CASE("the descriptors are those that the system allows unless they are set") {
+    CHECK(load_sidecar_settings("f.toml", kGood).settings.descriptors == 0);
+    CHECK(
+        load_sidecar_settings("f.toml", kGood + "[limits]\ndescriptors = \"4100\"\n").settings.descriptors ==
+        4100);
+    CHECK(load_sidecar_settings("f.toml", kGood + "[limits]\ndescriptors = \"x\"\n").errors.size() == 1);
+}
+
 TEST_CASE("the mechanisms for a shortage are on only where the loss of a zone must be borne") {
     const auto without_zones = load_sidecar_settings("f.toml", kGood);
     CHECK_FALSE(without_zones.settings.mechanisms.has(Mechanism::kSlotReservation));
--- a/tests/unit/wire/settings_golden_test.cpp
+++ b/tests/unit/wire/settings_golden_test.cpp
@@ -91,7 +91,7 @@
          << "\nrepeat window: " << settings.retry_window.count()
          << " ms\nkey revocation: " << settings.key_revocation.count()
          << " ms\ntolerated zone losses: " << settings.tolerated_zone_losses
-         << "\nmemory: " << settings.memory_mb << " MiB"
+         << "\nmemory: " << settings.memory_mb << " MiB\ndescriptors: " << settings.descriptors
          << "\nlog level: " << SidecarSettings::kLogLevel << "\nwithout:" << text_of(settings.mechanisms)
          << "\n"
          << text_of(result.errors);
@@ -129,6 +129,7 @@
         {"bounds.strictRevocation", "true"},
         {"faultTolerance.zones", "1"},
         {"limits.memoryMb", "260"},
+        {"limits.fileDescriptors", "4100"},
     };
     return fields;
 }
