The receive buffers of accepted connections have a fixed size

Callers saw: nothing yet; a process would be ended by its platform, which counts bytes that have arrived as its memory.

Cause: a connection is not read while enough of its requests are open, and the kernel's buffer grows to megabytes meanwhile.

Change: listeners ask for 32 KiB. New case crowd-unread-bytes, 400 clients.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -83,6 +83,13 @@
 std::error_code HttpServer::start(const Endpoint& endpoint) {
     const auto error = listen_on(state_->acceptor, endpoint);
     if (!error) {
+        // Accepted connections inherit the size.
+        const auto receive_buffer_bytes = state_->shared->limits.receive_buffer_bytes;
+        boost::system::error_code ignored;
+        if (receive_buffer_bytes > 0) {
+            state_->acceptor.set_option(boost::asio::socket_base::receive_buffer_size(receive_buffer_bytes),
+                                        ignored);
+        }
         EventLoop::spawn([state = state_] { state->accept_connections(); });
         EventLoop::spawn([state = state_] { state->close_expired_connections(); });
     }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -33,6 +33,9 @@
     /// Maximum memory for the requests and responses of all connections together, as estimated. Connections
     /// without a request in progress are closed to stay below it; then requests are rejected.
     std::size_t held_bytes = 64UL * 1024 * 1024;
+    /// Buffer for the bytes of a connection that have arrived and aren't read yet, as requested from the
+    /// system; 0 leaves its size to the system, which lets it grow to megabytes. Applies from the start.
+    int receive_buffer_bytes = 32 * 1024;
 };
 
 /// Callbacks that handle requests.
--- a/tests/process/client_crowd_test.cpp
+++ b/tests/process/client_crowd_test.cpp
@@ -332,6 +332,14 @@
     it.checkDaemons();
 }
 
+TEST_CASE ("many clients that send requests without waiting for responses", "[crowd-unread-bytes]")
+{
+    CrowdedFleet it (28'880);
+    const auto request = requestLine ("GET", "/pay/work-300") + "\r\n";
+    it.send ({ .connections = 400, .repeated = repeat (request, blockBytes) });
+    it.checkDaemons();
+}
+
 TEST_CASE ("clients that don't read their responses", "[crowd-unread-responses]")
 {
     constexpr std::size_t responseBytes = 256 * 1024;
