Chunks that have arrived are parsed together

Callers saw: slow answers while clients sent bodies in chunks of one byte.

Cause: a chunk was one step of the parser, one turn of the event loop and one write to the next hop.

Change: parse_buffered goes on until the body's buffer is full or more bytes are needed.

Processor time was not measured.

--- a/src/net/beast_support.hpp
+++ b/src/net/beast_support.hpp
@@ -103,6 +103,19 @@
     return read_header(stream, buffer, parser, [] { return true; });
 }
 
+/// Parses bytes that have been read already until the parser needs more of them, or its body buffer is full.
+/// A sender may split a body into chunks of one byte: these would otherwise be passed on one by one. Returns
+/// an error of the message.
+template <typename Parser>
+boost::system::error_code parse_buffered(beast::flat_buffer& buffer, Parser& parser) {
+    boost::system::error_code error;
+    while (!error && !parser.is_done() && buffer.size() > 0 && parser.body_space() > 0) {
+        buffer.consume(parser.put(buffer.data(), error));
+    }
+    const bool is_incomplete = error == http::error::need_more || error == http::error::need_buffer;
+    return is_incomplete ? boost::system::error_code() : error;
+}
+
 /// Reads body bytes into `data`. Returns the count; 0 without an error at the end of the message. A body that
 /// has bytes available at all times is checked against the deadline of the stream as well.
 template <typename Parser>
@@ -111,12 +124,15 @@
     std::size_t filled = 0;
     while (filled == 0 && !parser.is_done()) {
         parser.set_body_buffer(data, size);
-        const auto read_error =
-            stream.complete_read([&](auto& ec) { http::read_some(stream.socket(), buffer, parser, ec); });
+        error = stream.complete_read([&](auto& ec) { http::read_some(stream.socket(), buffer, parser, ec); });
+        if (!error) {
+            error = parse_buffered(buffer, parser);
+        }
         filled = size - parser.body_space();
-        const bool failed = read_error && read_error != http::error::need_buffer;
-        if (failed) {
-            error = read_error;
+        if (error == http::error::need_buffer) {
+            error = {};
+        }
+        if (error) {
             return filled;
         }
         if (!parser.is_done() && stream.reads_expired()) {
--- a/tests/unit/net/header_fields_test.cpp
+++ b/tests/unit/net/message_test.cpp
@@ -1,3 +1,5 @@
+#include "net/beast_support.hpp"
+// Beast comes first, see there.
 #include <catch2/catch.hpp>
 #include <string>
 #include <utility>
@@ -98,6 +100,31 @@
     CHECK(parser.fields().lines().capacity() < 4 * header.size());
 }
 
+TEST_CASE("chunks that have arrived are parsed together") {
+    constexpr std::size_t num_chunks = 1'000;
+    std::string message = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto header_size = message.size();
+    for (std::size_t n = 0; n < num_chunks; ++n) {
+        message += "1\r\nx\r\n";
+    }
+    beast::flat_buffer buffer;
+    buffer.commit(boost::asio::buffer_copy(buffer.prepare(message.size()), boost::asio::buffer(message)));
+    MessageParser<true> parser;
+    boost::system::error_code error;
+    buffer.consume(parser.put(buffer.data(), error));
+    REQUIRE(buffer.size() == message.size() - header_size);
+
+    std::string body(num_chunks / 2, ' ');
+    parser.set_body_buffer(body.data(), body.size());
+    CHECK_FALSE(parse_buffered(buffer, parser));
+    CHECK(body == std::string(num_chunks / 2, 'x'));
+    body.assign(num_chunks, ' ');
+    parser.set_body_buffer(body.data(), body.size());
+    CHECK_FALSE(parse_buffered(buffer, parser));
+    CHECK(parser.body_space() == num_chunks / 2);
+    CHECK_FALSE(parser.is_done());
+}
+
 TEST_CASE("trailers are checked, and are no header fields") {
     MessageParser<true> parser;
     std::string body(8, ' ');
