An exchange's deadline ends the wait for the request's body

Callers saw: 503 while clients that had fallen silent in their uploads were connected, long after these clients' own deadlines.

Cause: an exchange waits for its server until the deadline, and for the source of the body as long as 60 s after each byte; the server's slot is held meanwhile.

Change: BodyReader::expire_at, called with the exchange's deadline.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -209,6 +209,10 @@
     lease->stream.reads_expire_at(options.deadline);
     lease->stream.writes_expire_at(options.deadline);
 
+    if (request.body.rest) {
+        // A sender that falls silent, or sends a byte now and then, would hold the server's slot.
+        request.body.rest->expire_at(options.deadline);
+    }
     progress.request_started = true;
     auto failure = send_request(*lease, request, pool_->server(), progress);
     HttpResponse response;
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -85,18 +85,21 @@
         : stream_(stream), buffer_(buffer), parser_(parser), pause_(pause) {}
 
     std::size_t read(char* data, std::size_t size, std::error_code& error) override {
-        stream_.reads_expire_after(pause_);
+        stream_.reads_expire_at(std::min(deadline_, TimePoint::clock::now() + pause_));
         boost::system::error_code read_error;
         const auto count = read_body_bytes(stream_, buffer_, parser_, data, size, read_error);
         error = read_error;
         return count;
     }
 
+    void expire_at(TimePoint deadline) override { deadline_ = deadline; }
+
   private:
     TimedStream& stream_;
     beast::flat_buffer& buffer_;
     RequestParser& parser_;
     Duration pause_;
+    TimePoint deadline_ = TimePoint::max();
 };
 
 void HttpServerShared::give_up(const std::vector<connection::ConnectionId>& ids) {
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -12,6 +12,8 @@
 #include <string_view>
 #include <system_error>
 
+#include "protocol/time_types.hpp"
+
 namespace anisehold::net {
 
 /// One header field.
@@ -76,6 +78,9 @@
     /// Reads up to `size` bytes. Returns 0 without an error at the end of the body; an error means that the
     /// body was truncated.
     virtual std::size_t read(char* data, std::size_t size, std::error_code& error) = 0;
+    /// Makes reads fail from `deadline` on, however little time the sender pauses. Has no effect on a reader
+    /// that has a deadline already.
+    virtual void expire_at(TimePoint /*deadline*/) {}
 };
 
 /// Whether this status reports a server error (RFC 9110, 15.6).
--- a/tests/process/client_crowd_test.cpp
+++ b/tests/process/client_crowd_test.cpp
@@ -159,7 +159,7 @@
     {
     }
 
-    /** Sends a crowd to an address, and calls `beside` once while it is there. */
+    /** Sends a crowd to an address, and calls `beside` once after half of its time, or when it has left. */
     template <typename Beside>
     CrowdResult send (const Endpoint& to, const CrowdPlan& plan, Beside beside)
     {
@@ -179,6 +179,9 @@
             }
         }
 
+        if (! isBeside)
+            beside();
+
         sample();
         const auto result = crowd.get();
         CHECK (result.opened > 0);
@@ -356,6 +359,47 @@
     it.checkDaemons();
 }
 
+TEST_CASE ("an ordinary request beside clients that don't read their responses", "[crowd-stalled]")
+{
+    constexpr std::size_t responseBytes = 4 * 1024 * 1024;
+    const Script script = [] (const std::string& id, unsigned)
+    {
+        const auto size = id == "crowd" ? responseBytes : 2;
+        return Reaction{ true, "HTTP/1.1 200 OK\r\nServer-Signature: s\r\nRequest-Id: " + id +
+                                   "\r\nContent-Length: " + std::to_string (size) + "\r\n\r\n" +
+                                   std::string (size, 'x') };
+    };
+    ScriptedFleet scripted (28'920, safeRoutes(), script, 0, machineMegabytes);
+    WatchedFleet it (scripted.fleet);
+    const auto request = requestLine ("GET", "/pay/x") + "\r\n";
+    unsigned status = 0;
+    it.send (it.fleet.machine (frontMachine).calls,
+             { .connections = 200,
+               .bytes = pipelined (request),
+               .reads = false,
+               .rounds = 1,
+               .duration = milliseconds (30'000) },
+             [&] { status = it.sendOrdinary(); });
+    CHECK (status == statusOk);
+    it.checkDaemons();
+}
+
+TEST_CASE ("an ordinary request beside clients that fall silent in their uploads", "[crowd-slow-uploads]")
+{
+    CrowdedFleet it (28'960);
+    const auto head = "POST /pay/x HTTP/1.1\r\nHost: pay.example\r\nRequest-Id: crowd\r\n"
+                      "Deadline-Milliseconds: 1000\r\nContent-Length: 200000\r\n\r\n";
+    unsigned status = 0;
+    it.send (it.machine (frontMachine).calls,
+             { .connections = 100,
+               .bytes = head + std::string (100'000, 'x'),
+               .rounds = 1,
+               .duration = milliseconds (10'000) },
+             [&] { status = it.sendOrdinary(); });
+    CHECK (status == statusOk);
+    it.checkDaemons();
+}
+
 TEST_CASE ("clients of the ports for peers, the server, and operators", "[crowd-ports]")
 {
     CrowdedFleet it (28'440);
