A response is written only while its receiver needs it

Callers saw: no connection while 200 clients that read nothing held what the daemon may keep.

Cause: an unread response was in progress until its receiver had paused for 60 s, long after the request's deadline.

Change: HttpResponse::needed_until, the caller's deadline, bounds writing; a receiver that reads nothing for 10 s is given up. A response has a second in any case.

--- a/src/net/beast_support.hpp
+++ b/src/net/beast_support.hpp
@@ -198,11 +198,19 @@
     return write_buffers(stream, buffers);
 }
 
-/// Writes a message whose start line and fields are `head`. For streamed bodies `pause` bounds each wait;
-/// zero keeps the current deadline of the stream. On an error of the body's source, sets `source_error` and
-/// leaves the message incomplete.
-inline void write_message(TimedStream& stream, std::string head, Body& body, Duration pause,
+/// Limits of writing a message.
+struct WriteLimits {
+    Duration max_pause = Duration::max();  ///< Maximum wait for the receiver.
+    TimePoint end = TimePoint::max();      ///< End of writing, even if the receiver never pauses.
+
+    TimePoint next_deadline(TimePoint now) const { return max_pause < end - now ? now + max_pause : end; }
+};
+
+/// Writes a message whose start line and fields are `head`. On an error of the body's source, sets
+/// `source_error` and leaves the message incomplete.
+inline void write_message(TimedStream& stream, std::string head, Body& body, const WriteLimits& limits,
                           boost::system::error_code& error, std::error_code& source_error) {
+    stream.writes_expire_at(limits.next_deadline(TimePoint::clock::now()));
     const bool chunked = body.rest && !body.length;
     head += framing_field(body, chunked) + "\r\n";
     // An empty part would end a chunked body.
@@ -216,9 +224,7 @@
             return;
         }
         more = count > 0;
-        if (pause != Duration::zero()) {
-            stream.writes_expire_after(pause);
-        }
+        stream.writes_expire_at(limits.next_deadline(TimePoint::clock::now()));
         error = write_body_part(stream, {}, part.data(), count, chunked);
         // Both sockets may stay ready for a long time, so other fibers get a turn.
         boost::this_fiber::yield();
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -78,11 +78,11 @@
 }
 
 std::error_code send_request(HttpConnection& connection, HttpRequest& request, const Endpoint& server,
-                             ExchangeProgress& progress) {
+                             TimePoint deadline, ExchangeProgress& progress) {
     boost::system::error_code io_error;
     std::error_code source_error;
-    write_message(connection.stream, request_head(request, server), request.body, Duration::zero(), io_error,
-                  source_error);
+    write_message(connection.stream, request_head(request, server), request.body,
+                  {.max_pause = Duration::max(), .end = deadline}, io_error, source_error);
     progress.request_cut = static_cast<bool>(source_error);
     return source_error ? source_error : std::error_code(io_error);
 }
@@ -207,14 +207,13 @@
     }
     CancelSubscription subscription(options.cancel, [&stream = lease->stream] { stream.abort(); });
     lease->stream.reads_expire_at(options.deadline);
-    lease->stream.writes_expire_at(options.deadline);
 
     if (request.body.rest) {
         // A sender that falls silent, or sends a byte now and then, would hold the server's slot.
         request.body.rest->expire_at(options.deadline);
     }
     progress.request_started = true;
-    auto failure = send_request(*lease, request, pool_->server(), progress);
+    auto failure = send_request(*lease, request, pool_->server(), options.deadline, progress);
     HttpResponse response;
     std::unique_ptr<ResponseParser> parser;
     if (!failure) {
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -19,6 +19,10 @@
 /// Maximum requests of one connection that are handled concurrently.
 constexpr std::size_t kMaxPipelinedRequests = 8;
 constexpr unsigned kContinue = 100;
+/// Minimum time for writing a response, which may be ready shortly before its receiver needs it.
+constexpr milliseconds kMinWriteTime{1'000};
+/// Maximum pause of a receiver that doesn't read its response.
+constexpr milliseconds kMaxWritePause{10'000};
 /// Memory that the open requests of one connection may take before the next one is read. The usual requests
 /// of a connection stay below it.
 constexpr std::size_t kMaxReadAheadBytes = 512 * 1024;
@@ -336,9 +340,10 @@
     }
     boost::system::error_code error;
     std::error_code source_error;
-    const auto max_pause = server_->limits.body_timeout_ms;
-    stream_.writes_expire_after(max_pause);
-    write_message(stream_, std::move(head), response.body, max_pause, error, source_error);
+    const auto earliest_end = TimePoint::clock::now() + kMinWriteTime;
+    const WriteLimits limits{std::min<Duration>(server_->limits.body_timeout_ms, kMaxWritePause),
+                             std::max(response.needed_until, earliest_end)};
+    write_message(stream_, std::move(head), response.body, limits, error, source_error);
     return !error && !source_error;
 }
 
--- a/src/net/http_types.hpp
+++ b/src/net/http_types.hpp
@@ -113,6 +113,8 @@
     HeaderFields fields;
     Body body;
     bool connection_close = false;  ///< The sender closes the connection after this response.
+    /// Time until which the receiver waits for the whole response; it isn't written for much longer.
+    TimePoint needed_until = TimePoint::max();
 };
 
 /// Creates a response with a small body.
--- a/src/net/timed_stream.hpp
+++ b/src/net/timed_stream.hpp
@@ -31,7 +31,6 @@
     /// Whether the deadline of reads has passed. Reads that needn't wait succeed even then.
     bool reads_expired() const { return TimePoint::clock::now() >= read_deadline_; }
     void writes_expire_at(TimePoint deadline) { write_deadline_ = deadline; }
-    void writes_expire_after(Duration time) { write_deadline_ = TimePoint::clock::now() + time; }
 
     /// Ends the current waits.
     void cancel() {
--- a/src/sidecar/call_ingress.cpp
+++ b/src/sidecar/call_ingress.cpp
@@ -53,6 +53,14 @@
 
 net::HttpResponse CallIngress::handle(net::HttpRequest& request, net::CancelSignal& cancel) {
     IncomingCall call;
+    auto response = respond(call, request, cancel);
+    // A caller that names no deadline waits for the route's timeout.
+    response.needed_until = call.received + call.stated_time_left.value_or(call.terms.timeout);
+    return response;
+}
+
+net::HttpResponse CallIngress::respond(IncomingCall& call, net::HttpRequest& request,
+                                       net::CancelSignal& cancel) {
     if (const auto failure = prepare(request, call)) {
         return fail(call, *failure, false);
     }
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -62,6 +62,7 @@
     void apply_settings() { attempts_.apply_settings(); }
 
   private:
+    net::HttpResponse respond(IncomingCall& call, net::HttpRequest& request, net::CancelSignal& cancel);
     /// The share with which the requests of a group of callers are refused.
     struct CallerRefusal {
         double share = 0;
--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -51,10 +51,12 @@
         return answer_reservation(*call, cancel);
     }
     request.fields.remove(hop::kRequestHeader);
+    const auto needed_until = TimePoint::clock::now() + call->remaining;
     net::ExchangeProgress progress;
     auto answer = parts_.gate.run(std::move(request), *call, &cancel, progress);
     auto response = answer.response ? std::move(*answer.response) : text_response(kUnavailable, "");
     response.fields.set(hop::kResultHeader, encode(answer.result));
+    response.needed_until = needed_until;
     return response;
 }
 
