--- a/src/daemon/http_limits.cpp
+++ b/src/daemon/http_limits.cpp
@@ -9,8 +9,8 @@
 
 /// Maximum body size of a request to the admin port: an edited table and its base version, as CSV.
 constexpr std::uint64_t kMaxAdminBodyBytes = 4 * 1024 * 1024;
-/// Part of the process's descriptors for the connections of callers.
-constexpr net::DescriptorPart kCallerDescriptors{1, 2};
+/// The process's descriptors divided by this number may be connections of callers.
+constexpr std::size_t kCallerDescriptorDivisor = 2;
 
 }  // namespace
 
@@ -21,7 +21,7 @@
     limits.header_timeout_ms = milliseconds(settings.limits_header_timeout_ms);
     limits.body_timeout_ms = milliseconds(settings.limits_body_timeout_ms);
     limits.connections = std::min(static_cast<std::size_t>(settings.limits_connections),
-                                  kCallerDescriptors.of(net::descriptor_limit()));
+                                  net::descriptor_limit() / kCallerDescriptorDivisor);
     return limits;
 }
 
--- a/src/net/descriptor_limit.cpp
+++ b/src/net/descriptor_limit.cpp
@@ -2,7 +2,6 @@
 
 #include <sys/resource.h>
 
-#include <algorithm>
 #include <limits>
 
 namespace anisehold::net {
@@ -13,8 +12,4 @@
     return is_known ? static_cast<std::size_t>(limits.rlim_cur) : std::numeric_limits<int>::max();
 }
 
-std::size_t DescriptorPart::of(std::size_t total) const {
-    return std::max<std::size_t>(1, total * numerator / denominator);
-}
-
 }  // namespace anisehold::net
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "net/http_client.hpp"
+#include "net/message_writer.hpp"
 #include "net/response_kind.hpp"
 #include "protocol/error_kind.hpp"
 
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -6,6 +6,7 @@
 
 #include "net/event_loop.hpp"
 #include "net/fiber_event.hpp"
+#include "net/message_writer.hpp"
 
 namespace anisehold::net {
 namespace {
@@ -122,9 +123,7 @@
     while (reading) {
         reading = wait_for_request() && read_request();
     }
-    if (!stream_.is_aborted()) {
-        discard_until_closed();
-    }
+    discard_until_closed();
     wait_until_written(last_);
     close_sending();
 }
@@ -304,7 +303,7 @@
     std::array<char, kStreamChunkBytes> scratch;
     std::uint64_t discarded = 0;
     auto linger_end = TimePoint::max();
-    while (!peer_disconnected_ && discarded <= server_->limits.body_bytes) {
+    while (!peer_disconnected_ && !stream_.is_aborted() && discarded <= server_->limits.body_bytes) {
         const bool lingering = answers_closed_ || open_exchanges_.empty();
         if (lingering) {
             close_sending();
--- a/src/sidecar/connection_limits.hpp
+++ b/src/sidecar/connection_limits.hpp
@@ -43,26 +43,26 @@
     return limits;
 }
 
-/// Part of the process's memory that the connections of each of these may hold. The rest is for the process
-/// itself, for connections to servers, and for what the estimates leave out.
-inline constexpr std::size_t kCallMemoryDivisor = 4;
-inline constexpr std::size_t kHopMemoryDivisor = 4;
-inline constexpr std::size_t kAdminMemoryDivisor = 32;
-/// Parts of the process's descriptors for the connections of each of these. The rest, a quarter, is for its
-/// connections to peers, its server and the store, and for files.
-inline constexpr net::DescriptorPart kCallDescriptors{3, 8};
-inline constexpr net::DescriptorPart kHopDescriptors{1, 4};
-inline constexpr net::DescriptorPart kAdminDescriptors{1, 24};
+/// A part of a whole.
+struct Fraction {
+    std::size_t numerator;
+    std::size_t denominator;
 
-/// Parts of the process's memory and descriptors.
+    std::size_t of(std::size_t whole) const { return whole * numerator / denominator; }
+};
+
+/// Parts of the process's resources that the connections of one listener may use together.
 struct ResourceParts {
-    std::size_t memory_divisor;
-    net::DescriptorPart descriptors;
+    Fraction memory;
+    Fraction descriptors;
 };
 
-inline constexpr ResourceParts kCallParts{kCallMemoryDivisor, kCallDescriptors};
-inline constexpr ResourceParts kHopParts{kHopMemoryDivisor, kHopDescriptors};
-inline constexpr ResourceParts kAdminParts{kAdminMemoryDivisor, kAdminDescriptors};
+// What is left of the memory is for the process itself, for connections to servers, and for what the
+// estimates leave out; what is left of the descriptors is for connections to peers, the server and the store,
+// and for files.
+inline constexpr ResourceParts kCallParts{{1, 4}, {3, 8}};
+inline constexpr ResourceParts kHopParts{{1, 4}, {1, 4}};
+inline constexpr ResourceParts kAdminParts{{1, 32}, {1, 24}};
 
 /// Limits of a listener by the resources that its connections may use together.
 inline net::HttpServerLimits limits_by_resources(const config::SidecarSettings& settings,
@@ -72,7 +72,7 @@
     const auto descriptors =
         settings.descriptors > 0 ? std::min<std::size_t>(settings.descriptors, allowed) : allowed;
     net::HttpServerLimits limits;
-    limits.held_bytes = settings.memory_mb * bytes_per_mb / parts.memory_divisor;
+    limits.held_bytes = parts.memory.of(settings.memory_mb * bytes_per_mb);
     limits.connections = std::min(limits.connections, parts.descriptors.of(descriptors));
     return limits;
 }
