A hop that its listener rejects tells that it was not sent

By reading: 502 for orders that a gate's daemon had no room to read, which had not run and could go elsewhere.

Cause: hops were rejected as clients are, without a result, which the caller's daemon takes for an unknown outcome.

Change: Endpoints::reject_hop adds the result not-sent.

--- a/src/sidecar/endpoints.cpp
+++ b/src/sidecar/endpoints.cpp
@@ -60,6 +60,12 @@
     return response;
 }
 
+net::HttpResponse Endpoints::reject_hop(ErrorKind kind) {
+    auto response = parts_.ingress.reject(kind);
+    response.fields.set(hop::kResultHeader, encode(make_failure(hop::HopOutcome::kNotSent, kind).result));
+    return response;
+}
+
 net::HttpResponse Endpoints::answer_reservation(const hop::HopRequest& call, net::CancelSignal& cancel) {
     const auto answer = parts_.gate.reserve(call, &cancel);
     auto response = text_response(kOk, "");
--- a/src/sidecar/endpoints.hpp
+++ b/src/sidecar/endpoints.hpp
@@ -36,6 +36,8 @@
     /// Handles a request for the local server (hop/hop_header), or a peer's request for the configuration.
     /// Returns 400 for a malformed header field. Blocks the fiber.
     net::HttpResponse handle_hop(net::HttpRequest& request, net::CancelSignal& cancel);
+    /// Builds the response to a hop that the listener rejects: its request was not sent to the server.
+    net::HttpResponse reject_hop(ErrorKind kind);
     /// Handles a registration or a leave of the local server, and announces changes to peers. Returns 400 if
     /// the request is malformed.
     net::HttpResponse handle_registration(const net::HttpRequest& request);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -36,13 +36,13 @@
           ingress(context, configuration, directory, gate, proofs, quotas, crashes),
           endpoints({context, directory, configuration, crashes, gate, peers, ingress}),
           calls(loop.io(), call_server_limits(context.settings, {}),
-                handlers([this](net::HttpRequest& request, net::CancelSignal& cancel) {
-                    return ingress.handle(request, cancel);
-                })),
+                handlers([this](net::HttpRequest& request,
+                                net::CancelSignal& cancel) { return ingress.handle(request, cancel); },
+                         reject())),
           hops(loop.io(), internal_server_limits(context.settings, kHopParts),
-               handlers([this](net::HttpRequest& request, net::CancelSignal& cancel) {
-                   return endpoints.handle_hop(request, cancel);
-               })),
+               handlers([this](net::HttpRequest& request,
+                               net::CancelSignal& cancel) { return endpoints.handle_hop(request, cancel); },
+                        [this](ErrorKind kind) { return endpoints.reject_hop(kind); })),
           control(loop.io(), internal_server_limits(context.settings, kAdminParts),
                   endpoint_handlers(&Endpoints::handle_registration)),
           readiness(loop.io(), internal_server_limits(context.settings, kAdminParts),
@@ -51,17 +51,24 @@
                   endpoint_handlers(&Endpoints::handle_admin)),
           settings_watch(context, ingress, std::move(settings_file)) {}
 
-    net::HttpServerHandlers handlers(
-        std::function<net::HttpResponse(net::HttpRequest&, net::CancelSignal&)> handle) {
-        return {std::move(handle), [this](ErrorKind kind) { return ingress.reject(kind); },
+    using Handle = std::function<net::HttpResponse(net::HttpRequest&, net::CancelSignal&)>;
+    using Reject = std::function<net::HttpResponse(ErrorKind)>;
+
+    net::HttpServerHandlers handlers(Handle handle, Reject reject) {
+        return {std::move(handle), std::move(reject),
                 [this] { context.metrics.count_connection_given_up(); }};
     }
+    Reject reject() {
+        return [this](ErrorKind kind) { return ingress.reject(kind); };
+    }
     /// Handlers for requests that an endpoint answers at once.
     template <typename Endpoint>
     net::HttpServerHandlers endpoint_handlers(Endpoint endpoint) {
-        return handlers([this, endpoint](net::HttpRequest& request, net::CancelSignal& /*cancel*/) {
-            return (endpoints.*endpoint)(request);
-        });
+        return handlers(
+            [this, endpoint](net::HttpRequest& request, net::CancelSignal& /*cancel*/) {
+                return (endpoints.*endpoint)(request);
+            },
+            reject());
     }
     /// Handles a peer's message about crashes or tenants; returns false for any other message.
     bool receive_message(std::string_view bytes);
--- a/tests/process/evidence_test.cpp
+++ b/tests/process/evidence_test.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 
+#include "tests/support/raw_client.hpp"
 #include "tests/support/scripted_fleet.hpp"
 
 using namespace anisehold;
@@ -164,3 +165,15 @@
                                      : Reaction{ true, refusalOf (id) + successOf (id) };
                    });
 }
+
+TEST_CASE ("a hop that its listener rejects tells that it was not sent", "[evidence]")
+{
+    EvidenceFleet it (27'900);
+    const auto calls = it.fleet.machine (0).calls;
+    const Endpoint hops{ calls.ip, static_cast<std::uint16_t> (calls.port + 1) };
+    const auto response = exchange_raw (hops, { "NONSENSE\r\n\r\n" });
+    CAPTURE (response.beginning);
+    CHECK (response.begins_with ("HTTP/1.1 400 "));
+    CHECK (response.beginning.find ("Anisehold-Hop-Result: outcome=not-sent;error=bad-request") !=
+           std::string::npos);
+}
