The log tells what a program was built from and how a planned stop went

Cause: a cut request that is seen elsewhere can't be traced from the log. Neither the sources of the program are named, nor the first stop signal, nor which requests were in progress at the end of a stop, and where.

Measured: the new case of integration.planned-stops passes with the others.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -5,6 +5,7 @@
 #include <CLI/CLI.hpp>
 #include <iostream>
 
+#include "cli/build_info.hpp"
 #include "cli/exit_status.hpp"
 #include "cli/settings_options.hpp"
 #include "cli/sidecar_command.hpp"
@@ -26,14 +27,14 @@
         return kExitUsage;
     }
     observability::start_logging(settings.log_level, settings.log_layout, settings.daemon_id);
+    log_build_info();
     net::StopSignals signals(loop);
     daemon::Daemon daemon(loop, settings);
     if (!daemon.start()) {
         observability::stop_logging();
         return kExitFailure;
     }
-    wait_for_stop(signals);
-    daemon.stop();
+    daemon.stop(wait_for_stop(signals));
     observability::stop_logging();
     // Detached fibers still refer to the daemon, so the process ends without unwinding them.
     net::exit_process(kExitSuccess);
@@ -115,6 +116,7 @@
     CLI::App app{"Overload control for service call graphs"};
     Commands commands;
     commands.add_to(app);
+    app.set_version_flag("--version", text_of(build_info()));
     CLI11_PARSE(app, argc, argv);
     return commands.run();
 }
--- a/src/cli/sidecar_command.cpp
+++ b/src/cli/sidecar_command.cpp
@@ -3,6 +3,7 @@
 #include <boost/fiber/operations.hpp>
 #include <iostream>
 
+#include "cli/build_info.hpp"
 #include "cli/exit_status.hpp"
 #include "cli/settings_options.hpp"
 #include "cli/wait_for_stop.hpp"
@@ -34,13 +35,13 @@
     observability::start_logging(config::SidecarSettings::kLogLevel, "json", settings.name,
                                  observability::LogOutput::kStandardOutput);
     observability::set_log_scheduler(flush_log_later);
+    log_build_info();
     const platform::Dialect dialect;
     platform::StoreClient store(loop.io(), settings.store);
     sidecar::Sidecar sidecar(loop, dialect, store, settings, settings_file);
     const bool started = sidecar.start();
     if (started) {
-        wait_for_stop(signals);
-        sidecar.stop();
+        sidecar.stop(wait_for_stop(signals));
     }
     // The log has no writer thread here, so the buffered lines are written explicitly. The process then ends
     // without unwinding the fibers, which still refer to the sidecar, and without shutting down the logging
--- a/src/cli/wait_for_stop.cpp
+++ b/src/cli/wait_for_stop.cpp
@@ -8,8 +8,8 @@
 
 namespace anisehold::cli {
 
-void wait_for_stop(net::StopSignals& signals) {
-    signals.wait();
+std::string wait_for_stop(net::StopSignals& signals) {
+    const int first = signals.wait();
     net::EventLoop::spawn([&signals] {
         while (true) {
             const int number = signals.wait();
@@ -17,6 +17,7 @@
                                      {{"signal", ::strsignal(number)}});
         }
     });
+    return ::strsignal(first);
 }
 
 }  // namespace anisehold::cli
--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -140,15 +140,18 @@
     return true;
 }
 
-void Daemon::stop() {
-    log_event(Event::kStopping, {});
+void Daemon::stop(const std::string& reason) {
+    const auto began = TimePoint::clock::now();
+    log_event(Event::kStopping, {{"reason", reason}});
     parts_->admin.set_stopping();
     parts_->membership.announce_self(membership::MemberState::kLeaving);
     if (parts_->context.has(config::Mechanism::kGracefulDrain)) {
         parts_->drain();
     }
     parts_->membership.announce_self(membership::MemberState::kLeft);
-    log_event(Event::kStopped, {{"in_flight", std::to_string(parts_->server.requests_in_flight())}});
+    log_event(Event::kStopped,
+              {{"in_flight", std::to_string(parts_->server.requests_in_flight())},
+               {"taken_ms", std::to_string(to_milliseconds(TimePoint::clock::now() - began))}});
 }
 
 }  // namespace anisehold::daemon
--- a/src/daemon/daemon.hpp
+++ b/src/daemon/daemon.hpp
@@ -32,8 +32,8 @@
     /// an event.
     bool start();
     /// Performs a planned stop: announces the stop to peers, waits up to `daemon.stop_grace_ms` for calls in
-    /// flight, then returns. Blocks the fiber.
-    void stop();
+    /// flight, then returns. Blocks the fiber. `reason` is logged.
+    void stop(const std::string& reason);
 
   private:
     struct Parts;
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -27,6 +27,8 @@
     kSettingsRejected = 1006,
     kMachineSuspended = 1007,
     kStopSignalRepeated = 1008,
+    kBuild = 1009,
+    kRequestCut = 1010,
     kTableInForce = 1101,
     kTableRejected = 1102,
     kStoreUnreachable = 1103,
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -106,7 +106,7 @@
 }
 
 AttemptsResult CallAttempts::run(IncomingCall& call, net::HttpRequest& request, net::CancelSignal& cancel) {
-    RequestState state(terms_of(call, request, call.received));
+    RequestState state(call, terms_of(call, request, call.received));
     const bool is_root = context_.origins.is_called_by_clients(call.route);
     state.inherited_retry = is_root ? 0 : gate_.retry_share();
     if (!is_root) {
@@ -115,6 +115,13 @@
     budget_.on_request(call.received, call.service, state.inherited_retry);
     state.streamed = !request.body.whole();
     state.attempt_set->request = state.streamed ? std::move(request) : copy_of(request);
+    open_.insert(&state);
+    auto result = run_plan(call, state, cancel);
+    open_.erase(&state);
+    return result;
+}
+
+AttemptsResult CallAttempts::run_plan(IncomingCall& call, RequestState& state, net::CancelSignal& cancel) {
     const net::CancelSubscription subscription(
         &cancel, [attempt_set = state.attempt_set] { attempt_set->changed.notify(); });
     AttemptStep step = AttemptStep::kWait;
@@ -141,6 +148,23 @@
     return conclude(call, state, step);
 }
 
+bool CallAttempts::is_sent(const RequestState& state) {
+    const auto& attempts = state.attempt_set->attempts;
+    return std::any_of(attempts.begin(), attempts.end(),
+                       [](const auto& attempt) { return attempt->progress.request_started; });
+}
+
+OpenRequests CallAttempts::open_requests(TimePoint now) const {
+    OpenRequests found;
+    for (const auto* state : open_) {
+        const auto& attempts = state->attempt_set->attempts;
+        found.push_back({state->call.request_id, state->call.service,
+                         attempts.empty() ? "" : attempts.back()->server.server.instance,
+                         now - state->call.received, is_sent(*state)});
+    }
+    return found;
+}
+
 retry::AttemptTerms CallAttempts::terms_of(const IncomingCall& call, const net::HttpRequest& request,
                                            TimePoint now) const {
     retry::AttemptTerms terms;
--- a/src/sidecar/call_attempts.hpp
+++ b/src/sidecar/call_attempts.hpp
@@ -5,6 +5,7 @@
 
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,7 @@
 #include "sidecar/hop_client.hpp"
 #include "sidecar/incoming_call.hpp"
 #include "sidecar/local_gate.hpp"
+#include "sidecar/open_request.hpp"
 #include "sidecar/server_chooser.hpp"
 #include "sidecar/sidecar_context.hpp"
 
@@ -54,6 +56,8 @@
     AttemptsResult run(IncomingCall& call, net::HttpRequest& request, net::CancelSignal& cancel);
     /// Applies changed settings.
     void apply_settings();
+    /// The requests whose plan has not ended.
+    OpenRequests open_requests(TimePoint now) const;
 
   private:
     /// One attempt to run a request at one server.
@@ -76,12 +80,14 @@
     };
     /// State of one request while it has attempts.
     struct RequestState {
-        explicit RequestState(const retry::AttemptTerms& terms)
-            : plan(terms),
+        RequestState(const IncomingCall& incoming, const retry::AttemptTerms& terms)
+            : call(incoming),
+              plan(terms),
               may_retry(terms.may_retry),
               repeats_declined(terms.repeats_declined),
               slow_after(terms.hedge_after) {}
 
+        const IncomingCall& call;
         retry::AttemptPlan plan;
         bool may_retry;         ///< Whether the request may be sent again although it may have run.
         bool repeats_declined;  ///< Gates decide on retries, and declined attempts are repeated.
@@ -96,6 +102,9 @@
         bool streamed = false;  ///< The body is forwarded while it is read from the client's connection.
     };
 
+    /// Whether something of the request may have been sent to a server, or to its gate.
+    static bool is_sent(const RequestState& state);
+    AttemptsResult run_plan(IncomingCall& call, RequestState& state, net::CancelSignal& cancel);
     retry::AttemptTerms terms_of(const IncomingCall& call, const net::HttpRequest& request,
                                  TimePoint now) const;
     /// Chooses the server of the next attempt: one that has not been tried, or one that has declined the
@@ -145,6 +154,7 @@
     ServerChooser chooser_;
     retry::WindowBudget budget_;
     TimePoint started_;
+    std::set<const RequestState*> open_;  ///< Requests whose plan has not ended.
 };
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/local_gate.cpp
+++ b/src/sidecar/local_gate.cpp
@@ -111,7 +111,8 @@
     }
     run.id = next_id_++;
     run.orders_by_root = context_.has(Mechanism::kCallAttribution);
-    if (++in_flight_ == 1) {
+    in_flight_.insert(&run);
+    if (in_flight_.size() == 1) {
         context_.origins.on_server(arrived, true);
     }
     crashes_.on_reported_crashes(run.identity, call.crashes);
@@ -129,13 +130,23 @@
     answer.result.instance = call.instance;
     answer.result.crashes = crashes_.crashes_of(TimePoint::clock::now(), run.identity);
     fill_load(*server, answer.result);
-    if (--in_flight_ == 0) {
+    in_flight_.erase(&run);
+    if (in_flight_.empty()) {
         context_.origins.on_server(TimePoint::clock::now(), false);
     }
     log(run, answer, started - arrived);
     return answer;
 }
 
+OpenRequests LocalGate::open_requests(TimePoint now) const {
+    OpenRequests found;
+    for (const auto* run : in_flight_) {
+        found.push_back(
+            {run->request_id, "", run->call.instance, now - run->arrived, run->progress.request_started});
+    }
+    return found;
+}
+
 std::optional<SuspectQueue::Turn> LocalGate::wait_for_turn(GateServer& server, const GateRun& run) const {
     // A suspect has already run once, so it may wait longer for its turn than other requests wait for a slot.
     const auto latest = run.arrived + std::max(run.call.max_wait, run.call.remaining / 2);
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -27,6 +27,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "hop/hop_header.hpp"
@@ -35,6 +36,7 @@
 #include "sidecar/attempt_outcome.hpp"
 #include "sidecar/crash_exchange.hpp"
 #include "sidecar/gate_servers.hpp"
+#include "sidecar/open_request.hpp"
 #include "sidecar/server_exchange.hpp"
 #include "sidecar/sidecar_context.hpp"
 
@@ -68,7 +70,9 @@
     GateServers& servers() { return servers_; }
     const GateServers& servers() const { return servers_; }
     /// Number of requests waiting at the gate or running at the server.
-    std::size_t in_flight() const { return in_flight_; }
+    std::size_t in_flight() const { return in_flight_.size(); }
+    /// These requests.
+    OpenRequests open_requests(TimePoint now) const;
     /// Sets the known servers of a local server's service; see `retry::GateBudget::on_servers`.
     void on_service_servers(TimePoint now, const std::string& service, std::size_t servers,
                             std::uint64_t identity);
@@ -124,7 +128,7 @@
     GateServers servers_;
     std::function<void()> change_listener_ = [] {};
     std::uint64_t next_id_ = 1;
-    std::size_t in_flight_ = 0;
+    std::set<const GateRun*> in_flight_;
     std::map<std::string, retry::GateBudget> budgets_;  ///< By service.
     TimePoint started_ = TimePoint::clock::now();
     TimePoint next_decline_report_;
--- a/src/sidecar/planned_stop.cpp
+++ b/src/sidecar/planned_stop.cpp
@@ -25,6 +25,8 @@
 constexpr milliseconds kStopPoll{20};
 /// Part of the grace time reserved for the exit of the process.
 constexpr milliseconds kStopMargin{400};
+/// Maximum lines about requests that are cut, at each of the places where they are counted.
+constexpr std::size_t kMaxCutLines = 100;
 
 bool is_busy(const StopParts& parts) {
     return parts.calls.requests_in_flight() > 0 || parts.hops.requests_in_flight() > 0 ||
@@ -42,11 +44,41 @@
     }
 }
 
+void log_cut(std::string_view place, const OpenRequests& requests) {
+    std::size_t lines = 0;
+    for (const auto& it : requests) {
+        if (++lines > kMaxCutLines) {
+            return;
+        }
+        log_event(Event::kRequestCut, {{"place", std::string(place)},
+                                       {"request_id", it.id},
+                                       {"service", it.service},
+                                       {"server", it.server},
+                                       {"sent", it.is_sent ? "yes" : "no"},
+                                       {"elapsed_ms", std::to_string(to_milliseconds(it.elapsed))}});
+    }
+}
+
+/// Logs how the stop went. Requests of `in_flight` that have no `request-cut` line were being answered.
+void log_stopped(const StopParts& parts, TimePoint began) {
+    const auto now = TimePoint::clock::now();
+    log_cut("ingress", parts.ingress.attempts().open_requests(now));
+    log_cut("gate", parts.gate.open_requests(now));
+    log_event(Event::kStopped, {{"in_flight", std::to_string(parts.calls.requests_in_flight())},
+                                {"hops", std::to_string(parts.hops.requests_in_flight())},
+                                {"at_gate", std::to_string(parts.gate.in_flight())},
+                                {"taken_ms", std::to_string(to_milliseconds(now - began))}});
+}
+
 }  // namespace
 
-void run_planned_stop(const StopParts& parts) {
+void run_planned_stop(const StopParts& parts, const std::string& reason) {
     const auto grace = parts.context.settings.stop_grace;
-    log_event(Event::kStopping, {{"in_flight", std::to_string(parts.calls.requests_in_flight())}});
+    log_event(Event::kStopping, {{"reason", reason},
+                                 {"in_flight", std::to_string(parts.calls.requests_in_flight())},
+                                 {"hops", std::to_string(parts.hops.requests_in_flight())},
+                                 {"at_gate", std::to_string(parts.gate.in_flight())},
+                                 {"grace_ms", std::to_string(to_milliseconds(grace))}});
     const auto began = TimePoint::clock::now();
     const auto grace_ends = began + grace - kStopMargin;
     const auto leave_after = std::min<Duration>(kLeaveAfter, grace / 3);
@@ -67,7 +99,7 @@
     parts.hops.close_idle();
     wait_until_quiet(parts, grace_ends);
     boost::this_fiber::sleep_for(kStopPoll);
-    log_event(Event::kStopped, {{"in_flight", std::to_string(parts.calls.requests_in_flight())}});
+    log_stopped(parts, began);
 }
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/planned_stop.hpp
+++ b/src/sidecar/planned_stop.hpp
@@ -3,7 +3,10 @@
 /// nothing; updates `SidecarContext::stop`.
 #pragma once
 
+#include <string>
+
 #include "net/http_server.hpp"
+#include "sidecar/call_ingress.hpp"
 #include "sidecar/local_gate.hpp"
 #include "sidecar/peer_exchange.hpp"
 #include "sidecar/sidecar_context.hpp"
@@ -15,6 +18,7 @@
     SidecarContext& context;
     net::HttpServer& calls;
     net::HttpServer& hops;
+    const CallIngress& ingress;
     const LocalGate& gate;
     PeerExchange& peers;
 };
@@ -30,6 +34,8 @@
 ///
 /// From the first step on, `CallAttempts` and `LocalGate` refuse requests that can't be completed before the
 /// process ends (sidecar/completion_forecast).
-void run_planned_stop(const StopParts& parts);
+///
+/// The log names each request that is still in progress at the end. `reason` is logged.
+void run_planned_stop(const StopParts& parts, const std::string& reason);
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -159,8 +159,9 @@
            log_unless_bound(parts.readiness.start(settings.readiness), settings.readiness, "readiness");
 }
 
-void Sidecar::stop() {
-    run_planned_stop({parts_->context, parts_->calls, parts_->hops, parts_->gate, parts_->peers});
+void Sidecar::stop(const std::string& reason) {
+    run_planned_stop(
+        {parts_->context, parts_->calls, parts_->hops, parts_->ingress, parts_->gate, parts_->peers}, reason);
 }
 
 void Sidecar::on_configuration(const routing::Configuration& configuration, ConfigurationSource source) {
--- a/src/sidecar/sidecar.hpp
+++ b/src/sidecar/sidecar.hpp
@@ -33,8 +33,9 @@
 
     /// Binds all addresses and starts serving. Logs an error and returns false if an address can't be bound.
     bool start();
-    /// Performs the planned stop (planned_stop.hpp); returns within the grace time of the settings.
-    void stop();
+    /// Performs the planned stop (planned_stop.hpp); returns within the grace time of the settings. `reason`
+    /// is logged.
+    void stop(const std::string& reason);
 
   private:
     struct Parts;
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -5,6 +5,8 @@
 #include <csignal>
 #include <deque>
 #include <memory>
+#include <nlohmann/json.hpp>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -39,6 +41,8 @@
 constexpr milliseconds lastLate{ 2'900 };
 constexpr milliseconds lateInterval{ 55 };
 constexpr const char* lateWork = "/work-1200";
+/** Longer than the grace time. */
+constexpr const char* endlessWork = "/work-3900";
 
 /** A machine of "front", through which clients send, one of "quick" and two of "orders". */
 struct StoppingFleet
@@ -155,6 +159,23 @@
     int pending = 0;
 };
 
+/** Returns the log lines of one event, in order. */
+std::vector<nlohmann::json> linesOf (const std::string& log, const std::string& event)
+{
+    std::vector<nlohmann::json> found;
+    std::istringstream lines (log);
+
+    for (std::string line; std::getline (lines, line);)
+    {
+        auto parsed = nlohmann::json::parse (line);
+
+        if (parsed.at ("name") == event)
+            found.push_back (std::move (parsed));
+    }
+
+    return found;
+}
+
 } // namespace
 
 /** Guards against orders that are taken late in a planned stop, passed on to a server, and cut when the
@@ -248,3 +269,44 @@
     CHECK (it.checkAnswers ("long-", statusOk) == numLongRequests);
     CHECK (it.fleet.wait_for_exit (0, seconds (3)) == 0);
 }
+
+/** Guards against a stop whose course can't be told from the log: which signals came, what the program was
+    built from, and which requests were cut, at which server. */
+TEST_CASE ("the log of a planned stop names its signals and the requests that it cuts", "[planned-stops]")
+{
+    StoppingFleet it (31'400, quickWork);
+    it.addIdleClient();
+    REQUIRE (it.waitForAnswers());
+    it.sendOver (*it.clients[0], "endless-", endlessWork, milliseconds (0));
+    SidecarFleet::pause (milliseconds (50));
+    it.fleet.terminate (0);
+    SidecarFleet::pause (milliseconds (50));
+    it.fleet.signal (0, SIGINT);
+    REQUIRE (it.fleet.wait_for_exit (0, seconds (4)) == 0);
+    const auto log = it.fleet.log_of (0);
+
+    const auto builds = linesOf (log, "build");
+    REQUIRE (builds.size() == 1);
+    CHECK (builds[0].at ("sources").get<std::string>().size() == 12);
+
+    const auto stopping = linesOf (log, "stopping");
+    REQUIRE (stopping.size() == 1);
+    CHECK (stopping[0].at ("reason") == "Terminated");
+    CHECK (stopping[0].at ("in_flight") == "1");
+
+    const auto repeated = linesOf (log, "stop-signal-repeated");
+    REQUIRE (repeated.size() == 1);
+    CHECK (repeated[0].at ("signal") == "Interrupt");
+
+    const auto cut = linesOf (log, "request-cut");
+    REQUIRE (cut.size() == 1);
+    CHECK (cut[0].at ("request_id") == it.sent.back().id);
+    CHECK (cut[0].at ("place") == "ingress");
+    CHECK (cut[0].at ("service") == "orders");
+    CHECK (cut[0].at ("sent") == "yes");
+    const auto server = cut[0].at ("server").get<std::string>();
+    CHECK ((server.rfind ("i-2", 0) == 0 || server.rfind ("i-3", 0) == 0));
+
+    REQUIRE (linesOf (log, "stopped").size() == 1);
+    REQUIRE (it.waitForAnswers());
+}
