A stopping sidecar begins no request after its last look

Callers saw: a request whose last byte arrived 150 to 180 ms after the last one was answered, late in a planned stop, was passed on to a server, and its connection closed without an answer, seconds before the end of the grace time.

Cause: after the last check for requests in progress the stop slept for another 20 ms, in which other fibers began requests.

Change: no other fiber runs between that check and the exit.

--- a/src/sidecar/planned_stop.cpp
+++ b/src/sidecar/planned_stop.cpp
@@ -33,7 +33,8 @@
            parts.gate.in_flight() > 0;
 }
 
-/// Waits until no request has been in flight for `kQuietTime`, or until `latest`.
+/// Waits until no request has been in flight for `kQuietTime`, or until `latest`. No other fiber runs between
+/// the last check and the return.
 void wait_until_quiet(const StopParts& parts, TimePoint latest) {
     auto quiet_since = TimePoint::clock::now();
     auto now = quiet_since;
@@ -98,7 +99,7 @@
     parts.calls.close_idle();
     parts.hops.close_idle();
     wait_until_quiet(parts, grace_ends);
-    boost::this_fiber::sleep_for(kStopPoll);
+    // No other fiber runs from here to the exit: it could begin a request, which the exit would cut.
     log_stopped(parts, began);
 }
 
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "net/event_loop.hpp"
+#include "net/fiber_event.hpp"
 #include "net/http_client.hpp"
 #include "tests/support/fleet.hpp"
 #include "tests/support/sidecar_fleet.hpp"
@@ -41,6 +42,12 @@
 constexpr milliseconds lastLate{ 2'900 };
 constexpr milliseconds lateInterval{ 55 };
 constexpr const char* lateWork = "/work-1200";
+/** Time after the signal at which the daemon accepts no connection any more, and still waits for requests. */
+constexpr milliseconds listenerClosed{ 1'520 };
+/** Requests that end a stopping daemon's quiet time, and the pauses between them. */
+constexpr int numSlow = 7;
+constexpr milliseconds firstGap{ 137 };
+constexpr milliseconds gapStep{ 8 };
 /** Longer than the grace time. */
 constexpr const char* endlessWork = "/work-3900";
 
@@ -125,6 +132,29 @@
         sendOver (client, "idle-", "/x", milliseconds (0));
     }
 
+    /** A request whose last byte is held back. */
+    struct SlowRequest
+    {
+        net::FiberEvent isDue; /**< Set by the test to have the last byte sent. */
+        net::FiberEvent hasEnded;
+    };
+
+    void sendSlowly (SlowRequest& slow, const std::string& name)
+    {
+        auto& request = sent.emplace_back (Sent{ name + std::to_string (sent.size()), {} });
+        ++pending;
+        net::EventLoop::spawn (
+            [this, &slow, &request]
+            {
+                ClientRequest sending{ "POST", "orders.example", "/orders/x", request.id, timeLeft };
+                sending.body = "order";
+                sending.before_last_byte = [&slow] { slow.isDue.wait(); };
+                request.answer = fleet.send (0, sending);
+                slow.hasEnded.set();
+                --pending;
+            });
+    }
+
     bool waitForAnswers()
     {
         return fleet.eventually (seconds (12), [this] { return pending == 0; });
@@ -270,6 +300,33 @@
     CHECK (it.fleet.wait_for_exit (0, seconds (3)) == 0);
 }
 
+/** Guards against requests whose last byte arrives when a stopping daemon has seen no request for a while:
+   they are passed on, and cut when the process ends a few milliseconds later. Each one that the daemon takes
+   delays its end, so each is sent a little longer after the one before, until the process has ended. */
+TEST_CASE ("a stopping daemon cuts no request that is complete in its last moment", "[planned-stops]")
+{
+    StoppingFleet it (31'500, quickWork);
+    std::deque<StoppingFleet::SlowRequest> slow (numSlow);
+
+    for (auto& request : slow)
+        it.sendSlowly (request, "slow-");
+
+    SidecarFleet::pause (milliseconds (50));
+    it.fleet.terminate (0);
+    SidecarFleet::pause (listenerClosed);
+
+    for (int n = 0; n < numSlow; ++n)
+    {
+        slow[n].isDue.set();
+        slow[n].hasEnded.wait();
+        SidecarFleet::pause (firstGap + n * gapStep);
+    }
+
+    REQUIRE (it.waitForAnswers());
+    CHECK (it.checkAnswers ("slow-", statusOk) > 0);
+    CHECK (it.fleet.wait_for_exit (0, seconds (1)) == 0);
+}
+
 /** Guards against a stop whose course can't be told from the log: which signals came, what the program was
     built from, and which requests were cut, at which server. */
 TEST_CASE ("the log of a planned stop names its signals and the requests that it cuts", "[planned-stops]")
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -11,6 +11,7 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <utility>
 
 #include "logging/utc_time.hpp"
 #include "tests/support/fleet.hpp"
@@ -38,6 +39,32 @@
     }
 }
 
+/// Sends the last byte of a body after a call has returned.
+class LastByteReader final : public net::BodyReader {
+  public:
+    LastByteReader(char last, std::function<void()> before) : last_(last), before_(std::move(before)) {}
+
+    std::size_t read(char* data, std::size_t /*size*/, std::error_code& /*error*/) override {
+        if (!before_) {
+            return 0;
+        }
+        std::exchange(before_, nullptr)();
+        *data = last_;
+        return 1;
+    }
+
+  private:
+    char last_;
+    std::function<void()> before_;
+};
+
+/// Holds back the last byte of the body until `before_last_byte` has returned.
+void delay_last_byte(net::Body& body, const std::function<void()>& before_last_byte) {
+    body.length = body.prefix.size();
+    body.rest = std::make_unique<LastByteReader>(body.prefix.back(), before_last_byte);
+    body.prefix.pop_back();
+}
+
 }  // namespace
 
 std::string configuration_text(unsigned version, const std::vector<std::string>& safe_services,
@@ -239,6 +266,9 @@
     for (const auto& field : client_request.fields) {
         request.fields.add(field.name, field.value);
     }
+    if (client_request.before_last_byte) {
+        delay_last_byte(request.body, client_request.before_last_byte);
+    }
     net::ExchangeProgress progress;
     std::error_code error;
     const auto sent = TimePoint::clock::now();
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <boost/process/child.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -80,6 +81,8 @@
     milliseconds time_left{2'000};
     net::HeaderFields fields{};  ///< Additional header fields.
     std::string body{};
+    /// If set, called before the last byte of the body is sent, which waits until the call returns.
+    std::function<void()> before_last_byte{};
 };
 
 /// The processes of the fleet. The destructor ends all of them.
