A stopping sidecar answers the requests that wait until its end

Callers saw: requests that waited for a busy server when the grace time of a planned stop ended lost their connections without an answer, though they had not run. Peers that waited at the gate of a stopping machine got 502, though another server could run theirs.

Cause: a stop decides what may begin, and waits for what has begun; nothing ended the wait of a request that had come before.

Change: after the grace time but for the exit, waiting requests and reservations are refused as not sent at the gate; at the ingress, 503 stopping if nothing of the request has been sent, else 502 outcome-unknown. The answers get up to 100 ms of the 400 ms that were kept for the exit; nothing ends earlier than before. The lines request-cut are written then.

--- a/src/observability/event_catalogue.cpp
+++ b/src/observability/event_catalogue.cpp
@@ -26,7 +26,8 @@
     EventEntry{Event::kBuild, Level::kInfo, "build",
                "The daemon starts: what its program was built from and how."},
     EventEntry{Event::kRequestCut, Level::kWarn, "request-cut",
-               "A request was still in progress when a planned stop ended, and was cut."},
+               "A request was still in progress at the end of a planned stop, and was ended without its "
+               "server's response."},
     EventEntry{Event::kTableInForce, Level::kInfo, "table-in-force",
                "A table with a higher revision is in force."},
     EventEntry{Event::kTableRejected, Level::kError, "table-rejected",
--- a/src/sidecar/call_attempts.cpp
+++ b/src/sidecar/call_attempts.cpp
@@ -135,6 +135,9 @@
         if (sends && crashes_.is_condemned(now, call.identity)) {
             return {std::nullopt, {ErrorKind::kCrashesServers}, state.plan.may_have_run()};
         }
+        if ((sends || step == AttemptStep::kWait) && context_.stop.ends_requests()) {
+            return end_at_stop(call, state, now);
+        }
         if (step == AttemptStep::kLaunch && !can_complete(call, now)) {
             return {std::nullopt, stopping_failure(now), state.plan.may_have_run()};
         }
@@ -148,6 +151,20 @@
     return conclude(call, state, step);
 }
 
+AttemptsResult CallAttempts::end_at_stop(IncomingCall& call, RequestState& state, TimePoint now) {
+    cancel_attempts(call, state);
+    if (state.best) {
+        return conclude(call, state, AttemptStep::kDeliver);
+    }
+    return {std::nullopt, stopping_failure(now), state.plan.may_have_run()};
+}
+
+void CallAttempts::end_requests() {
+    for (const auto* state : open_) {
+        state->attempt_set->changed.notify();
+    }
+}
+
 bool CallAttempts::is_sent(const RequestState& state) {
     const auto& attempts = state.attempt_set->attempts;
     return std::any_of(attempts.begin(), attempts.end(),
--- a/src/sidecar/call_attempts.hpp
+++ b/src/sidecar/call_attempts.hpp
@@ -58,6 +58,8 @@
     void apply_settings();
     /// The requests whose plan has not ended.
     OpenRequests open_requests(TimePoint now) const;
+    /// Ends these requests. Call after `StopState::end_requests`.
+    void end_requests();
 
   private:
     /// One attempt to run a request at one server.
@@ -105,6 +107,9 @@
     /// Whether something of the request may have been sent to a server, or to its gate.
     static bool is_sent(const RequestState& state);
     AttemptsResult run_plan(IncomingCall& call, RequestState& state, net::CancelSignal& cancel);
+    /// Ends a request because the process is about to end. If nothing of it has been sent, its failure says
+    /// that it has not run.
+    AttemptsResult end_at_stop(IncomingCall& call, RequestState& state, TimePoint now);
     retry::AttemptTerms terms_of(const IncomingCall& call, const net::HttpRequest& request,
                                  TimePoint now) const;
     /// Chooses the server of the next attempt: one that has not been tried, or one that has declined the
--- a/src/sidecar/call_ingress.hpp
+++ b/src/sidecar/call_ingress.hpp
@@ -60,7 +60,7 @@
     net::HttpResponse reject(ErrorKind kind);
     /// Applies changed settings.
     void apply_settings() { attempts_.apply_settings(); }
-    const CallAttempts& attempts() const { return attempts_; }
+    CallAttempts& attempts() { return attempts_; }
 
   private:
     net::HttpResponse respond(IncomingCall& call, net::HttpRequest& request, net::CancelSignal& cancel);
--- a/src/sidecar/gate_server.cpp
+++ b/src/sidecar/gate_server.cpp
@@ -33,6 +33,15 @@
     }
 }
 
+void refuse_waiting(GateServer& server) {
+    // Waking only makes fibers ready, so that no waiter is removed meanwhile.
+    for (const auto& [run, waiter] : server.waiters) {
+        if (!waiter->decided.is_set()) {
+            wake(server, run, false);
+        }
+    }
+}
+
 void set_root_order(GateServer& server, TimePoint now, const hop::HopRequest& call,
                     admission::GateCall& gate_call) {
     if (call.root_priority) {
--- a/src/sidecar/gate_server.hpp
+++ b/src/sidecar/gate_server.hpp
@@ -84,6 +84,9 @@
 /// Tells a waiting request or reservation that it has a slot, or that it was refused in favor of another.
 void wake(GateServer& server, std::uint64_t run, bool admitted);
 
+/// Refuses all requests and reservations that wait for a slot.
+void refuse_waiting(GateServer& server);
+
 /// Starts waiting requests as the server's rate limit allows, until none waits for the rate.
 void release_by_rate(GateServer& server);
 
--- a/src/sidecar/gate_servers.cpp
+++ b/src/sidecar/gate_servers.cpp
@@ -93,6 +93,12 @@
     servers_.erase(instance);
 }
 
+void GateServers::refuse_waiting() {
+    for (const auto& [instance, server] : servers_) {
+        sidecar::refuse_waiting(*server);
+    }
+}
+
 void GateServers::expire(TimePoint now) {
     const auto interval = context_.settings.heartbeat_interval;
     const auto silent =
--- a/src/sidecar/gate_servers.hpp
+++ b/src/sidecar/gate_servers.hpp
@@ -29,6 +29,8 @@
     bool on_leaving_answer(const std::string& instance);
     /// Discards all state of a server that has crashed.
     void on_crash(const std::string& instance);
+    /// Refuses all requests and reservations that wait for a slot.
+    void refuse_waiting();
     /// Removes servers whose heartbeats have stopped.
     void expire(TimePoint now);
 
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -73,6 +73,8 @@
     std::size_t in_flight() const { return in_flight_.size(); }
     /// These requests.
     OpenRequests open_requests(TimePoint now) const;
+    /// Refuses the requests that wait for a slot. They have not been sent to a server.
+    void refuse_waiting() { servers_.refuse_waiting(); }
     /// Sets the known servers of a local server's service; see `retry::GateBudget::on_servers`.
     void on_service_servers(TimePoint now, const std::string& service, std::size_t servers,
                             std::uint64_t identity);
--- a/src/sidecar/planned_stop.cpp
+++ b/src/sidecar/planned_stop.cpp
@@ -23,8 +23,10 @@
 constexpr milliseconds kQuietTime{150};
 /// Poll interval of the requests in flight.
 constexpr milliseconds kStopPoll{20};
-/// Part of the grace time reserved for the exit of the process.
+/// Part of the grace time reserved for answering the requests that are left, and for the exit of the process.
 constexpr milliseconds kStopMargin{400};
+/// Time for writing the answers to the requests that are left.
+constexpr milliseconds kAnswerTime{100};
 /// Maximum lines about requests that are cut, at each of the places where they are counted.
 constexpr std::size_t kMaxCutLines = 100;
 
@@ -60,11 +62,19 @@
     }
 }
 
-/// Logs how the stop went. Requests of `in_flight` that have no `request-cut` line were being answered.
-void log_stopped(const StopParts& parts, TimePoint began) {
+/// Ends the requests in progress, which can't be completed before the process ends. Those that wait are told
+/// that they have not run.
+void end_requests(const StopParts& parts) {
     const auto now = TimePoint::clock::now();
     log_cut("ingress", parts.ingress.attempts().open_requests(now));
     log_cut("gate", parts.gate.open_requests(now));
+    parts.context.stop.end_requests();
+    parts.gate.refuse_waiting();
+    parts.ingress.attempts().end_requests();
+}
+
+void log_stopped(const StopParts& parts, TimePoint began) {
+    const auto now = TimePoint::clock::now();
     log_event(Event::kStopped, {{"in_flight", std::to_string(parts.calls.requests_in_flight())},
                                 {"hops", std::to_string(parts.hops.requests_in_flight())},
                                 {"at_gate", std::to_string(parts.gate.in_flight())},
@@ -99,6 +109,10 @@
     parts.calls.close_idle();
     parts.hops.close_idle();
     wait_until_quiet(parts, grace_ends);
+    if (is_busy(parts)) {
+        end_requests(parts);
+        wait_until_quiet(parts, grace_ends + kAnswerTime);
+    }
     // No other fiber runs from here to the exit: it could begin a request, which the exit would cut.
     log_stopped(parts, began);
 }
--- a/src/sidecar/planned_stop.hpp
+++ b/src/sidecar/planned_stop.hpp
@@ -18,8 +18,8 @@
     SidecarContext& context;
     net::HttpServer& calls;
     net::HttpServer& hops;
-    const CallIngress& ingress;
-    const LocalGate& gate;
+    CallIngress& ingress;
+    LocalGate& gate;
     PeerExchange& peers;
 };
 
@@ -31,11 +31,13 @@
 /// 2. Peers are told that this daemon is leaving, and stop sending requests.
 /// 3. When no request has arrived for a while, no more are accepted.
 /// 4. The requests in flight are completed.
+/// 5. Shortly before the grace time ends, those that are left are answered with a failure. Requests that run
+///    at the local server for peers are cut when the process ends.
 ///
 /// From the first step on, `CallAttempts` and `LocalGate` refuse requests that can't be completed before the
 /// process ends (sidecar/completion_forecast).
 ///
-/// The log names each request that is still in progress at the end. `reason` is logged.
+/// The log names each request that is left then. `reason` is logged.
 void run_planned_stop(const StopParts& parts, const std::string& reason);
 
 }  // namespace anisehold::sidecar
--- a/src/sidecar/sidecar_context.hpp
+++ b/src/sidecar/sidecar_context.hpp
@@ -36,13 +36,17 @@
     const std::optional<stopping::StopTimes>& times() const { return times_; }
     /// Peers have been told to send nothing more.
     bool is_leaving() const { return is_leaving_; }
+    /// The process is about to end: requests in progress are answered with a failure now.
+    bool ends_requests() const { return ends_requests_; }
 
     void begin(const stopping::StopTimes& times) { times_ = times; }
     void leave() { is_leaving_ = true; }
+    void end_requests() { ends_requests_ = true; }
 
   private:
     std::optional<stopping::StopTimes> times_;
     bool is_leaving_ = false;
+    bool ends_requests_ = false;
 };
 
 /// State of this daemon's relation to the store. Updated by `ConfigurationWatch` and `RegistrationKeeper`.
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -48,17 +48,28 @@
 constexpr int numSlow = 7;
 constexpr milliseconds firstGap{ 137 };
 constexpr milliseconds gapStep{ 8 };
+/** Requests wait for a slot for a quarter of it, which is longer than the grace time. */
+constexpr const char* longTargetLatency = "16s";
+/** Occupies a server until after the end of a planned stop, and leaves its followers time to run. */
+constexpr const char* occupyingWork = "/work-3400";
 /** Longer than the grace time. */
 constexpr const char* endlessWork = "/work-3900";
 
+struct StoppingFleetOptions
+{
+    std::string configuration = configuration_text (1, { "front" }, { "quick", "orders" }, timeout);
+    unsigned slots = numSlots;  /**< Of each server. */
+    bool reservesSlots = false; /**< Requests are sent to a busy server's gate only once it has a slot. */
+};
+
 /** A machine of "front", through which clients send, one of "quick" and two of "orders". */
 struct StoppingFleet
 {
-    StoppingFleet (std::uint16_t basePort, milliseconds orderWork)
-        : fleet (basePort, { machine ("front", quickWork), machine ("quick", quickWork),
-                             machine ("orders", orderWork), machine ("orders", orderWork) })
+    StoppingFleet (std::uint16_t basePort, milliseconds orderWork, const StoppingFleetOptions& options = {})
+        : fleet (basePort, { machine ("front", quickWork, options), machine ("quick", quickWork, options),
+                             machine ("orders", orderWork, options), machine ("orders", orderWork, options) })
     {
-        REQUIRE (fleet.launch (configuration_text (1, { "front" }, { "quick", "orders" }, timeout)));
+        REQUIRE (fleet.launch (options.configuration));
         REQUIRE (fleet.eventually (startTimeout, [this] { return fleet.is_ready (0) && allServe(); }));
     }
 
@@ -73,12 +84,14 @@
                fleet.machine (2).server->arrivals() > 0 && fleet.machine (3).server->arrivals() > 0;
     }
 
-    static SidecarMachinePlan machine (const std::string& service, milliseconds work)
+    static SidecarMachinePlan machine (const std::string& service, milliseconds work,
+                                       const StoppingFleetOptions& options)
     {
         SidecarMachinePlan plan;
         plan.zone = "z1";
         plan.service = service;
-        plan.slots = numSlots;
+        plan.slots = options.slots;
+        plan.tolerated_zone_losses = options.reservesSlots ? 1 : 0;
         plan.work = work;
         return plan;
     }
@@ -327,6 +340,65 @@
     CHECK (it.fleet.wait_for_exit (0, seconds (1)) == 0);
 }
 
+/** Two servers with one slot each, which long requests occupy, and requests that wait for them. */
+struct BusyFleet : StoppingFleet
+{
+    BusyFleet (std::uint16_t basePort, const char* occupyingWork, bool reservesSlots)
+        : StoppingFleet (
+              basePort, quickWork,
+              { configuration_text (1, { "front" }, { "quick", "orders" }, timeout, longTargetLatency), 1,
+                reservesSlots })
+    {
+        constexpr int numServers = 2;
+
+        for (int n = 0; n < numServers + numWaiting; ++n)
+            addIdleClient();
+
+        REQUIRE (waitForAnswers());
+
+        for (int n = 0; n < numServers; ++n)
+            sendOver (*clients[n], "occupying-", occupyingWork, milliseconds (0));
+
+        // By then the daemon of the clients knows that both servers are busy.
+        SidecarFleet::pause (milliseconds (500));
+
+        for (int n = 0; n < numWaiting; ++n)
+            sendOver (*clients[numServers + n], "waiting-", "/x", milliseconds (0));
+
+        SidecarFleet::pause (milliseconds (50));
+    }
+
+    static constexpr int numWaiting = 6;
+};
+
+/** Guards against requests that wait for a busy server until a stopping daemon ends: they have not run, and
+    their callers get the end of the connection in place of a refusal. */
+TEST_CASE ("a stopping daemon answers the requests that wait until its end", "[planned-stops]")
+{
+    const bool reservesSlots = GENERATE (true, false);
+    BusyFleet it (reservesSlots ? 31'600 : 31'800, endlessWork, reservesSlots);
+    it.fleet.terminate (0);
+    REQUIRE (it.waitForAnswers());
+    CHECK (it.checkAnswers ("waiting-", 0) == 0);
+
+    // Without a reservation it is unknown here whether a request still waits at the gate of its server.
+    if (reservesSlots)
+        CHECK (it.checkAnswers ("waiting-", statusUnavailable) == BusyFleet::numWaiting);
+
+    CHECK (it.fleet.wait_for_exit (0, seconds (1)) == 0);
+}
+
+/** Guards against the same at the gate: requests that wait there until the daemon ends are cut with an
+   unknown outcome, although they have not run and another server has a slot soon after. */
+TEST_CASE ("the gate of a stopping daemon refuses the requests that wait until its end", "[planned-stops]")
+{
+    BusyFleet it (31'900, occupyingWork, false);
+    it.fleet.terminate (2);
+    REQUIRE (it.waitForAnswers());
+    CHECK (it.checkAnswers ("waiting-", statusOk) == BusyFleet::numWaiting);
+    CHECK (it.fleet.wait_for_exit (2, seconds (1)) == 0);
+}
+
 /** Guards against a stop whose course can't be told from the log: which signals came, what the program was
     built from, and which requests were cut, at which server. */
 TEST_CASE ("the log of a planned stop names its signals and the requests that it cuts", "[planned-stops]")
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -68,7 +68,8 @@
 }  // namespace
 
 std::string configuration_text(unsigned version, const std::vector<std::string>& safe_services,
-                               const std::vector<std::string>& unsafe_services, const std::string& timeout) {
+                               const std::vector<std::string>& unsafe_services, const std::string& timeout,
+                               const std::string& target_latency) {
     json routes = json::object();
     json services = json::object();
     const auto add = [&](const std::string& service, const char* kind) {
@@ -76,7 +77,7 @@
                                       {"pathPrefix", "/" + service + "/"},
                                       {"kind", kind},
                                       {"timeout", timeout},
-                                      {"targetLatency", "500ms"},
+                                      {"targetLatency", target_latency},
                                       {"priority", 1},
                                       {"service", service},
                                       {"retryAttempts", 2}};
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -151,6 +151,7 @@
 /// A configuration with one route for each service: host SERVICE.example, path /SERVICE/.
 std::string configuration_text(unsigned version, const std::vector<std::string>& safe_services,
                                const std::vector<std::string>& unsafe_services,
-                               const std::string& timeout = "2000ms");
+                               const std::string& timeout = "2000ms",
+                               const std::string& target_latency = "500ms");
 
 }  // namespace anisehold::testing
