A log file that may not grow no longer ends a daemon

Cause: the default action of SIGXFSZ. SIGPIPE was ignored, SIGXFSZ was not.

Change: the event loop ignores both; the write returns an error, which the log handles.

--- a/src/net/event_loop.cpp
+++ b/src/net/event_loop.cpp
@@ -22,7 +22,10 @@
 }  // namespace
 
 EventLoop::EventLoop() : io_(new boost::asio::io_context(1)) {
+    // Writes to a closed connection or to a file that has reached its limit return an error; the default
+    // actions of these signals would end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGXFSZ, SIG_IGN);
     boost::fibers::use_scheduling_algorithm<AsioScheduler>(*io_);
 }
 
--- a/src/net/event_loop.hpp
+++ b/src/net/event_loop.hpp
@@ -15,6 +15,7 @@
 /// fiber starts.
 class EventLoop {
   public:
+    /// Ignores SIGPIPE and SIGXFSZ for the whole process.
     EventLoop();
     ~EventLoop() = default;
     EventLoop(const EventLoop&) = delete;
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -59,6 +59,7 @@
 {
     std::string configuration = configuration_text (1, { "front" }, { "quick", "orders" }, timeout);
     unsigned slots = numSlots;  /**< Of each server. */
+    unsigned logBytes = 0;      /**< Limit of the size of each daemon's log file, unless 0. */
     bool reservesSlots = false; /**< Requests are sent to a busy server's gate only once it has a slot. */
 };
 
@@ -92,6 +93,7 @@
         plan.service = service;
         plan.slots = options.slots;
         plan.tolerated_zone_losses = options.reservesSlots ? 1 : 0;
+        plan.log_bytes = options.logBytes;
         plan.work = work;
         return plan;
     }
@@ -439,3 +441,22 @@
     REQUIRE (linesOf (log, "stopped").size() == 1);
     REQUIRE (it.waitForAnswers());
 }
+
+/** Guards against a log file that has reached the process's limit on file sizes: the next line ended the
+   process with a signal, and cut its requests. */
+TEST_CASE ("a daemon whose log file may not grow completes its requests", "[planned-stops]")
+{
+    StoppingFleetOptions options;
+    options.logBytes = 4'096;
+    StoppingFleet it (31'300, quickWork, options);
+    it.addIdleClient();
+    REQUIRE (it.waitForAnswers());
+    it.sendOver (*it.clients[0], "long-", longWork, milliseconds (0));
+    SidecarFleet::pause (milliseconds (50));
+    it.fleet.terminate (0);
+    SidecarFleet::pause (milliseconds (500));
+    it.fleet.terminate (0);
+    REQUIRE (it.waitForAnswers());
+    CHECK (it.checkAnswers ("long-", statusOk) == 1);
+    CHECK (it.fleet.wait_for_exit (0, seconds (3)) == 0);
+}
--- a/tests/support/sidecar_fleet.cpp
+++ b/tests/support/sidecar_fleet.cpp
@@ -31,11 +31,11 @@
     return {"127.0.0.1", port};
 }
 
-/// Limits the open descriptors of the calling process, unless `limit` is 0.
-void limit_descriptors(unsigned limit) {
+/// Limits a resource of the calling process, unless `limit` is 0.
+void limit_resource(__rlimit_resource resource, unsigned limit) {
     const rlimit limits{limit, limit};
     if (limit > 0) {
-        (void)setrlimit(RLIMIT_NOFILE, &limits);
+        (void)setrlimit(resource, &limits);
     }
 }
 
@@ -123,6 +123,7 @@
         machine->tolerated_zone_losses = plan.tolerated_zone_losses;
         machine->memory_megabytes = plan.memory_megabytes;
         machine->descriptors = plan.descriptors;
+        machine->log_bytes = plan.log_bytes;
         const auto at = [&](int offset) { return local(static_cast<std::uint16_t>(first_port + offset)); };
         machine->links = {at(7), at(8), at(6), at(9), at(1), at(10), at(4)};
         lab::PlatformServerOptions options;
@@ -202,7 +203,10 @@
         process::args(std::vector<std::string>{"sidecar", "--config", machine.settings_file}),
         process::std_out > machine.log_file, process::std_err > machine.log_file + ".err",
         process::extend::on_exec_setup =
-            [limit = machine.descriptors](auto& /*executor*/) { limit_descriptors(limit); },
+            [descriptors = machine.descriptors, log_bytes = machine.log_bytes](auto& /*executor*/) {
+                limit_resource(RLIMIT_NOFILE, descriptors);
+                limit_resource(RLIMIT_FSIZE, log_bytes);
+            },
         // A socket of a test server that a child process inherits would stay open after the
         // test server ends.
         process::limit_handles);
--- a/tests/support/sidecar_fleet.hpp
+++ b/tests/support/sidecar_fleet.hpp
@@ -41,6 +41,7 @@
     unsigned tolerated_zone_losses = 0;
     unsigned memory_megabytes = 0;
     unsigned descriptors = 0;
+    unsigned log_bytes = 0;
     MachineLinks links;
     Endpoint calls;
     Endpoint readiness;
@@ -64,6 +65,7 @@
     unsigned tolerated_zone_losses = 0;  ///< Setting `tolerate.zones`.
     unsigned memory_megabytes = 0;       ///< Setting `limits.memory_mb`, unless 0.
     unsigned descriptors = 0;            ///< Limit of the sidecar's open descriptors, unless 0.
+    unsigned log_bytes = 0;              ///< Limit of the size of the sidecar's log file, unless 0.
 };
 
 /// The response that a client received.
