A log that nobody reads no longer stops anisehold serve

Callers saw: with standard error on a pipe whose reader had stalled, the daemon answered nothing after some 4,400 lines, and SIGTERM didn't end it.

Cause: the queue of the logging library waits for room when it is full, on the event loop's thread, and the end of the process waits for the queue's thread.

Change: serve logs through BoundedOutput, as the sidecar does, which drops and counts lines in place of waiting. Both commands share cli/log_flush.

--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -7,6 +7,7 @@
 
 #include "cli/build_info.hpp"
 #include "cli/exit_status.hpp"
+#include "cli/log_flush.hpp"
 #include "cli/settings_options.hpp"
 #include "cli/sidecar_command.hpp"
 #include "cli/status_commands.hpp"
@@ -27,6 +28,7 @@
         return kExitUsage;
     }
     observability::start_logging(settings.log_level, settings.log_layout, settings.daemon_id);
+    group_log_writes();
     log_build_info();
     net::StopSignals signals(loop);
     daemon::Daemon daemon(loop, settings);
--- a/src/cli/sidecar_command.cpp
+++ b/src/cli/sidecar_command.cpp
@@ -1,10 +1,10 @@
 #include "cli/sidecar_command.hpp"
 
-#include <boost/fiber/operations.hpp>
 #include <iostream>
 
 #include "cli/build_info.hpp"
 #include "cli/exit_status.hpp"
+#include "cli/log_flush.hpp"
 #include "cli/settings_options.hpp"
 #include "cli/wait_for_stop.hpp"
 #include "config/sidecar_settings.hpp"
@@ -18,23 +18,12 @@
 namespace anisehold::cli {
 namespace {
 
-/// Interval at which buffered log lines are written; the lines are grouped because each write costs a system
-/// call.
-constexpr milliseconds kLogFlushPeriod{200};
-
-void flush_log_later() {
-    net::EventLoop::spawn([] {
-        boost::this_fiber::sleep_for(kLogFlushPeriod);
-        observability::flush_log();
-    });
-}
-
 int serve(const config::SidecarSettings& settings, const std::string& settings_file) {
     net::EventLoop loop;
     net::StopSignals signals(loop);
     observability::start_logging(config::SidecarSettings::kLogLevel, "json", settings.name,
                                  observability::LogOutput::kStandardOutput);
-    observability::set_log_scheduler(flush_log_later);
+    group_log_writes();
     log_build_info();
     const platform::Dialect dialect;
     platform::StoreClient store(loop.io(), settings.store);
--- a/src/observability/events.cpp
+++ b/src/observability/events.cpp
@@ -1,9 +1,6 @@
 #include "observability/events.hpp"
 
-#include <log4cplus/asyncappender.h>
-#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <unistd.h>
@@ -25,8 +22,6 @@
 
 /// Maximum number of lines returned by `recent_events`.
 constexpr std::size_t kRecentEvents = 500;
-/// Maximum number of lines queued for the thread that writes to standard error.
-constexpr unsigned kLogQueue = 4096;
 
 std::string_view level_name(Level level) {
     switch (level) {
@@ -120,14 +115,8 @@
 
   private:
     log4cplus::SharedAppenderPtr appender_for(LogOutput output) {
-        if (output == LogOutput::kStandardOutput) {
-            bounded_ = new BoundedOutput(STDOUT_FILENO);
-            return log4cplus::SharedAppenderPtr(bounded_);
-        }
-        log4cplus::SharedAppenderPtr console(new log4cplus::ConsoleAppender(true, true));
-        console->setLayout(std::make_unique<log4cplus::PatternLayout>("%m%n"));
-        // Writing to a slow terminal or pipe must not block the event loop.
-        return log4cplus::SharedAppenderPtr(new log4cplus::AsyncAppender(console, kLogQueue));
+        bounded_ = new BoundedOutput(output == LogOutput::kStandardOutput ? STDOUT_FILENO : STDERR_FILENO);
+        return log4cplus::SharedAppenderPtr(bounded_);
     }
 
     static std::string upper(std::string text) {
--- a/src/observability/events.hpp
+++ b/src/observability/events.hpp
@@ -113,17 +113,16 @@
     std::string value;
 };
 
-/// Where log lines go.
-enum class LogOutput {
-    kStandardError,   ///< Through a bounded queue and a thread.
-    kStandardOutput,  ///< Through a bounded buffer that never blocks; see `flush_log`.
-};
+/// Where log lines go, through a bounded buffer that never blocks.
+enum class LogOutput { kStandardError, kStandardOutput };
 
 /// Starts logging. `layout` is "json" or "text", `level` a name as in the settings.
 void start_logging(const std::string& level, const std::string& layout, const std::string& member,
                    LogOutput output = LogOutput::kStandardError);
-/// Enables buffered writing to standard output. `schedule` must arrange a later call of `flush_log`.
+/// Makes lines stay in the buffer until `flush_log` is called, for which `schedule` must arrange; without it
+/// each line is written at once.
 void set_log_scheduler(std::function<void()> schedule);
+/// Writes the buffered lines, as far as the output accepts them now.
 void flush_log();
 /// Writes pending lines and shuts down logging.
 void stop_logging();
--- a/tests/integration/leaving_proof_test.cpp
+++ b/tests/integration/leaving_proof_test.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 #include <csignal>
 
+#include "net/http_client.hpp"
 #include "tests/integration/proof.hpp"
 
 using namespace anisehold;
@@ -92,3 +93,25 @@
     CHECK(result["failed"] == 0);
     CHECK(result["whole"] == result["sent"]);
 }
+
+// Guards against a log that nobody reads: once its pipe and its queue are full, the daemon stands still, and
+// a stop never ends. Each request to an unknown path writes a line.
+TEST_CASE("stops: a daemon whose log nobody reads completes its requests and stops", "[proof][stops]") {
+    auto options = proof_options("cooperative", 23'600);
+    options.unread_logs = true;
+    Fleet fleet(options);
+    REQUIRE(fleet.start());
+    const auto& place = fleet.daemons().front();
+    constexpr int unknown_requests = 8'000;
+    net::HttpClient client(Fleet::loop().io(), place.call);
+    int answered = 0;
+    for (int n = 0; n < unknown_requests && answered == n; ++n) {
+        auto request = net::make_request("GET", "/unknown");
+        net::ExchangeProgress progress;
+        std::error_code error;
+        answered += client.exchange(request, {TimePoint::clock::now() + seconds(2)}, progress, error) ? 1 : 0;
+    }
+    CHECK(answered == unknown_requests);
+    fleet.terminate(place.name);
+    CHECK(fleet.wait_for_exit(place.name, seconds(15)) == 0);
+}
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -98,6 +98,14 @@
     keep_earlier_output(out_file(name));
     keep_earlier_output(log_file(name));
     const std::string path = std::string(ANISEHOLD_BINARY_DIR) + "/" + program;
+    if (options_.unread_logs && arguments.front() == "serve") {
+        const auto log = std::make_shared<process::pipe>();
+        process::child child(path, process::args(arguments),
+                             process::std_in<process::null, process::std_out> out_file(name),
+                             process::std_err > *log);
+        processes_[name] = Process{name, program, arguments, std::move(child), log};
+        return;
+    }
     process::child child(path, process::args(arguments),
                          process::std_in<process::null, process::std_out> out_file(name),
                          process::std_err > log_file(name));
--- a/tests/support/fleet.hpp
+++ b/tests/support/fleet.hpp
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <boost/process/child.hpp>
+#include <boost/process/pipe.hpp>
 #include <map>
+#include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -24,6 +26,7 @@
     std::vector<std::string> without;       ///< Mechanisms disabled in all daemons.
     bool proxy_backends = false;            ///< Puts a fault-injecting proxy in front of each back end.
     std::vector<std::string> daemon_flags;  ///< Additional flags for every daemon.
+    bool unread_logs = false;               ///< The daemons log to pipes that nobody reads.
 };
 
 struct Process {
@@ -31,6 +34,7 @@
     std::string program;
     std::vector<std::string> arguments;
     boost::process::child child;
+    std::shared_ptr<boost::process::pipe> unread_log{};  ///< Null if the log is written to a file.
 };
 
 /// A back-end server of the fleet.
