--- a/src/daemon/daemon.cpp
+++ b/src/daemon/daemon.cpp
@@ -112,6 +112,7 @@
     wait_while_busy(grace_ends);
     server.stop_accepting();
     wait_while_busy(grace_ends);
+    // No other fiber runs from here to the exit: it could begin a call, which the exit would cut.
 }
 
 Daemon::Daemon(net::EventLoop& loop, config::Settings settings)
--- a/src/sidecar/planned_stop.cpp
+++ b/src/sidecar/planned_stop.cpp
@@ -62,8 +62,8 @@
     }
 }
 
-/// Ends the requests in progress, which can't be completed before the process ends. Those that wait are told
-/// that they have not run.
+/// Ends the requests that are left, which can't be completed before the process ends. Callers of requests of
+/// which nothing has been sent to a server are told so.
 void end_requests(const StopParts& parts) {
     const auto now = TimePoint::clock::now();
     log_cut("ingress", parts.ingress.attempts().open_requests(now));
