A stop waits for the requests that a daemon is receiving

Callers saw: a request that was sent slowly when a planned stop began lost its connection as soon as no other request was in progress, with half of the grace time left. Larger bodies, which are passed on while they are read, were waited for.

Cause: a request counted only from the moment at which its header, and its body or the first 64 KiB of it, had been read.

Change: the HTTP server counts a request from its first byte on. Header and body time-outs bound the wait, as does the grace time.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -132,7 +132,7 @@
 }
 
 std::size_t HttpServer::requests_in_flight() const {
-    return state_->shared->in_flight;
+    return state_->shared->receiving + state_->shared->in_flight;
 }
 
 }  // namespace anisehold::net
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -71,7 +71,7 @@
     /// Resets all connections, whatever their state, as the exit of the process would. Used by tests to
     /// simulate crashing servers; the daemons don't call this function.
     void reset_connections();
-    /// Number of requests being handled.
+    /// Number of requests being received or handled.
     std::size_t requests_in_flight() const;
 
   private:
--- a/src/net/http_server_connection.cpp
+++ b/src/net/http_server_connection.cpp
@@ -147,7 +147,9 @@
 bool HttpServerConnection::read_request() {
     RequestParser parser;
     auto exchange = std::make_shared<PendingExchange>();
+    ++server_->receiving;
     auto error = receive(parser, exchange->request);
+    --server_->receiving;
     if (!error && !admit(*exchange)) {
         error = make_error_code(boost::system::errc::not_enough_memory);
     }
--- a/src/net/http_server_connection.hpp
+++ b/src/net/http_server_connection.hpp
@@ -29,6 +29,7 @@
     connection::ConnectionBudget budget;
     std::unordered_map<connection::ConnectionId, std::shared_ptr<HttpServerConnection>> connections;
     bool closing = false;       ///< Responses close their connection.
+    std::size_t receiving = 0;  ///< Number of requests being received, over all connections.
     std::size_t in_flight = 0;  ///< Number of requests being handled, over all connections.
 };
 
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -44,6 +44,8 @@
 constexpr const char* lateWork = "/work-1200";
 /** Time after the signal at which the daemon accepts no connection any more, and still waits for requests. */
 constexpr milliseconds listenerClosed{ 1'520 };
+/** Time after the signal at which a stop without requests has ended, and one with requests hasn't. */
+constexpr milliseconds quietStopEnded{ 2'000 };
 /** Requests that end a stopping daemon's quiet time, and the pauses between them. */
 constexpr int numSlow = 7;
 constexpr milliseconds firstGap{ 137 };
@@ -342,14 +344,27 @@
     CHECK (it.fleet.wait_for_exit (0, seconds (1)) == 0);
 }
 
+/** Guards against requests that a stopping daemon is still receiving when it has seen no other request for a
+    while: it ends, and closes their connections, although most of the grace time is left. */
+TEST_CASE ("a stopping daemon waits for the requests that it is receiving", "[planned-stops]")
+{
+    StoppingFleet it (32'000, quickWork);
+    StoppingFleet::SlowRequest slow;
+    it.sendSlowly (slow, "slow-");
+    SidecarFleet::pause (milliseconds (50));
+    it.fleet.terminate (0);
+    SidecarFleet::pause (quietStopEnded);
+    slow.isDue.set();
+    REQUIRE (it.waitForAnswers());
+    CHECK (it.checkAnswers ("slow-", statusOk) == 1);
+    CHECK (it.fleet.wait_for_exit (0, seconds (1)) == 0);
+}
+
 /** Two servers with one slot each, which long requests occupy, and requests that wait for them. */
 struct BusyFleet : StoppingFleet
 {
     BusyFleet (std::uint16_t basePort, const char* occupyingWork, bool reservesSlots)
-        : StoppingFleet (
-              basePort, quickWork,
-              { configuration_text (1, { "front" }, { "quick", "orders" }, timeout, longTargetLatency), 1,
-                reservesSlots })
+        : StoppingFleet (basePort, quickWork, optionsOf (reservesSlots))
     {
         constexpr int numServers = 2;
 
@@ -370,6 +385,16 @@
         SidecarFleet::pause (milliseconds (50));
     }
 
+    static StoppingFleetOptions optionsOf (bool reservesSlots)
+    {
+        StoppingFleetOptions options;
+        options.configuration =
+            configuration_text (1, { "front" }, { "quick", "orders" }, timeout, longTargetLatency);
+        options.slots = 1;
+        options.reservesSlots = reservesSlots;
+        return options;
+    }
+
     static constexpr int numWaiting = 6;
 };
 
