The last wait of a planned stop ends with its last request

Cause: after the requests that are left have been ended, the stop waited for a quiet time that is longer than the time kept for their answers, so that it always took all of it, of the margin before the process is killed.

Change: it waits only while a request is in progress.

--- a/src/sidecar/planned_stop.cpp
+++ b/src/sidecar/planned_stop.cpp
@@ -47,6 +47,14 @@
     }
 }
 
+/// Waits until no request is in flight, or until `latest`. No other fiber runs between the last check and the
+/// return.
+void wait_while_busy(const StopParts& parts, TimePoint latest) {
+    while (is_busy(parts) && TimePoint::clock::now() < latest) {
+        boost::this_fiber::sleep_for(kStopPoll);
+    }
+}
+
 void log_cut(std::string_view place, const OpenRequests& requests) {
     std::size_t lines = 0;
     for (const auto& it : requests) {
@@ -111,7 +119,7 @@
     wait_until_quiet(parts, grace_ends);
     if (is_busy(parts)) {
         end_requests(parts);
-        wait_until_quiet(parts, grace_ends + kAnswerTime);
+        wait_while_busy(parts, grace_ends + kAnswerTime);
     }
     // No other fiber runs from here to the exit: it could begin a request, which the exit would cut.
     log_stopped(parts, began);
