--- a/tests/integration/leaving_proof_test.cpp
+++ b/tests/integration/leaving_proof_test.cpp
@@ -96,7 +96,8 @@
 
 // Guards against a log that nobody reads: once its pipe and its queue are full, the daemon stands still, and
 // a stop never ends. Each request to an unknown path writes a line.
-TEST_CASE("stops: a daemon whose log nobody reads completes its requests and stops", "[proof][stops]") {
+TEST_CASE("unread log: a daemon whose log nobody reads completes its requests and stops",
+          "[proof][unread-log]") {
     auto options = proof_options("cooperative", 23'600);
     options.unread_logs = true;
     Fleet fleet(options);
