Three comments can be understood alone

Cause: they leaned on the line before. Comments only; no code changes.

Measured: unit tests 637 of 637, integration.planned-stops 10 of 10 cases, lint of the four units that include them.

--- a/src/sidecar/call_attempts.hpp
+++ b/src/sidecar/call_attempts.hpp
@@ -58,7 +58,7 @@
     void apply_settings();
     /// The requests whose plan has not ended.
     OpenRequests open_requests(TimePoint now) const;
-    /// Wakes these requests, which end if `StopState::ends_requests` is set.
+    /// Wakes all requests whose plan has not ended; they end if `StopState::ends_requests` is set.
     void end_requests();
 
   private:
--- a/src/sidecar/local_gate.hpp
+++ b/src/sidecar/local_gate.hpp
@@ -71,7 +71,7 @@
     const GateServers& servers() const { return servers_; }
     /// Number of requests waiting at the gate or running at the server.
     std::size_t in_flight() const { return in_flight_.size(); }
-    /// These requests.
+    /// The requests waiting at the gate or running at the server.
     OpenRequests open_requests(TimePoint now) const;
     /// Refuses the requests that wait for a slot. They have not been sent to a server.
     void refuse_waiting() { servers_.refuse_waiting(); }
--- a/src/sidecar/planned_stop.hpp
+++ b/src/sidecar/planned_stop.hpp
@@ -37,7 +37,7 @@
 /// From the first step on, `CallAttempts` and `LocalGate` refuse requests that can't be completed before the
 /// process ends (sidecar/completion_forecast).
 ///
-/// The log names each request that is left then. `reason` is logged.
+/// The log names each request that is left in the last step. `reason` is logged.
 void run_planned_stop(const StopParts& parts, const std::string& reason);
 
 }  // namespace anisehold::sidecar
